--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent daemon beside a backend server.
--- /dev/null
+++ b/components/balancer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The balancer daemon.
--- /dev/null
+++ b/components/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! An HTTP/3 caller that checks every answer.
--- /dev/null
+++ b/components/core/src/connection/target_pick.rs
@@ -0,0 +1,52 @@
+//! Choice of candidates for the first packet of a flow.
+
+/// A member that may be chosen, with its share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TargetWeight<K> {
+    /// Key of the member in its arena.
+    pub key: K,
+    /// Hash of the member's identity; equal at every balancer.
+    pub hash: u64,
+    /// Share of new flows, relative to the other members; zero excludes the member.
+    pub weight: f32,
+}
+
+/// Picks the first and the second candidate by weighted rendezvous hashing of `flow_hash`.
+///
+/// Balancers that hold the same members and weights pick alike without talking to each other, and
+/// a change of one member moves only flows that it wins or loses.
+pub fn pick_targets<K: Copy>(
+    weights: impl IntoIterator<Item = TargetWeight<K>>,
+    flow_hash: u64,
+) -> Option<(K, Option<K>)> {
+    let mut first: Option<(f32, K)> = None;
+    let mut second: Option<(f32, K)> = None;
+    for target in weights {
+        if target.weight <= 0.0 {
+            continue;
+        }
+        let score = score_of(target.hash, flow_hash, target.weight);
+        if first.is_none_or(|(best, _)| score > best) {
+            second = first;
+            first = Some((score, target.key));
+        } else if second.is_none_or(|(best, _)| score > best) {
+            second = Some((score, target.key));
+        }
+    }
+    first.map(|(_, key)| (key, second.map(|(_, key)| key)))
+}
+
+/// Returns `-weight / ln(u)` for a `u` uniform in (0, 1), whose maximum falls on each member with
+/// probability proportional to its weight.
+fn score_of(member_hash: u64, flow_hash: u64, weight: f32) -> f32 {
+    let mixed = mix(member_hash ^ flow_hash.rotate_left(32));
+    let uniform = ((mixed >> 40) as f32 + 0.5) / (1u64 << 24) as f32;
+    -weight / uniform.ln()
+}
+
+/// The finalizer of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/components/core/src/process/mod.rs
@@ -0,0 +1,1 @@
+//! What lives for the whole process.
--- /dev/null
+++ b/components/core/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! What lives for one request.
--- /dev/null
+++ b/components/core/src/version/route_table.rs
@@ -0,0 +1,95 @@
+//! The table of routes: which incoming traffic belongs to which service.
+
+use std::net::SocketAddrV4;
+
+use compact_str::CompactString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Importance of the requests of a route; earlier classes are served first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum PriorityClass {
+    /// Requests that people wait for in an emergency.
+    Dispatch,
+    /// Ordinary requests.
+    #[default]
+    Normal,
+    /// Long transfers that can wait.
+    Bulk,
+}
+
+/// One row of the table of routes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteEntry {
+    /// Name of the route, unique in the table.
+    pub name: CompactString,
+    /// Service that matching traffic belongs to; joins the table of pools.
+    pub service: CompactString,
+    /// Address at which callers reach the service.
+    pub address: SocketAddrV4,
+    /// Prefix of the request path that the route matches.
+    #[serde(default = "default_prefix")]
+    pub path_prefix: CompactString,
+    /// Request methods that the route matches; empty for all.
+    #[serde(default)]
+    pub methods: Vec<CompactString>,
+    /// Importance of matching requests.
+    #[serde(default)]
+    pub priority: PriorityClass,
+    /// Longest time a request may take, in milliseconds.
+    #[serde(default = "default_timeout")]
+    pub timeout_ms: u32,
+}
+
+fn default_prefix() -> CompactString {
+    CompactString::const_new("/")
+}
+
+fn default_timeout() -> u32 {
+    30_000
+}
+
+/// The table of routes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteTable {
+    /// Rows of the table.
+    #[serde(default, rename = "route")]
+    pub routes: Vec<RouteEntry>,
+}
+
+impl RouteTable {
+    /// Returns the service that owns `address`.
+    pub fn service_at(&self, address: SocketAddrV4) -> Option<&CompactString> {
+        self.routes
+            .iter()
+            .find(|route| route.address == address)
+            .map(|route| &route.service)
+    }
+
+    /// Returns the route of a request: the longest matching prefix, and among equal prefixes one
+    /// that names the method before one that takes all.
+    pub fn route_of(&self, service: &str, method: &str, path: &str) -> Option<&RouteEntry> {
+        self.routes
+            .iter()
+            .filter(|route| route.service == service && path.starts_with(&*route.path_prefix))
+            .filter(|route| {
+                route.methods.is_empty() || route.methods.iter().any(|name| name == method)
+            })
+            .max_by_key(|route| (route.path_prefix.len(), !route.methods.is_empty()))
+    }
+
+    /// Returns the service addresses, sorted and without repeats.
+    pub fn addresses(&self) -> Vec<SocketAddrV4> {
+        let mut addresses: Vec<_> = self.routes.iter().map(|route| route.address).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+}
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files of the daemons and their checks.
--- /dev/null
+++ b/components/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the fabric, the store and backend servers, with fault controls.
--- /dev/null
+++ b/components/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client for the platform's key-value service.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, spans and metrics.
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wire format between balancers and agents.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! carobdrum.
+fn main() {}
