--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -1,1 +1,39 @@
 //! Wire format between balancers and agents.
+//!
+//! Every datagram between two processes is a [`TunnelHeader`], a payload and a tag. The tag is made
+//! by a [`TunnelSealer`] and checked by a [`TunnelOpener`]. Control messages are [`ControlMessage`]
+//! values in the payload of a datagram or of a sealed frame on a TCP connection.
+
+pub mod control;
+
+mod frame_codec;
+mod packet_head;
+mod tunnel_header;
+mod tunnel_key;
+mod tunnel_opener;
+mod tunnel_sealer;
+
+pub use control::ControlMessage;
+pub use frame_codec::{
+    FrameCodec,
+    FrameError,
+    FrameRole,
+    CHALLENGE_LEN,
+    MAX_FRAME_LEN, //
+};
+pub use packet_head::PacketHead;
+pub use tunnel_header::{
+    DatagramKind,
+    HeaderError,
+    SecondCandidate,
+    TunnelHeader,
+    HEADER_LEN,
+    OVERHEAD_LEN,
+    TAG_LEN, //
+};
+pub use tunnel_key::TunnelKey;
+pub use tunnel_opener::{
+    OpenError,
+    TunnelOpener, //
+};
+pub use tunnel_sealer::TunnelSealer;
