Add admission, ledger and retry budget, first cut

Cause: the agent daemon needs the request policy before its request path can be written.

Ruled out: - A ledger that forgets the lowest sequence first: a key begun late would be forgotten while younger. Keys are forgotten in the order of their end, and every key without an entry below the highest forgotten one is unknown. - Latency of the whole response as input of limit and warm-up: it grows with the body, and a long download would look like a cold server. The time until the response head is used.

Conclusion: the interface can be used; constants may change with the measurement.

--- a/components/core/src/request/mod.rs
+++ b/components/core/src/request/mod.rs
@@ -1,1 +1,55 @@
 //! What lives for one request.
+
+mod adaptive_limit;
+mod admission_gate;
+mod admission_gate_builder;
+mod aimd_limit;
+mod gradient_limit;
+mod idempotency_key;
+mod latency_norm;
+mod outcome_ledger;
+mod request_deadline;
+mod request_offer;
+mod request_queue;
+mod request_result;
+mod retry_budget;
+mod ticket_arena;
+mod warmup_ramp;
+
+pub use adaptive_limit::AdaptiveLimit;
+pub use admission_gate::{
+    AdmissionGate,
+    CancelEffect, //
+};
+pub use admission_gate_builder::AdmissionGateBuilder;
+pub use aimd_limit::AimdLimit;
+pub use gradient_limit::GradientLimit;
+pub use idempotency_key::{
+    IdempotencyKey,
+    IdempotencyKeyError,
+    KEY_NONCE_LEN, //
+};
+pub use latency_norm::LatencyNorm;
+pub use outcome_ledger::{
+    FinalOutcome,
+    LedgerBounds,
+    LedgerVerdict,
+    OutcomeLedger,
+    RecordedOutcome, //
+};
+pub use request_deadline::{
+    DeadlineError,
+    RequestDeadline, //
+};
+pub use request_offer::{
+    AdmissionVerdict,
+    RefusalReason,
+    RequestOffer, //
+};
+pub use request_result::{
+    RequestOutcome,
+    RequestResult, //
+};
+pub use retry_budget::RetryBudget;
+pub use ticket_arena::RequestTicket;
+pub use warmup_ramp::WarmupRamp;
--- /dev/null
+++ b/components/core/src/request/request_result.rs
@@ -0,0 +1,36 @@
+//! How a request that ran has ended.
+
+use crate::Millis;
+
+/// Way in which a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOutcome {
+    /// The server responded with a status below 500.
+    Success,
+    /// The server responded with a 5xx status.
+    ServerError,
+    /// The server refused the connection.
+    ConnectionRefused,
+    /// The connection was reset before the response was complete.
+    ConnectionReset,
+    /// The deadline passed before the response was complete.
+    TimedOut,
+    /// The caller went away; the end says nothing about the server.
+    Abandoned,
+}
+
+impl RequestOutcome {
+    /// Returns whether the server failed the request.
+    pub fn is_failure(self) -> bool {
+        !matches!(self, RequestOutcome::Success | RequestOutcome::Abandoned)
+    }
+}
+
+/// Result of a request that ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestResult {
+    /// Time from the start until the response head, which doesn't depend on the body's length.
+    pub latency: Millis,
+    /// Way in which the request ended.
+    pub outcome: RequestOutcome,
+}
