Add telemetry, first cut

Cause: the daemons need one way to log, to serve metrics and to join the spans of a request across balancer, agent and server.

--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,19 @@
 //! Logs, spans and metrics.
+//!
+//! Each hop of a request opens one span by [`hop_span`]; see there for the convention.
+
+mod hop_span;
+mod log_setup;
+mod metrics_server;
+mod telemetry_error;
+mod trace_context;
+
+pub use hop_span::{
+    hop_span,
+    HopKind,
+    HOP_TARGET, //
+};
+pub use log_setup::init_logs;
+pub use metrics_server::MetricsServer;
+pub use telemetry_error::TelemetryError;
+pub use trace_context::TraceContext;
--- /dev/null
+++ b/components/telemetry/src/log_setup.rs
@@ -0,0 +1,40 @@
+//! Setup of the log output.
+
+use snafu::ResultExt;
+use tracing_subscriber::{
+    fmt::format::FmtSpan,
+    EnvFilter, //
+};
+
+use crate::{
+    telemetry_error::{
+        BadFilterSnafu,
+        LogsAreSetSnafu, //
+    },
+    TelemetryError, //
+};
+
+/// Starts logging to stderr, as JSON objects if `format_json` is set and as text otherwise.
+///
+/// `filter` is in the syntax of `tracing-subscriber`, such as `info,hop=debug`. A span of a hop is
+/// written when it closes, with the time it took.
+///
+/// # Errors
+///
+/// Returns [`TelemetryError::BadFilter`] if `filter` can't be parsed, and
+/// [`TelemetryError::LogsAreSet`] if the process has set up logs before.
+pub fn init_logs(format_json: bool, filter: &str) -> Result<(), TelemetryError> {
+    let parsed = EnvFilter::builder()
+        .parse(filter)
+        .context(BadFilterSnafu { filter })?;
+    let output = tracing_subscriber::fmt()
+        .with_env_filter(parsed)
+        .with_span_events(FmtSpan::CLOSE)
+        .with_writer(std::io::stderr);
+    let outcome = if format_json {
+        output.json().try_init()
+    } else {
+        output.with_ansi(false).try_init()
+    };
+    outcome.map_err(|_| LogsAreSetSnafu.build())
+}
--- /dev/null
+++ b/components/telemetry/tests/logs.rs
@@ -0,0 +1,24 @@
+//! Setup of logs. One test, because a process sets up its logs once.
+
+use carobdrum_telemetry::{
+    hop_span,
+    init_logs,
+    HopKind,
+    TelemetryError,
+    TraceContext, //
+};
+
+/// Guards against a filter that is ignored, a second setup that panics, and spans of hops that the
+/// filter of the documentation doesn't show.
+#[test]
+fn filter_and_second_setup_are_checked() {
+    let refused = init_logs(false, "info,hop=loud");
+    assert!(matches!(refused, Err(TelemetryError::BadFilter { .. })));
+    init_logs(true, "info,hop=debug").expect("the first setup with a good filter succeeds");
+    let repeated = init_logs(true, "info");
+    assert!(matches!(repeated, Err(TelemetryError::LogsAreSet)));
+    for hop in [HopKind::Balancer, HopKind::Agent, HopKind::Server] {
+        let span = hop_span(hop, &TraceContext::random(), "archief", "archief-1");
+        assert!(!span.is_disabled());
+    }
+}
