Add store client and stand-ins, first cut

The daemons need a store, a fabric and backend servers to run against, and a client that applies versions. The client speaks Consul's HTTP API for keys and sessions; the stand-in serves the same API with faults.

An apply reads back before each attempt. Its edit id is found in the version in force or in the history under the number after its base, which settles a lost response. A second write after a lost one carries the same index, so at most one of the two takes effect. Settling by a record of its own was ruled out: the history already holds each replaced version.

Each call uses a connection of its own. A pool was ruled out because calls are rare and a pooled connection can be one that the network has forgotten.

The store crate now uses rand, which the workspace declares already, for jitter and edit ids.

--- /dev/null
+++ b/components/standins/src/backend/backend_server.rs
@@ -0,0 +1,157 @@
+//! A backend server and its fault controls.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use hyper::{
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    sync::watch, //
+};
+
+use super::{
+    backend_routes::answer,
+    backend_shared::BackendShared,
+    BackendMeasures,
+    BackendSettings,
+    RunEntry,
+    ServiceTime, //
+};
+use crate::{
+    port_mode::{
+        bind_port,
+        run_port, //
+    },
+    PortMode,
+    StandinError, //
+};
+
+/// Stand-in for a backend server that speaks HTTP/1.1.
+///
+/// Clones control the same server, which stops when the last of them is dropped.
+#[derive(Clone)]
+pub struct BackendServer {
+    address: SocketAddr,
+    shared: Arc<BackendShared>,
+    _port: Arc<watch::Sender<PortMode>>,
+}
+
+impl BackendServer {
+    /// Starts a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StandinError::Bind`] if the address can't be bound.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub async fn start(settings: BackendSettings) -> Result<BackendServer, StandinError> {
+        let (listener, address) = bind_port(settings.address).await?;
+        let port = Arc::new(watch::Sender::new(PortMode::Open));
+        let mode = port.subscribe();
+        let shared = Arc::new(BackendShared::new(settings, &port));
+        let served = Arc::clone(&shared);
+        let gate = mode.clone();
+        let serve = move |stream| serve_connection(stream, Arc::clone(&served), gate.clone());
+        tokio::spawn(run_port(listener, address, mode, serve));
+        Ok(BackendServer {
+            address,
+            shared,
+            _port: port,
+        })
+    }
+
+    /// Returns the address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what the port does with connections.
+    pub fn set_mode(&self, mode: PortMode) {
+        self.shared.set_mode(mode);
+    }
+
+    /// Makes the server cold at once: it bears one request, and more as time goes on.
+    pub fn turn_cold(&self) {
+        self.shared.turn_cold();
+    }
+
+    /// Sets how long the server works on each request that arrives from now on.
+    pub fn set_service_time(&self, time: ServiceTime) {
+        self.shared.lock().service_time = time;
+    }
+
+    /// Starts or ends a drain: the health endpoint reports it, and answers close their connection.
+    pub fn set_draining(&self, draining: bool) {
+        self.shared.lock().faults.draining = draining;
+    }
+
+    /// Answers 503 with a probability, before a request is run.
+    pub fn set_shedding(&self, probability: f64) {
+        self.shared.lock().faults.shedding = probability.clamp(0.0, 1.0);
+    }
+
+    /// Freezes or thaws the server: a frozen one accepts connections and answers nothing.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.shared.frozen.send_replace(frozen);
+    }
+
+    /// Closes the connection in the middle of each of the next `count` answers.
+    pub fn cut_answers(&self, count: u32) {
+        self.shared.lock().faults.cut_answers = count;
+    }
+
+    /// Lets the health endpoint repeat a report until it is as old as `lag`.
+    pub fn set_health_lag(&self, lag: Duration) {
+        self.shared.lock().faults.health_lag = lag;
+    }
+
+    /// Lets the health endpoint report `body` instead of the truth.
+    pub fn set_health_lie(&self, body: Option<Bytes>) {
+        self.shared.lock().faults.health_lie = body;
+    }
+
+    /// Returns how often the request of this identity was run.
+    pub fn runs_of(&self, identity: &str) -> u32 {
+        self.shared.lock().ledger.runs_of(identity)
+    }
+
+    /// Returns the counts of all runs, sorted by identity.
+    pub fn runs(&self) -> Vec<RunEntry> {
+        self.shared.lock().ledger.entries().to_vec()
+    }
+
+    /// Returns the measures.
+    pub fn measures(&self) -> BackendMeasures {
+        self.shared.measures()
+    }
+
+    /// Forgets the measures, so that a run can be measured apart from what came before it.
+    pub fn reset_measures(&self) {
+        self.shared.reset_measures();
+    }
+}
+
+fn serve_connection(
+    stream: TcpStream,
+    shared: Arc<BackendShared>,
+    mut mode: watch::Receiver<PortMode>,
+) {
+    let service = service_fn(move |request| answer(Arc::clone(&shared), request));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = connection => {}
+            _ = mode.wait_for(|mode| *mode != PortMode::Open) => {}
+        }
+    });
+}
--- /dev/null
+++ b/components/standins/src/backend/backend_shared.rs
@@ -0,0 +1,312 @@
+//! State of a backend server.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+use super::{
+    load_meter::LoadMeter,
+    run_ledger::RunLedger,
+    BackendMeasures,
+    BackendSettings,
+    ServiceTime, //
+};
+use crate::PortMode;
+
+/// Faults that the server shows.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BackendFaults {
+    pub(crate) draining: bool,
+    /// Probability of shedding a request.
+    pub(crate) shedding: f64,
+    /// How many of the next answers are cut in the middle.
+    pub(crate) cut_answers: u32,
+    /// Age up to which the health endpoint repeats itself.
+    pub(crate) health_lag: Duration,
+    /// What the health endpoint reports instead of the truth.
+    pub(crate) health_lie: Option<Bytes>,
+}
+
+/// State of a backend server.
+pub(crate) struct BackendState {
+    pub(crate) meter: LoadMeter,
+    pub(crate) ledger: RunLedger,
+    pub(crate) faults: BackendFaults,
+    pub(crate) service_time: ServiceTime,
+    /// What the handle asked for; a fallen server refuses connections even so.
+    wanted_mode: PortMode,
+    fallen: bool,
+    cold_since: Option<Instant>,
+    instance: u64,
+    last_health: Option<(Instant, Bytes)>,
+    rng: SmallRng,
+    answered: u64,
+    shed: u64,
+    overloads: u64,
+    traceparent: Option<CompactString>,
+    request_timeout: Option<CompactString>,
+}
+
+/// What the connections of a backend server share. It doesn't hold the port, which ends with the
+/// last handle.
+pub(crate) struct BackendShared {
+    pub(crate) settings: BackendSettings,
+    pub(crate) frozen: watch::Sender<bool>,
+    state: Mutex<BackendState>,
+    port: std::sync::Weak<watch::Sender<PortMode>>,
+}
+
+/// What became of a request on arrival.
+pub(crate) enum Arrival {
+    /// It is run, in the given time.
+    Run(LoadGuard, Duration),
+    /// It is shed.
+    Shed,
+    /// The server fell over.
+    Fallen,
+}
+
+impl BackendShared {
+    pub(crate) fn new(
+        settings: BackendSettings,
+        port: &Arc<watch::Sender<PortMode>>,
+    ) -> BackendShared {
+        let now = Instant::now();
+        let cold = !settings.warm_up.is_zero();
+        let state = BackendState {
+            meter: LoadMeter::new(now),
+            ledger: RunLedger::default(),
+            faults: BackendFaults::default(),
+            service_time: settings.service_time,
+            wanted_mode: PortMode::Open,
+            fallen: false,
+            cold_since: cold.then_some(now),
+            instance: 1,
+            last_health: None,
+            rng: SmallRng::seed_from_u64(settings.seed),
+            answered: 0,
+            shed: 0,
+            overloads: 0,
+            traceparent: None,
+            request_timeout: None,
+        };
+        BackendShared {
+            settings,
+            frozen: watch::Sender::new(false),
+            state: Mutex::new(state),
+            port: Arc::downgrade(port),
+        }
+    }
+
+    /// Locks the state.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a holder of the lock has panicked.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, BackendState> {
+        self.state.lock().expect("a holder of the lock panicked")
+    }
+
+    /// Sets what the port does with connections.
+    pub(crate) fn set_mode(&self, mode: PortMode) {
+        let mut state = self.lock();
+        state.wanted_mode = mode;
+        self.update_port(&state);
+    }
+
+    /// Makes the server cold at once, as a restart does; the instance changes.
+    pub(crate) fn turn_cold(&self) {
+        let mut state = self.lock();
+        state.cold_since = Some(Instant::now());
+        state.instance += 1;
+    }
+
+    /// Notes the headers of a request.
+    pub(crate) fn note_headers(&self, headers: &http::HeaderMap) {
+        let read = |name| {
+            let value = headers.get(name).and_then(|value| value.to_str().ok());
+            value.map(CompactString::from)
+        };
+        let mut state = self.lock();
+        state.traceparent = read("traceparent");
+        state.request_timeout = read("request-timeout-ms");
+    }
+
+    /// Takes a request in, unless it is shed or too much.
+    pub(crate) fn arrive(self: &Arc<Self>) -> Arrival {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let shedding = state.faults.shedding;
+        if shedding > 0.0 && state.rng.random_bool(shedding) {
+            state.shed += 1;
+            return Arrival::Shed;
+        }
+        let capacity = self.capacity(&state, now);
+        let load = state.meter.enter(now);
+        if load > capacity {
+            state.meter.leave(now);
+            self.fall(&mut state);
+            return Arrival::Fallen;
+        }
+        let time = state.service_time;
+        let time = time.draw(&mut state.rng);
+        let shared = Arc::clone(self);
+        Arrival::Run(LoadGuard { shared }, time)
+    }
+
+    /// Returns how many requests the server bears at the moment.
+    pub(crate) fn capacity(&self, state: &BackendState, now: Instant) -> u32 {
+        let slots = self.settings.slots;
+        let Some(since) = state.cold_since else {
+            return slots;
+        };
+        let warm_up = self.settings.warm_up.as_secs_f64();
+        let warmth = now.saturating_duration_since(since).as_secs_f64() / warm_up.max(1e-9);
+        1 + (f64::from(slots - 1) * warmth.min(1.0)) as u32
+    }
+
+    /// Refuses connections for a while, and closes those that exist.
+    fn fall(self: &Arc<Self>, state: &mut BackendState) {
+        if state.fallen {
+            return;
+        }
+        state.fallen = true;
+        state.overloads += 1;
+        self.update_port(state);
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(shared.settings.fall_time).await;
+            shared.rise();
+        });
+    }
+
+    fn rise(&self) {
+        let mut state = self.lock();
+        state.fallen = false;
+        state.instance += 1;
+        state.cold_since = Some(Instant::now());
+        self.update_port(&state);
+    }
+
+    fn update_port(&self, state: &BackendState) {
+        let mode = match state.wanted_mode {
+            PortMode::Open if state.fallen => PortMode::Refusing,
+            mode => mode,
+        };
+        if let Some(port) = self.port.upgrade() {
+            port.send_replace(mode);
+        }
+    }
+
+    /// Returns what the health endpoint reports.
+    pub(crate) fn health(&self) -> Bytes {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if let Some(lie) = &state.faults.health_lie {
+            return lie.clone();
+        }
+        if let Some((taken, report)) = &state.last_health {
+            if now.saturating_duration_since(*taken) < state.faults.health_lag {
+                return report.clone();
+            }
+        }
+        let report = Bytes::from(self.health_json(&state, now).to_string());
+        state.last_health = Some((now, report.clone()));
+        report
+    }
+
+    fn health_json(&self, state: &BackendState, now: Instant) -> Value {
+        let capacity = self.capacity(state, now);
+        let condition = match state.faults.draining {
+            true => "draining",
+            false if capacity < self.settings.slots => "cold",
+            false => "ok",
+        };
+        json!({
+            "state": condition,
+            "in_flight": state.meter.in_flight(),
+            "slots": self.settings.slots,
+            "instance": state.instance,
+        })
+    }
+
+    /// Returns the measures.
+    pub(crate) fn measures(&self) -> BackendMeasures {
+        let mut state = self.lock();
+        state.meter.advance(Instant::now());
+        BackendMeasures {
+            in_flight: state.meter.in_flight(),
+            max_in_flight: state.meter.max_in_flight(),
+            in_flight_time: state.meter.integral(),
+            answered: state.answered,
+            shed: state.shed,
+            overloads: state.overloads,
+            traceparent: state.traceparent.clone(),
+            request_timeout: state.request_timeout.clone(),
+        }
+    }
+
+    /// Forgets the measures; the ledger stays.
+    pub(crate) fn reset_measures(&self) {
+        let mut state = self.lock();
+        state.meter.reset(Instant::now());
+        state.answered = 0;
+        state.shed = 0;
+        state.overloads = 0;
+        state.traceparent = None;
+        state.request_timeout = None;
+    }
+}
+
+impl BackendState {
+    /// Returns the number of the server's instance, which grows with each restart.
+    pub(crate) fn instance(&self) -> u64 {
+        self.instance
+    }
+
+    /// Returns whether the answer at hand is to be cut.
+    pub(crate) fn take_cut(&mut self) -> bool {
+        let cut = self.faults.cut_answers > 0;
+        self.faults.cut_answers = self.faults.cut_answers.saturating_sub(1);
+        cut
+    }
+}
+
+/// Keeps a request in flight until it is dropped.
+pub(crate) struct LoadGuard {
+    shared: Arc<BackendShared>,
+}
+
+impl LoadGuard {
+    /// Counts the request as answered in full.
+    pub(crate) fn finish(self) {
+        self.shared.lock().answered += 1;
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.shared.lock().meter.leave(Instant::now());
+    }
+}
--- /dev/null
+++ b/components/standins/src/fabric/fabric_relay.rs
@@ -0,0 +1,169 @@
+//! The relay's sockets and its fault controls.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::Duration,
+};
+
+use tokio::task::JoinHandle;
+
+use super::{
+    relay_faults::RelayFaults,
+    relay_shared::RelayShared,
+    service_port::{
+        bind_service,
+        run_service, //
+    },
+    RelayCounts,
+    RelaySettings, //
+};
+use crate::StandinError;
+
+/// Stand-in for the fabric: a UDP relay that owns the service addresses and delivers each datagram
+/// to a balancer picked at random.
+///
+/// Clones control the same relay, which stops when the last of them is dropped.
+#[derive(Clone)]
+pub struct FabricRelay {
+    shared: Arc<RelayShared>,
+    services: Arc<Mutex<Vec<ServiceTask>>>,
+}
+
+struct ServiceTask {
+    address: SocketAddrV4,
+    task: JoinHandle<()>,
+}
+
+impl Drop for ServiceTask {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl FabricRelay {
+    /// Starts a relay.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StandinError::Bind`] if a service address can't be bound.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn start(settings: RelaySettings) -> Result<FabricRelay, StandinError> {
+        let services = settings.services.clone();
+        let relay = FabricRelay {
+            shared: Arc::new(RelayShared::new(settings)),
+            services: Arc::default(),
+        };
+        relay.set_services(services)?;
+        Ok(relay)
+    }
+
+    /// Changes the service addresses; callers of addresses that remain are not disturbed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StandinError::Bind`] if an address can't be bound; those before it are in use
+    /// then.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn set_services(
+        &self,
+        addresses: impl IntoIterator<Item = SocketAddrV4>,
+    ) -> Result<(), StandinError> {
+        let wanted: Vec<SocketAddrV4> = addresses.into_iter().collect();
+        let mut services = self.lock_services();
+        services.retain(|service| wanted.contains(&service.address));
+        for address in wanted {
+            if services.iter().any(|service| service.address == address) {
+                continue;
+            }
+            let (socket, address) = bind_service(address)?;
+            let run = run_service(Arc::clone(&self.shared), socket, address);
+            let task = tokio::spawn(run);
+            services.push(ServiceTask { address, task });
+        }
+        Ok(())
+    }
+
+    /// Returns the service addresses; a port given as 0 is the one that was bound.
+    pub fn services(&self) -> Vec<SocketAddrV4> {
+        let services = self.lock_services();
+        services.iter().map(|service| service.address).collect()
+    }
+
+    /// Changes the balancers that datagrams are delivered to.
+    pub fn set_balancers(&self, balancers: impl IntoIterator<Item = Ipv4Addr>) {
+        let balancers = balancers.into_iter().collect();
+        self.change(|faults| faults.balancers = balancers);
+    }
+
+    /// Loses each datagram with a probability, in both directions.
+    pub fn set_loss(&self, probability: f64) {
+        self.change(|faults| faults.loss = probability.clamp(0.0, 1.0));
+    }
+
+    /// Duplicates each datagram with a probability, in both directions.
+    pub fn set_duplicates(&self, probability: f64) {
+        self.change(|faults| faults.duplicates = probability.clamp(0.0, 1.0));
+    }
+
+    /// Delays each datagram by `delay` and up to `jitter` more, so that a jitter reorders them.
+    pub fn set_delay(&self, delay: Duration, jitter: Duration) {
+        self.change(|faults| {
+            faults.delay = delay;
+            faults.jitter = jitter;
+        });
+    }
+
+    /// Loses all datagrams to and from a balancer, which stays in the list.
+    pub fn cut_balancer(&self, balancer: Ipv4Addr) {
+        self.change(|faults| faults.cuts.push(balancer));
+    }
+
+    /// Ends the cut of a balancer.
+    pub fn heal_balancer(&self, balancer: Ipv4Addr) {
+        self.change(|faults| faults.cuts.retain(|cut| *cut != balancer));
+    }
+
+    /// Loses all datagrams between a caller address and a service address without a sign, as a
+    /// device does that has lost the state of the five-tuple.
+    pub fn silence_caller(&self, caller: SocketAddrV4, service: SocketAddrV4) {
+        self.change(|faults| faults.silenced.push((caller, service)));
+    }
+
+    /// Ends the silence of all five-tuples.
+    pub fn end_silences(&self) {
+        self.change(|faults| faults.silenced.clear());
+    }
+
+    /// Returns the counts of datagrams and sockets.
+    pub fn counts(&self) -> RelayCounts {
+        self.shared.counts()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut RelayFaults)) {
+        change(&mut self.shared.faults_mut());
+    }
+
+    /// Locks the list of services.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a holder of the lock has panicked.
+    fn lock_services(&self) -> MutexGuard<'_, Vec<ServiceTask>> {
+        let services = self.services.lock();
+        services.expect("a holder of the lock panicked")
+    }
+}
--- /dev/null
+++ b/components/standins/src/fabric/mod.rs
@@ -0,0 +1,13 @@
+//! Stand-in for the fabric that delivers any packet to any balancer.
+
+mod caller_port;
+mod fabric_relay;
+mod relay_counts;
+mod relay_faults;
+mod relay_settings;
+mod relay_shared;
+mod service_port;
+
+pub use fabric_relay::FabricRelay;
+pub use relay_counts::RelayCounts;
+pub use relay_settings::RelaySettings;
--- /dev/null
+++ b/components/standins/src/fabric/service_port.rs
@@ -0,0 +1,142 @@
+//! The socket of one service address.
+
+use std::{
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::rngs::SmallRng;
+use snafu::ResultExt;
+use tokio::{
+    net::UdpSocket,
+    time::Instant, //
+};
+
+use super::{
+    caller_port::CallerPort,
+    relay_faults::RelayPath,
+    relay_shared::{
+        RelayDirection,
+        RelayShared, //
+    },
+};
+use crate::{
+    standin_error::BindSnafu,
+    StandinError, //
+};
+
+/// Largest datagram that the relay carries, in bytes; QUIC over Ethernet needs less than 1,500.
+pub(crate) const MAX_DATAGRAM: usize = 2048;
+
+/// Longest period of the search for idle callers.
+const MAX_SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Binds the socket of a service address.
+///
+/// # Errors
+///
+/// Returns [`StandinError::Bind`] if the address can't be bound.
+pub(crate) fn bind_service(
+    address: SocketAddrV4,
+) -> Result<(Arc<UdpSocket>, SocketAddrV4), StandinError> {
+    let context = BindSnafu { address };
+    let socket = std::net::UdpSocket::bind(address).context(context)?;
+    socket.set_nonblocking(true).context(context)?;
+    let socket = UdpSocket::from_std(socket).context(context)?;
+    let bound = match socket.local_addr().context(context)? {
+        SocketAddr::V4(bound) => bound,
+        SocketAddr::V6(_) => address,
+    };
+    Ok((Arc::new(socket), bound))
+}
+
+/// Delivers what callers send to the service address, until the task is aborted.
+pub(crate) async fn run_service(
+    shared: Arc<RelayShared>,
+    socket: Arc<UdpSocket>,
+    address: SocketAddrV4,
+) {
+    let mut port = ServicePort {
+        rng: shared.task_rng(),
+        shared,
+        socket,
+        address,
+        callers: Vec::new(),
+    };
+    let period = (port.shared.idle() / 4).clamp(Duration::from_millis(1), MAX_SWEEP_PERIOD);
+    let mut sweep = tokio::time::interval(period);
+    let mut buffer = [0; MAX_DATAGRAM];
+    let socket = Arc::clone(&port.socket);
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                if let Ok((len, SocketAddr::V4(caller))) = received {
+                    port.forward(caller, &buffer[..len]).await;
+                }
+            }
+            _ = sweep.tick() => port.close_idle(),
+        }
+    }
+}
+
+/// State of one service address: the callers seen, sorted by address.
+struct ServicePort {
+    shared: Arc<RelayShared>,
+    socket: Arc<UdpSocket>,
+    address: SocketAddrV4,
+    callers: Vec<CallerPort>,
+    rng: SmallRng,
+}
+
+impl ServicePort {
+    async fn forward(&mut self, caller: SocketAddrV4, datagram: &[u8]) {
+        let Some(at) = self.caller_index(caller).await else {
+            self.shared.count_refused();
+            return;
+        };
+        let (balancer, copies) = {
+            let faults = self.shared.faults();
+            let Some(balancer) = faults.pick_balancer(&mut self.rng) else {
+                return;
+            };
+            let path = RelayPath {
+                caller,
+                service: self.address,
+                balancer,
+            };
+            (balancer, faults.judge(path, &mut self.rng))
+        };
+        let target = SocketAddrV4::new(balancer, self.address.port());
+        let socket = &self.callers[at].socket;
+        self.shared
+            .deliver(socket, datagram, target, copies, RelayDirection::ToBalancer)
+            .await;
+    }
+
+    /// Returns the place of the caller's socket, which is opened for a new caller.
+    async fn caller_index(&mut self, caller: SocketAddrV4) -> Option<usize> {
+        match self
+            .callers
+            .binary_search_by_key(&caller, |port| port.caller)
+        {
+            Ok(at) => {
+                self.callers[at].last_use = Instant::now();
+                Some(at)
+            }
+            Err(at) => {
+                let opened = CallerPort::open(&self.shared, &self.socket, caller, self.address);
+                self.callers.insert(at, opened.await?);
+                Some(at)
+            }
+        }
+    }
+
+    fn close_idle(&mut self) {
+        let idle = self.shared.idle();
+        self.callers.retain(|port| port.last_use.elapsed() < idle);
+    }
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -1,1 +1,31 @@
 //! Stand-ins for the fabric, the store and backend servers, with fault controls.
+//!
+//! Each stand-in runs as tokio tasks on a loopback address. The value returned by its `start` is a
+//! cloneable handle with the fault controls; the tasks end when the last handle is dropped.
+
+mod backend;
+mod fabric;
+mod port_mode;
+mod standin_error;
+mod store;
+
+pub use backend::{
+    body_chunk,
+    fill_body_chunk,
+    BackendMeasures,
+    BackendServer,
+    BackendSettings,
+    RunEntry,
+    ServiceTime, //
+};
+pub use fabric::{
+    FabricRelay,
+    RelayCounts,
+    RelaySettings, //
+};
+pub use port_mode::PortMode;
+pub use standin_error::StandinError;
+pub use store::{
+    CallCounts,
+    StoreServer, //
+};
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -1,1 +1,34 @@
 //! Client for the platform's key-value service.
+//!
+//! The service speaks Consul's published HTTP API for keys and sessions. All keys are below
+//! `carobdrum/<deployment>/`.
+
+mod apply_outcome;
+mod conflict_report;
+mod key_entry;
+mod key_watch;
+mod retry_plan;
+mod session_end;
+mod store_call;
+mod store_client;
+mod store_error;
+mod stored_version;
+mod table_changes;
+mod table_edit;
+mod undo_edit;
+mod version_apply;
+mod version_watch;
+
+pub use apply_outcome::ApplyOutcome;
+pub use conflict_report::ConflictReport;
+pub use key_entry::KeyEntry;
+pub use key_watch::KeyWatch;
+pub use retry_plan::RetryPlan;
+pub use session_end::SessionEnd;
+pub use store_client::StoreClient;
+pub use store_error::StoreError;
+pub use stored_version::StoredVersion;
+pub use table_changes::TableChanges;
+pub use table_edit::TableEdit;
+pub use undo_edit::UndoEdit;
+pub use version_watch::VersionWatch;
--- /dev/null
+++ b/components/store/src/version_apply.rs
@@ -0,0 +1,185 @@
+//! The path of an edit into the store.
+
+use bytes::Bytes;
+use carobdrum_core::version::ConfigVersion;
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use snafu::{
+    ensure,
+    IntoError,
+    ResultExt, //
+};
+
+use crate::{
+    store_client::{
+        check_len,
+        history_key,
+        parse_version,
+        CURRENT, //
+    },
+    store_error::{
+        ContendedSnafu,
+        HistoryMismatchSnafu,
+        MalformedVersionSnafu,
+        OutcomeUnknownSnafu,
+        WrongTablesSnafu, //
+    },
+    ApplyOutcome,
+    ConflictReport,
+    KeyEntry,
+    StoreClient,
+    StoreError,
+    TableChanges,
+    TableEdit, //
+};
+
+/// The path of one edit into the store: attempts until the outcome is known or retries run out.
+pub(crate) struct VersionApply<'a> {
+    client: &'a StoreClient,
+    edit: TableEdit,
+    /// A write was sent whose outcome isn't known.
+    in_doubt: bool,
+}
+
+impl VersionApply<'_> {
+    pub(crate) fn new(client: &StoreClient, edit: TableEdit) -> VersionApply<'_> {
+        VersionApply {
+            client,
+            edit,
+            in_doubt: false,
+        }
+    }
+
+    /// Attempts the edit until its outcome is known or no retry is left.
+    pub(crate) async fn run(mut self) -> Result<ApplyOutcome, StoreError> {
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let mut plan = self.client.retry().clone();
+        loop {
+            let error = match self.attempt().await {
+                Ok(outcome) => return Ok(outcome),
+                Err(error) => error,
+            };
+            let retryable = error.is_retryable();
+            match retryable.then(|| plan.next_delay(&mut rng)).flatten() {
+                Some(delay) => tokio::time::sleep(delay).await,
+                None => return Err(self.last_error(error)),
+            }
+        }
+    }
+
+    fn last_error(&self, error: StoreError) -> StoreError {
+        if !self.in_doubt {
+            return error;
+        }
+        let edit_id = self.edit.edit_id.clone();
+        let source = Box::new(error);
+        OutcomeUnknownSnafu { edit_id }.into_error(source)
+    }
+
+    /// Makes one attempt, which starts by reading back what earlier ones did.
+    async fn attempt(&mut self) -> Result<ApplyOutcome, StoreError> {
+        let entry = self.client.read_key(CURRENT).await?;
+        let current = entry.as_ref().map(parse_version).transpose()?;
+        if let Some(outcome) = self.settled(current.as_ref()).await? {
+            return Ok(outcome);
+        }
+        let version = self.successor(current.as_ref())?;
+        let document = encode(&version)?;
+        if let (Some(entry), Some(current)) = (&entry, &current) {
+            self.keep_history(entry, current.number).await?;
+        }
+        let index = entry.map_or(0, |entry| entry.index);
+        self.replace(document, index).await?;
+        Ok(ApplyOutcome::Applied(Box::new(version)))
+    }
+
+    /// Returns the outcome if it is known: the edit took effect in an earlier attempt, or another
+    /// version than its base is in force.
+    async fn settled(
+        &self,
+        current: Option<&ConfigVersion>,
+    ) -> Result<Option<ApplyOutcome>, StoreError> {
+        let in_force = current.map_or(0, |version| version.number);
+        let own = |version: &&ConfigVersion| version.edit_id == self.edit.edit_id;
+        if let Some(version) = current.filter(own) {
+            return Ok(Some(ApplyOutcome::Applied(Box::new(version.clone()))));
+        }
+        if in_force == self.edit.base {
+            return Ok(None);
+        }
+        // An edit that took effect has the number after its base, and was copied to the history
+        // before its own replacement.
+        let next = self.client.read_history(self.edit.base + 1).await?;
+        if let Some(version) = next.as_ref().filter(own) {
+            return Ok(Some(ApplyOutcome::Applied(Box::new(version.clone()))));
+        }
+        let report = self.report(current).await?;
+        Ok(Some(ApplyOutcome::Refused(report)))
+    }
+
+    async fn report(&self, current: Option<&ConfigVersion>) -> Result<ConflictReport, StoreError> {
+        let current = current.cloned().unwrap_or_default();
+        let base = match self.edit.base {
+            0 => Some(ConfigVersion::default()),
+            number => self.client.read_history(number).await?,
+        };
+        let changes = base.map(|base| TableChanges::between(&base, &current));
+        Ok(ConflictReport {
+            base: self.edit.base,
+            in_force: current.number,
+            author: current.author,
+            comment: current.comment,
+            edited_ms: current.edited_ms,
+            changes,
+        })
+    }
+
+    fn successor(&self, current: Option<&ConfigVersion>) -> Result<ConfigVersion, StoreError> {
+        let first = ConfigVersion::default();
+        let current = current.unwrap_or(&first);
+        let edit = &self.edit;
+        let version = current.successor(edit.routes.clone(), edit.pools.clone());
+        let mut version = version.context(WrongTablesSnafu)?;
+        version.edit_id = edit.edit_id.clone();
+        version.author = edit.author.clone();
+        version.comment = edit.comment.clone();
+        version.edited_ms = edit.edited_ms;
+        Ok(version)
+    }
+
+    /// Copies the version in force to the history, byte for byte.
+    ///
+    /// The write creates only, and a copy that exists must be equal, so that a repeat after a lost
+    /// response or by another author does no harm.
+    async fn keep_history(&self, entry: &KeyEntry, number: u32) -> Result<(), StoreError> {
+        let key = history_key(number);
+        let value = entry.value.clone();
+        if self.client.write_key_cas(&key, value, 0).await? {
+            return Ok(());
+        }
+        let kept = self.client.read_key(&key).await?;
+        let equal = kept.is_some_and(|kept| kept.value == entry.value);
+        ensure!(equal, HistoryMismatchSnafu { number });
+        Ok(())
+    }
+
+    async fn replace(&mut self, document: Bytes, index: u64) -> Result<(), StoreError> {
+        let written = self.client.write_key_cas(CURRENT, document, index).await;
+        if let Err(error) = &written {
+            self.in_doubt |= !error.is_without_effect();
+        }
+        // A refused swap is settled by the next attempt, which reads what is in force now.
+        ensure!(written?, ContendedSnafu { key: CURRENT });
+        Ok(())
+    }
+}
+
+/// Encodes a version and checks its length before anything is sent.
+fn encode(version: &ConfigVersion) -> Result<Bytes, StoreError> {
+    let document = serde_json::to_vec(version);
+    let document = document.context(MalformedVersionSnafu { key: CURRENT })?;
+    check_len(CURRENT, document.len())?;
+    Ok(document.into())
+}
