--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -1,7 +1,16 @@
 //! Failures of commands.
 
-use carobdrum_core::OneLine;
+use std::path::PathBuf;
+
+use carobdrum_core::{
+    version::TableError,
+    OneLine, //
+};
 use carobdrum_settings::SettingsError;
+use carobdrum_store::{
+    ConflictReport,
+    StoreError, //
+};
 use carobdrum_telemetry::TelemetryError;
 use compact_str::{
     format_compact,
@@ -10,6 +19,8 @@
 };
 use snafu::Snafu;
 
+use crate::cmd::tables::describe_changes;
+
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
 
@@ -50,6 +61,72 @@
         /// The cause.
         source: TelemetryError,
     },
+    /// A file can't be written.
+    #[snafu(display("{}: {source}", path.display()))]
+    WriteFile {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A file would be replaced.
+    #[snafu(display("{}: exists; allowed: a new file, or --force", path.display()))]
+    FileExists {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The runtime of asynchronous calls can't be started.
+    #[snafu(display("no runtime: {source}"))]
+    Runtime {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A call of the store failed.
+    #[snafu(display("{source}"))]
+    Store {
+        /// The cause.
+        source: StoreError,
+    },
+    /// Nothing was applied yet.
+    #[snafu(display("the store holds no version of deployment `{deployment}`"))]
+    NoVersion {
+        /// The deployment.
+        deployment: CompactString,
+    },
+    /// The store doesn't have the version.
+    #[snafu(display("version {number}: not in the store"))]
+    UnknownVersion {
+        /// The number.
+        number: u32,
+    },
+    /// The files don't tell which version they are an edit of.
+    #[snafu(display("{}: found no base version; allowed: files of `tables show`, or --base", folder.display()))]
+    NoBase {
+        /// Folder of the files.
+        folder: PathBuf,
+    },
+    /// The files are edits of different versions.
+    #[snafu(display("{}: found base versions {routes} of routes and {pools} of pools; allowed: one for both", folder.display()))]
+    TwoBases {
+        /// Folder of the files.
+        folder: PathBuf,
+        /// Version that routes.toml is an edit of.
+        routes: u32,
+        /// Version that pools.toml is an edit of.
+        pools: u32,
+    },
+    /// Another edit came first.
+    #[snafu(display("{}", explain_conflict(report)))]
+    Conflict {
+        /// What is in force instead.
+        report: Box<ConflictReport>,
+    },
+    /// A version can't be written as TOML.
+    #[snafu(display("the tables can't be written as TOML: {source}"))]
+    Encode {
+        /// The cause.
+        source: toml::ser::Error,
+    },
     /// The result can't be written.
     #[snafu(display("stdout: {source}"))]
     Output {
@@ -65,8 +142,19 @@
             CommandError::Usage { .. }
             | CommandError::Faulty { .. }
             | CommandError::Settings { .. }
-            | CommandError::Logs { .. } => BAD_INPUT,
-            CommandError::NotAvailable { .. } | CommandError::Output { .. } => FAILED,
+            | CommandError::Logs { .. }
+            | CommandError::FileExists { .. }
+            | CommandError::NoBase { .. }
+            | CommandError::TwoBases { .. }
+            | CommandError::UnknownVersion { .. } => BAD_INPUT,
+            CommandError::Store { source } => code_of_store(source),
+            CommandError::NotAvailable { .. }
+            | CommandError::WriteFile { .. }
+            | CommandError::Runtime { .. }
+            | CommandError::NoVersion { .. }
+            | CommandError::Conflict { .. }
+            | CommandError::Encode { .. }
+            | CommandError::Output { .. } => FAILED,
         }
     }
 
@@ -80,6 +168,15 @@
                 .iter()
                 .map(|fault| format_compact!("{}{fault}", OneLine(&path.to_string_lossy())))
                 .collect(),
+            CommandError::Store {
+                source:
+                    StoreError::WrongTables {
+                        source: TableError::Faulty { faults },
+                    },
+            } => faults
+                .iter()
+                .map(ToCompactString::to_compact_string)
+                .collect(),
             other => {
                 let message = other.to_compact_string();
                 vec![format_compact!("error: {}", OneLine(&message))]
@@ -87,3 +184,36 @@
         }
     }
 }
+
+fn code_of_store(error: &StoreError) -> u8 {
+    match error {
+        StoreError::WrongTables { .. }
+        | StoreError::ValueTooLarge { .. }
+        | StoreError::BadKey { .. }
+        | StoreError::NoSuchVersion { .. } => BAD_INPUT,
+        _ => FAILED,
+    }
+}
+
+/// Tells the author of a refused edit who came first, and what that edit changed.
+fn explain_conflict(report: &ConflictReport) -> CompactString {
+    let ConflictReport {
+        base,
+        in_force,
+        author,
+        comment,
+        ..
+    } = report;
+    let mut text = format_compact!(
+        "not applied: the edit is based on version {base}, but version {in_force} by `{author}` \
+         (`{comment}`) is in force"
+    );
+    match &report.changes {
+        Some(changes) => text.push_str(&format_compact!(
+            "; since then: {}",
+            describe_changes(changes)
+        )),
+        None => text.push_str("; the base is not in the history"),
+    }
+    text
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod completions;
 mod daemon_logs;
 mod file_kind;
+mod tables;
 mod usage;
 
 use std::{
@@ -36,6 +37,7 @@
         Command::Balancer(args) => balancer::run(&args),
         Command::Agent(args) => agent::run(&args),
         Command::Check(args) => check::run(&args),
+        Command::Tables(command) => tables::run(&command),
         Command::Load(_) => NotAvailableSnafu { command: "load" }.fail(),
         Command::Demo(_) => NotAvailableSnafu { command: "demo" }.fail(),
         Command::Completions(args) => completions::run(&args),
--- /dev/null
+++ b/src/cmd/tables/mod.rs
@@ -0,0 +1,101 @@
+//! The commands for the tables in the store.
+
+mod apply;
+mod check;
+mod history;
+mod show;
+mod table_files;
+mod undo;
+mod utc_time;
+
+use std::future::Future;
+
+use carobdrum_core::OneLine;
+use carobdrum_store::{
+    StoreClient,
+    StoreError,
+    TableChanges, //
+};
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use snafu::ResultExt;
+
+use crate::{
+    cli::{
+        EditArgs,
+        StoreArgs,
+        TablesCommand, //
+    },
+    cmd::{
+        command_error::{
+            RuntimeSnafu,
+            StoreSnafu, //
+        },
+        CommandError, //
+    }, //
+};
+
+/// Environment variable with the user's name, which is the default author of an edit.
+const USER: &str = "USER";
+
+/// Runs a command for the tables.
+///
+/// # Errors
+///
+/// Returns why the command failed.
+pub(crate) fn run(command: &TablesCommand) -> Result<(), CommandError> {
+    match command {
+        TablesCommand::Show(args) => show::run(args),
+        TablesCommand::Check(args) => check::run(args),
+        TablesCommand::Apply(args) => apply::run(args),
+        TablesCommand::History(args) => history::run(args),
+        TablesCommand::Undo(args) => undo::run(args),
+    }
+}
+
+/// Names what an edit changes.
+pub(crate) fn describe_changes(changes: &TableChanges) -> CompactString {
+    let mut text = CompactString::default();
+    let groups = [
+        ("routes", &changes.routes),
+        ("pools", &changes.pools),
+        ("data centres", &changes.data_centres),
+    ];
+    for (kind, names) in groups {
+        if !names.is_empty() {
+            let start = if text.is_empty() { "" } else { "; " };
+            text.push_str(&format_compact!("{start}{kind} {}", names.join(", ")));
+        }
+    }
+    if text.is_empty() {
+        text.push_str("no changes");
+    }
+    text
+}
+
+fn client_of(args: &StoreArgs) -> StoreClient {
+    StoreClient::new(args.store, args.deployment.as_str())
+}
+
+/// Returns the author to record.
+fn author_of(args: &EditArgs) -> CompactString {
+    let given = args.author.clone().map(CompactString::from);
+    let user = || std::env::var(USER).ok().map(CompactString::from);
+    given.or_else(user).unwrap_or_default()
+}
+
+/// Waits for a call of the store.
+fn wait_for<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, CommandError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    runtime.block_on(call).context(StoreSnafu)
+}
+
+/// Shows a text of an author in one line of output.
+fn one_line(text: &str) -> CompactString {
+    format_compact!("{}", OneLine(text))
+}
--- /dev/null
+++ b/tests/tables_command.rs
@@ -0,0 +1,203 @@
+//! The command `tables` against the stand-in of the store.
+
+use std::{
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    path::Path,
+    process::Command, //
+};
+
+use carobdrum_standins::StoreServer;
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+
+const ROUTES: &str = "[[route]]\nname = 'a'\nservice = 'api'\naddress = '127.0.0.1:443'\n";
+const POOLS: &str = "[[pool]]\nservice = 'api'\nservers = ['a*']\nslots = 1\nconnections = 1\n\
+                     [[data_centre]]\nname = 'galway-a'\n";
+
+/// A store and a folder with tables.
+struct TableDesk {
+    /// Runs the store's tasks.
+    _runtime: Runtime,
+    store: StoreServer,
+    folder: TempDir,
+}
+
+impl TableDesk {
+    fn new() -> TableDesk {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = runtime.block_on(StoreServer::start(address)).unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let desk = TableDesk {
+            _runtime: runtime,
+            store,
+            folder,
+        };
+        desk.write("routes.toml", ROUTES);
+        desk.write("pools.toml", POOLS);
+        desk
+    }
+
+    fn path(&self) -> &Path {
+        self.folder.path()
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.path().join(name), text).unwrap();
+    }
+
+    fn pools(&self) -> String {
+        std::fs::read_to_string(self.path().join("pools.toml")).unwrap()
+    }
+
+    /// Runs `tables` and returns the exit code, stdout and stderr.
+    fn tables(&self, args: &[&str]) -> (i32, String, String) {
+        let output = Command::new(env!("CARGO_BIN_EXE_carobdrum"))
+            .arg("tables")
+            .args(args)
+            .args(["--store", &self.store.address().to_string()])
+            .args(["--deployment", "test"])
+            .current_dir(self.path())
+            .output()
+            .unwrap();
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        let code = output.status.code().unwrap();
+        (code, text(output.stdout), text(output.stderr))
+    }
+
+    /// Runs `tables` and returns its output, which must report success.
+    fn succeed(&self, args: &[&str]) -> String {
+        let (code, stdout, stderr) = self.tables(args);
+        assert_eq!((code, stderr.as_str()), (0, ""));
+        stdout
+    }
+
+    fn apply(&self, more: &[&str]) -> (i32, String, String) {
+        let args = [
+            "apply",
+            "--folder",
+            ".",
+            "--author",
+            "anna",
+            "--comment",
+            "why",
+        ];
+        self.tables(&[&args, more].concat())
+    }
+}
+
+/// Guards against an edit that is lost, applied over another one, or can't be undone.
+#[test]
+fn edit_is_applied_shown_and_undone() {
+    let desk = TableDesk::new();
+    let (code, stdout, _) = desk.apply(&["--base", "0"]);
+    assert_eq!((code, stdout.as_str()), (0, "version 1 is accepted\n"));
+
+    desk.succeed(&["show", "--folder", ".", "--force"]);
+    assert!(desk.pools().starts_with("# base version: 1\n"));
+    let out = desk.pools().replace("state = \"in\"", "state = \"out\"");
+    desk.write("pools.toml", &out);
+    let compared = desk.succeed(&["check", "--folder", "."]);
+    let expected = "tables: ok; compared with version 1: data centres galway-a\n";
+    assert_eq!(compared, expected);
+    assert_eq!(desk.apply(&[]).1, "version 2 is accepted\n");
+
+    let (code, stdout, stderr) = desk.apply(&[]);
+    assert_eq!((code, stdout.as_str()), (1, ""));
+    assert_eq!(
+        stderr,
+        "error: not applied: the edit is based on version 1, but version 2 by `anna` (`why`) is in \
+         force; since then: data centres galway-a\n"
+    );
+
+    let undo = ["undo", "2", "--comment", "back"];
+    assert_eq!(desk.succeed(&undo), "version 3 is accepted\n");
+    assert!(desk.succeed(&["show"]).contains("state = \"in\""));
+    assert_eq!(desk.tables(&undo).0, 1);
+
+    let history = desk.succeed(&["history"]);
+    let lines: Vec<&str> = history.lines().collect();
+    assert_eq!(lines.len(), 3);
+    assert!(lines[0].starts_with("version 3 at 20"), "{history}");
+    assert!(
+        lines[1].ends_with("by `anna`: why; data centres galway-a"),
+        "{history}"
+    );
+}
+
+/// Guards against a lost response of the store that is reported as a failure or applied twice.
+#[test]
+fn lost_response_is_resolved() {
+    let desk = TableDesk::new();
+    desk.store.lose_write_answers(0, 1);
+    let (code, stdout, stderr) = desk.apply(&["--base", "0"]);
+    assert_eq!(
+        (code, stdout.as_str()),
+        (0, "version 1 is accepted\n"),
+        "{stderr}"
+    );
+    assert_eq!(desk.succeed(&["history"]).lines().count(), 1);
+}
+
+/// Guards against `show` that overwrites an edit in progress.
+#[test]
+fn show_keeps_existing_files() {
+    let desk = TableDesk::new();
+    desk.apply(&["--base", "0"]);
+    let (code, _, stderr) = desk.tables(&["show", "--folder", "."]);
+    assert_eq!(code, 2);
+    assert_eq!(
+        stderr,
+        "error: ./routes.toml: exists; allowed: a new file, or --force\n"
+    );
+    assert_eq!(desk.pools(), POOLS);
+}
+
+/// Guards against bad input that reaches the store, and against vague errors.
+#[test]
+fn bad_input_is_told() {
+    let desk = TableDesk::new();
+    let (code, _, stderr) = desk.apply(&[]);
+    assert_eq!(code, 2);
+    assert_eq!(
+        stderr,
+        "error: .: found no base version; allowed: files of `tables show`, or --base\n"
+    );
+    desk.write("pools.toml", &POOLS.replace("slots = 1", "slots = 0"));
+    let (code, _, stderr) = desk.apply(&["--base", "0"]);
+    assert_eq!(code, 2);
+    assert_eq!(
+        stderr,
+        "./pools.toml:4: pool[0].slots: found 0; allowed: a whole number from 1 to 10000\n"
+    );
+    assert_eq!(desk.tables(&["undo", "0", "--comment", "x"]).0, 2);
+    assert_eq!(desk.tables(&["show", "--number", "7"]).0, 2);
+    assert_eq!(desk.tables(&["show"]).0, 1);
+}
+
+/// Guards against a command that claims success or fails without a word when no store listens.
+#[test]
+fn store_that_is_down_is_told() {
+    // The port is taken at another address, so that nobody else listens at this one.
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let store = format!("127.0.0.77:{}", taken.local_addr().unwrap().port());
+    let output = Command::new(env!("CARGO_BIN_EXE_carobdrum"))
+        .args(["tables", "show", "--deployment", "test", "--store", &store])
+        .output()
+        .unwrap();
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(output.stdout.is_empty());
+    let start = format!("error: store {store}: no connection: ");
+    assert!(
+        stderr.starts_with(&start) && stderr.lines().count() == 1,
+        "{stderr}"
+    );
+}
