Add membership, first cut

Cause: the daemons need the member list and the protocol that keeps it, with the types that they convert to control messages.

A heartbeat carries the whole record only until it is acknowledged, and an ack names balancers only if the agent uses others; for this the wire messages get incarnation, sequence and plan.

--- /dev/null
+++ b/components/core/src/process/gossip_queue.rs
@@ -0,0 +1,107 @@
+//! Changes that wait to be passed on.
+
+use std::net::SocketAddrV4;
+
+use super::stable_hash::address_number;
+
+/// Repetitions of a change for each doubling of the fleet. Two give every member the change with
+/// high probability under 5% loss; digests repair the rest.
+const REPEAT_FACTOR: u32 = 2;
+
+/// Changes kept at once. After the loss of a region thousands change; sending each of them
+/// repeatedly would cost more than the digests, which compare and send each once.
+const MAX_CHANGES: usize = 256;
+
+#[derive(Clone, Copy, Debug)]
+struct QueueEntry {
+    number: u64,
+    address: SocketAddrV4,
+    sent: u32,
+}
+
+/// Addresses of changed members, each with the number of times it was sent.
+#[derive(Clone, Debug, Default)]
+pub struct GossipQueue {
+    entries: Vec<QueueEntry>,
+}
+
+impl GossipQueue {
+    /// Queues the member at `address`, from the start if it is queued already.
+    ///
+    /// Above the limit the most sent change leaves.
+    pub fn push(&mut self, address: SocketAddrV4) {
+        let number = address_number(address);
+        match self
+            .entries
+            .binary_search_by_key(&number, |entry| entry.number)
+        {
+            Ok(at) => self.entries[at].sent = 0,
+            Err(at) => {
+                let entry = QueueEntry {
+                    number,
+                    address,
+                    sent: 0,
+                };
+                self.entries.insert(at, entry);
+                self.limit();
+            }
+        }
+    }
+
+    /// Takes the least sent changes that fit into `room` bytes.
+    ///
+    /// `len_of` gives the encoded length of a change, or `None` for one that no longer exists.
+    /// A change leaves the queue after `2 * ceil(log2(members + 1))` repetitions.
+    pub fn take(
+        &mut self,
+        room: usize,
+        members: usize,
+        len_of: impl Fn(SocketAddrV4) -> Option<usize>,
+    ) -> Vec<SocketAddrV4> {
+        let mut order: Vec<usize> = (0..self.entries.len()).collect();
+        order.sort_by_key(|&at| self.entries[at].sent);
+        let mut left = room;
+        let mut taken = Vec::new();
+        for at in order {
+            let entry = &mut self.entries[at];
+            let Some(len) = len_of(entry.address) else {
+                entry.sent = u32::MAX;
+                continue;
+            };
+            if len > left {
+                break;
+            }
+            left -= len;
+            entry.sent += 1;
+            taken.push(entry.address);
+        }
+        let limit = repetitions(members);
+        self.entries.retain(|entry| entry.sent < limit);
+        taken
+    }
+
+    /// Returns the number of changes that wait.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no change waits.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn limit(&mut self) {
+        if self.entries.len() <= MAX_CHANGES {
+            return;
+        }
+        let indices = 0..self.entries.len();
+        if let Some(most) = indices.max_by_key(|&at| self.entries[at].sent) {
+            self.entries.remove(most);
+        }
+    }
+}
+
+/// Returns how often a change is sent in a fleet of `members`.
+fn repetitions(members: usize) -> u32 {
+    REPEAT_FACTOR * (usize::BITS - members.leading_zeros())
+}
--- /dev/null
+++ b/components/core/src/process/stable_hash.rs
@@ -0,0 +1,31 @@
+//! Hashes that are equal in every process.
+
+use std::net::SocketAddrV4;
+
+use super::MemberRecord;
+
+/// The finalizer of SplitMix64.
+pub(super) fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Returns an address as a number that sorts like the address.
+pub(super) fn address_number(address: SocketAddrV4) -> u64 {
+    u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port())
+}
+
+/// Returns the hash of an address.
+pub(super) fn address_hash(address: SocketAddrV4) -> u64 {
+    mix(address_number(address))
+}
+
+/// Returns the hash of what changes in a record.
+///
+/// Name and place never change within an incarnation and are left out.
+pub(super) fn record_hash(record: &MemberRecord) -> u64 {
+    let hash = mix(address_hash(record.address) ^ record.incarnation);
+    mix(hash ^ (u64::from(record.sequence) << 8 | record.state as u64))
+}
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -122,12 +122,21 @@
 /// An agent's sign of life.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
-    /// The agent's own record.
+    /// The agent's own record; left out while the balancer is known to hold it.
     #[prost(message, optional, tag = "1")]
     pub member: Option<MemberInfo>,
     /// Version of the key ring that the agent holds.
     #[prost(uint32, tag = "2")]
     pub key_version: u32,
+    /// Incarnation of the agent.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Sequence of the agent's record.
+    #[prost(uint32, tag = "4")]
+    pub sequence: u32,
+    /// Digest of the balancers that the agent uses.
+    #[prost(fixed32, tag = "5")]
+    pub plan: u32,
 }
 
 /// A balancer's answer to a heartbeat.
@@ -142,6 +151,9 @@
     /// What the balancer believes of the agent, if the agent should refute it.
     #[prost(message, optional, tag = "3")]
     pub belief: Option<MemberInfo>,
+    /// Sequence of the agent's record that the balancer holds; 0 if it holds none.
+    #[prost(uint32, tag = "4")]
+    pub sequence: u32,
 }
 
 /// Changed member records.
