--- /dev/null
+++ b/components/agent/src/connection/mod.rs
@@ -0,0 +1,29 @@
+//! What lives for one connection or flow.
+
+mod caller_table;
+mod flow_issuer;
+mod pass_table;
+mod reset_key;
+mod server_pool;
+mod tunnel_socket;
+mod tunnel_state;
+
+pub(crate) use caller_table::{
+    CallerRoute,
+    CallerTable, //
+};
+pub(crate) use flow_issuer::FlowIssuer;
+pub(crate) use pass_table::PassTable;
+pub(crate) use reset_key::ResetKey;
+pub(crate) use server_pool::{
+    ConnectError,
+    ServerBody,
+    ServerLink,
+    ServerPool, //
+};
+pub(crate) use tunnel_socket::TunnelSocket;
+pub(crate) use tunnel_state::{
+    ControlDatagram,
+    TunnelState,
+    TunnelVerdict, //
+};
--- /dev/null
+++ b/components/agent/src/connection/pass_table.rs
@@ -0,0 +1,61 @@
+//! Where first packets go: to this agent or to the second candidate.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::{
+    connection::{
+        pass_first_packet,
+        PassQuestion,
+        PassRing,
+        PassVerdict, //
+    },
+    Millis,
+};
+use carobdrum_wire::SecondCandidate;
+
+/// Handshakes remembered at once.
+const CAPACITY: usize = 512;
+/// Difference of loads below which a flow stays, in 1/255: an eighth of the limit.
+const MARGIN: u8 = 32;
+
+/// Decides once for each handshake, so that all its datagrams go the same way.
+pub(crate) struct PassTable {
+    ring: PassRing<Option<SocketAddrV4>>,
+}
+
+impl PassTable {
+    /// Creates an empty table.
+    pub(crate) fn new() -> PassTable {
+        PassTable {
+            ring: PassRing::new(CAPACITY),
+        }
+    }
+
+    /// Returns the agent that a first packet is passed to, or `None` if it stays.
+    ///
+    /// A flow that has room nowhere stays too: the endpoint refuses it, so the caller hears at once.
+    pub(crate) fn decide(
+        &mut self,
+        now: Millis,
+        id: &[u8],
+        own_load: u8,
+        has_room: bool,
+        second: Option<SecondCandidate>,
+    ) -> Option<SocketAddrV4> {
+        if let Some(decided) = self.ring.lookup(now, id) {
+            return decided;
+        }
+        let question = PassQuestion {
+            own_load,
+            second_load: second.map(|second| second.load),
+            margin: MARGIN,
+            has_room,
+        };
+        let decided = match pass_first_packet(question) {
+            PassVerdict::Pass => second.map(|second| second.agent),
+            PassVerdict::Keep | PassVerdict::Refuse => None,
+        };
+        self.ring.remember(now, id, decided);
+        decided
+    }
+}
--- /dev/null
+++ b/components/agent/src/connection/server_pool.rs
@@ -0,0 +1,145 @@
+//! Connections to the backend server.
+
+use std::{
+    cell::RefCell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+use tokio::net::TcpStream;
+use tracing::debug;
+
+/// Body of a request to the server.
+pub(crate) type ServerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Idle connections kept.
+const MAX_IDLE: usize = 16;
+/// Time after which an idle connection isn't used any more. Short, because something between the
+/// two ends may have lost track of it.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
+/// Longest time for opening a connection on the same machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reasons why no connection to the server can be had; nothing was sent.
+#[derive(Debug, Snafu)]
+pub(crate) enum ConnectError {
+    /// The server refused the connection.
+    #[snafu(display("the server refused the connection: {source}"))]
+    Refused {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The connection took too long.
+    #[snafu(display("no connection within {} ms", CONNECT_TIMEOUT.as_millis()))]
+    ConnectTimedOut,
+    /// HTTP can't be spoken on the connection.
+    #[snafu(display("connection can't be set up: {source}"))]
+    Setup {
+        /// The cause.
+        source: hyper::Error,
+    },
+}
+
+/// A connection to the server.
+pub(crate) struct ServerLink {
+    pub(crate) sender: SendRequest<ServerBody>,
+    /// Whether the connection has carried a request before.
+    pub(crate) reused: bool,
+}
+
+struct IdleLink {
+    sender: SendRequest<ServerBody>,
+    since: Instant,
+}
+
+/// Opens connections to the server and keeps idle ones for idempotent requests.
+pub(crate) struct ServerPool {
+    server: SocketAddr,
+    idle: RefCell<Vec<IdleLink>>,
+}
+
+impl ServerPool {
+    /// Creates an empty pool.
+    pub(crate) fn new(server: SocketAddr) -> Rc<ServerPool> {
+        Rc::new(ServerPool {
+            server,
+            idle: RefCell::new(Vec::new()),
+        })
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConnectError`] if none can be had.
+    pub(crate) async fn fresh(&self) -> Result<ServerLink, ConnectError> {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.server));
+        let Ok(connected) = connecting.await else {
+            return ConnectTimedOutSnafu.fail();
+        };
+        let stream = connected.context(RefusedSnafu)?;
+        // Small requests must not wait for one another.
+        let _ = stream.set_nodelay(true);
+        let io = TokioIo::new(stream);
+        let (sender, connection) = hyper::client::conn::http1::handshake(io)
+            .await
+            .context(SetupSnafu)?;
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                debug!(%error, "server connection ended");
+            }
+        });
+        Ok(ServerLink {
+            sender,
+            reused: false,
+        })
+    }
+
+    /// Returns an idle connection, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConnectError`] if none can be had.
+    pub(crate) async fn pooled(&self) -> Result<ServerLink, ConnectError> {
+        while let Some(mut link) = self.take_idle() {
+            if link.sender.ready().await.is_ok() {
+                return Ok(ServerLink {
+                    sender: link.sender,
+                    reused: true,
+                });
+            }
+        }
+        self.fresh().await
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub(crate) fn put_back(&self, sender: SendRequest<ServerBody>) {
+        let mut idle = self.idle.borrow_mut();
+        if sender.is_closed() || idle.len() >= MAX_IDLE {
+            return;
+        }
+        idle.push(IdleLink {
+            sender,
+            since: Instant::now(),
+        });
+    }
+
+    fn take_idle(&self) -> Option<IdleLink> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|link| link.since.elapsed() < MAX_IDLE_AGE && !link.sender.is_closed());
+        idle.pop()
+    }
+}
--- /dev/null
+++ b/components/agent/src/connection/tunnel_socket.rs
@@ -0,0 +1,299 @@
+//! The tunnel as a socket for the QUIC endpoint.
+
+use std::{
+    collections::VecDeque,
+    fmt,
+    future::Future,
+    io::{
+        self,
+        IoSliceMut, //
+    },
+    net::{
+        IpAddr,
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    pin::Pin,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    task::{
+        ready,
+        Context,
+        Poll, //
+    },
+};
+
+use carobdrum_wire::OVERHEAD_LEN;
+use quinn::{
+    AsyncUdpSocket,
+    UdpPoller, //
+};
+use quinn_udp::{
+    RecvMeta,
+    Transmit,
+    UdpSocketState, //
+};
+use tokio::{
+    io::Interest,
+    net::UdpSocket, //
+};
+
+use super::{
+    TunnelState,
+    TunnelVerdict, //
+};
+
+/// Room for one message, which may hold many datagrams of equal length.
+const MESSAGE_LEN: usize = 65_536;
+/// Messages read by one system call.
+const MESSAGES: usize = 8;
+/// Most datagrams sent by one system call; with header and tag they stay below the limit of an IP
+/// packet.
+const MAX_SEGMENTS: usize = 40;
+
+/// A datagram of a caller that waits for room in the endpoint's buffers.
+struct WaitingDatagram {
+    caller: SocketAddrV4,
+    service_address: SocketAddrV4,
+    message: usize,
+    start: usize,
+    len: usize,
+}
+
+struct ReceiveState {
+    tunnel: TunnelState,
+    memory: Vec<u8>,
+    waiting: VecDeque<WaitingDatagram>,
+}
+
+/// The agent's tunnel socket: takes datagrams out of the tunnel for the endpoint, and puts the
+/// endpoint's datagrams into it.
+pub(crate) struct TunnelSocket {
+    socket: Arc<UdpSocket>,
+    udp: UdpSocketState,
+    state: Mutex<ReceiveState>,
+}
+
+impl TunnelSocket {
+    /// Creates the socket on an open UDP socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the socket can't be set up.
+    pub(crate) fn new(socket: Arc<UdpSocket>, tunnel: TunnelState) -> io::Result<TunnelSocket> {
+        let udp = UdpSocketState::new((&*socket).into())?;
+        let state = ReceiveState {
+            tunnel,
+            memory: vec![0; MESSAGE_LEN * MESSAGES],
+            waiting: VecDeque::new(),
+        };
+        Ok(TunnelSocket {
+            socket,
+            udp,
+            state: Mutex::new(state),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ReceiveState> {
+        // A panic elsewhere can't leave the state half changed, so a poisoned lock is usable.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn send(&self, destination: SocketAddrV4, contents: &[u8], segment: Option<usize>) {
+        let transmit = Transmit {
+            destination: destination.into(),
+            ecn: None,
+            contents,
+            segment_size: segment,
+            src_ip: None,
+        };
+        // A datagram that finds no room counts as lost; QUIC sends its contents again.
+        let _ = self.socket.try_io(Interest::WRITABLE, || {
+            self.udp.try_send((&*self.socket).into(), &transmit)
+        });
+    }
+
+    /// Reads messages and handles their datagrams.
+    fn read(&self, state: &mut ReceiveState) -> io::Result<()> {
+        let ReceiveState {
+            tunnel,
+            memory,
+            waiting,
+        } = state;
+        let mut metas = [RecvMeta::default(); MESSAGES];
+        let mut chunks = memory.chunks_mut(MESSAGE_LEN);
+        let mut slices: [IoSliceMut<'_>; MESSAGES] =
+            std::array::from_fn(|_| IoSliceMut::new(chunks.next().unwrap_or_default()));
+        let count = self.socket.try_io(Interest::READABLE, || {
+            self.udp
+                .recv((&*self.socket).into(), &mut slices, &mut metas)
+        })?;
+        for (message, meta) in metas.iter().enumerate().take(count) {
+            let SocketAddr::V4(source) = meta.addr else {
+                continue;
+            };
+            let base = message * MESSAGE_LEN;
+            let bytes = &memory[base..base + meta.len];
+            for (index, datagram) in bytes.chunks(meta.stride.max(1)).enumerate() {
+                match tunnel.handle(source, datagram) {
+                    TunnelVerdict::Deliver {
+                        caller,
+                        service_address,
+                        payload,
+                    } => waiting.push_back(WaitingDatagram {
+                        caller,
+                        service_address,
+                        message,
+                        start: index * meta.stride + OVERHEAD_LEN - carobdrum_wire::TAG_LEN,
+                        len: payload.len(),
+                    }),
+                    TunnelVerdict::Reply(peer) => self.send(peer, &tunnel.outgoing, None),
+                    TunnelVerdict::Done => {}
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for TunnelSocket {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("TunnelSocket")
+            .field("socket", &self.socket)
+            .finish_non_exhaustive()
+    }
+}
+
+impl AsyncUdpSocket for TunnelSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(WritePoller {
+            socket: Arc::clone(&self.socket),
+            waiting: None,
+        })
+    }
+
+    fn try_send(&self, transmit: &quinn::udp::Transmit<'_>) -> io::Result<()> {
+        let SocketAddr::V4(caller) = transmit.destination else {
+            return Ok(());
+        };
+        let Some(IpAddr::V4(service_ip)) = transmit.src_ip else {
+            return Ok(());
+        };
+        let len = transmit.segment_size.unwrap_or(transmit.contents.len());
+        let mut state = self.lock();
+        let tunnel = &mut state.tunnel;
+        let Some(balancer) = tunnel.seal_answer(caller, service_ip, transmit.contents, len) else {
+            return Ok(());
+        };
+        let sealed = Transmit {
+            destination: balancer.into(),
+            ecn: None,
+            contents: &tunnel.outgoing,
+            segment_size: transmit.segment_size.map(|len| len + OVERHEAD_LEN),
+            src_ip: None,
+        };
+        self.socket.try_io(Interest::WRITABLE, || {
+            self.udp.try_send((&*self.socket).into(), &sealed)
+        })
+    }
+
+    fn poll_recv(
+        &self,
+        context: &mut Context<'_>,
+        buffers: &mut [IoSliceMut<'_>],
+        metas: &mut [quinn::udp::RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let mut state = self.lock();
+        loop {
+            let filled = fill(&mut state, buffers, metas);
+            if filled > 0 {
+                return Poll::Ready(Ok(filled));
+            }
+            ready!(self.socket.poll_recv_ready(context))?;
+            match self.read(&mut state) {
+                Ok(()) => {}
+                // An unreachable peer shows as an error on the next read; the socket is sound.
+                Err(error) if error.kind() != io::ErrorKind::WouldBlock => {
+                    tracing::debug!(%error, "tunnel datagrams not read");
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    fn max_transmit_segments(&self) -> usize {
+        self.udp.max_gso_segments().min(MAX_SEGMENTS)
+    }
+
+    fn may_fragment(&self) -> bool {
+        self.udp.may_fragment()
+    }
+}
+
+/// Moves waiting datagrams into the endpoint's buffers.
+fn fill(
+    state: &mut ReceiveState,
+    buffers: &mut [IoSliceMut<'_>],
+    metas: &mut [quinn::udp::RecvMeta],
+) -> usize {
+    let mut filled = 0;
+    while filled < buffers.len() {
+        let Some(datagram) = state.waiting.pop_front() else {
+            break;
+        };
+        let start = datagram.message * MESSAGE_LEN + datagram.start;
+        let payload = &state.memory[start..start + datagram.len];
+        let Some(buffer) = buffers[filled].get_mut(..datagram.len) else {
+            // Callers are told the largest size; a larger datagram breaks that promise.
+            continue;
+        };
+        buffer.copy_from_slice(payload);
+        metas[filled] = quinn::udp::RecvMeta {
+            addr: datagram.caller.into(),
+            len: datagram.len,
+            stride: datagram.len,
+            ecn: None,
+            dst_ip: Some(IpAddr::V4(*datagram.service_address.ip())),
+        };
+        filled += 1;
+    }
+    filled
+}
+
+type WriteWait = Pin<Box<dyn Future<Output = io::Result<()>> + Send + Sync>>;
+
+/// Waits until the tunnel socket takes datagrams; each connection has a poller of its own, so that
+/// none loses another's wake-up.
+struct WritePoller {
+    socket: Arc<UdpSocket>,
+    waiting: Option<WriteWait>,
+}
+
+impl fmt::Debug for WritePoller {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("WritePoller")
+            .finish_non_exhaustive()
+    }
+}
+
+impl UdpPoller for WritePoller {
+    fn poll_writable(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let socket = Arc::clone(&self.socket);
+        let waiting = self
+            .waiting
+            .get_or_insert_with(|| Box::pin(async move { socket.writable().await }));
+        let result = ready!(waiting.as_mut().poll(context));
+        self.waiting = None;
+        Poll::Ready(result)
+    }
+}
--- /dev/null
+++ b/components/agent/src/connection/tunnel_state.rs
@@ -0,0 +1,246 @@
+//! Decisions about datagrams that reach the agent.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc, //
+};
+
+use carobdrum_core::version::ServiceId;
+use carobdrum_wire::{
+    DatagramKind,
+    PacketHead,
+    TunnelHeader,
+    TunnelKey,
+    TunnelOpener,
+    TunnelSealer, //
+};
+use tokio::sync::mpsc;
+
+use super::{
+    CallerRoute,
+    CallerTable,
+    PassTable, //
+};
+use crate::process::{
+    AgentMetrics,
+    AgentShared,
+    DropReason, //
+};
+
+/// Balancer threads whose datagrams are checked with a cached key.
+const MAX_SENDERS: usize = 4_096;
+/// Callers that can be answered at once; twice the connections of the largest pool, with room for
+/// handshakes.
+const MAX_CALLERS: usize = 8_192;
+
+/// A datagram for the control thread.
+pub(crate) struct ControlDatagram {
+    pub(crate) source: SocketAddrV4,
+    pub(crate) header: TunnelHeader,
+    pub(crate) payload: Vec<u8>,
+}
+
+/// What to do with a datagram.
+pub(crate) enum TunnelVerdict<'a> {
+    /// Give it to the QUIC endpoint.
+    Deliver {
+        caller: SocketAddrV4,
+        service_address: SocketAddrV4,
+        payload: &'a [u8],
+    },
+    /// Send `TunnelState::outgoing` to this address.
+    Reply(SocketAddrV4),
+    /// Nothing is left to do.
+    Done,
+}
+
+/// State of the agent's tunnel.
+pub(crate) struct TunnelState {
+    shared: Arc<AgentShared>,
+    sealer: TunnelSealer,
+    opener: TunnelOpener,
+    callers: CallerTable,
+    passes: PassTable,
+    control: mpsc::Sender<ControlDatagram>,
+    metrics: AgentMetrics,
+    /// The datagrams sealed last.
+    pub(crate) outgoing: Vec<u8>,
+}
+
+impl TunnelState {
+    /// Creates the state, with a random sender identity.
+    pub(crate) fn new(
+        key: &TunnelKey,
+        shared: Arc<AgentShared>,
+        control: mpsc::Sender<ControlDatagram>,
+        metrics: AgentMetrics,
+    ) -> TunnelState {
+        TunnelState {
+            shared,
+            sealer: TunnelSealer::new(key, rand::random()),
+            opener: TunnelOpener::new(key.clone(), MAX_SENDERS),
+            callers: CallerTable::new(MAX_CALLERS),
+            passes: PassTable::new(),
+            control,
+            metrics,
+            outgoing: Vec::new(),
+        }
+    }
+
+    /// Decides what to do with a datagram from another process.
+    pub(crate) fn handle<'a>(
+        &mut self,
+        source: SocketAddrV4,
+        datagram: &'a [u8],
+    ) -> TunnelVerdict<'a> {
+        let (header, payload) = match self.opener.open(datagram) {
+            Ok(opened) => opened,
+            Err(error) => {
+                self.metrics.drop(error.into());
+                return TunnelVerdict::Done;
+            }
+        };
+        self.note_version(source, &header);
+        match header.kind {
+            DatagramKind::Forward => self.handle_forward(source, &header, payload),
+            DatagramKind::Passed => self.deliver(source, &header, payload),
+            DatagramKind::Ping => {
+                let pong = self.own_header(DatagramKind::Pong);
+                self.outgoing.clear();
+                self.sealer.seal(&pong, &[], &mut self.outgoing);
+                TunnelVerdict::Reply(source)
+            }
+            DatagramKind::Control => {
+                self.hand_over(source, header, payload);
+                TunnelVerdict::Done
+            }
+            DatagramKind::Answer | DatagramKind::Pong => {
+                self.metrics.drop(DropReason::UnexpectedKind);
+                TunnelVerdict::Done
+            }
+        }
+    }
+
+    /// Seals `contents` for `caller` into `outgoing` and returns the balancer to send it to.
+    ///
+    /// Returns `None` for a caller that no balancer has delivered lately.
+    pub(crate) fn seal_answer(
+        &mut self,
+        caller: SocketAddrV4,
+        service_ip: std::net::Ipv4Addr,
+        contents: &[u8],
+        segment_len: usize,
+    ) -> Option<SocketAddrV4> {
+        let Some(route) = self.callers.route(caller, service_ip) else {
+            self.metrics.drop(DropReason::NoRoute);
+            return None;
+        };
+        let header = TunnelHeader {
+            caller,
+            service_address: route.service_address,
+            ..self.own_header(DatagramKind::Answer)
+        };
+        self.outgoing.clear();
+        for segment in contents.chunks(segment_len.max(1)) {
+            self.sealer.seal(&header, segment, &mut self.outgoing);
+            self.metrics.answered.inc();
+        }
+        Some(route.balancer)
+    }
+
+    fn handle_forward<'a>(
+        &mut self,
+        source: SocketAddrV4,
+        header: &TunnelHeader,
+        payload: &'a [u8],
+    ) -> TunnelVerdict<'a> {
+        if let Some(agent) = self.passed_to(header, payload) {
+            self.metrics.passed.inc();
+            let passed = TunnelHeader {
+                kind: DatagramKind::Passed,
+                second: None,
+                ..*header
+            };
+            // The second agent must answer through the balancer and not through this agent, so the
+            // balancer's address goes where the second candidate stood.
+            let passed = passed.with_return(source);
+            self.outgoing.clear();
+            self.sealer.seal(&passed, payload, &mut self.outgoing);
+            return TunnelVerdict::Reply(agent);
+        }
+        self.deliver(source, header, payload)
+    }
+
+    fn passed_to(&mut self, header: &TunnelHeader, payload: &[u8]) -> Option<SocketAddrV4> {
+        let second = header.second?;
+        let Some(PacketHead::Initial(id)) = PacketHead::parse(payload) else {
+            return None;
+        };
+        let shared = &self.shared;
+        let now = shared.clock.now();
+        let load = shared.load();
+        self.passes
+            .decide(now, id, load, shared.has_room(), Some(second))
+    }
+
+    fn deliver<'a>(
+        &mut self,
+        source: SocketAddrV4,
+        header: &TunnelHeader,
+        payload: &'a [u8],
+    ) -> TunnelVerdict<'a> {
+        let service = self.shared.service();
+        if service == ServiceId(0) || header.service != service {
+            self.metrics.drop(DropReason::ForeignService);
+            return TunnelVerdict::Done;
+        }
+        if self.shared.is_out() {
+            self.metrics.drop(DropReason::TakenOut);
+            return TunnelVerdict::Done;
+        }
+        let balancer = match header.kind {
+            DatagramKind::Passed => header.return_address().unwrap_or(source),
+            _ => source,
+        };
+        let route = CallerRoute {
+            balancer,
+            service_address: header.service_address,
+        };
+        self.callers.note(header.caller, route);
+        self.metrics.delivered.inc();
+        TunnelVerdict::Deliver {
+            caller: header.caller,
+            service_address: header.service_address,
+            payload,
+        }
+    }
+
+    /// Tells the control thread of a newer version.
+    fn note_version(&mut self, source: SocketAddrV4, header: &TunnelHeader) {
+        if header.version > self.shared.number() && header.kind != DatagramKind::Control {
+            self.hand_over(source, *header, &[]);
+        }
+    }
+
+    /// Gives a datagram to the control thread; a full queue counts as loss.
+    fn hand_over(&mut self, source: SocketAddrV4, header: TunnelHeader, payload: &[u8]) {
+        let datagram = ControlDatagram {
+            source,
+            header,
+            payload: payload.to_vec(),
+        };
+        if self.control.try_send(datagram).is_err() {
+            self.metrics.drop(DropReason::ControlQueueFull);
+        }
+    }
+
+    fn own_header(&self, kind: DatagramKind) -> TunnelHeader {
+        TunnelHeader {
+            service: self.shared.service(),
+            version: self.shared.number(),
+            control_port: self.shared.control_port,
+            load: self.shared.load(),
+            ..TunnelHeader::new(kind)
+        }
+    }
+}
--- /dev/null
+++ b/components/agent/src/process/agent_handle.rs
@@ -0,0 +1,209 @@
+//! Starting and stopping of an agent.
+
+use std::{
+    future::Future,
+    net::SocketAddrV4,
+    sync::Arc,
+    thread::JoinHandle, //
+};
+
+use carobdrum_control::{
+    unix_millis,
+    wait_for_stop,
+    ProcessClock,
+    PublishedState, //
+};
+use carobdrum_core::{
+    request::{
+        LedgerBounds,
+        OutcomeLedger, //
+    },
+    Millis,
+};
+use carobdrum_settings::{
+    read_secret,
+    AgentSettings, //
+};
+use carobdrum_wire::TunnelKey;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+use socket2::{
+    Domain,
+    Protocol,
+    Socket,
+    Type, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot,
+        watch, //
+    },
+    task::LocalSet,
+};
+use tracing::{
+    error,
+    info, //
+};
+
+use super::{
+    agent_error::{
+        ControlEndedSnafu,
+        SocketFailedSnafu,
+        ThreadFailedSnafu, //
+    },
+    control_thread::{
+        run_control,
+        ControlParts, //
+    },
+    traffic_thread::{
+        run_traffic,
+        TrafficParts, //
+    },
+    AgentError,
+    AgentMetrics,
+    AgentShared, //
+};
+use crate::request::SharedLedger;
+
+/// Control datagrams that may wait for the control thread.
+const CONTROL_QUEUE: usize = 256;
+/// Kernel buffer for each direction, in bytes; a burst of a few milliseconds fits.
+const KERNEL_BUFFER_LEN: usize = 4 << 20;
+/// Bounds of the outcomes kept for repeated requests: a day of a busy server.
+const LEDGER_BOUNDS: LedgerBounds = LedgerBounds {
+    count: 65_536,
+    bytes: 8 << 20,
+    age: Millis(24 * 60 * 60 * 1_000),
+};
+
+/// A running agent.
+pub struct AgentHandle {
+    stop: watch::Sender<bool>,
+    shared: Arc<AgentShared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl AgentHandle {
+    /// Starts an agent on threads of its own and waits until its control address is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AgentError`] if the settings can't be used, or a socket or thread can't be
+    /// made.
+    pub fn spawn(settings: AgentSettings) -> Result<AgentHandle, AgentError> {
+        let secret = read_secret(&settings.process.secret_file)?;
+        let address = settings.process.address;
+        let socket = open_socket(address).context(SocketFailedSnafu { address })?;
+        let control_socket = socket.try_clone().context(SocketFailedSnafu { address })?;
+        let clock = ProcessClock::start();
+        let shared = Arc::new(AgentShared::new(clock, address.port()));
+        let metrics = AgentMetrics::default();
+        let incarnation = unix_millis();
+        let ledger = SharedLedger::new(OutcomeLedger::new(LEDGER_BOUNDS), incarnation);
+        let (published, state) = watch::channel(PublishedState::default());
+        let (control, datagrams) = mpsc::channel(CONTROL_QUEUE);
+        let (stop, stopped) = watch::channel(false);
+        let (end, ended) = oneshot::channel();
+        let (ready, started) = oneshot::channel();
+        let traffic = TrafficParts {
+            settings: settings.clone(),
+            incarnation,
+            key: TunnelKey::new(&secret),
+            socket,
+            shared: Arc::clone(&shared),
+            metrics: metrics.clone(),
+            published: state,
+            control,
+            ledger: ledger.clone(),
+            stopped,
+        };
+        let control = ControlParts {
+            settings,
+            incarnation,
+            secret,
+            socket: control_socket,
+            shared: Arc::clone(&shared),
+            metrics,
+            published,
+            datagrams,
+            ledger,
+            ended,
+            ready,
+        };
+        let mut threads = vec![spawn_thread("control", move || run_control(control))?];
+        started.blocking_recv().ok().context(ControlEndedSnafu)??;
+        threads.push(spawn_thread("traffic", move || async move {
+            let result = run_traffic(traffic).await;
+            // The control thread announces the drain until the last flow has ended.
+            let _ = end.send(());
+            result
+        })?);
+        Ok(AgentHandle {
+            stop,
+            shared,
+            threads,
+        })
+    }
+
+    /// Stops the agent as planned: requests end first, up to the drain timeout.
+    pub fn stop(self) {
+        self.shared.set_draining();
+        self.stop.send_replace(true);
+        for thread in self.threads {
+            // A thread that panicked has already said so in the log.
+            let _ = thread.join();
+        }
+    }
+
+    /// Returns whether the agent has ended by itself.
+    pub fn is_finished(&self) -> bool {
+        self.threads.iter().all(JoinHandle::is_finished)
+    }
+}
+
+/// Runs an agent until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns an [`AgentError`] if the agent can't start.
+pub fn run(settings: AgentSettings) -> Result<(), AgentError> {
+    let handle = AgentHandle::spawn(settings)?;
+    wait_for_stop().context(ThreadFailedSnafu)?;
+    info!("planned stop");
+    handle.stop();
+    Ok(())
+}
+
+fn open_socket(address: SocketAddrV4) -> std::io::Result<std::net::UdpSocket> {
+    let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_nonblocking(true)?;
+    // The kernel may grant less than what is asked for; that is no reason to fail.
+    let _ = socket.set_recv_buffer_size(KERNEL_BUFFER_LEN);
+    let _ = socket.set_send_buffer_size(KERNEL_BUFFER_LEN);
+    socket.bind(&address.into())?;
+    Ok(socket.into())
+}
+
+/// Starts a thread with a runtime of its own.
+fn spawn_thread<W, F>(name: &'static str, work: W) -> Result<JoinHandle<()>, AgentError>
+where
+    W: FnOnce() -> F + Send + 'static,
+    F: Future<Output = Result<(), AgentError>>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadFailedSnafu)?;
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || {
+            let local = LocalSet::new();
+            if let Err(error) = local.block_on(&runtime, work()) {
+                error!(thread = name, %error, "thread ended");
+            }
+        })
+        .context(ThreadFailedSnafu)
+}
--- /dev/null
+++ b/components/agent/src/process/agent_shared.rs
@@ -0,0 +1,121 @@
+//! Facts that the threads of an agent share.
+
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU16,
+    AtomicU32,
+    AtomicU8,
+    Ordering, //
+};
+
+use carobdrum_control::ProcessClock;
+use carobdrum_core::version::ServiceId;
+
+/// Facts that the threads of an agent share. Each is a single value that is read as it is, so the
+/// order of their changes doesn't matter.
+pub(crate) struct AgentShared {
+    pub(crate) clock: ProcessClock,
+    pub(crate) control_port: u16,
+    service: AtomicU16,
+    number: AtomicU32,
+    out: AtomicBool,
+    draining: AtomicBool,
+    connections: AtomicU32,
+    max_connections: AtomicU32,
+    load: AtomicU8,
+    warmth: AtomicU8,
+}
+
+impl AgentShared {
+    /// Creates the facts of an agent that serves nothing yet.
+    pub(crate) fn new(clock: ProcessClock, control_port: u16) -> AgentShared {
+        AgentShared {
+            clock,
+            control_port,
+            service: AtomicU16::new(0),
+            number: AtomicU32::new(0),
+            out: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            connections: AtomicU32::new(0),
+            max_connections: AtomicU32::new(0),
+            load: AtomicU8::new(0),
+            warmth: AtomicU8::new(0),
+        }
+    }
+
+    /// Sets what the version in force says of this agent.
+    pub(crate) fn set_version(&self, number: u32, service: ServiceId, out: bool, connections: u32) {
+        self.service.store(service.0, Ordering::Relaxed);
+        self.out.store(out, Ordering::Relaxed);
+        self.max_connections.store(connections, Ordering::Relaxed);
+        self.number.store(number, Ordering::Relaxed);
+    }
+
+    /// Sets load and warmth, both in 1/255.
+    pub(crate) fn set_load(&self, load: u8, warmth: u8) {
+        self.load.store(load, Ordering::Relaxed);
+        self.warmth.store(warmth, Ordering::Relaxed);
+    }
+
+    /// Begins the planned stop.
+    pub(crate) fn set_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts a connection in, unless there is no room.
+    pub(crate) fn add_connection(&self) -> bool {
+        let max = self.max_connections.load(Ordering::Relaxed);
+        let added = self
+            .connections
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+                (count < max).then_some(count + 1)
+            });
+        added.is_ok()
+    }
+
+    /// Counts a connection out.
+    pub(crate) fn remove_connection(&self) {
+        self.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of connections.
+    pub(crate) fn connections(&self) -> u32 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a new flow may come.
+    pub(crate) fn has_room(&self) -> bool {
+        let max = self.max_connections.load(Ordering::Relaxed);
+        !self.is_draining() && !self.is_out() && self.connections() < max
+    }
+
+    /// Returns the service, or 0 if the version in force gives the server none.
+    pub(crate) fn service(&self) -> ServiceId {
+        ServiceId(self.service.load(Ordering::Relaxed))
+    }
+
+    /// Returns the number of the version in force.
+    pub(crate) fn number(&self) -> u32 {
+        self.number.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether operators have taken the data centre out.
+    pub(crate) fn is_out(&self) -> bool {
+        self.out.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the planned stop has begun.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Returns the load of the server, in 1/255 of its limit.
+    pub(crate) fn load(&self) -> u8 {
+        self.load.load(Ordering::Relaxed)
+    }
+
+    /// Returns the share of its slots that the server bears, in 1/255.
+    pub(crate) fn warmth(&self) -> u8 {
+        self.warmth.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/components/agent/src/process/control_thread.rs
@@ -0,0 +1,304 @@
+//! The control thread of an agent.
+
+use std::{
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use carobdrum_control::{
+    serve_control,
+    spawn_config,
+    spawn_store,
+    ActionRunner,
+    ConfigArguments,
+    ConfigMessage,
+    ControlSender,
+    KeyVault,
+    PublishedState,
+    StoreDuty, //
+};
+use carobdrum_core::process::{
+    AgentAnnouncer,
+    MemberEvent,
+    MemberRecord,
+    MemberRole,
+    MemberState, //
+};
+use carobdrum_settings::{
+    AgentSettings,
+    ProcessSettings, //
+};
+use carobdrum_telemetry::MetricsServer;
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        Nothing, //
+    },
+    ControlMessage,
+    TunnelKey, //
+};
+use prometheus_client::registry::Registry;
+use ractor::{
+    rpc::CallResult,
+    Actor,
+    ActorRef, //
+};
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use snafu::ResultExt;
+use tokio::{
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
+    sync::{
+        mpsc,
+        oneshot,
+        watch,
+        Notify, //
+    },
+};
+use tracing::info;
+
+use super::{
+    agent_error::{
+        MetricsFailedSnafu,
+        SocketFailedSnafu, //
+    },
+    announce_actor::{
+        AnnounceActor,
+        AnnounceArguments,
+        AnnounceMessage, //
+    },
+    AgentError,
+    AgentMetrics,
+    AgentShared, //
+};
+use crate::{
+    connection::ControlDatagram,
+    request::{
+        answer_query,
+        SharedLedger, //
+    },
+};
+
+/// Pace of the announcer, and at which changes of the agent's own state are looked for.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the control thread starts with.
+pub(crate) struct ControlParts {
+    pub(crate) settings: AgentSettings,
+    pub(crate) incarnation: u64,
+    pub(crate) secret: [u8; 32],
+    pub(crate) socket: std::net::UdpSocket,
+    pub(crate) shared: Arc<AgentShared>,
+    pub(crate) metrics: AgentMetrics,
+    pub(crate) published: watch::Sender<PublishedState>,
+    pub(crate) datagrams: mpsc::Receiver<ControlDatagram>,
+    pub(crate) ledger: SharedLedger,
+    pub(crate) ended: oneshot::Receiver<()>,
+    pub(crate) ready: oneshot::Sender<Result<(), AgentError>>,
+}
+
+/// Runs the control thread until the traffic thread has ended.
+///
+/// # Errors
+///
+/// Returns an [`AgentError`] if an actor can't be started.
+pub(crate) async fn run_control(parts: ControlParts) -> Result<(), AgentError> {
+    let ControlParts {
+        settings,
+        incarnation,
+        secret,
+        socket,
+        shared,
+        metrics,
+        published,
+        datagrams,
+        ledger,
+        ended,
+        ready,
+    } = parts;
+    let address = settings.process.address;
+    let opened = async {
+        let udp = UdpSocket::from_std(socket).context(SocketFailedSnafu { address })?;
+        let tcp = TcpListener::bind(address).await;
+        Ok((Arc::new(udp), tcp.context(SocketFailedSnafu { address })?))
+    };
+    let (udp, tcp) = match opened.await {
+        Ok(sockets) => sockets,
+        Err(error) => {
+            let _ = ready.send(Err(error));
+            return Ok(());
+        }
+    };
+    let _scrapes = match serve_metrics(settings.process.metrics_address, &metrics) {
+        Ok(server) => server,
+        Err(error) => {
+            let _ = ready.send(Err(error));
+            return Ok(());
+        }
+    };
+    let key = TunnelKey::new(&secret);
+    let vault = KeyVault::new(&secret);
+    let state = published.subscribe();
+    let config = spawn_config(ConfigArguments {
+        vault: vault.clone(),
+        published,
+    })
+    .await?;
+    let (returned, events) = mpsc::unbounded_channel();
+    let runner = ActionRunner::new(
+        ControlSender::new(&key, udp, address.port()),
+        key.clone(),
+        config.clone(),
+        Arc::new(move |event| {
+            // Without a receiver the agent has stopped, and nobody needs the event.
+            let _ = returned.send(event);
+        }),
+    );
+    let wanted = Arc::new(Notify::new());
+    let arguments = AnnounceArguments {
+        settings: settings.process.clone(),
+        announcer: agent_announcer(&settings.process, incarnation),
+        runner,
+        shared: Arc::clone(&shared),
+        metrics,
+        wanted: Arc::clone(&wanted),
+    };
+    let (announcer, _) = Actor::spawn(None, AnnounceActor, arguments).await?;
+    let (entries, found) = watch::channel(Vec::new());
+    let duty = StoreDuty::Read { entries, wanted };
+    spawn_store(
+        &settings.store,
+        &settings.process,
+        vault,
+        config.clone(),
+        state.clone(),
+        duty,
+    );
+    tokio::spawn(serve_requests(
+        tcp,
+        key,
+        config,
+        state.clone(),
+        ledger,
+        shared,
+    ));
+    tokio::spawn(pass_state(state, announcer.clone()));
+    tokio::spawn(pass_news(datagrams, events, found, announcer.clone()));
+    tokio::spawn(tick(announcer.clone()));
+    info!(%address, "agent ready");
+    let _ = ready.send(Ok(()));
+    let _ = ended.await;
+    announcer.stop(None);
+    Ok(())
+}
+
+/// Serves the metrics, if the settings name an address for them.
+fn serve_metrics(
+    address: Option<SocketAddr>,
+    metrics: &AgentMetrics,
+) -> Result<Option<MetricsServer>, AgentError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let mut registry = Registry::with_prefix("carobdrum_agent");
+    metrics.register(&mut registry);
+    let server = MetricsServer::spawn(address, registry).context(MetricsFailedSnafu)?;
+    Ok(Some(server))
+}
+
+async fn serve_requests(
+    tcp: TcpListener,
+    key: TunnelKey,
+    config: ActorRef<ConfigMessage>,
+    state: watch::Receiver<PublishedState>,
+    ledger: SharedLedger,
+    shared: Arc<AgentShared>,
+) {
+    serve_control(tcp, key, move |request| {
+        let config = config.clone();
+        let ledger = ledger.clone();
+        let keys = state.borrow().keys.clone();
+        let now = shared.clock.now();
+        async move {
+            if let Some(ControlBody::QueryOutcome(query)) = &request.body {
+                let reply = answer_query(&query.key, keys.as_deref(), &ledger, now);
+                return ControlMessage::new(ControlBody::Outcome(reply));
+            }
+            let answer = config
+                .call(|reply| ConfigMessage::Serve(request, reply), None)
+                .await;
+            match answer {
+                Ok(CallResult::Success(answer)) => answer,
+                _ => ControlMessage::new(ControlBody::Nothing(Nothing {})),
+            }
+        }
+    })
+    .await;
+}
+
+async fn pass_state(
+    mut state: watch::Receiver<PublishedState>,
+    announcer: ActorRef<AnnounceMessage>,
+) {
+    while state.changed().await.is_ok() {
+        let published = state.borrow_and_update().clone();
+        if announcer
+            .cast(AnnounceMessage::StateChanged(published))
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Passes on what other tasks and threads have found out.
+async fn pass_news(
+    mut datagrams: mpsc::Receiver<ControlDatagram>,
+    mut events: mpsc::UnboundedReceiver<MemberEvent>,
+    mut entries: watch::Receiver<Vec<SocketAddrV4>>,
+    announcer: ActorRef<AnnounceMessage>,
+) {
+    loop {
+        let message = tokio::select! {
+            Some(datagram) = datagrams.recv() => AnnounceMessage::Datagram(datagram),
+            Some(event) = events.recv() => AnnounceMessage::Event(event),
+            Ok(()) = entries.changed() => {
+                AnnounceMessage::Bootstrap(entries.borrow_and_update().clone())
+            }
+            else => return,
+        };
+        if announcer.cast(message).is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick(announcer: ActorRef<AnnounceMessage>) {
+    let mut pace = tokio::time::interval(TICK);
+    loop {
+        pace.tick().await;
+        if announcer.cast(AnnounceMessage::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+fn agent_announcer(settings: &ProcessSettings, incarnation: u64) -> AgentAnnouncer {
+    let own = MemberRecord::builder(MemberRole::Agent, settings.address, incarnation)
+        .name(settings.name.clone())
+        .place(settings.data_centre.clone(), settings.region.clone())
+        .state(MemberState::Cold)
+        .slots(0, 0)
+        .build();
+    let bootstrap = settings.bootstrap.iter().copied();
+    AgentAnnouncer::new(own, SmallRng::from_os_rng(), bootstrap)
+}
--- /dev/null
+++ b/components/agent/src/process/flow_endpoint.rs
@@ -0,0 +1,127 @@
+//! The QUIC endpoint of an agent.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc, //
+};
+
+use carobdrum_control::PublishedState;
+use carobdrum_core::{
+    connection::FlowOwner,
+    version::{
+        CentreId,
+        ServiceId, //
+    },
+};
+use carobdrum_settings::ProcessSettings;
+use quinn::{
+    crypto::rustls::QuicServerConfig,
+    Endpoint,
+    EndpointConfig,
+    IdleTimeout,
+    MtuDiscoveryConfig,
+    ServerConfig,
+    TokioRuntime,
+    TransportConfig,
+    VarInt, //
+};
+use ring::hkdf;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+use tokio::sync::watch;
+
+use super::{
+    agent_error::{
+        NoKeysSnafu,
+        SocketFailedSnafu, //
+    },
+    AgentError, //
+};
+use crate::connection::{
+    FlowIssuer,
+    ResetKey,
+    TunnelSocket, //
+};
+
+/// Largest UDP payload towards callers: an Ethernet frame of 1,500 bytes less IP and UDP headers
+/// (28) and the tunnel's header and tag (64).
+const MAX_UDP_PAYLOAD: u16 = 1_408;
+/// Time without a packet after which a connection ends, in milliseconds.
+const IDLE_TIMEOUT_MS: u32 = 30_000;
+/// Requests that one connection may have open at once.
+const MAX_STREAMS: u32 = 128;
+/// Data in flight on one connection, in bytes, which allows 100 MB/s at a round trip of 20 ms.
+const WINDOW: u32 = 2 << 20;
+
+/// Opens the endpoint on the tunnel.
+///
+/// # Errors
+///
+/// Returns an [`AgentError`] if the endpoint can't be opened.
+pub(crate) fn open_endpoint(
+    tunnel: TunnelSocket,
+    settings: &ProcessSettings,
+    incarnation: u64,
+    published: &watch::Receiver<PublishedState>,
+) -> Result<Endpoint, AgentError> {
+    let address = settings.address;
+    let issuer = {
+        let published = published.clone();
+        let template = owner_template(address, incarnation);
+        let name = settings.name.clone();
+        let centre = settings.data_centre.clone();
+        move || {
+            let issuer = FlowIssuer::new(published.clone(), template, name.clone(), centre.clone());
+            Box::new(issuer) as Box<dyn quinn::ConnectionIdGenerator>
+        }
+    };
+    let mut config = EndpointConfig::new(Arc::new(ResetKey::new(published.clone())));
+    config.cid_generator(issuer);
+    // The constant is above the minimum of 1,200 that the setter checks.
+    let _ = config.max_udp_payload_size(MAX_UDP_PAYLOAD);
+    let runtime = Arc::new(TokioRuntime);
+    Endpoint::new_with_abstract_socket(config, None, Arc::new(tunnel), runtime)
+        .context(SocketFailedSnafu { address })
+}
+
+/// Makes the configuration of the server side from certificate and keys.
+///
+/// # Errors
+///
+/// Returns [`AgentError::NoKeys`] before the first key ring.
+pub(crate) fn server_config(
+    tls: Arc<QuicServerConfig>,
+    state: &PublishedState,
+) -> Result<ServerConfig, AgentError> {
+    let keys = state.keys.as_ref().context(NoKeysSnafu)?;
+    let issuing = keys.key(keys.issuing()).context(NoKeysSnafu)?;
+    let secret = issuing.derive32(b"retry token");
+    let token_key = hkdf::Prk::new_less_safe(hkdf::HKDF_SHA256, &secret);
+    let mut config = ServerConfig::new(tls, Arc::new(token_key));
+    config.transport_config(Arc::new(transport_config()));
+    Ok(config)
+}
+
+fn transport_config() -> TransportConfig {
+    let mut mtu = MtuDiscoveryConfig::default();
+    mtu.upper_bound(MAX_UDP_PAYLOAD);
+    let mut transport = TransportConfig::default();
+    transport
+        .mtu_discovery_config(Some(mtu))
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
+        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+        .send_window(u64::from(WINDOW))
+        .receive_window(VarInt::from_u32(WINDOW));
+    transport
+}
+
+fn owner_template(agent: SocketAddrV4, incarnation: u64) -> FlowOwner {
+    FlowOwner {
+        agent,
+        service: ServiceId(0),
+        centre: CentreId(0),
+        incarnation: incarnation as u16,
+    }
+}
--- /dev/null
+++ b/components/agent/src/request/keyed_request.rs
@@ -0,0 +1,173 @@
+//! Requests that carry an idempotency key.
+
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError, //
+};
+
+use carobdrum_core::{
+    request::{
+        IdempotencyKey,
+        LedgerVerdict,
+        OutcomeLedger,
+        RecordedOutcome, //
+    },
+    version::KeyRing,
+    Millis,
+};
+use carobdrum_wire::control::{
+    HeaderField,
+    OutcomeReply, //
+};
+
+const OUTCOME_NOT_RUN: u32 = 1;
+const OUTCOME_RUNNING: u32 = 2;
+const OUTCOME_DONE: u32 = 3;
+const OUTCOME_NOT_KEPT: u32 = 4;
+const OUTCOME_UNKNOWN: u32 = 5;
+
+/// What is known of a keyed request that must not run here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum KeyedOutcome {
+    /// It has not run and never will.
+    NotRun,
+    /// It is running.
+    Running,
+    /// It ran, with this answer.
+    Done(RecordedOutcome),
+    /// It ran, and its answer isn't kept.
+    NotKept,
+    /// It may have run.
+    Unknown,
+}
+
+impl KeyedOutcome {
+    fn from_verdict(verdict: LedgerVerdict<'_>) -> KeyedOutcome {
+        match verdict {
+            LedgerVerdict::Fenced | LedgerVerdict::Full => KeyedOutcome::NotRun,
+            LedgerVerdict::Running => KeyedOutcome::Running,
+            LedgerVerdict::Done(outcome) => KeyedOutcome::Done(outcome.clone()),
+            LedgerVerdict::DoneNotKept => KeyedOutcome::NotKept,
+            LedgerVerdict::Unknown | LedgerVerdict::Fresh => KeyedOutcome::Unknown,
+        }
+    }
+
+    /// Reads the outcome from the owner's reply.
+    pub(crate) fn from_reply(reply: OutcomeReply) -> KeyedOutcome {
+        match reply.outcome {
+            OUTCOME_NOT_RUN => KeyedOutcome::NotRun,
+            OUTCOME_RUNNING => KeyedOutcome::Running,
+            OUTCOME_NOT_KEPT => KeyedOutcome::NotKept,
+            OUTCOME_DONE => {
+                let headers = reply.headers.into_iter().map(|field| {
+                    let value = String::from_utf8_lossy(&field.value);
+                    (field.name.into(), value.into())
+                });
+                KeyedOutcome::Done(RecordedOutcome {
+                    status: reply.status as u16,
+                    headers: headers.collect(),
+                    body: reply.body,
+                })
+            }
+            _ => KeyedOutcome::Unknown,
+        }
+    }
+
+    fn into_reply(self) -> OutcomeReply {
+        let outcome = |outcome| OutcomeReply {
+            outcome,
+            ..OutcomeReply::default()
+        };
+        match self {
+            KeyedOutcome::NotRun => outcome(OUTCOME_NOT_RUN),
+            KeyedOutcome::Running => outcome(OUTCOME_RUNNING),
+            KeyedOutcome::NotKept => outcome(OUTCOME_NOT_KEPT),
+            KeyedOutcome::Unknown => outcome(OUTCOME_UNKNOWN),
+            KeyedOutcome::Done(recorded) => {
+                let headers = recorded
+                    .headers
+                    .into_iter()
+                    .map(|(name, value)| HeaderField {
+                        name: name.into(),
+                        value: value.as_bytes().to_vec(),
+                    });
+                OutcomeReply {
+                    outcome: OUTCOME_DONE,
+                    status: u32::from(recorded.status),
+                    headers: headers.collect(),
+                    body: recorded.body,
+                }
+            }
+        }
+    }
+}
+
+/// What the owner of a key should do with its request.
+pub(crate) enum KeyedStart {
+    /// Run it.
+    Run,
+    /// Answer what is known.
+    Answer(KeyedOutcome),
+}
+
+/// The ledger, shared by the traffic thread and the control thread.
+#[derive(Clone)]
+pub(crate) struct SharedLedger {
+    ledger: Arc<Mutex<OutcomeLedger>>,
+    incarnation: u64,
+}
+
+impl SharedLedger {
+    /// Wraps the ledger of one incarnation of the agent.
+    pub(crate) fn new(ledger: OutcomeLedger, incarnation: u64) -> SharedLedger {
+        SharedLedger {
+            ledger: Arc::new(Mutex::new(ledger)),
+            incarnation,
+        }
+    }
+
+    /// Returns the incarnation whose keys the ledger knows.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Calls `act` with the ledger.
+    pub(crate) fn with<R>(&self, act: impl FnOnce(&mut OutcomeLedger) -> R) -> R {
+        // A panic elsewhere can't leave the ledger half changed, so a poisoned lock is usable.
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        act(&mut ledger)
+    }
+
+    /// Begins the request of a key that this agent owns.
+    pub(crate) fn begin(&self, now: Millis, key: &IdempotencyKey) -> KeyedStart {
+        if key.incarnation != self.incarnation {
+            return KeyedStart::Answer(KeyedOutcome::Unknown);
+        }
+        self.with(|ledger| match ledger.begin(now, key.sequence) {
+            LedgerVerdict::Fresh => KeyedStart::Run,
+            verdict => KeyedStart::Answer(KeyedOutcome::from_verdict(verdict)),
+        })
+    }
+}
+
+/// Answers another agent's question about a key, and fences the key if it has not run.
+pub(crate) fn answer_query(
+    text: &str,
+    ring: Option<&KeyRing>,
+    ledger: &SharedLedger,
+    now: Millis,
+) -> OutcomeReply {
+    let key = ring.and_then(|ring| IdempotencyKey::open(text, ring).ok());
+    let outcome = match key {
+        Some(key) if key.incarnation == ledger.incarnation => {
+            ledger.with(|ledger| match ledger.fence(now, key.sequence) {
+                // Without a place the key isn't fenced, so it could still run later.
+                LedgerVerdict::Full => KeyedOutcome::Unknown,
+                verdict => KeyedOutcome::from_verdict(verdict),
+            })
+        }
+        _ => KeyedOutcome::Unknown,
+    };
+    outcome.into_reply()
+}
--- /dev/null
+++ b/components/agent/src/request/request_path.rs
@@ -0,0 +1,369 @@
+//! The way of a request from the caller to the server and back.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddrV4,
+    rc::Rc,
+    sync::Arc, //
+};
+
+use bytes::Bytes;
+use carobdrum_control::{
+    call_control,
+    PublishedState, //
+};
+use carobdrum_core::{
+    request::{
+        IdempotencyKey,
+        RequestDeadline,
+        RequestOffer,
+        RetryBudget, //
+    },
+    version::RouteEntry,
+    Millis,
+};
+use carobdrum_telemetry::TraceContext;
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        QueryOutcome, //
+    },
+    ControlMessage, TunnelKey,
+};
+use compact_str::CompactString;
+use h3::error::Code;
+use http::{
+    HeaderMap,
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use tokio::sync::watch;
+
+use super::{
+    keyed_request::{
+        KeyedOutcome,
+        KeyedStart, //
+    },
+    simple_answer::{
+        simple_answer,
+        RunState, //
+    },
+    SharedLedger,
+    SlotKeeper, //
+};
+use crate::{
+    connection::ServerPool,
+    process::{
+        AgentMetrics,
+        AgentShared,
+        RequestEnd, //
+    },
+};
+
+/// Path at which callers get idempotency keys.
+const KEY_PATH: &str = "/.well-known/carobdrum/idempotency-key";
+/// Header that carries an idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+const TRACE_HEADER: &str = "traceparent";
+
+/// The caller's stream of one request.
+pub(crate) type RequestStream = h3::server::RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+
+/// What the request path of an agent consists of.
+pub(crate) struct RequestPathParts {
+    pub(crate) name: CompactString,
+    pub(crate) address: SocketAddrV4,
+    pub(crate) key: TunnelKey,
+    pub(crate) shared: Arc<AgentShared>,
+    pub(crate) metrics: AgentMetrics,
+    pub(crate) published: watch::Receiver<PublishedState>,
+    pub(crate) slots: Rc<SlotKeeper>,
+    pub(crate) pool: Rc<ServerPool>,
+    pub(crate) ledger: SharedLedger,
+    pub(crate) budget: RefCell<RetryBudget>,
+}
+
+/// The way of a request from the caller to the server and back.
+pub(crate) struct RequestPath {
+    pub(super) parts: RequestPathParts,
+}
+
+/// What is known of a request when it is admitted.
+pub(super) struct RequestTerms {
+    pub(super) request: Request<()>,
+    pub(super) offer: RequestOffer,
+    pub(super) deadline: RequestDeadline,
+    pub(super) trace: TraceContext,
+    /// Sequence of the idempotency key that this agent issued for the request.
+    pub(super) sequence: Option<u64>,
+}
+
+impl RequestPath {
+    /// Creates the path.
+    pub(crate) fn new(parts: RequestPathParts) -> Rc<RequestPath> {
+        Rc::new(RequestPath { parts })
+    }
+
+    /// Serves one request and counts how it ended.
+    pub(crate) async fn serve(
+        self: Rc<Self>,
+        request: Request<()>,
+        stream: RequestStream,
+        flow_trace: TraceContext,
+    ) {
+        self.parts.budget.borrow_mut().count_request();
+        let end = self.serve_uncounted(request, stream, flow_trace).await;
+        self.parts.metrics.end(end);
+    }
+
+    async fn serve_uncounted(
+        &self,
+        request: Request<()>,
+        stream: RequestStream,
+        flow_trace: TraceContext,
+    ) -> RequestEnd {
+        if request.uri().path() == KEY_PATH {
+            return self.issue_key(stream).await;
+        }
+        let now = self.now();
+        let Some(route) = self.route_of(&request) else {
+            let text = "no route takes this request\n";
+            return refuse(stream, StatusCode::NOT_FOUND, text, RequestEnd::BadRequest).await;
+        };
+        let timeout = Millis(u64::from(route.timeout_ms));
+        let asked = header(request.headers(), RequestDeadline::HEADER);
+        let Ok(deadline) = RequestDeadline::on_arrival(now, timeout, asked) else {
+            let text = "request-timeout-ms is no whole number of milliseconds\n";
+            return refuse(
+                stream,
+                StatusCode::BAD_REQUEST,
+                text,
+                RequestEnd::BadRequest,
+            )
+            .await;
+        };
+        let trace = header(request.headers(), TRACE_HEADER)
+            .and_then(TraceContext::parse)
+            .unwrap_or(flow_trace)
+            .child();
+        let sequence = match self.begin_keyed(&request, now).await {
+            Ok(sequence) => sequence,
+            Err(known) => return answer_known(stream, known).await,
+        };
+        let offer = RequestOffer {
+            class: route.priority,
+            deadline: deadline.0,
+        };
+        let terms = RequestTerms {
+            request,
+            offer,
+            deadline,
+            trace,
+            sequence,
+        };
+        self.run(terms, stream).await
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.parts.shared.clock.now()
+    }
+
+    fn route_of(&self, request: &Request<()>) -> Option<RouteEntry> {
+        let state = self.parts.published.borrow();
+        let config = state.config.as_deref()?;
+        let service = config.service_name(self.parts.shared.service())?;
+        let path = request.uri().path();
+        let route = config
+            .routes
+            .route_of(service, request.method().as_str(), path);
+        route.cloned()
+    }
+
+    async fn issue_key(&self, stream: RequestStream) -> RequestEnd {
+        let sequence = self.parts.ledger.with(|ledger| ledger.issue());
+        let key = IdempotencyKey {
+            agent: self.parts.address,
+            incarnation: self.parts.ledger.incarnation(),
+            sequence,
+        };
+        let sealed = {
+            let state = self.parts.published.borrow();
+            let keys = state.keys.as_ref();
+            let fleet_key = keys.and_then(|keys| keys.key(keys.issuing()));
+            fleet_key.map(|fleet_key| key.seal(fleet_key, rand::random()))
+        };
+        let Some(sealed) = sealed else {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return refuse(stream, status, "no key ring yet\n", RequestEnd::NotRun).await;
+        };
+        let answer = Response::new(Bytes::from(sealed.as_bytes().to_vec()));
+        send_whole(stream, answer, RequestEnd::Answered).await
+    }
+
+    /// Decides whether a request with an idempotency key may run here.
+    ///
+    /// Returns the sequence of the key, or `None` for a request without one; or else the outcome to
+    /// answer without running it.
+    async fn begin_keyed(
+        &self,
+        request: &Request<()>,
+        now: Millis,
+    ) -> Result<Option<u64>, KeyedAnswer> {
+        let Some(text) = header(request.headers(), KEY_HEADER) else {
+            return Ok(None);
+        };
+        if is_idempotent(request.method()) {
+            return Ok(None);
+        }
+        let keys = self.parts.published.borrow().keys.clone();
+        let opened = keys.map(|keys| IdempotencyKey::open(text, &keys));
+        let Some(Ok(key)) = opened else {
+            return Err(self.unopened(opened));
+        };
+        if key.agent != self.parts.address {
+            return Err(KeyedAnswer::Known(self.ask_owner(text, key.agent).await));
+        }
+        match self.parts.ledger.begin(now, &key) {
+            KeyedStart::Run => Ok(Some(key.sequence)),
+            KeyedStart::Answer(outcome) => Err(KeyedAnswer::Known(outcome)),
+        }
+    }
+
+    /// Answers for a key that can't be opened: one that was never issued hasn't run, but one under
+    /// an expired fleet key may have.
+    fn unopened(
+        &self,
+        opened: Option<Result<IdempotencyKey, carobdrum_core::request::IdempotencyKeyError>>,
+    ) -> KeyedAnswer {
+        use carobdrum_core::request::IdempotencyKeyError;
+        match opened {
+            Some(Err(IdempotencyKeyError::Malformed)) => KeyedAnswer::NotIssued,
+            _ => KeyedAnswer::Known(KeyedOutcome::Unknown),
+        }
+    }
+
+    async fn ask_owner(&self, text: &str, owner: SocketAddrV4) -> KeyedOutcome {
+        let query = QueryOutcome { key: text.into() };
+        let message = ControlMessage::new(ControlBody::QueryOutcome(query));
+        let answer = call_control(owner, &self.parts.key, message).await;
+        match answer.ok().and_then(|answer| answer.body) {
+            Some(ControlBody::Outcome(reply)) => KeyedOutcome::from_reply(reply),
+            _ => KeyedOutcome::Unknown,
+        }
+    }
+}
+
+/// An answer to a keyed request that doesn't run here.
+pub(super) enum KeyedAnswer {
+    /// The key was not issued by the system.
+    NotIssued,
+    /// What the owner of the key knows.
+    Known(KeyedOutcome),
+}
+
+async fn answer_known(stream: RequestStream, answer: KeyedAnswer) -> RequestEnd {
+    let outcome = match answer {
+        KeyedAnswer::NotIssued => {
+            let text = "the idempotency key was not issued by this system\n";
+            return refuse(
+                stream,
+                StatusCode::BAD_REQUEST,
+                text,
+                RequestEnd::BadRequest,
+            )
+            .await;
+        }
+        KeyedAnswer::Known(outcome) => outcome,
+    };
+    let conflict = StatusCode::CONFLICT;
+    match outcome {
+        KeyedOutcome::NotRun => {
+            let text = "the request has not run and will not run under this key\n";
+            refuse(
+                stream,
+                StatusCode::SERVICE_UNAVAILABLE,
+                text,
+                RequestEnd::NotRun,
+            )
+            .await
+        }
+        KeyedOutcome::Running => {
+            let answer = simple_answer(conflict, RunState::Unknown, "the request is running\n");
+            send_whole(stream, answer, RequestEnd::Repeated).await
+        }
+        KeyedOutcome::NotKept => {
+            let text = "the request has run; its answer was too large to keep\n";
+            let mut answer = simple_answer(conflict, RunState::Unknown, text);
+            let done = http::HeaderValue::from_static("done");
+            answer
+                .headers_mut()
+                .insert(super::simple_answer::OUTCOME_HEADER, done);
+            send_whole(stream, answer, RequestEnd::Repeated).await
+        }
+        KeyedOutcome::Unknown => {
+            let text = "it is not known whether the request has run\n";
+            let answer = simple_answer(conflict, RunState::Unknown, text);
+            send_whole(stream, answer, RequestEnd::Unknown).await
+        }
+        KeyedOutcome::Done(recorded) => {
+            let mut answer = Response::new(Bytes::from(recorded.body));
+            *answer.status_mut() =
+                StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            for (name, value) in &recorded.headers {
+                let name = http::HeaderName::from_bytes(name.as_bytes());
+                let value = http::HeaderValue::from_bytes(value.as_bytes());
+                if let (Ok(name), Ok(value)) = (name, value) {
+                    answer.headers_mut().append(name, value);
+                }
+            }
+            send_whole(stream, answer, RequestEnd::Repeated).await
+        }
+    }
+}
+
+/// Refuses a request that has not run and will not run.
+pub(super) async fn refuse(
+    stream: RequestStream,
+    status: StatusCode,
+    text: &'static str,
+    end: RequestEnd,
+) -> RequestEnd {
+    let answer = simple_answer(status, RunState::NotRun, text);
+    send_whole(stream, answer, end).await
+}
+
+/// Sends an answer whose body is at hand, and returns how the request ended.
+pub(super) async fn send_whole(
+    mut stream: RequestStream,
+    answer: Response<Bytes>,
+    end: RequestEnd,
+) -> RequestEnd {
+    // The rest of the request isn't needed; the caller needn't send it.
+    stream.stop_sending(Code::H3_NO_ERROR);
+    let (head, body) = answer.into_parts();
+    let sent = async {
+        stream.send_response(Response::from_parts(head, ())).await?;
+        if !body.is_empty() {
+            stream.send_data(body).await?;
+        }
+        stream.finish().await
+    };
+    match sent.await {
+        Ok(()) => end,
+        Err(_) => RequestEnd::Cancelled,
+    }
+}
+
+pub(super) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Returns whether a method may run twice without harm (RFC 9110, section 9.2.2).
+pub(super) fn is_idempotent(method: &Method) -> bool {
+    matches!(
+        *method,
+        Method::GET | Method::HEAD | Method::OPTIONS | Method::TRACE | Method::PUT | Method::DELETE
+    )
+}
--- /dev/null
+++ b/components/agent/src/request/simple_answer.rs
@@ -0,0 +1,51 @@
+//! Answers that the agent makes itself.
+
+use bytes::Bytes;
+use http::{
+    header::{
+        HeaderName,
+        HeaderValue,
+        RETRY_AFTER, //
+    },
+    Response,
+    StatusCode, //
+};
+
+/// Says what became of the request: `not-run` or `unknown`.
+pub(crate) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("carobdrum-outcome");
+
+/// Seconds after which a refused caller may try again.
+const RETRY_SECONDS: HeaderValue = HeaderValue::from_static("1");
+
+/// What an answer of the agent says about the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// The request has not run and will not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+/// Makes an answer with a short text.
+///
+/// # Panics
+///
+/// Never: status and headers are constants.
+pub(crate) fn simple_answer(
+    status: StatusCode,
+    state: RunState,
+    text: &'static str,
+) -> Response<Bytes> {
+    let outcome = match state {
+        RunState::NotRun => "not-run",
+        RunState::Unknown => "unknown",
+    };
+    let mut answer = Response::new(Bytes::from_static(text.as_bytes()));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.insert(RETRY_AFTER, RETRY_SECONDS);
+    }
+    answer
+}
--- /dev/null
+++ b/components/agent/src/request/slot_keeper.rs
@@ -0,0 +1,203 @@
+//! Waiting for a slot of the server.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::Arc, //
+};
+
+use carobdrum_core::{
+    request::{
+        AdmissionGate,
+        AdmissionVerdict,
+        RefusalReason,
+        RequestOffer,
+        RequestResult,
+        RequestTicket, //
+    },
+    Millis,
+};
+use tokio::{
+    sync::oneshot,
+    time::timeout_at, //
+};
+
+use crate::process::{
+    AgentMetrics,
+    AgentShared, //
+};
+
+/// A request that waits, with the way to wake it.
+struct QueuedRequest {
+    ticket: RequestTicket,
+    wake: oneshot::Sender<()>,
+}
+
+struct KeeperState {
+    gate: AdmissionGate,
+    /// Sorted by ticket.
+    queued: Vec<QueuedRequest>,
+}
+
+/// Hands out the slots of the server, as the admission gate decides.
+pub(crate) struct SlotKeeper {
+    state: RefCell<KeeperState>,
+    shared: Arc<AgentShared>,
+    metrics: AgentMetrics,
+}
+
+impl SlotKeeper {
+    /// Creates the keeper of a gate.
+    pub(crate) fn new(
+        gate: AdmissionGate,
+        shared: Arc<AgentShared>,
+        metrics: AgentMetrics,
+    ) -> Rc<SlotKeeper> {
+        let keeper = SlotKeeper {
+            state: RefCell::new(KeeperState {
+                gate,
+                queued: Vec::new(),
+            }),
+            shared,
+            metrics,
+        };
+        keeper.report();
+        Rc::new(keeper)
+    }
+
+    /// Sets the slots of the version in force.
+    pub(crate) fn set_slots(&self, slots: u32) {
+        self.state.borrow_mut().gate.set_slots(slots);
+        self.wake_next();
+    }
+
+    /// Waits for a slot until the deadline of `offer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was not started; it never will be.
+    pub(crate) async fn admit(
+        self: &Rc<Self>,
+        offer: RequestOffer,
+    ) -> Result<SlotPermit, RefusalReason> {
+        let verdict = self
+            .state
+            .borrow_mut()
+            .gate
+            .offer(self.shared.clock.now(), offer);
+        self.report();
+        match verdict {
+            AdmissionVerdict::Run(ticket) => Ok(SlotPermit::new(self, ticket)),
+            AdmissionVerdict::Refused(reason) => Err(reason),
+            AdmissionVerdict::Queued { ticket, evicted } => {
+                if let Some(evicted) = evicted {
+                    self.forget(evicted);
+                }
+                self.wait(ticket, offer.deadline).await
+            }
+        }
+    }
+
+    async fn wait(
+        self: &Rc<Self>,
+        ticket: RequestTicket,
+        deadline: Millis,
+    ) -> Result<SlotPermit, RefusalReason> {
+        let (wake, woken) = oneshot::channel();
+        self.enqueue(QueuedRequest { ticket, wake });
+        // The permit gives the ticket back when this future is dropped in the queue.
+        let permit = SlotPermit::new(self, ticket);
+        match timeout_at(self.shared.clock.instant(deadline), woken).await {
+            Ok(Ok(())) => Ok(permit),
+            Ok(Err(_)) => Err(RefusalReason::QueueFull),
+            Err(_) => Err(RefusalReason::DeadlinePassed),
+        }
+    }
+
+    fn enqueue(&self, request: QueuedRequest) {
+        let queued = &mut self.state.borrow_mut().queued;
+        let index = queued.partition_point(|other| other.ticket < request.ticket);
+        queued.insert(index, request);
+    }
+
+    /// Drops the waker of a request, which ends its wait.
+    fn forget(&self, ticket: RequestTicket) -> Option<QueuedRequest> {
+        let queued = &mut self.state.borrow_mut().queued;
+        let found = queued.binary_search_by_key(&ticket, |request| request.ticket);
+        found.ok().map(|index| queued.remove(index))
+    }
+
+    /// Starts waiting requests while there are slots.
+    fn wake_next(&self) {
+        let now = self.shared.clock.now();
+        for expired in self.expired(now) {
+            self.forget(expired);
+        }
+        while let Some(ticket) = self.next(now) {
+            if let Some(request) = self.forget(ticket) {
+                // A request whose wait has ended gives its ticket back when its permit is dropped.
+                let _ = request.wake.send(());
+            }
+        }
+        self.report();
+    }
+
+    fn expired(&self, now: Millis) -> Vec<RequestTicket> {
+        self.state.borrow_mut().gate.expire(now)
+    }
+
+    fn next(&self, now: Millis) -> Option<RequestTicket> {
+        self.state.borrow_mut().gate.start_next(now)
+    }
+
+    fn finish(&self, ticket: RequestTicket, result: Option<RequestResult>) {
+        let now = self.shared.clock.now();
+        match result {
+            Some(result) => {
+                self.state.borrow_mut().gate.finish(now, ticket, result);
+            }
+            None => {
+                self.state.borrow_mut().gate.cancel(now, ticket);
+                self.forget(ticket);
+            }
+        }
+        self.wake_next();
+    }
+
+    fn report(&self) {
+        let state = self.state.borrow();
+        let gate = &state.gate;
+        self.shared.set_load(gate.load(), gate.warmth());
+        self.metrics.in_flight.set(i64::from(gate.in_flight()));
+        self.metrics.limit.set(i64::from(gate.limit()));
+        self.metrics.queued.set(gate.queued() as i64);
+    }
+}
+
+/// A slot of the server, or a place in the queue, given back when it is dropped.
+pub(crate) struct SlotPermit {
+    keeper: Rc<SlotKeeper>,
+    ticket: RequestTicket,
+    result: Option<RequestResult>,
+}
+
+impl SlotPermit {
+    fn new(keeper: &Rc<SlotKeeper>, ticket: RequestTicket) -> SlotPermit {
+        SlotPermit {
+            keeper: Rc::clone(keeper),
+            ticket,
+            result: None,
+        }
+    }
+
+    /// Gives the slot back with the result of the request.
+    pub(crate) fn finish(mut self, result: RequestResult) {
+        self.result = Some(result);
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        self.keeper.finish(self.ticket, self.result);
+    }
+}
--- a/components/balancer/src/lib.rs
+++ b/components/balancer/src/lib.rs
@@ -1,1 +1,23 @@
 //! The balancer daemon.
+//!
+//! Traffic threads forward datagrams between callers and agents; a control thread keeps the
+//! members, the version in force and the keys, and publishes a [`ForwardPlan`] for them.
+
+mod connection;
+mod process;
+mod version;
+
+pub use connection::{
+    DropReason,
+    RouteVerdict, //
+};
+pub use process::{
+    run,
+    BalancerError,
+    BalancerHandle, //
+};
+pub use version::{
+    ForwardPlan,
+    PlanBuilder,
+    PlanTarget, //
+};
--- /dev/null
+++ b/components/balancer/src/process/balancer_handle.rs
@@ -0,0 +1,150 @@
+//! Starting and stopping of a balancer.
+
+use std::{
+    future::Future,
+    sync::Arc,
+    thread::JoinHandle, //
+};
+
+use carobdrum_settings::{
+    read_secret,
+    BalancerSettings, //
+};
+use carobdrum_wire::TunnelKey;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot,
+        watch, //
+    },
+    task::LocalSet,
+};
+use tracing::{
+    error,
+    info, //
+};
+
+use super::{
+    balancer_error::{
+        ControlEndedSnafu,
+        ThreadFailedSnafu, //
+    },
+    control_thread::{
+        run_control,
+        ControlParts, //
+    },
+    traffic_state::TrafficState,
+    traffic_thread::{
+        run_traffic,
+        TrafficAddresses, //
+    },
+    BalancerError,
+    BalancerMetrics, //
+};
+use crate::ForwardPlan;
+
+/// News of newer versions that may wait for the control thread.
+const NEWS_CAPACITY: usize = 16;
+
+/// A running balancer.
+pub struct BalancerHandle {
+    stop: watch::Sender<bool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl BalancerHandle {
+    /// Starts a balancer on threads of its own and waits until its control address is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`BalancerError`] if the settings can't be used, or a socket or thread can't be
+    /// made.
+    pub fn spawn(settings: BalancerSettings) -> Result<BalancerHandle, BalancerError> {
+        let secret = read_secret(&settings.process.secret_file)?;
+        let key = TunnelKey::new(&secret);
+        let metrics = BalancerMetrics::default();
+        let (plans, plan) = watch::channel(Arc::new(ForwardPlan::default()));
+        let (stop, stopped) = watch::channel(false);
+        let (news, heard) = mpsc::channel(NEWS_CAPACITY);
+        let mut threads = Vec::new();
+        for index in 0..settings.threads {
+            let state = TrafficState::new(
+                &key,
+                settings.process.address.port(),
+                metrics.clone(),
+                news.clone(),
+            );
+            let addresses = TrafficAddresses {
+                tunnel_ip: *settings.process.address.ip(),
+                listen_ip: settings.listen_ip,
+            };
+            let (metrics, plan) = (metrics.clone(), plan.clone());
+            let traffic = move || run_traffic(state, addresses, metrics, plan);
+            threads.push(spawn_thread(format!("traffic-{index}"), traffic)?);
+        }
+        let (ready, started) = oneshot::channel();
+        let parts = ControlParts {
+            settings,
+            secret,
+            metrics,
+            plans,
+            heard,
+            stopped,
+            ready,
+        };
+        threads.push(spawn_thread("control".to_owned(), move || {
+            run_control(parts)
+        })?);
+        started.blocking_recv().ok().context(ControlEndedSnafu)??;
+        Ok(BalancerHandle { stop, threads })
+    }
+
+    /// Stops the balancer and waits for its threads.
+    pub fn stop(self) {
+        self.stop.send_replace(true);
+        for thread in self.threads {
+            // A thread that panicked has already said so in the log.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Runs a balancer until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns a [`BalancerError`] if the balancer can't start.
+pub fn run(settings: BalancerSettings) -> Result<(), BalancerError> {
+    let handle = BalancerHandle::spawn(settings)?;
+    carobdrum_control::wait_for_stop().context(ThreadFailedSnafu)?;
+    info!("planned stop");
+    handle.stop();
+    Ok(())
+}
+
+/// Starts a thread with a runtime of its own.
+fn spawn_thread<W, F, E>(name: String, work: W) -> Result<JoinHandle<()>, BalancerError>
+where
+    W: FnOnce() -> F + Send + 'static,
+    F: Future<Output = Result<(), E>>,
+    E: std::fmt::Display,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadFailedSnafu)?;
+    let thread_name = name.clone();
+    std::thread::Builder::new()
+        .name(name)
+        .spawn(move || {
+            let local = LocalSet::new();
+            if let Err(error) = local.block_on(&runtime, work()) {
+                error!(thread = %thread_name, %error, "thread ended");
+            }
+        })
+        .context(ThreadFailedSnafu)
+}
--- /dev/null
+++ b/components/balancer/src/process/control_thread.rs
@@ -0,0 +1,361 @@
+//! The control thread of a balancer.
+
+use std::{
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use carobdrum_control::{
+    serve_control,
+    spawn_config,
+    spawn_store,
+    unix_millis,
+    ActionRunner,
+    ConfigArguments,
+    ConfigMessage,
+    ControlSender,
+    KeyVault,
+    ProcessClock,
+    PublishedState,
+    StoreDuty, //
+};
+use carobdrum_core::process::{
+    MemberEvent,
+    MemberProtocol,
+    MemberRecord,
+    MemberRole, //
+};
+use carobdrum_settings::{
+    BalancerSettings,
+    ProcessSettings, //
+};
+use carobdrum_telemetry::MetricsServer;
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        Nothing, //
+    },
+    ControlMessage,
+    DatagramKind,
+    TunnelKey,
+    TunnelOpener, //
+};
+use prometheus_client::registry::Registry;
+use prost::Message;
+use ractor::{
+    rpc::CallResult,
+    Actor,
+    ActorRef, //
+};
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use snafu::ResultExt;
+use tokio::{
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
+    sync::{
+        mpsc,
+        oneshot,
+        watch, //
+    },
+};
+use tracing::{
+    debug,
+    info, //
+};
+
+use super::{
+    balancer_error::{
+        MetricsFailedSnafu,
+        SocketFailedSnafu, //
+    },
+    member_actor::{
+        MemberActor,
+        MemberArguments,
+        MemberMessage, //
+    },
+    traffic_state::NumberSeen,
+    BalancerError,
+    BalancerMetrics, //
+};
+use crate::ForwardPlan;
+
+/// Processes whose control datagrams are checked with a cached key.
+const MAX_SENDERS: usize = 16_384;
+/// Pace of the member list.
+const TICK: Duration = Duration::from_millis(100);
+/// Longest control datagram.
+const MAX_DATAGRAM_LEN: usize = 2_048;
+/// Longest time that a planned stop waits for its announcement to be sent.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the control thread starts with.
+pub(crate) struct ControlParts {
+    pub(crate) settings: BalancerSettings,
+    pub(crate) secret: [u8; 32],
+    pub(crate) metrics: BalancerMetrics,
+    pub(crate) plans: watch::Sender<Arc<ForwardPlan>>,
+    pub(crate) heard: mpsc::Receiver<NumberSeen>,
+    pub(crate) stopped: watch::Receiver<bool>,
+    pub(crate) ready: oneshot::Sender<Result<(), BalancerError>>,
+}
+
+/// Runs the control thread until the balancer is stopped.
+///
+/// # Errors
+///
+/// Returns a [`BalancerError`] if a socket or actor can't be made after the start was reported.
+pub(crate) async fn run_control(parts: ControlParts) -> Result<(), BalancerError> {
+    let ControlParts {
+        settings,
+        secret,
+        metrics,
+        plans,
+        heard,
+        mut stopped,
+        ready,
+    } = parts;
+    let address = settings.process.address;
+    let sockets = open_sockets(address).await;
+    let (udp, tcp) = match sockets {
+        Ok(sockets) => sockets,
+        Err(error) => {
+            let _ = ready.send(Err(error));
+            return Ok(());
+        }
+    };
+    let _scrapes = match serve_metrics(settings.process.metrics_address, &metrics) {
+        Ok(server) => server,
+        Err(error) => {
+            let _ = ready.send(Err(error));
+            return Ok(());
+        }
+    };
+    let key = TunnelKey::new(&secret);
+    let vault = KeyVault::new(&secret);
+    let (published, state) = watch::channel(PublishedState::default());
+    let config = spawn_config(ConfigArguments {
+        vault: vault.clone(),
+        published,
+    })
+    .await?;
+    let (returned, events) = mpsc::unbounded_channel();
+    let runner = ActionRunner::new(
+        ControlSender::new(&key, Arc::clone(&udp), address.port()),
+        key.clone(),
+        config.clone(),
+        Arc::new(move |event| {
+            // Without a receiver the balancer has stopped, and nobody needs the event.
+            let _ = returned.send(event);
+        }),
+    );
+    let arguments = MemberArguments {
+        protocol: member_protocol(&settings.process),
+        runner,
+        clock: ProcessClock::start(),
+        plans,
+        metrics: metrics.clone(),
+    };
+    let (members, _) = Actor::spawn(None, MemberActor, arguments).await?;
+    let (entries, found) = watch::channel(Vec::new());
+    tokio::spawn(serve_requests(
+        tcp,
+        key.clone(),
+        config.clone(),
+        members.clone(),
+    ));
+    tokio::spawn(read_datagrams(udp, key, members.clone(), metrics));
+    tokio::spawn(pass_state(state.clone(), members.clone()));
+    tokio::spawn(pass_news(heard, events, found, members.clone()));
+    tokio::spawn(tick(members.clone()));
+    let duty = StoreDuty::Watch { entries };
+    spawn_store(
+        &settings.store,
+        &settings.process,
+        vault,
+        config,
+        state,
+        duty,
+    );
+    info!(%address, "balancer ready");
+    let _ = ready.send(Ok(()));
+    // The sender lives as long as the handle; when it is gone, the balancer stops too.
+    let _ = stopped.wait_for(|stop| *stop).await;
+    let _ = members.cast(MemberMessage::Leave);
+    let _ = members.drain_and_wait(Some(LEAVE_TIMEOUT)).await;
+    Ok(())
+}
+
+async fn open_sockets(
+    address: SocketAddrV4,
+) -> Result<(Arc<UdpSocket>, TcpListener), BalancerError> {
+    let udp = UdpSocket::bind(address)
+        .await
+        .context(SocketFailedSnafu { address })?;
+    let tcp = TcpListener::bind(address)
+        .await
+        .context(SocketFailedSnafu { address })?;
+    Ok((Arc::new(udp), tcp))
+}
+
+fn member_protocol(settings: &ProcessSettings) -> MemberProtocol {
+    let own = MemberRecord::builder(MemberRole::Balancer, settings.address, unix_millis())
+        .name(settings.name.clone())
+        .place(settings.data_centre.clone(), settings.region.clone())
+        .build();
+    MemberProtocol::builder(own, SmallRng::from_os_rng())
+        .bootstrap(settings.bootstrap.iter().copied())
+        .build()
+}
+
+/// Serves the metrics, if the settings name an address for them.
+fn serve_metrics(
+    address: Option<SocketAddr>,
+    metrics: &BalancerMetrics,
+) -> Result<Option<MetricsServer>, BalancerError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let mut registry = Registry::with_prefix("carobdrum_balancer");
+    metrics.register(&mut registry);
+    let server = MetricsServer::spawn(address, registry).context(MetricsFailedSnafu)?;
+    Ok(Some(server))
+}
+
+async fn serve_requests(
+    tcp: TcpListener,
+    key: TunnelKey,
+    config: ActorRef<ConfigMessage>,
+    members: ActorRef<MemberMessage>,
+) {
+    serve_control(tcp, key, move |request| {
+        let config = config.clone();
+        let members = members.clone();
+        async move {
+            let answer = match request.body {
+                Some(ControlBody::SyncMembers(sync)) => {
+                    let ask = |reply| MemberMessage::AnswerSync(sync, reply);
+                    members.call(ask, None).await
+                }
+                Some(ControlBody::Members(gossip)) => {
+                    let _ = members.cast(MemberMessage::Pushed(gossip));
+                    return nothing();
+                }
+                body => {
+                    let request = ControlMessage { body };
+                    let ask = |reply| ConfigMessage::Serve(request, reply);
+                    config
+                        .call(ask, None)
+                        .await
+                        .map_err(|error| error.map(|_| MemberMessage::Tick))
+                }
+            };
+            match answer {
+                Ok(CallResult::Success(answer)) => answer,
+                _ => nothing(),
+            }
+        }
+    })
+    .await;
+}
+
+fn nothing() -> ControlMessage {
+    ControlMessage::new(ControlBody::Nothing(Nothing {}))
+}
+
+async fn read_datagrams(
+    socket: Arc<UdpSocket>,
+    key: TunnelKey,
+    members: ActorRef<MemberMessage>,
+    metrics: BalancerMetrics,
+) {
+    let mut opener = TunnelOpener::new(key, MAX_SENDERS);
+    let mut buffer = [0; MAX_DATAGRAM_LEN];
+    loop {
+        let (len, source) = match socket.recv_from(&mut buffer).await {
+            Ok((len, std::net::SocketAddr::V4(source))) => (len, source),
+            Ok(_) => continue,
+            Err(error) => {
+                debug!(%error, "control datagram not read");
+                continue;
+            }
+        };
+        metrics.control_received_bytes.inc_by(len as u64);
+        let (header, payload) = match opener.open(&buffer[..len]) {
+            Ok(opened) => opened,
+            Err(error) => {
+                debug!(%source, %error, "control datagram refused");
+                metrics.drop(error.into());
+                continue;
+            }
+        };
+        if header.kind != DatagramKind::Control {
+            metrics.drop(crate::DropReason::UnexpectedKind);
+            continue;
+        }
+        let Ok(message) = ControlMessage::decode(payload) else {
+            metrics.drop(crate::DropReason::Malformed);
+            continue;
+        };
+        let datagram = MemberMessage::Datagram {
+            source,
+            header,
+            message,
+        };
+        if members.cast(datagram).is_err() {
+            return;
+        }
+    }
+}
+
+async fn pass_state(mut state: watch::Receiver<PublishedState>, members: ActorRef<MemberMessage>) {
+    while state.changed().await.is_ok() {
+        let published = state.borrow_and_update().clone();
+        if members
+            .cast(MemberMessage::StateChanged(published))
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Passes on what other tasks and threads have found out.
+async fn pass_news(
+    mut heard: mpsc::Receiver<NumberSeen>,
+    mut events: mpsc::UnboundedReceiver<MemberEvent>,
+    mut entries: watch::Receiver<Vec<SocketAddrV4>>,
+    members: ActorRef<MemberMessage>,
+) {
+    loop {
+        let message = tokio::select! {
+            Some(seen) = heard.recv() => MemberMessage::NumberSeen(seen),
+            Some(event) = events.recv() => MemberMessage::Event(event),
+            Ok(()) = entries.changed() => {
+                MemberMessage::Bootstrap(entries.borrow_and_update().clone())
+            }
+            else => return,
+        };
+        if members.cast(message).is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick(members: ActorRef<MemberMessage>) {
+    let mut pace = tokio::time::interval(TICK);
+    loop {
+        pace.tick().await;
+        if members.cast(MemberMessage::Tick).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/balancer/src/process/member_actor.rs
@@ -0,0 +1,294 @@
+//! The actor that owns the member list and publishes forwarding plans.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
+    sync::Arc,
+};
+
+use carobdrum_control::{
+    decode_peer,
+    decode_records,
+    encode_records,
+    ActionRunner,
+    ProcessClock,
+    PublishedState, //
+};
+use carobdrum_core::process::{
+    GossipBody,
+    MemberAction,
+    MemberEvent,
+    MemberProtocol,
+    MemberRole,
+    MemberState,
+    PeerMessage,
+    FULL_WARMTH, //
+};
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        Gossip,
+        Nothing,
+        SyncMembers, //
+    },
+    ControlMessage,
+    TunnelHeader, //
+};
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef,
+    RpcReplyPort, //
+};
+use tokio::sync::watch;
+use tracing::info;
+
+use super::{
+    traffic_state::NumberSeen,
+    BalancerMetrics, //
+};
+use crate::{
+    ForwardPlan,
+    PlanBuilder,
+    PlanTarget, //
+};
+
+/// Messages to the [`MemberActor`].
+pub(crate) enum MemberMessage {
+    /// A control datagram came.
+    Datagram {
+        source: SocketAddrV4,
+        header: TunnelHeader,
+        message: ControlMessage,
+    },
+    /// A traffic thread has seen a newer version.
+    NumberSeen(NumberSeen),
+    /// A bulk call has ended.
+    Event(MemberEvent),
+    /// Another balancer asks for the records of differing buckets.
+    AnswerSync(SyncMembers, RpcReplyPort<ControlMessage>),
+    /// Another balancer pushes records.
+    Pushed(Gossip),
+    /// Configuration or keys have changed.
+    StateChanged(PublishedState),
+    /// Addresses at which peers may be found.
+    Bootstrap(Vec<SocketAddrV4>),
+    /// The balancer stops as planned.
+    Leave,
+    /// Time passes.
+    Tick,
+}
+
+/// What the [`MemberActor`] starts with.
+pub(crate) struct MemberArguments {
+    pub(crate) protocol: MemberProtocol,
+    pub(crate) runner: ActionRunner,
+    pub(crate) clock: ProcessClock,
+    pub(crate) plans: watch::Sender<Arc<ForwardPlan>>,
+    pub(crate) metrics: BalancerMetrics,
+}
+
+pub(crate) struct ActorState {
+    arguments: MemberArguments,
+    published: PublishedState,
+    /// Whether members have changed since the last plan.
+    is_stale: bool,
+}
+
+/// Owns the member list and publishes forwarding plans.
+pub(crate) struct MemberActor;
+
+impl Actor for MemberActor {
+    type Msg = MemberMessage;
+    type State = ActorState;
+    type Arguments = MemberArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<MemberMessage>,
+        arguments: MemberArguments,
+    ) -> Result<ActorState, ActorProcessingErr> {
+        Ok(ActorState {
+            arguments,
+            published: PublishedState::default(),
+            is_stale: false,
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<MemberMessage>,
+        message: MemberMessage,
+        state: &mut ActorState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            MemberMessage::Datagram {
+                source,
+                header,
+                message,
+            } => state.handle_datagram(source, &header, message),
+            MemberMessage::NumberSeen(seen) => state.handle_number(seen),
+            MemberMessage::Event(event) => state.handle_event(event),
+            MemberMessage::AnswerSync(request, reply) => {
+                // The caller may have given up; then nobody needs the answer.
+                let _ = reply.send(state.answer_sync(&request));
+            }
+            MemberMessage::Pushed(gossip) => state.handle_event(MemberEvent::Pushed {
+                peer: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+                records: decode_records(gossip.members),
+            }),
+            MemberMessage::StateChanged(published) => state.set_published(published),
+            MemberMessage::Bootstrap(addresses) => {
+                state.arguments.protocol.add_bootstrap(addresses);
+            }
+            MemberMessage::Leave => state.leave(),
+            MemberMessage::Tick => {
+                state.handle_event(MemberEvent::Tick);
+                if state.is_stale {
+                    state.publish_plan();
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl ActorState {
+    fn handle_datagram(
+        &mut self,
+        source: SocketAddrV4,
+        header: &TunnelHeader,
+        message: ControlMessage,
+    ) {
+        let Some(message) = message.body.and_then(decode_peer) else {
+            self.arguments.metrics.drop(crate::DropReason::Malformed);
+            return;
+        };
+        self.handle_event(MemberEvent::Received {
+            from: SocketAddrV4::new(*source.ip(), header.control_port),
+            version: header.version,
+            message,
+        });
+    }
+
+    /// Treats a datagram of a flow with a newer version as a notice of that version.
+    fn handle_number(&mut self, seen: NumberSeen) {
+        self.handle_event(MemberEvent::Received {
+            from: seen.peer,
+            version: seen.number,
+            message: PeerMessage::Gossip(GossipBody::default()),
+        });
+    }
+
+    fn handle_event(&mut self, event: MemberEvent) {
+        let now = self.arguments.clock.now();
+        let actions = self.arguments.protocol.handle(now, event);
+        self.run(actions);
+    }
+
+    fn run(&mut self, actions: Vec<MemberAction>) {
+        let MemberArguments {
+            protocol,
+            runner,
+            metrics,
+            ..
+        } = &mut self.arguments;
+        for action in actions {
+            if let MemberAction::Changed(key) = action {
+                self.is_stale = true;
+                if let Some(record) = protocol.list().get(key) {
+                    let state = record.state;
+                    info!(name = %record.name, address = %record.address, ?state, "member");
+                }
+            }
+            let sent = runner.run(action, &self.published, || protocol.buckets().to_vec());
+            metrics.control_sent_bytes.inc_by(sent as u64);
+        }
+    }
+
+    fn answer_sync(&mut self, request: &SyncMembers) -> ControlMessage {
+        let now = self.arguments.clock.now();
+        let records = self.arguments.protocol.answer_sync(now, &request.buckets);
+        let body = match records {
+            Some(records) => ControlBody::Members(Gossip {
+                members: encode_records(&records),
+                ..Gossip::default()
+            }),
+            None => ControlBody::Nothing(Nothing {}),
+        };
+        ControlMessage::new(body)
+    }
+
+    fn set_published(&mut self, published: PublishedState) {
+        let number = published.number();
+        let key_version = published.key_version();
+        let takes_out = takes_out(&self.published, &published);
+        let is_newer = number > self.published.number();
+        let has_newer_keys = key_version > self.published.key_version();
+        self.published = published;
+        if is_newer {
+            self.handle_event(MemberEvent::VersionAdopted { number, takes_out });
+        }
+        if has_newer_keys {
+            self.handle_event(MemberEvent::KeysAdopted {
+                version: key_version,
+            });
+        }
+        self.publish_plan();
+    }
+
+    fn leave(&mut self) {
+        let now = self.arguments.clock.now();
+        let actions = self.arguments.protocol.announce(now, MemberState::Dead);
+        self.run(actions);
+    }
+
+    fn publish_plan(&mut self) {
+        self.is_stale = false;
+        let Some(config) = &self.published.config else {
+            return;
+        };
+        let mut builder = PlanBuilder::default()
+            .keys(self.published.keys.clone())
+            .config(config);
+        for (_, record) in self.arguments.protocol.list().iter() {
+            if record.role != MemberRole::Agent || record.weight() == 0 {
+                continue;
+            }
+            let warmth = f32::from(record.warmth) / f32::from(FULL_WARMTH);
+            let target = PlanTarget::from_server(
+                config,
+                &record.name,
+                &record.data_centre,
+                record.address,
+                warmth,
+            );
+            if let Some(target) = target {
+                builder = builder.target(target);
+            }
+        }
+        let plan = builder.build();
+        let metrics = &self.arguments.metrics;
+        metrics.config_version.set(i64::from(plan.number()));
+        metrics.targets.set(plan.targets.len() as i64);
+        self.arguments.plans.send_replace(Arc::new(plan));
+    }
+}
+
+/// Returns whether `newer` takes a data centre out that was in before.
+fn takes_out(older: &PublishedState, newer: &PublishedState) -> bool {
+    let Some(newer) = &newer.config else {
+        return false;
+    };
+    let was_out = |name: &str| {
+        let config = older.config.as_ref();
+        config.is_some_and(|config| config.pools.is_out(name))
+    };
+    newer
+        .pools
+        .data_centres
+        .iter()
+        .any(|centre| newer.pools.is_out(&centre.name) && !was_out(&centre.name))
+}
--- /dev/null
+++ b/components/balancer/src/process/mod.rs
@@ -0,0 +1,16 @@
+//! What lives for the whole process.
+
+mod balancer_error;
+mod balancer_handle;
+mod balancer_metrics;
+mod control_thread;
+mod member_actor;
+mod traffic_state;
+mod traffic_thread;
+
+pub use balancer_error::BalancerError;
+pub use balancer_handle::{
+    run,
+    BalancerHandle, //
+};
+pub(crate) use balancer_metrics::BalancerMetrics;
--- /dev/null
+++ b/components/balancer/src/process/traffic_thread.rs
@@ -0,0 +1,247 @@
+//! A thread that forwards datagrams.
+
+use std::{
+    cell::RefCell,
+    io,
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
+    rc::Rc,
+    sync::Arc,
+};
+
+use carobdrum_core::version::ServiceId;
+use tokio::{
+    sync::watch,
+    task::{
+        spawn_local,
+        AbortHandle, //
+    },
+};
+use tracing::{
+    debug,
+    warn, //
+};
+
+use super::traffic_state::TrafficState;
+use crate::{
+    connection::{
+        BatchSocket,
+        DropReason,
+        ReceiveBuffer,
+        SendBatch, //
+    },
+    process::BalancerMetrics,
+    ForwardPlan,
+};
+
+/// Where a traffic thread opens its sockets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TrafficAddresses {
+    /// IP of the tunnel socket.
+    pub(crate) tunnel_ip: Ipv4Addr,
+    /// IP at which service ports are opened in place of the service addresses.
+    pub(crate) listen_ip: Option<Ipv4Addr>,
+}
+
+/// A service address that is open on this thread.
+struct OpenService {
+    address: SocketAddrV4,
+    service: ServiceId,
+    socket: Rc<BatchSocket>,
+    task: AbortHandle,
+}
+
+/// What the tasks of one traffic thread share; no borrow is held while a task waits.
+struct TrafficShared {
+    state: RefCell<TrafficState>,
+    services: RefCell<Vec<OpenService>>,
+    /// Receive buffers are large, so tasks take one only while they handle datagrams.
+    buffers: RefCell<Vec<ReceiveBuffer>>,
+    tunnel: Rc<BatchSocket>,
+    metrics: BalancerMetrics,
+}
+
+/// Forwards until the sender of `plans` is dropped.
+///
+/// # Errors
+///
+/// Returns the error of the tunnel socket if it can't be opened.
+pub(crate) async fn run_traffic(
+    state: TrafficState,
+    addresses: TrafficAddresses,
+    metrics: BalancerMetrics,
+    mut plans: watch::Receiver<Arc<ForwardPlan>>,
+) -> io::Result<()> {
+    let tunnel = BatchSocket::open(SocketAddrV4::new(addresses.tunnel_ip, 0))?;
+    debug!(address = ?tunnel.local_address(), "tunnel socket open");
+    let shared = Rc::new(TrafficShared {
+        state: RefCell::new(state),
+        services: RefCell::new(Vec::new()),
+        buffers: RefCell::new(Vec::new()),
+        tunnel: Rc::new(tunnel),
+        metrics,
+    });
+    let answers = spawn_local(forward_answers(Rc::clone(&shared)));
+    loop {
+        let plan = Arc::clone(&plans.borrow_and_update());
+        shared.open_services(&plan, addresses.listen_ip);
+        shared.state.borrow_mut().set_plan(plan);
+        if plans.changed().await.is_err() {
+            break;
+        }
+    }
+    answers.abort();
+    for service in shared.services.borrow().iter() {
+        service.task.abort();
+    }
+    Ok(())
+}
+
+impl TrafficShared {
+    /// Opens the service addresses of `plan` that are not open, and closes the others.
+    fn open_services(self: &Rc<Self>, plan: &ForwardPlan, listen_ip: Option<Ipv4Addr>) {
+        let mut services = self.services.borrow_mut();
+        services.retain(|open| {
+            let kept = plan.service_at(open.address) == Some(open.service);
+            if !kept {
+                open.task.abort();
+            }
+            kept
+        });
+        for entry in &plan.addresses {
+            if services.iter().any(|open| open.address == entry.address) {
+                continue;
+            }
+            let ip = listen_ip.unwrap_or(*entry.address.ip());
+            let local = SocketAddrV4::new(ip, entry.address.port());
+            match BatchSocket::open(local) {
+                Ok(socket) => {
+                    let socket = Rc::new(socket);
+                    let task = spawn_local(forward_callers(
+                        Rc::clone(self),
+                        Rc::clone(&socket),
+                        entry.address,
+                        entry.service,
+                    ));
+                    services.push(OpenService {
+                        address: entry.address,
+                        service: entry.service,
+                        socket,
+                        task: task.abort_handle(),
+                    });
+                }
+                Err(error) => warn!(address = %local, %error, "service address can't be opened"),
+            }
+        }
+        services.sort_by_key(|open| open.address);
+    }
+
+    fn take_buffer(&self) -> ReceiveBuffer {
+        let spare = self.buffers.borrow_mut().pop();
+        spare.unwrap_or_else(ReceiveBuffer::new)
+    }
+
+    fn socket_of(&self, address: SocketAddrV4) -> Option<Rc<BatchSocket>> {
+        let services = self.services.borrow();
+        let found = services.binary_search_by_key(&address, |open| open.address);
+        found.ok().map(|index| Rc::clone(&services[index].socket))
+    }
+
+    /// Sends the datagrams of `batch` from the service addresses that its groups name.
+    async fn send_answers(&self, batch: &mut SendBatch) {
+        // The groups name addresses by their place in the plan that was in force when the datagrams
+        // were handled; a newer plan may come into force while this task waits.
+        let plan = Arc::clone(self.state.borrow().plan());
+        for (index, caller, bytes, segment_len) in batch.groups() {
+            let address = plan.address_at(index);
+            let Some(socket) = address.and_then(|address| self.socket_of(address)) else {
+                self.metrics.drop(DropReason::NoAddress);
+                continue;
+            };
+            self.send(&socket, caller, bytes, segment_len).await;
+        }
+        batch.clear();
+    }
+
+    async fn send(
+        &self,
+        socket: &BatchSocket,
+        destination: SocketAddrV4,
+        bytes: &[u8],
+        segment_len: Option<usize>,
+    ) {
+        if let Err(error) = socket.send(destination, bytes, segment_len).await {
+            debug!(%destination, %error, "datagrams not sent");
+            self.metrics.drop(DropReason::SendFailed);
+        }
+    }
+}
+
+/// Forwards datagrams of callers at one service address.
+async fn forward_callers(
+    shared: Rc<TrafficShared>,
+    socket: Rc<BatchSocket>,
+    address: SocketAddrV4,
+    service: ServiceId,
+) {
+    let mut tunnel = SendBatch::default();
+    let mut resets = SendBatch::default();
+    loop {
+        let mut buffer = match read_batch(&shared, &socket).await {
+            Some(buffer) => buffer,
+            None => continue,
+        };
+        {
+            let mut state = shared.state.borrow_mut();
+            for (caller, packet) in buffer.datagrams() {
+                state.handle_caller(address, service, caller, packet, &mut tunnel, &mut resets);
+            }
+        }
+        buffer.clear();
+        shared.buffers.borrow_mut().push(buffer);
+        for (_, agent, bytes, segment_len) in tunnel.groups() {
+            shared.send(&shared.tunnel, agent, bytes, segment_len).await;
+        }
+        tunnel.clear();
+        for (_, caller, bytes, segment_len) in resets.groups() {
+            shared.send(&socket, caller, bytes, segment_len).await;
+        }
+        resets.clear();
+    }
+}
+
+/// Forwards answers of agents to callers.
+async fn forward_answers(shared: Rc<TrafficShared>) {
+    let mut answers = SendBatch::default();
+    loop {
+        let mut buffer = match read_batch(&shared, &shared.tunnel).await {
+            Some(buffer) => buffer,
+            None => continue,
+        };
+        {
+            let mut state = shared.state.borrow_mut();
+            for (source, datagram) in buffer.datagrams() {
+                state.handle_tunnel(source, datagram, &mut answers);
+            }
+        }
+        buffer.clear();
+        shared.buffers.borrow_mut().push(buffer);
+        shared.send_answers(&mut answers).await;
+    }
+}
+
+/// Waits for datagrams and reads them into a buffer of the thread.
+async fn read_batch(shared: &TrafficShared, socket: &BatchSocket) -> Option<ReceiveBuffer> {
+    if let Err(error) = socket.wait().await {
+        warn!(%error, "socket can't be read");
+        return None;
+    }
+    let mut buffer = shared.take_buffer();
+    if let Err(error) = socket.read(&mut buffer) {
+        // An unreachable peer shows as an error on the next read; the socket itself is sound.
+        debug!(%error, "datagrams not read");
+    }
+    Some(buffer)
+}
--- /dev/null
+++ b/components/balancer/src/version/forward_plan.rs
@@ -0,0 +1,148 @@
+//! The immutable plan by which traffic threads forward.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc, //
+};
+
+use carobdrum_core::{
+    connection::{
+        pick_targets,
+        FlowId,
+        TargetWeight, //
+    },
+    version::{
+        CentreId,
+        KeyRing,
+        ServiceId, //
+    },
+};
+use carobdrum_wire::PacketHead;
+
+use crate::connection::{
+    DropReason,
+    RouteVerdict, //
+};
+
+/// An agent that may take new flows of one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlanTarget {
+    /// Service of the agent's server.
+    pub service: ServiceId,
+    /// Tunnel address of the agent.
+    pub agent: SocketAddrV4,
+    /// Share of new flows.
+    pub weight: f32,
+}
+
+/// A service address and its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PlanAddress {
+    pub(crate) address: SocketAddrV4,
+    pub(crate) service: ServiceId,
+}
+
+/// What a traffic thread needs to forward, for one version and one state of the members.
+#[derive(Clone, Default)]
+pub struct ForwardPlan {
+    pub(crate) number: u32,
+    pub(crate) keys: Option<Arc<KeyRing>>,
+    /// Sorted by address.
+    pub(crate) addresses: Vec<PlanAddress>,
+    /// Sorted by service.
+    pub(crate) targets: Vec<PlanTarget>,
+    /// Sorted.
+    pub(crate) centres_out: Vec<CentreId>,
+}
+
+impl ForwardPlan {
+    /// Returns the number of the version that the plan was made from.
+    pub fn number(&self) -> u32 {
+        self.number
+    }
+
+    /// Returns the service addresses to open, sorted.
+    pub fn service_addresses(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        self.addresses.iter().map(|entry| entry.address)
+    }
+
+    /// Returns the service address at a place in the sorted list.
+    pub(crate) fn address_at(&self, index: u16) -> Option<SocketAddrV4> {
+        self.addresses
+            .get(usize::from(index))
+            .map(|entry| entry.address)
+    }
+
+    /// Returns the service at `address`.
+    pub fn service_at(&self, address: SocketAddrV4) -> Option<ServiceId> {
+        let found = self
+            .addresses
+            .binary_search_by_key(&address, |entry| entry.address);
+        found.ok().map(|index| self.addresses[index].service)
+    }
+
+    /// Decides what to do with a caller's datagram that came for `service`.
+    ///
+    /// An established flow is routed by its connection ID alone, so its cost doesn't depend on the
+    /// number of targets.
+    pub fn route(&self, service: ServiceId, packet: &[u8]) -> RouteVerdict {
+        let Some(head) = PacketHead::parse(packet) else {
+            return RouteVerdict::Drop(DropReason::Malformed);
+        };
+        if let Some(flow) = FlowId::from_slice(head.id()) {
+            if let Some(owner) = self.keys.as_ref().and_then(|keys| keys.open(&flow)) {
+                if owner.service != service {
+                    return RouteVerdict::Drop(DropReason::ForeignService);
+                }
+                if self.is_out(owner.centre) {
+                    return RouteVerdict::TakenOut(flow);
+                }
+                return RouteVerdict::Owned(owner.agent);
+            }
+        }
+        match head {
+            PacketHead::Initial(id) => self.place(service, id),
+            PacketHead::Long(_) | PacketHead::Short(_) => RouteVerdict::Drop(DropReason::Unowned),
+        }
+    }
+
+    fn place(&self, service: ServiceId, id: &[u8]) -> RouteVerdict {
+        let targets = self.targets_of(service);
+        let weights = targets.iter().map(|target| TargetWeight {
+            key: target.agent,
+            hash: hash_of(target.agent),
+            weight: target.weight,
+        });
+        match pick_targets(weights, hash_bytes(id)) {
+            Some((first, second)) => RouteVerdict::Placed { first, second },
+            None => RouteVerdict::Drop(DropReason::NoTarget),
+        }
+    }
+
+    fn targets_of(&self, service: ServiceId) -> &[PlanTarget] {
+        let start = self
+            .targets
+            .partition_point(|target| target.service < service);
+        let end = self
+            .targets
+            .partition_point(|target| target.service <= service);
+        &self.targets[start..end]
+    }
+
+    fn is_out(&self, centre: CentreId) -> bool {
+        self.centres_out.binary_search(&centre).is_ok()
+    }
+}
+
+/// Hash of an agent's identity, equal at every balancer.
+fn hash_of(agent: SocketAddrV4) -> u64 {
+    let number = u64::from(u32::from(*agent.ip())) << 16 | u64::from(agent.port());
+    hash_bytes(&number.to_be_bytes())
+}
+
+/// The 64-bit FNV-1a hash, which needs no state and is the same on every machine.
+fn hash_bytes(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, &byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/components/control/src/connection/mod.rs
@@ -0,0 +1,17 @@
+//! What lives for one control connection.
+
+mod control_call;
+mod control_server;
+mod peer_codec;
+
+pub use control_call::{
+    call_control,
+    CallError, //
+};
+pub use control_server::serve_control;
+pub use peer_codec::{
+    decode_peer,
+    decode_records,
+    encode_peer,
+    encode_records, //
+};
--- /dev/null
+++ b/components/control/src/process/config_actor.rs
@@ -0,0 +1,192 @@
+//! The actor that owns the version in force and the key ring.
+
+use std::sync::Arc;
+
+use carobdrum_core::version::{
+    ConfigVersion,
+    GateVerdict,
+    KeyRing,
+    VersionGate, //
+};
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        FetchKeys,
+        FetchVersion,
+        KeyDocument,
+        Nothing,
+        VersionDocument, //
+    },
+    ControlMessage, //
+};
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef,
+    RpcReplyPort, //
+};
+use tokio::sync::watch;
+use tracing::{
+    info,
+    warn, //
+};
+
+use crate::{
+    KeyVault,
+    PublishedState, //
+};
+
+/// Messages to the [`ConfigActor`].
+pub enum ConfigMessage {
+    /// A version, from the store or from another process.
+    OfferVersion(Box<ConfigVersion>),
+    /// A wrapped key ring, from the store or from another process.
+    OfferKeys(Vec<u8>),
+    /// Another process asks for a version or for keys.
+    Serve(ControlMessage, RpcReplyPort<ControlMessage>),
+}
+
+/// What the [`ConfigActor`] starts with.
+pub struct ConfigArguments {
+    /// Unwraps key rings.
+    pub vault: KeyVault,
+    /// Where the state is published.
+    pub published: watch::Sender<PublishedState>,
+}
+
+/// State of the [`ConfigActor`].
+pub struct ConfigState {
+    arguments: ConfigArguments,
+    gate: VersionGate,
+    document: Vec<u8>,
+    ring: Option<Arc<KeyRing>>,
+    wrapped: Vec<u8>,
+}
+
+/// Owns the version in force and the key ring, and gives them to other processes.
+pub struct ConfigActor;
+
+/// Starts the actor on the current runtime.
+///
+/// # Errors
+///
+/// Returns [`ractor::SpawnErr`] if the actor can't start.
+pub async fn spawn_config(
+    arguments: ConfigArguments,
+) -> Result<ActorRef<ConfigMessage>, ractor::SpawnErr> {
+    let (actor, _) = Actor::spawn(None, ConfigActor, arguments).await?;
+    Ok(actor)
+}
+
+impl Actor for ConfigActor {
+    type Msg = ConfigMessage;
+    type State = ConfigState;
+    type Arguments = ConfigArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<ConfigMessage>,
+        arguments: ConfigArguments,
+    ) -> Result<ConfigState, ActorProcessingErr> {
+        Ok(ConfigState {
+            arguments,
+            gate: VersionGate::default(),
+            document: Vec::new(),
+            ring: None,
+            wrapped: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<ConfigMessage>,
+        message: ConfigMessage,
+        state: &mut ConfigState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            ConfigMessage::OfferVersion(version) => state.offer_version(*version),
+            ConfigMessage::OfferKeys(document) => state.offer_keys(document),
+            ConfigMessage::Serve(request, reply) => {
+                // The caller may have given up; then nobody needs the answer.
+                let _ = reply.send(state.answer(&request));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl ConfigState {
+    fn offer_version(&mut self, version: ConfigVersion) {
+        let number = version.number;
+        let edit_id = version.edit_id.clone();
+        let document = match serde_json::to_vec(&version) {
+            Ok(document) => document,
+            Err(error) => {
+                warn!(number, %error, "version can't be written as JSON");
+                return;
+            }
+        };
+        match self.gate.offer(version) {
+            GateVerdict::Adopted => {
+                info!(number, %edit_id, "configuration version in force");
+                self.document = document;
+                self.publish();
+            }
+            GateVerdict::Conflicting => {
+                warn!(number, %edit_id, "another edit has the number of the version in force");
+            }
+            GateVerdict::Older => {
+                let current = self.gate.number();
+                warn!(number, current, "older configuration version refused");
+            }
+            GateVerdict::Known => {}
+        }
+    }
+
+    fn offer_keys(&mut self, document: Vec<u8>) {
+        let ring = match self.arguments.vault.unwrap(&document) {
+            Ok(ring) => ring,
+            Err(error) => {
+                warn!(%error, "key ring refused");
+                return;
+            }
+        };
+        let current = self.ring.as_ref().map_or(0, |ring| ring.version());
+        if ring.version() <= current {
+            return;
+        }
+        info!(version = ring.version(), "key ring in force");
+        self.ring = Some(Arc::new(ring));
+        self.wrapped = document;
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let config = self.gate.current().cloned().map(Arc::new);
+        let state = PublishedState {
+            config,
+            keys: self.ring.clone(),
+        };
+        self.arguments.published.send_replace(state);
+    }
+
+    fn answer(&self, request: &ControlMessage) -> ControlMessage {
+        let body = match request.body {
+            Some(ControlBody::FetchVersion(FetchVersion { have })) if have < self.gate.number() => {
+                ControlBody::Version(VersionDocument {
+                    number: self.gate.number(),
+                    document: self.document.clone(),
+                })
+            }
+            Some(ControlBody::FetchKeys(FetchKeys { have })) => match &self.ring {
+                Some(ring) if ring.version() > have => ControlBody::Keys(KeyDocument {
+                    version: ring.version(),
+                    document: self.wrapped.clone(),
+                }),
+                _ => ControlBody::Nothing(Nothing {}),
+            },
+            _ => ControlBody::Nothing(Nothing {}),
+        };
+        ControlMessage::new(body)
+    }
+}
--- /dev/null
+++ b/components/control/src/process/stop_signal.rs
@@ -0,0 +1,28 @@
+//! Waiting for the signal of a planned stop.
+
+use std::io;
+
+use tokio::signal::unix::{
+    signal,
+    SignalKind, //
+};
+
+/// Blocks until the process gets SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns the error of the system if the signals can't be watched.
+pub fn wait_for_stop() -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/components/control/src/process/store_task.rs
@@ -0,0 +1,353 @@
+//! What a process does at the platform's key-value service.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration, //
+};
+
+use carobdrum_settings::{
+    ProcessSettings,
+    StoreSettings, //
+};
+use carobdrum_store::{
+    KeyEntry,
+    RetryPlan,
+    SessionEnd,
+    StoreClient,
+    StoreError, //
+};
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use ractor::ActorRef;
+use rand::{
+    rngs::StdRng,
+    Rng,
+    SeedableRng, //
+};
+use tokio::{
+    sync::{
+        watch,
+        Notify, //
+    },
+    time::sleep, //
+};
+use tracing::{
+    debug,
+    info, //
+};
+
+use crate::{
+    ConfigMessage,
+    KeyVault,
+    PublishedState, //
+};
+
+/// Prefix of the entry points.
+const ENTRIES: &str = "entry/";
+/// Key of the wrapped key ring.
+const KEYS: &str = "keys";
+/// Entry points of a data centre. Two, so that one can be lost without a gap; not more, because
+/// each holds a watch, which the store counts as a call.
+const ENTRIES_PER_CENTRE: u32 = 2;
+/// Lease of an entry point.
+const LEASE: Duration = Duration::from_secs(15);
+/// Pace of renewals: three tries within a lease.
+const RENEWAL_PACE: Duration = Duration::from_secs(5);
+/// Pace at which a balancer looks for a vacant entry point, with jitter. At 530 balancers this
+/// makes 18 reads a second.
+const VACANCY_PACE: Duration = Duration::from_secs(30);
+/// Longest wait of one blocking query.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+/// Time over which processes that start together spread their first reads.
+const START_SPREAD: Duration = Duration::from_millis(100);
+/// Age at which a key ring is rotated.
+const ROTATION_PACE: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// What a process does at the store after its first read.
+pub enum StoreDuty {
+    /// Reads the entry points, tries to become one, and watches while it is one.
+    Watch {
+        /// Where the entry points are published.
+        entries: watch::Sender<Vec<SocketAddrV4>>,
+    },
+    /// Reads the entry points, and again when asked to.
+    Read {
+        /// Where the entry points are published.
+        entries: watch::Sender<Vec<SocketAddrV4>>,
+        /// Wakes the task when no balancer answers any more.
+        wanted: Arc<Notify>,
+    },
+}
+
+/// Starts the store task on the current runtime.
+pub fn spawn_store(
+    store: &StoreSettings,
+    process: &ProcessSettings,
+    vault: KeyVault,
+    config: ActorRef<ConfigMessage>,
+    state: watch::Receiver<PublishedState>,
+    duty: StoreDuty,
+) {
+    let task = StoreTask {
+        client: StoreClient::new(store.address, store.deployment.clone()),
+        process: process.clone(),
+        vault,
+        config,
+        state,
+        random: StdRng::from_os_rng(),
+    };
+    tokio::spawn(task.run(duty));
+}
+
+#[derive(Clone)]
+struct StoreTask {
+    client: StoreClient,
+    process: ProcessSettings,
+    vault: KeyVault,
+    config: ActorRef<ConfigMessage>,
+    state: watch::Receiver<PublishedState>,
+    random: StdRng,
+}
+
+impl StoreTask {
+    async fn run(mut self, duty: StoreDuty) {
+        sleep(RetryPlan::initial_delay(START_SPREAD, &mut self.random)).await;
+        match duty {
+            StoreDuty::Watch { entries } => {
+                self.start(&entries, false).await;
+                self.hold_entry(entries).await;
+            }
+            StoreDuty::Read { entries, wanted } => loop {
+                self.start(&entries, true).await;
+                wanted.notified().await;
+            },
+        }
+    }
+
+    /// Reads until the store has answered and, if `needs_entries`, has named an entry point.
+    async fn start(&mut self, entries: &watch::Sender<Vec<SocketAddrV4>>, needs_entries: bool) {
+        let mut plan = RetryPlan::new(FIRST_RETRY, LONGEST_RETRY);
+        loop {
+            match self.read_once(entries).await {
+                Ok(found) if found || !needs_entries => return,
+                Ok(_) => self.pause(&mut plan, "no entry point yet").await,
+                Err(error) => self.pause(&mut plan, &error).await,
+            }
+        }
+    }
+
+    /// Reads keys, version and entry points, and returns whether there are any of these.
+    async fn read_once(
+        &mut self,
+        entries: &watch::Sender<Vec<SocketAddrV4>>,
+    ) -> Result<bool, StoreError> {
+        self.read_keys().await?;
+        if let Some(stored) = self.client.read_version().await? {
+            let version = Box::new(stored.version);
+            let _ = self.config.cast(ConfigMessage::OfferVersion(version));
+        }
+        let found = self.read_entries(entries).await?;
+        Ok(!found.is_empty())
+    }
+
+    async fn read_entries(
+        &self,
+        entries: &watch::Sender<Vec<SocketAddrV4>>,
+    ) -> Result<Vec<KeyEntry>, StoreError> {
+        let found = self.client.list_prefix(ENTRIES).await?;
+        entries.send_replace(found.iter().filter_map(address_of).collect());
+        Ok(found)
+    }
+
+    /// Reads the key ring, and creates it if this is the first process of the deployment.
+    async fn read_keys(&mut self) -> Result<(), StoreError> {
+        let mut entry = self.client.read_key(KEYS).await?;
+        if entry.is_none() {
+            let ring = self.vault.first_ring(&mut self.random);
+            let wrapped = self.vault.wrap(&ring, &mut self.random);
+            if self.client.write_key_cas(KEYS, wrapped, 0).await? {
+                info!("first key ring created");
+            }
+            // Another process may have been first, so the store's ring counts.
+            entry = self.client.read_key(KEYS).await?;
+        }
+        if let Some(entry) = entry {
+            let _ = self
+                .config
+                .cast(ConfigMessage::OfferKeys(entry.value.to_vec()));
+        }
+        Ok(())
+    }
+
+    /// Becomes an entry point whenever one is vacant in this data centre.
+    async fn hold_entry(mut self, entries: watch::Sender<Vec<SocketAddrV4>>) {
+        let mut plan = RetryPlan::new(FIRST_RETRY, LONGEST_RETRY);
+        loop {
+            match self.try_entry(&entries).await {
+                Ok(()) => {
+                    plan.reset();
+                    let pace = VACANCY_PACE.mul_f64(self.random.random_range(0.5..1.5));
+                    sleep(pace).await;
+                }
+                Err(error) => self.pause(&mut plan, &error).await,
+            }
+        }
+    }
+
+    /// Takes a vacant entry point and serves until its lease is lost.
+    async fn try_entry(
+        &mut self,
+        entries: &watch::Sender<Vec<SocketAddrV4>>,
+    ) -> Result<(), StoreError> {
+        let prefix = format_compact!("{ENTRIES}{}/", self.process.data_centre);
+        let found = self.read_entries(entries).await?;
+        let is_held = |entry: &&KeyEntry| entry.session.is_some() && entry.key.contains(&*prefix);
+        let held = found.iter().filter(is_held).count();
+        if held >= ENTRIES_PER_CENTRE as usize {
+            return Ok(());
+        }
+        let session = self
+            .client
+            .create_session(LEASE, SessionEnd::Delete)
+            .await?;
+        for number in 0..ENTRIES_PER_CENTRE {
+            let key = format_compact!("{prefix}{number}");
+            let value = self.process.address.to_string();
+            if self.client.acquire_key(&key, value, &session).await? {
+                info!(%key, "entry point taken");
+                self.read_entries(entries).await?;
+                return self.serve_entry(&session).await;
+            }
+        }
+        self.client.destroy_session(&session).await
+    }
+
+    /// Watches version and keys, and renews the lease. Reading and spreading twice does no harm, so
+    /// a holder that has lost its lease without noticing needs no fencing.
+    async fn serve_entry(&mut self, session: &CompactString) -> Result<(), StoreError> {
+        let renewing = self.clone().renew(session.clone());
+        let versions = self.clone().watch_versions();
+        let keys = self.clone().watch_keys();
+        let rotation = self.clone().rotate_keys();
+        tokio::select! {
+            ended = renewing => ended,
+            () = versions => Ok(()),
+            () = keys => Ok(()),
+            () = rotation => Ok(()),
+        }
+    }
+
+    async fn renew(self, session: CompactString) -> Result<(), StoreError> {
+        let mut failures = 0;
+        loop {
+            sleep(RENEWAL_PACE).await;
+            match self.client.renew_session(&session).await {
+                Ok(true) => failures = 0,
+                Ok(false) => {
+                    info!("entry point lost: its lease has lapsed");
+                    return Ok(());
+                }
+                // A store that is down for long can't give the entry point to anybody else.
+                Err(error) => {
+                    failures += 1;
+                    debug!(%error, failures, "lease not renewed");
+                }
+            }
+        }
+    }
+
+    async fn watch_versions(mut self) {
+        let mut plan = RetryPlan::new(FIRST_RETRY, LONGEST_RETRY);
+        let mut index = 0;
+        loop {
+            match self.client.watch_version(index, WATCH_WAIT).await {
+                Ok(watch) => {
+                    plan.reset();
+                    index = next_index(index, watch.index);
+                    if let Some(version) = watch.version {
+                        let version = Box::new(version);
+                        let _ = self.config.cast(ConfigMessage::OfferVersion(version));
+                    }
+                }
+                Err(error) => self.pause(&mut plan, &error).await,
+            }
+        }
+    }
+
+    async fn watch_keys(mut self) {
+        let mut plan = RetryPlan::new(FIRST_RETRY, LONGEST_RETRY);
+        let mut index = 0;
+        loop {
+            match self.client.watch_key(KEYS, index, WATCH_WAIT).await {
+                Ok(watch) => {
+                    plan.reset();
+                    index = next_index(index, watch.index);
+                    if let Some(entry) = watch.entry {
+                        let _ = self
+                            .config
+                            .cast(ConfigMessage::OfferKeys(entry.value.to_vec()));
+                    }
+                }
+                Err(error) => self.pause(&mut plan, &error).await,
+            }
+        }
+    }
+
+    /// Rotates the key ring; of several entry points that try, compare-and-swap lets one win.
+    async fn rotate_keys(mut self) {
+        loop {
+            sleep(ROTATION_PACE.mul_f64(self.random.random_range(1.0..1.1))).await;
+            if let Err(error) = self.rotate_once().await {
+                info!(%error, "key ring not rotated");
+            }
+        }
+    }
+
+    async fn rotate_once(&mut self) -> Result<(), StoreError> {
+        let Some(entry) = self.client.read_key(KEYS).await? else {
+            return Ok(());
+        };
+        let Ok(ring) = self.vault.unwrap(&entry.value) else {
+            return Ok(());
+        };
+        let in_force = self.state.borrow().key_version();
+        if ring.version() != in_force {
+            return Ok(());
+        }
+        let rotated = self.vault.rotated(&ring, &mut self.random);
+        let wrapped = self.vault.wrap(&rotated, &mut self.random);
+        if self
+            .client
+            .write_key_cas(KEYS, wrapped, entry.index)
+            .await?
+        {
+            info!(version = rotated.version(), "key ring rotated");
+        }
+        Ok(())
+    }
+
+    async fn pause(&mut self, plan: &mut RetryPlan, reason: impl std::fmt::Display) {
+        debug!(%reason, "the store is asked again later");
+        let delay = plan.next_delay(&mut self.random).unwrap_or(LONGEST_RETRY);
+        sleep(delay).await;
+    }
+}
+
+/// Returns the index to wait on next; one that goes backwards means that the store has started
+/// anew, so the next query must not wait.
+fn next_index(last: u64, found: u64) -> u64 {
+    if found < last {
+        0
+    } else {
+        found
+    }
+}
+
+fn address_of(entry: &KeyEntry) -> Option<SocketAddrV4> {
+    std::str::from_utf8(&entry.value).ok()?.parse().ok()
+}
--- a/components/core/src/process/agent_announcer.rs
+++ b/components/core/src/process/agent_announcer.rs
@@ -77,6 +77,15 @@
         }
     }
 
+    /// Adds addresses at which balancers are sought while too few are known.
+    pub fn add_bootstrap(&mut self, addresses: impl IntoIterator<Item = SocketAddrV4>) {
+        for address in addresses {
+            if !self.bootstrap.contains(&address) {
+                self.bootstrap.push(address);
+            }
+        }
+    }
+
     /// Returns the agent's own record.
     pub fn own(&self) -> &MemberRecord {
         &self.own
--- a/components/core/src/process/member_protocol.rs
+++ b/components/core/src/process/member_protocol.rs
@@ -218,6 +218,15 @@
         }
     }
 
+    /// Adds addresses at which peers are sought while none is known.
+    pub fn add_bootstrap(&mut self, addresses: impl IntoIterator<Item = SocketAddrV4>) {
+        for address in addresses {
+            if address != self.own.address && !self.bootstrap.contains(&address) {
+                self.bootstrap.push(address);
+            }
+        }
+    }
+
     /// Returns the member list.
     pub fn list(&self) -> &MemberList {
         &self.list
--- a/components/core/src/version/key_ring.rs
+++ b/components/core/src/version/key_ring.rs
@@ -1,5 +1,7 @@
 //! The fleet keys in force.
 
+use ring::hmac;
+
 use super::FleetKey;
 use crate::connection::{
     FlowCodec,
@@ -7,6 +9,9 @@
     FlowOwner, //
 };
 
+/// Length of a stateless-reset token, in bytes.
+pub const RESET_TOKEN_LEN: usize = 16;
+
 /// The keys under which connection IDs are accepted, and the one under which they are issued.
 #[derive(Clone)]
 pub struct KeyRing {
@@ -64,6 +69,19 @@
         self.codec(self.issuing)
     }
 
+    /// Returns the stateless-reset token of a connection ID, as agents give it to callers.
+    ///
+    /// Every process with the ring computes the same token, so a restarted agent or a balancer can
+    /// end a flow that has no owner any more.
+    pub fn reset_token(&self, flow: &FlowId) -> Option<[u8; RESET_TOKEN_LEN]> {
+        let secret = self.key(flow.phase())?.derive32(b"stateless reset");
+        let key = hmac::Key::new(hmac::HMAC_SHA256, &secret);
+        let signature = hmac::sign(&key, &flow.0);
+        let mut token = [0; RESET_TOKEN_LEN];
+        token.copy_from_slice(&signature.as_ref()[..RESET_TOKEN_LEN]);
+        Some(token)
+    }
+
     fn codec(&self, phase: u8) -> Option<&FlowCodec> {
         let found = self.codecs.binary_search_by_key(&phase, FlowCodec::phase);
         found.ok().map(|index| &self.codecs[index])
--- a/components/core/src/version/mod.rs
+++ b/components/core/src/version/mod.rs
@@ -15,7 +15,10 @@
     NamedId, //
 };
 pub use fleet_key::FleetKey;
-pub use key_ring::KeyRing;
+pub use key_ring::{
+    KeyRing,
+    RESET_TOKEN_LEN, //
+};
 pub use pool_table::{
     CentreEntry,
     CentreState,
--- a/components/wire/src/tunnel_header.rs
+++ b/components/wire/src/tunnel_header.rs
@@ -107,7 +107,7 @@
     pub control_port: u16,
     /// Load of the sender's server, in 1/255 of its limit.
     pub load: u8,
-    /// Where a first packet may be passed to.
+    /// Where a first packet may be passed to; in a passed datagram, the balancer it came from.
     pub second: Option<SecondCandidate>,
 }
 
@@ -130,6 +130,23 @@
         }
     }
 
+    /// Returns the header of a passed datagram, whose answers go to `balancer`.
+    pub fn with_return(self, balancer: SocketAddrV4) -> TunnelHeader {
+        let second = SecondCandidate {
+            agent: balancer,
+            load: 0,
+        };
+        TunnelHeader {
+            second: Some(second),
+            ..self
+        }
+    }
+
+    /// Returns the balancer that answers to a passed datagram go to.
+    pub fn return_address(&self) -> Option<SocketAddrV4> {
+        self.second.map(|second| second.agent)
+    }
+
     /// Writes the header.
     pub fn encode(&self, bytes: &mut [u8; HEADER_LEN]) {
         *bytes = [0; HEADER_LEN];
