Take packets whose fixed bit is cleared

Cause: balancers counted short-header packets without the fixed bit as malformed. Callers clear the bit at random when the other end offers it (RFC 9287), so half of their packets were dropped and every download lived on retransmits. Ruled out: reordering by the fabric and full socket buffers; with the check gone, neither slows the download, though the stand-in still drops a little. Also: the start of a daemon no longer blocks a runtime's channel, so it may be called from asynchronous code.

--- a/components/agent/src/process/agent_handle.rs
+++ b/components/agent/src/process/agent_handle.rs
@@ -107,7 +107,8 @@
         let (control, datagrams) = mpsc::channel(CONTROL_QUEUE);
         let (stop, stopped) = watch::channel(false);
         let (end, ended) = oneshot::channel();
-        let (ready, started) = oneshot::channel();
+        // The start may be called on a runtime, whose channels refuse to block.
+        let (ready, started) = std::sync::mpsc::sync_channel(1);
         let traffic = TrafficParts {
             settings: settings.clone(),
             incarnation,
@@ -134,7 +135,7 @@
             ready,
         };
         let mut threads = vec![spawn_thread("control", move || run_control(control))?];
-        started.blocking_recv().ok().context(ControlEndedSnafu)??;
+        started.recv().ok().context(ControlEndedSnafu)??;
         threads.push(spawn_thread("traffic", move || async move {
             let result = run_traffic(traffic).await;
             // The control thread announces the drain until the last flow has ended.
--- a/components/agent/src/process/control_thread.rs
+++ b/components/agent/src/process/control_thread.rs
@@ -5,7 +5,10 @@
         SocketAddr,
         SocketAddrV4, //
     },
-    sync::Arc,
+    sync::{
+        mpsc::SyncSender,
+        Arc, //
+    },
     time::Duration, //
 };
 
@@ -103,7 +106,7 @@
     pub(crate) datagrams: mpsc::Receiver<ControlDatagram>,
     pub(crate) ledger: SharedLedger,
     pub(crate) ended: oneshot::Receiver<()>,
-    pub(crate) ready: oneshot::Sender<Result<(), AgentError>>,
+    pub(crate) ready: SyncSender<Result<(), AgentError>>,
 }
 
 /// Runs the control thread until the traffic thread has ended.
--- a/components/balancer/src/process/balancer_handle.rs
+++ b/components/balancer/src/process/balancer_handle.rs
@@ -18,7 +18,6 @@
 use tokio::{
     sync::{
         mpsc,
-        oneshot,
         watch, //
     },
     task::LocalSet,
@@ -86,7 +85,8 @@
             let traffic = move || run_traffic(state, addresses, metrics, plan);
             threads.push(spawn_thread(format!("traffic-{index}"), traffic)?);
         }
-        let (ready, started) = oneshot::channel();
+        // The start may be called on a runtime, whose channels refuse to block.
+        let (ready, started) = std::sync::mpsc::sync_channel(1);
         let parts = ControlParts {
             settings,
             secret,
@@ -99,7 +99,7 @@
         threads.push(spawn_thread("control".to_owned(), move || {
             run_control(parts)
         })?);
-        started.blocking_recv().ok().context(ControlEndedSnafu)??;
+        started.recv().ok().context(ControlEndedSnafu)??;
         Ok(BalancerHandle { stop, threads })
     }
 
--- a/components/balancer/src/process/control_thread.rs
+++ b/components/balancer/src/process/control_thread.rs
@@ -5,7 +5,10 @@
         SocketAddr,
         SocketAddrV4, //
     },
-    sync::Arc,
+    sync::{
+        mpsc::SyncSender,
+        Arc, //
+    },
     time::Duration, //
 };
 
@@ -63,7 +66,6 @@
     },
     sync::{
         mpsc,
-        oneshot,
         watch, //
     },
 };
@@ -105,7 +107,7 @@
     pub(crate) plans: watch::Sender<Arc<ForwardPlan>>,
     pub(crate) heard: mpsc::Receiver<NumberSeen>,
     pub(crate) stopped: watch::Receiver<bool>,
-    pub(crate) ready: oneshot::Sender<Result<(), BalancerError>>,
+    pub(crate) ready: SyncSender<Result<(), BalancerError>>,
 }
 
 /// Runs the control thread until the balancer is stopped.
--- a/components/wire/src/packet_head.rs
+++ b/components/wire/src/packet_head.rs
@@ -3,7 +3,6 @@
 use carobdrum_core::connection::FLOW_ID_LEN;
 
 const LONG_HEADER: u8 = 0x80;
-const FIXED_BIT: u8 = 0x40;
 const TYPE_MASK: u8 = 0x30;
 
 /// Longest connection ID of QUIC version 1, in bytes.
@@ -29,9 +28,7 @@
     pub fn parse(packet: &'a [u8]) -> Option<PacketHead<'a>> {
         let first = *packet.first()?;
         if first & LONG_HEADER == 0 {
-            if first & FIXED_BIT == 0 {
-                return None;
-            }
+            // The fixed bit may be cleared (RFC 9287), so it says nothing.
             return packet.get(1..=FLOW_ID_LEN).map(PacketHead::Short);
         }
         let id_len = usize::from(*packet.get(5)?);
