--- a/components/standins/src/backend/backend_routes.rs
+++ b/components/standins/src/backend/backend_routes.rs
@@ -36,6 +36,9 @@
 /// Header by which a caller names a request.
 const IDENTITY: &str = "x-request-identity";
 
+/// Header that names the server.
+const TARGET: &str = "x-target";
+
 /// Header that tells one instance of the server from the next.
 const INSTANCE: &str = "x-server-instance";
 
@@ -134,6 +137,9 @@
     let mut state = shared.lock();
     let headers = answer.headers_mut();
     headers.insert(INSTANCE, state.instance().into());
+    if let Ok(name) = HeaderValue::from_str(&shared.settings.name) {
+        headers.insert(TARGET, name);
+    }
     if state.faults.draining {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,6 +9,11 @@
 };
 use clap_complete::Shell;
 
+use crate::cmd::{
+    DemoArgs,
+    LoadArgs, //
+};
+
 /// A layer-4 load balancer whose flows survive change and failure.
 ///
 /// Exit codes: 0 done, 1 failed, 2 bad input.
@@ -59,14 +64,6 @@
     pub(crate) files: Vec<PathBuf>,
 }
 
-/// Arguments of `load`.
-#[derive(Args, Debug)]
-pub(crate) struct LoadArgs {}
-
-/// Arguments of `demo`.
-#[derive(Args, Debug)]
-pub(crate) struct DemoArgs {}
-
 /// Arguments of `completions`.
 #[derive(Args, Debug)]
 pub(crate) struct CompletionsArgs {
--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -1,5 +1,14 @@
 //! Failures of commands.
 
+use std::{
+    net::SocketAddr,
+    path::PathBuf, //
+};
+
+use carobdrum_caller::{
+    ClientError,
+    LoadError, //
+};
 use carobdrum_core::OneLine;
 use carobdrum_settings::SettingsError;
 use carobdrum_telemetry::TelemetryError;
@@ -10,6 +19,8 @@
 };
 use snafu::Snafu;
 
+use crate::cmd::demo::DemoError;
+
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
 
@@ -50,6 +61,67 @@
         /// The cause.
         source: TelemetryError,
     },
+    /// The load would go to another machine.
+    #[snafu(display("address: found {address}; allowed: a loopback address"))]
+    NotLoopback {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// The certificates to trust can't be read.
+    #[snafu(display("{}: can't be read: {source}", path.display()))]
+    CaUnreadable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The certificates to trust can't be used.
+    #[snafu(display("{}: {source}", path.display()))]
+    CaUnusable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: ClientError,
+    },
+    /// The load can't be sent.
+    #[snafu(display("{source}"))]
+    LoadFailed {
+        /// The cause.
+        source: LoadError,
+    },
+    /// Answers were wrong.
+    #[snafu(display("{count} answers were wrong"))]
+    WrongAnswers {
+        /// How many.
+        count: u64,
+    },
+    /// No request had a correct answer.
+    #[snafu(display("no request had a correct answer"))]
+    NothingAnswered,
+    /// The demonstration failed.
+    #[snafu(display("{source}"))]
+    Demo {
+        /// The cause.
+        source: DemoError,
+    },
+    /// Flows broke outside the data centre that was taken out.
+    #[snafu(display("{count} flows broke outside the data centre that was taken out"))]
+    FlowsBroken {
+        /// How many.
+        count: usize,
+    },
+    /// The threads of the command can't be started.
+    #[snafu(display("runtime: {source}"))]
+    Runtime {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The result can't be encoded.
+    #[snafu(display("result: {source}"))]
+    Encoding {
+        /// The cause.
+        source: serde_json::Error,
+    },
     /// The result can't be written.
     #[snafu(display("stdout: {source}"))]
     Output {
@@ -65,8 +137,22 @@
             CommandError::Usage { .. }
             | CommandError::Faulty { .. }
             | CommandError::Settings { .. }
-            | CommandError::Logs { .. } => BAD_INPUT,
-            CommandError::NotAvailable { .. } | CommandError::Output { .. } => FAILED,
+            | CommandError::Logs { .. }
+            | CommandError::NotLoopback { .. }
+            | CommandError::CaUnreadable { .. }
+            | CommandError::CaUnusable { .. }
+            | CommandError::LoadFailed {
+                source: LoadError::OutOfRange { .. },
+            } => BAD_INPUT,
+            CommandError::NotAvailable { .. }
+            | CommandError::LoadFailed { .. }
+            | CommandError::WrongAnswers { .. }
+            | CommandError::NothingAnswered
+            | CommandError::Demo { .. }
+            | CommandError::FlowsBroken { .. }
+            | CommandError::Runtime { .. }
+            | CommandError::Encoding { .. }
+            | CommandError::Output { .. } => FAILED,
         }
     }
 
--- /dev/null
+++ b/src/cmd/demo/demo_files.rs
@@ -0,0 +1,55 @@
+//! Files of the demonstration's deployment.
+
+use std::path::PathBuf;
+
+use compact_str::CompactString;
+use tempfile::TempDir;
+
+use crate::cmd::demo::DemoError;
+
+/// Files of the deployment, which are removed when the value is dropped.
+pub(super) struct DemoFiles {
+    folder: TempDir,
+    certificate: CompactString,
+}
+
+impl DemoFiles {
+    /// Writes a certificate for `server_name` that only this run trusts, and a bootstrap secret.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DemoError::Certificate`] or [`DemoError::Files`].
+    pub(super) fn create(server_name: &str) -> Result<DemoFiles, DemoError> {
+        let signed = rcgen::generate_simple_self_signed([server_name.to_owned()])?;
+        let files = DemoFiles {
+            folder: TempDir::with_prefix("carobdrum-demo-")?,
+            certificate: signed.cert.pem().into(),
+        };
+        std::fs::write(files.certificate_file(), files.certificate.as_bytes())?;
+        std::fs::write(files.key_file(), signed.signing_key.serialize_pem())?;
+        let secret: [u8; 32] = rand::random();
+        let digits: String = secret.iter().map(|byte| format!("{byte:02x}")).collect();
+        std::fs::write(files.secret_file(), digits)?;
+        Ok(files)
+    }
+
+    /// Returns the certificate, in PEM.
+    pub(super) fn certificate(&self) -> &str {
+        &self.certificate
+    }
+
+    /// Returns the file with the certificate.
+    pub(super) fn certificate_file(&self) -> PathBuf {
+        self.folder.path().join("certificate.pem")
+    }
+
+    /// Returns the file with the private key.
+    pub(super) fn key_file(&self) -> PathBuf {
+        self.folder.path().join("key.pem")
+    }
+
+    /// Returns the file with the bootstrap secret.
+    pub(super) fn secret_file(&self) -> PathBuf {
+        self.folder.path().join("secret")
+    }
+}
--- /dev/null
+++ b/src/cmd/demo/mod.rs
@@ -0,0 +1,135 @@
+//! The command `demo`.
+
+mod demo_addresses;
+mod demo_args;
+mod demo_daemons;
+mod demo_error;
+mod demo_files;
+mod demo_platform;
+mod demo_report;
+mod demo_script;
+mod demo_tables;
+mod metrics_probe;
+
+use std::time::Duration;
+
+use carobdrum_caller::{
+    CallerClient,
+    LoadRun, //
+};
+use carobdrum_standins::body_chunk;
+use snafu::{
+    ensure,
+    ResultExt, //
+};
+
+pub(crate) use demo_args::DemoArgs;
+pub(crate) use demo_error::DemoError;
+
+use crate::cmd::{
+    command_error::{
+        DemoSnafu,
+        EncodingSnafu,
+        FlowsBrokenSnafu,
+        NothingAnsweredSnafu,
+        RuntimeSnafu,
+        WrongAnswersSnafu, //
+    },
+    demo::{
+        demo_addresses::DemoAddresses,
+        demo_daemons::DemoDaemons,
+        demo_files::DemoFiles,
+        demo_platform::DemoPlatform,
+        demo_report::DemoReport,
+        demo_script::DemoScript, //
+    },
+    print,
+    CommandError, //
+};
+
+/// Name in the certificate of the service.
+const SERVER_NAME: &str = "placename.demo";
+/// Flows that callers keep open.
+const FLOWS: usize = 48;
+/// Requests a second.
+const RATE: f64 = 250.0;
+/// Length of a large answer, in bytes.
+const LARGE_LEN: usize = 256 << 10;
+/// Time limit of a request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Repeats of a request.
+const REPEATS: u32 = 6;
+
+/// Runs the demonstration and prints what came of it.
+///
+/// # Errors
+///
+/// Returns why the demonstration failed, that an answer was wrong, or that a flow broke outside the
+/// data centre that was taken out.
+pub(crate) fn run(args: &DemoArgs) -> Result<(), CommandError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let report = run_deployment(args, &runtime).context(DemoSnafu)?;
+    print_report(&report, args.json)?;
+    let count = report.wrong_answers;
+    ensure!(count == 0, WrongAnswersSnafu { count });
+    let count = report.flows_broken;
+    ensure!(count == 0, FlowsBrokenSnafu { count });
+    ensure!(report.succeeded > 0, NothingAnsweredSnafu);
+    Ok(())
+}
+
+fn run_deployment(
+    args: &DemoArgs,
+    runtime: &tokio::runtime::Runtime,
+) -> Result<DemoReport, DemoError> {
+    let addresses = DemoAddresses::of_process();
+    let files = DemoFiles::create(SERVER_NAME)?;
+    let platform = runtime.block_on(DemoPlatform::start(&addresses, args.seed))?;
+    // The daemons run threads of their own, which must not be started inside a runtime.
+    let daemons = DemoDaemons::start(&addresses, &files, &platform)?;
+    let script = DemoScript::new(&platform, &daemons, addresses.service());
+    let report = runtime.block_on(run_load(args, &files, &script));
+    daemons.stop();
+    report
+}
+
+async fn run_load(
+    args: &DemoArgs,
+    files: &DemoFiles,
+    script: &DemoScript<'_>,
+) -> Result<DemoReport, DemoError> {
+    script.open().await?;
+    let duration = Duration::from_secs(args.seconds);
+    let client = CallerClient::builder(SERVER_NAME).root_pem(files.certificate())?;
+    let load = LoadRun::builder(client, script.service().into(), body_chunk)
+        .duration(duration)
+        .flows(FLOWS)
+        .rate(Some(RATE))
+        .large_len(LARGE_LEN)
+        .timeout(REQUEST_TIMEOUT)
+        .repeats(REPEATS)
+        .seed(args.seed)
+        .build()?;
+    let stop = load.stop_signal();
+    let edits = async {
+        let outcome = script.run(duration).await;
+        if outcome.is_err() {
+            stop.stop();
+        }
+        outcome
+    };
+    let (load, outcome) = tokio::join!(load.run(), edits);
+    Ok(DemoReport::new(load?, outcome?))
+}
+
+fn print_report(report: &DemoReport, as_json: bool) -> Result<(), CommandError> {
+    if !as_json {
+        return print(report.text().as_bytes());
+    }
+    let mut line = serde_json::to_vec(report).context(EncodingSnafu)?;
+    line.push(b'\n');
+    print(&line)
+}
--- /dev/null
+++ b/src/cmd/load/mod.rs
@@ -0,0 +1,105 @@
+//! The command `load`.
+
+mod load_args;
+mod load_text;
+
+use std::time::Duration;
+
+use carobdrum_caller::{
+    CallerClient,
+    ClientBuilder,
+    LoadReport,
+    LoadRun,
+    RequestMix, //
+};
+use carobdrum_standins::body_chunk;
+use snafu::{
+    ensure,
+    ResultExt, //
+};
+
+pub(crate) use load_args::LoadArgs;
+pub(super) use load_text::load_text;
+
+use crate::cmd::{
+    command_error::{
+        CaUnreadableSnafu,
+        CaUnusableSnafu,
+        EncodingSnafu,
+        LoadFailedSnafu,
+        NotLoopbackSnafu,
+        NothingAnsweredSnafu,
+        RuntimeSnafu,
+        WrongAnswersSnafu, //
+    },
+    print,
+    CommandError, //
+};
+
+/// Sends the load and prints what came of it.
+///
+/// # Errors
+///
+/// Returns faults of the arguments, [`CommandError::WrongAnswers`] if an answer was wrong, and
+/// [`CommandError::NothingAnswered`] if no request had a correct answer.
+pub(crate) fn run(args: &LoadArgs) -> Result<(), CommandError> {
+    let address = args.address;
+    ensure!(address.ip().is_loopback(), NotLoopbackSnafu { address });
+    let load = load_of(args, client_of(args)?)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let report = runtime.block_on(load.run()).context(LoadFailedSnafu)?;
+    print_report(&report, args.json)?;
+    check_report(&report)
+}
+
+fn client_of(args: &LoadArgs) -> Result<ClientBuilder, CommandError> {
+    let path = &args.ca;
+    let pem = std::fs::read(path).context(CaUnreadableSnafu { path })?;
+    CallerClient::builder(args.server_name.clone())
+        .root_pem(pem)
+        .context(CaUnusableSnafu { path })
+}
+
+fn load_of(args: &LoadArgs, client: ClientBuilder) -> Result<LoadRun, CommandError> {
+    let mix = RequestMix {
+        small: args.small_share,
+        large: args.large_share,
+        echo: args.echo_share,
+        record: args.record_share,
+    };
+    LoadRun::builder(client, args.address, body_chunk)
+        .duration(Duration::from_secs(args.seconds))
+        .requests(args.requests)
+        .flows(args.flows)
+        .sockets(args.sockets)
+        .rate(args.rate)
+        .concurrent(args.concurrent)
+        .mix(mix)
+        .small_len(args.small_bytes)
+        .large_len(args.large_bytes)
+        .echo_len(args.body_bytes)
+        .timeout(Duration::from_millis(args.timeout_ms))
+        .repeats(args.repeats)
+        .seed(args.seed)
+        .build()
+        .context(LoadFailedSnafu)
+}
+
+fn print_report(report: &LoadReport, as_json: bool) -> Result<(), CommandError> {
+    if !as_json {
+        return print(load_text(report).as_bytes());
+    }
+    let mut line = serde_json::to_vec(report).context(EncodingSnafu)?;
+    line.push(b'\n');
+    print(&line)
+}
+
+fn check_report(report: &LoadReport) -> Result<(), CommandError> {
+    let count = report.wrong_answers;
+    ensure!(report.is_correct(), WrongAnswersSnafu { count });
+    ensure!(report.succeeded > 0, NothingAnsweredSnafu);
+    Ok(())
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,7 +7,9 @@
 mod command_error;
 mod completions;
 mod daemon_logs;
+mod demo;
 mod file_kind;
+mod load;
 mod usage;
 
 use std::{
@@ -16,14 +18,13 @@
 };
 
 pub(crate) use command_error::CommandError;
+pub(crate) use demo::DemoArgs;
+pub(crate) use load::LoadArgs;
 pub(crate) use usage::explain_usage;
 
 use crate::{
     cli::Command,
-    cmd::command_error::{
-        NotAvailableSnafu,
-        OutputSnafu, //
-    }, //
+    cmd::command_error::OutputSnafu, //
 };
 
 /// Runs a command.
@@ -36,8 +37,8 @@
         Command::Balancer(args) => balancer::run(&args),
         Command::Agent(args) => agent::run(&args),
         Command::Check(args) => check::run(&args),
-        Command::Load(_) => NotAvailableSnafu { command: "load" }.fail(),
-        Command::Demo(_) => NotAvailableSnafu { command: "demo" }.fail(),
+        Command::Load(args) => load::run(&args),
+        Command::Demo(args) => demo::run(&args),
         Command::Completions(args) => completions::run(&args),
     }
 }
