--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -1,7 +1,14 @@
 //! Failures of commands.
 
-use std::path::PathBuf;
+use std::{
+    net::SocketAddr,
+    path::PathBuf, //
+};
 
+use carobdrum_caller::{
+    ClientError,
+    LoadError, //
+};
 use carobdrum_core::{
     version::TableError,
     OneLine, //
@@ -19,7 +26,10 @@
 };
 use snafu::Snafu;
 
-use crate::cmd::tables::describe_changes;
+use crate::cmd::{
+    demo::DemoError,
+    tables::describe_changes, //
+};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -69,14 +79,63 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The load would go to another machine.
+    #[snafu(display("address: found {address}; allowed: a loopback address"))]
+    NotLoopback {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// The certificates to trust can't be read.
+    #[snafu(display("{}: can't be read: {source}", path.display()))]
+    CaUnreadable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
     /// A file would be replaced.
     #[snafu(display("{}: exists; allowed: a new file, or --force", path.display()))]
     FileExists {
         /// The file.
         path: PathBuf,
     },
-    /// The runtime of asynchronous calls can't be started.
-    #[snafu(display("no runtime: {source}"))]
+    /// The certificates to trust can't be used.
+    #[snafu(display("{}: {source}", path.display()))]
+    CaUnusable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: ClientError,
+    },
+    /// The load can't be sent.
+    #[snafu(display("{source}"))]
+    LoadFailed {
+        /// The cause.
+        source: LoadError,
+    },
+    /// Answers were wrong.
+    #[snafu(display("{count} answers were wrong"))]
+    WrongAnswers {
+        /// How many.
+        count: u64,
+    },
+    /// No request had a correct answer.
+    #[snafu(display("no request had a correct answer"))]
+    NothingAnswered,
+    /// The demonstration failed.
+    #[snafu(display("{source}"))]
+    Demo {
+        /// The cause.
+        source: DemoError,
+    },
+    /// Flows broke outside the data centre that was taken out.
+    #[snafu(display("{count} flows broke outside the data centre that was taken out"))]
+    FlowsBroken {
+        /// How many.
+        count: usize,
+    },
+    /// The threads of the command can't be started.
+    #[snafu(display("runtime: {source}"))]
     Runtime {
         /// The cause.
         source: std::io::Error,
@@ -127,6 +186,12 @@
         /// The cause.
         source: toml::ser::Error,
     },
+    /// The result can't be encoded.
+    #[snafu(display("result: {source}"))]
+    Encoding {
+        /// The cause.
+        source: serde_json::Error,
+    },
     /// The result can't be written.
     #[snafu(display("stdout: {source}"))]
     Output {
@@ -146,11 +211,23 @@
             | CommandError::FileExists { .. }
             | CommandError::NoBase { .. }
             | CommandError::TwoBases { .. }
-            | CommandError::UnknownVersion { .. } => BAD_INPUT,
+            | CommandError::UnknownVersion { .. }
+            | CommandError::NotLoopback { .. }
+            | CommandError::CaUnreadable { .. }
+            | CommandError::CaUnusable { .. }
+            | CommandError::LoadFailed {
+                source: LoadError::OutOfRange { .. },
+            } => BAD_INPUT,
             CommandError::Store { source } => code_of_store(source),
             CommandError::NotAvailable { .. }
-            | CommandError::WriteFile { .. }
+            | CommandError::LoadFailed { .. }
+            | CommandError::WrongAnswers { .. }
+            | CommandError::NothingAnswered
+            | CommandError::Demo { .. }
+            | CommandError::FlowsBroken { .. }
             | CommandError::Runtime { .. }
+            | CommandError::Encoding { .. }
+            | CommandError::WriteFile { .. }
             | CommandError::NoVersion { .. }
             | CommandError::Conflict { .. }
             | CommandError::Encode { .. }
