Check settings and tables, and report every fault with its line

Cause: a parser stops at the first fault and reports several lines, ranges of settings weren't checked at all, and the check of patterns compared each with the other's text, so that `a*` and `*b` of two pools passed although a server `ab` belongs to both. The match of a name took time exponential in the `*` of its pattern. Ruled out: serde's errors alone, because they end at the first fault; a text is first compared with a list of its fields, where a stand-in replaces each faulty value, so that the later checks still see the rest. Trying the patterns on sample names, because no sample proves that two patterns don't meet; a table over both patterns decides it. Also refused: a table without rows, since an emptied file would take every service away; routes of one service with the same match but other limits at two addresses, since agents match by service; names of which the first character isn't a letter or digit, since names stand in paths of the store. Conclusion: `carobdrum check` prints one line for each fault.

--- a/components/core/src/version/mod.rs
+++ b/components/core/src/version/mod.rs
@@ -1,16 +1,21 @@
 //! What lives for one version of the configuration.
 
 mod config_version;
+mod fault_list;
 mod fleet_key;
 mod key_ring;
+mod name_pattern;
+mod pool_check;
 mod pool_table;
+mod route_check;
 mod route_table;
 mod service_id;
+mod table_check;
 mod table_fault;
+mod table_text;
 mod version_gate;
 
 pub use config_version::{
-    check_tables,
     ConfigVersion,
     NamedId, //
 };
@@ -32,10 +37,22 @@
     CentreId,
     ServiceId, //
 };
+pub use table_check::{
+    check_pool_table,
+    check_route_table,
+    check_tables, //
+};
 pub use table_fault::{
     TableError,
     TableFault, //
 };
+pub use table_text::{
+    read_pools,
+    read_routes,
+    read_tables,
+    TextFaults,
+    MAX_TABLE_BYTES, //
+};
 pub use version_gate::{
     GateVerdict,
     VersionGate, //
--- a/components/core/src/version/pool_table.rs
+++ b/components/core/src/version/pool_table.rs
@@ -6,6 +6,49 @@
     Serialize, //
 };
 
+use super::{
+    name_pattern::pattern_matches,
+    pool_check::{
+        MAX_CONNECTIONS,
+        MAX_SLOTS, //
+    }, //
+};
+use crate::{
+    FieldKind,
+    FieldShape, //
+};
+
+/// Fields of pools.toml.
+pub(super) const POOLS_SHAPE: &[FieldShape] = &[
+    FieldShape::optional("pool", FieldKind::SectionList(POOL_SHAPE)),
+    FieldShape::optional("data_centre", FieldKind::SectionList(CENTRE_SHAPE)),
+];
+
+const POOL_SHAPE: &[FieldShape] = &[
+    FieldShape::required("service", FieldKind::Text),
+    FieldShape::required("servers", FieldKind::TextList),
+    FieldShape::required(
+        "slots",
+        FieldKind::Number {
+            min: 1,
+            max: MAX_SLOTS,
+        },
+    ),
+    FieldShape::required(
+        "connections",
+        FieldKind::Number {
+            min: 1,
+            max: MAX_CONNECTIONS,
+        },
+    ),
+    FieldShape::optional("state", FieldKind::Choice(&["active", "draining"])),
+];
+
+const CENTRE_SHAPE: &[FieldShape] = &[
+    FieldShape::required("name", FieldKind::Text),
+    FieldShape::optional("state", FieldKind::Choice(&["in", "out"])),
+];
+
 /// Whether a pool takes new flows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -50,7 +93,7 @@
     pub fn admits(&self, name: &str) -> bool {
         self.servers
             .iter()
-            .any(|pattern| glob_matches(pattern, name))
+            .any(|pattern| pattern_matches(pattern, name))
     }
 }
 
@@ -97,16 +140,3 @@
             .any(|centre| centre.name == name && centre.state == CentreState::Out)
     }
 }
-
-/// Returns whether `name` matches `pattern`, in which `*` stands for any run of characters.
-pub(crate) fn glob_matches(pattern: &str, name: &str) -> bool {
-    let Some((head, rest)) = pattern.split_once('*') else {
-        return pattern == name;
-    };
-    let Some(name) = name.strip_prefix(head) else {
-        return false;
-    };
-    (0..=name.len())
-        .filter(|&at| name.is_char_boundary(at))
-        .any(|at| glob_matches(rest, &name[at..]))
-}
--- a/components/core/src/version/route_table.rs
+++ b/components/core/src/version/route_table.rs
@@ -8,6 +8,40 @@
     Serialize, //
 };
 
+use super::route_check::{
+    MAX_TIMEOUT_MS,
+    MIN_TIMEOUT_MS, //
+};
+use crate::{
+    FieldKind,
+    FieldShape, //
+};
+
+/// Fields of routes.toml.
+pub(super) const ROUTES_SHAPE: &[FieldShape] = &[FieldShape::optional(
+    "route",
+    FieldKind::SectionList(ROUTE_SHAPE),
+)];
+
+const ROUTE_SHAPE: &[FieldShape] = &[
+    FieldShape::required("name", FieldKind::Text),
+    FieldShape::required("service", FieldKind::Text),
+    FieldShape::required("address", FieldKind::Address4),
+    FieldShape::optional("path_prefix", FieldKind::Text),
+    FieldShape::optional("methods", FieldKind::TextList),
+    FieldShape::optional(
+        "priority",
+        FieldKind::Choice(&["dispatch", "normal", "bulk"]),
+    ),
+    FieldShape::optional(
+        "timeout_ms",
+        FieldKind::Number {
+            min: MIN_TIMEOUT_MS,
+            max: MAX_TIMEOUT_MS,
+        },
+    ),
+];
+
 /// Importance of the requests of a route; earlier classes are served first.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/components/core/src/version/table_fault.rs
+++ b/components/core/src/version/table_fault.rs
@@ -3,6 +3,8 @@
 use compact_str::CompactString;
 use snafu::Snafu;
 
+use crate::OneLine;
+
 /// One fault in a table: where it is, what was found and what is allowed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableFault {
@@ -21,6 +23,8 @@
             found,
             allowed,
         } = self;
+        let field = OneLine(field);
+        let found = OneLine(found);
         write!(formatter, "{field}: found {found}; allowed: {allowed}")
     }
 }
@@ -30,9 +34,9 @@
 #[snafu(visibility(pub))]
 pub enum TableError {
     /// The text isn't TOML of the right shape.
-    #[snafu(display("{source}"))]
+    #[snafu(display("{}", OneLine(source.message())))]
     Syntax {
-        /// What the parser reports, with the line.
+        /// What the parser reports.
         source: toml::de::Error,
     },
     /// The tables contradict themselves or each other.
--- a/components/settings/src/agent_settings.rs
+++ b/components/settings/src/agent_settings.rs
@@ -2,20 +2,62 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf, //
+    path::{
+        Path,
+        PathBuf, //
+    }, //
 };
 
+use carobdrum_core::{
+    FieldKind,
+    FieldShape,
+    ShapedText, //
+};
+use compact_str::ToCompactString;
 use serde::{
     Deserialize,
     Serialize, //
 };
 
 use crate::{
+    file_check::{
+        check_certificates,
+        check_key, //
+    },
+    process_settings::{
+        check_host,
+        LOG_SHAPE,
+        PROCESS_SHAPE,
+        STORE_SHAPE, //
+    },
     LogSettings,
     ProcessSettings,
     StoreSettings, //
 };
 
+/// Shortest drain timeout, in milliseconds.
+const MIN_DRAIN_MS: u32 = 100;
+
+/// Longest drain timeout, in milliseconds: one hour.
+const MAX_DRAIN_MS: u32 = 3_600_000;
+
+/// Fields of an agent's settings.
+pub(crate) const AGENT_SHAPE: &[FieldShape] = &[
+    FieldShape::required("process", FieldKind::Section(PROCESS_SHAPE)),
+    FieldShape::required("store", FieldKind::Section(STORE_SHAPE)),
+    FieldShape::optional("log", FieldKind::Section(LOG_SHAPE)),
+    FieldShape::required("server", FieldKind::Address),
+    FieldShape::required("certificate_file", FieldKind::Text),
+    FieldShape::required("key_file", FieldKind::Text),
+    FieldShape::optional(
+        "drain_timeout_ms",
+        FieldKind::Number {
+            min: MIN_DRAIN_MS,
+            max: MAX_DRAIN_MS,
+        },
+    ),
+];
+
 /// Settings of an agent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,6 +80,29 @@
     pub drain_timeout_ms: u32,
 }
 
+impl AgentSettings {
+    /// Makes relative file names relative to `folder`.
+    pub(crate) fn resolve(&mut self, folder: &Path) {
+        self.process.resolve(folder);
+        self.certificate_file = folder.join(&self.certificate_file);
+        self.key_file = folder.join(&self.key_file);
+    }
+
+    /// Checks the values, and the files that they name.
+    pub(crate) fn check(&self, text: &mut ShapedText) {
+        self.process.check(text);
+        self.store.check(text);
+        self.log.check(text);
+        check_host("server", self.server, text);
+        if self.server == SocketAddr::V4(self.process.address) {
+            let allowed = "an address other than that of the agent";
+            text.add("server", self.server.to_compact_string(), allowed);
+        }
+        check_certificates("certificate_file", &self.certificate_file, text);
+        check_key("key_file", &self.key_file, text);
+    }
+}
+
 fn default_drain() -> u32 {
     30_000
 }
--- a/components/settings/src/balancer_settings.rs
+++ b/components/settings/src/balancer_settings.rs
@@ -1,18 +1,50 @@
 //! Settings of the balancer.
 
-use std::net::Ipv4Addr;
+use std::{
+    net::Ipv4Addr,
+    path::Path, //
+};
 
+use carobdrum_core::{
+    FieldKind,
+    FieldShape,
+    ShapedText, //
+};
+use compact_str::ToCompactString;
 use serde::{
     Deserialize,
     Serialize, //
 };
 
 use crate::{
+    process_settings::{
+        LOG_SHAPE,
+        PROCESS_SHAPE,
+        STORE_SHAPE, //
+    },
     LogSettings,
     ProcessSettings,
     StoreSettings, //
 };
 
+/// Most traffic threads of a balancer.
+const MAX_THREADS: u32 = 64;
+
+/// Fields of a balancer's settings.
+pub(crate) const BALANCER_SHAPE: &[FieldShape] = &[
+    FieldShape::required("process", FieldKind::Section(PROCESS_SHAPE)),
+    FieldShape::required("store", FieldKind::Section(STORE_SHAPE)),
+    FieldShape::optional("log", FieldKind::Section(LOG_SHAPE)),
+    FieldShape::optional("listen_ip", FieldKind::Ip4),
+    FieldShape::optional(
+        "threads",
+        FieldKind::Number {
+            min: 1,
+            max: MAX_THREADS,
+        },
+    ),
+];
+
 /// Settings of a balancer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -32,6 +64,27 @@
     pub threads: u16,
 }
 
+impl BalancerSettings {
+    /// Makes relative file names relative to `folder`.
+    pub(crate) fn resolve(&mut self, folder: &Path) {
+        self.process.resolve(folder);
+    }
+
+    /// Checks the values, and the files that they name.
+    pub(crate) fn check(&self, text: &mut ShapedText) {
+        self.process.check(text);
+        self.store.check(text);
+        self.log.check(text);
+        let Some(ip) = self.listen_ip else {
+            return;
+        };
+        if ip.is_multicast() || ip.is_broadcast() {
+            let allowed = "an IPv4 address of this host, or `0.0.0.0` for all";
+            text.add("listen_ip", ip.to_compact_string(), allowed);
+        }
+    }
+}
+
 fn default_threads() -> u16 {
     1
 }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -2,11 +2,14 @@
 
 mod agent_settings;
 mod balancer_settings;
+mod file_check;
 mod process_settings;
 mod settings_error;
+mod settings_text;
 
 pub use agent_settings::AgentSettings;
 pub use balancer_settings::BalancerSettings;
+pub use file_check::read_bounded;
 pub use process_settings::{
     LogFormat,
     LogSettings,
@@ -18,3 +21,8 @@
     read_settings,
     SettingsError, //
 };
+pub use settings_text::{
+    read_agent,
+    read_balancer,
+    MAX_SETTINGS_BYTES, //
+};
--- a/components/settings/src/process_settings.rs
+++ b/components/settings/src/process_settings.rs
@@ -2,18 +2,63 @@
 
 use std::{
     net::{
+        IpAddr,
         SocketAddr,
         SocketAddrV4, //
     },
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    }, //
 };
 
-use compact_str::CompactString;
+use carobdrum_core::{
+    is_name,
+    FieldKind,
+    FieldShape,
+    ShapedText,
+    NAME_ALLOWED, //
+};
+use compact_str::{
+    format_compact,
+    CompactString,
+    ToCompactString, //
+};
 use serde::{
     Deserialize,
     Serialize, //
 };
 
+use tracing_subscriber::EnvFilter;
+
+use crate::file_check::check_secret;
+
+/// What the address of another process or of this one may be.
+const HOST_ALLOWED: &str = "the address of one host and a port other than 0";
+
+/// Fields of the section `process`.
+pub(crate) const PROCESS_SHAPE: &[FieldShape] = &[
+    FieldShape::required("name", FieldKind::Text),
+    FieldShape::required("data_centre", FieldKind::Text),
+    FieldShape::required("region", FieldKind::Text),
+    FieldShape::required("address", FieldKind::Address4),
+    FieldShape::required("secret_file", FieldKind::Text),
+    FieldShape::optional("bootstrap", FieldKind::AddressList),
+    FieldShape::optional("metrics_address", FieldKind::Address),
+];
+
+/// Fields of the section `store`.
+pub(crate) const STORE_SHAPE: &[FieldShape] = &[
+    FieldShape::required("address", FieldKind::Address),
+    FieldShape::required("deployment", FieldKind::Text),
+];
+
+/// Fields of the section `log`.
+pub(crate) const LOG_SHAPE: &[FieldShape] = &[
+    FieldShape::optional("format", FieldKind::Choice(&["text", "json"])),
+    FieldShape::optional("filter", FieldKind::Text),
+];
+
 /// Identity and addresses of a process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,6 +80,39 @@
     pub metrics_address: Option<SocketAddr>,
 }
 
+impl ProcessSettings {
+    /// Makes relative file names relative to `folder`.
+    pub(crate) fn resolve(&mut self, folder: &Path) {
+        self.secret_file = folder.join(&self.secret_file);
+    }
+
+    /// Checks the values, and the secret file.
+    pub(crate) fn check(&self, text: &mut ShapedText) {
+        check_name("process.name", &self.name, text);
+        check_name("process.data_centre", &self.data_centre, text);
+        check_name("process.region", &self.region, text);
+        // Members are known to each other by this address, so it must be the one they can reach.
+        check_host("process.address", self.address.into(), text);
+        check_secret("process.secret_file", &self.secret_file, text);
+        for (index, address) in self.bootstrap.iter().enumerate() {
+            let field = format_compact!("process.bootstrap[{index}]");
+            check_host(&field, (*address).into(), text);
+        }
+        let Some(metrics) = self.metrics_address else {
+            return;
+        };
+        let field = "process.metrics_address";
+        if metrics == SocketAddr::V4(self.address) {
+            let allowed = "an address other than `process.address`, whose TCP port is in use";
+            text.add(field, metrics.to_compact_string(), allowed);
+        }
+        if metrics.port() == 0 {
+            let allowed = "a port other than 0";
+            text.add(field, metrics.to_compact_string(), allowed);
+        }
+    }
+}
+
 /// Where the platform's key-value service is.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +123,31 @@
     pub deployment: CompactString,
 }
 
+impl StoreSettings {
+    /// Checks the values.
+    pub(crate) fn check(&self, text: &mut ShapedText) {
+        check_host("store.address", self.address, text);
+        check_name("store.deployment", &self.deployment, text);
+    }
+}
+
+/// Adds a fault unless `name` is well-formed.
+fn check_name(field: &str, name: &str, text: &mut ShapedText) {
+    if !is_name(name) {
+        text.add(field, format_compact!("`{name}`"), NAME_ALLOWED);
+    }
+}
+
+/// Adds a fault unless `address` can be sent to.
+pub(crate) fn check_host(field: &str, address: SocketAddr, text: &mut ShapedText) {
+    let ip = address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    let is_host = !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast;
+    if address.port() == 0 || !is_host {
+        text.add(field, address.to_compact_string(), HOST_ALLOWED);
+    }
+}
+
 /// Form of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -72,6 +175,17 @@
     CompactString::const_new("info")
 }
 
+impl LogSettings {
+    /// Checks the values.
+    pub(crate) fn check(&self, text: &mut ShapedText) {
+        if let Err(error) = EnvFilter::builder().parse(&self.filter) {
+            let found = format_compact!("`{}` ({error})", self.filter);
+            let allowed = "a level or a list of `target=level`, such as `info,hop=debug`";
+            text.add("log.filter", found, allowed);
+        }
+    }
+}
+
 impl Default for LogSettings {
     fn default() -> LogSettings {
         LogSettings {
--- a/components/settings/src/settings_error.rs
+++ b/components/settings/src/settings_error.rs
@@ -5,17 +5,24 @@
     PathBuf, //
 };
 
+use carobdrum_core::FileFault;
 use serde::de::DeserializeOwned;
 use snafu::{
     ResultExt,
     Snafu, //
 };
 
+use crate::file_check::read_bounded;
+
 /// Length of the bootstrap secret, in bytes.
 const SECRET_LEN: usize = 32;
 
+/// Longest secret file that is read, in bytes; white space may surround the digits.
+const MAX_SECRET_BYTES: usize = 1024;
+
 /// Reasons why settings can't be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum SettingsError {
     /// A file can't be read.
     #[snafu(display("{}: can't be read: {source}", path.display()))]
@@ -35,17 +42,32 @@
     },
     /// The secret isn't 64 hexadecimal digits.
     #[snafu(display(
-        "{}: found {found} characters; allowed: 64 hexadecimal digits", path.display()
+        "{}: found {found} bytes; allowed: 64 hexadecimal digits", path.display()
     ))]
     BadSecret {
         /// The file.
         path: PathBuf,
-        /// Length of what was found.
+        /// Length of what was found, in bytes.
         found: usize,
     },
+    /// The path leads to a folder, a pipe or a device.
+    #[snafu(display("{}: not a regular file", path.display()))]
+    NotAFile {
+        /// The path.
+        path: PathBuf,
+    },
+    /// Settings have faults.
+    #[snafu(display("{}: {} faults", path.display(), faults.len()))]
+    Faulty {
+        /// The file.
+        path: PathBuf,
+        /// All faults found.
+        faults: Vec<FileFault>,
+    },
 }
 
-/// Reads settings from a TOML file.
+/// Reads settings from a TOML file, without the checks of [`crate::read_balancer`] and
+/// [`crate::read_agent`].
 ///
 /// # Errors
 ///
@@ -60,21 +82,24 @@
 ///
 /// # Errors
 ///
-/// Returns [`SettingsError::Unreadable`] or [`SettingsError::BadSecret`].
+/// Returns [`SettingsError::Unreadable`], [`SettingsError::NotAFile`] or
+/// [`SettingsError::BadSecret`].
 pub fn read_secret(path: &Path) -> Result<[u8; SECRET_LEN], SettingsError> {
-    let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
-    let text = text.trim();
+    let bytes = read_bounded(path, MAX_SECRET_BYTES)?;
+    let text = bytes.trim_ascii();
     let found = text.len();
     parse_hex(text).ok_or_else(|| BadSecretSnafu { path, found }.build())
 }
 
-fn parse_hex(text: &str) -> Option<[u8; SECRET_LEN]> {
-    if text.len() != 2 * SECRET_LEN || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+fn parse_hex(text: &[u8]) -> Option<[u8; SECRET_LEN]> {
+    if text.len() != 2 * SECRET_LEN {
         return None;
     }
     let mut secret = [0; SECRET_LEN];
-    for (index, byte) in secret.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    for (byte, pair) in secret.iter_mut().zip(text.chunks_exact(2)) {
+        let high = char::from(pair[0]).to_digit(16)?;
+        let low = char::from(pair[1]).to_digit(16)?;
+        *byte = (high << 4 | low) as u8;
     }
     Some(secret)
 }
--- /dev/null
+++ b/components/settings/src/settings_text.rs
@@ -0,0 +1,70 @@
+//! The text of a settings file.
+
+use std::path::Path;
+
+use carobdrum_core::{
+    FieldShape,
+    ShapedText, //
+};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    agent_settings::AGENT_SHAPE,
+    balancer_settings::BALANCER_SHAPE,
+    file_check::read_bounded,
+    settings_error::FaultySnafu,
+    AgentSettings,
+    BalancerSettings,
+    SettingsError, //
+};
+
+/// Longest settings file, in bytes.
+pub const MAX_SETTINGS_BYTES: usize = 64 * 1024;
+
+/// Reads and checks the settings of a balancer, and the files that they name.
+///
+/// Relative file names are relative to the folder of the settings file.
+///
+/// # Errors
+///
+/// Returns [`SettingsError::Faulty`] with all faults, and other errors if `path` can't be read.
+pub fn read_balancer(path: &Path) -> Result<BalancerSettings, SettingsError> {
+    let check = |settings: &mut BalancerSettings, folder: &Path, text: &mut ShapedText| {
+        settings.resolve(folder);
+        settings.check(text);
+    };
+    read_checked(path, BALANCER_SHAPE, check)
+}
+
+/// Reads and checks the settings of an agent, and the files that they name.
+///
+/// Relative file names are relative to the folder of the settings file.
+///
+/// # Errors
+///
+/// Returns [`SettingsError::Faulty`] with all faults, and other errors if `path` can't be read.
+pub fn read_agent(path: &Path) -> Result<AgentSettings, SettingsError> {
+    let check = |settings: &mut AgentSettings, folder: &Path, text: &mut ShapedText| {
+        settings.resolve(folder);
+        settings.check(text);
+    };
+    read_checked(path, AGENT_SHAPE, check)
+}
+
+fn read_checked<S: DeserializeOwned>(
+    path: &Path,
+    shape: &'static [FieldShape],
+    check: impl FnOnce(&mut S, &Path, &mut ShapedText),
+) -> Result<S, SettingsError> {
+    let bytes = read_bounded(path, MAX_SETTINGS_BYTES)?;
+    let mut text = ShapedText::read(&bytes, MAX_SETTINGS_BYTES, shape);
+    let mut settings: Option<S> = text.value();
+    if let Some(settings) = &mut settings {
+        let folder = path.parent().unwrap_or(Path::new(""));
+        check(settings, folder, &mut text);
+    }
+    match text.finish(settings) {
+        Ok(settings) => Ok(settings),
+        Err(faults) => FaultySnafu { path, faults }.fail(),
+    }
+}
--- /dev/null
+++ b/components/settings/tests/settings_files.rs
@@ -0,0 +1,145 @@
+//! Checks of settings files and of the files that they name.
+
+use std::path::PathBuf;
+
+use carobdrum_settings::{
+    read_agent,
+    read_balancer,
+    read_secret,
+    LogFormat,
+    SettingsError, //
+};
+use rstest::rstest;
+use tempfile::TempDir;
+
+const SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899AABBCCDDEEFF";
+
+const PROCESS: &str = r#"[process]
+name = "api-1"
+data_centre = "galway-a"
+region = "ie-west"
+address = "127.0.0.1:7000"
+secret_file = "secret"
+bootstrap = ["127.0.0.2:7000"]
+metrics_address = "127.0.0.1:7001"
+[store]
+address = "127.0.0.1:8500"
+deployment = "gazetteer"
+[log]
+format = "json"
+filter = "info,hop=debug"
+"#;
+
+const AGENT: &str = r#"
+server = "127.0.0.1:8080"
+certificate_file = "certificate.pem"
+key_file = "key.pem"
+drain_timeout_ms = 100
+"#;
+
+const BALANCER: &str = "listen_ip = '127.0.0.1'\nthreads = 64\n";
+
+/// Returns a folder with good files and the path of `text` in it.
+fn folder(text: &str) -> (TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let signed = rcgen::generate_simple_self_signed(["localhost".to_owned()]).unwrap();
+    let files = [
+        ("secret", format!(" {SECRET}\n")),
+        ("certificate.pem", signed.cert.pem()),
+        ("key.pem", signed.signing_key.serialize_pem()),
+        ("settings.toml", text.to_owned()),
+    ];
+    for (name, content) in files {
+        std::fs::write(folder.path().join(name), content).unwrap();
+    }
+    let path = folder.path().join("settings.toml");
+    (folder, path)
+}
+
+fn lines<S>(outcome: Result<S, SettingsError>) -> Vec<String> {
+    match outcome {
+        Ok(_) => Vec::new(),
+        Err(SettingsError::Faulty { faults, .. }) => faults.iter().map(|f| f.to_string()).collect(),
+        Err(other) => vec![other.to_string()],
+    }
+}
+
+/// Guards against a field of the settings that the check doesn't know, and against file names that
+/// are looked up in the folder of the process instead of that of the settings.
+#[test]
+fn settings_with_all_fields_are_read() {
+    let (kept, path) = folder(&format!("{AGENT}{PROCESS}"));
+    let agent = read_agent(&path).unwrap();
+    assert_eq!(agent.process.secret_file, kept.path().join("secret"));
+    assert_eq!(agent.drain_timeout_ms, 100);
+    assert_eq!(agent.log.format, LogFormat::Json);
+    assert!(read_secret(&agent.process.secret_file).is_ok());
+    let (_kept, path) = folder(&format!("{BALANCER}{PROCESS}"));
+    let balancer = read_balancer(&path).unwrap();
+    assert_eq!(balancer.threads, 64);
+    assert_eq!(balancer.process.bootstrap.len(), 1);
+}
+
+/// Arranges one named case per fault: a line of good settings, what replaces it, and the only line
+/// reported.
+macro_rules! single_faults {
+    ($($name:ident: $good:expr => $bad:expr, $line:expr;)*) => {
+        /// Guards against a daemon that starts with a bad value or without a file that it needs.
+        #[rstest]
+        $(#[case::$name($good, $bad, $line)])*
+        fn fault_of_an_agent_is_told(
+            #[case] good: &str,
+            #[case] bad: &str,
+            #[case] line: &str,
+        ) {
+            let text = format!("{AGENT}{PROCESS}");
+            assert!(text.contains(good));
+            let (_kept, path) = folder(&text.replacen(good, bad, 1));
+            let lines = lines(read_agent(&path));
+            assert_eq!(lines.len(), 1, "{lines:?}");
+            assert!(lines[0].starts_with(line), "{lines:?}");
+        }
+    };
+}
+
+single_faults! {
+    unspecified_address: "127.0.0.1:7000" => "0.0.0.0:7000",
+        ":10: process.address: found 0.0.0.0:7000; allowed: the address of one host";
+    multicast_address: "127.0.0.1:7000" => "224.0.0.1:7000",
+        ":10: process.address: found 224.0.0.1:7000";
+    port_0: "127.0.0.1:8500" => "127.0.0.1:0", ":15: store.address: found 127.0.0.1:0";
+    address_without_port: "127.0.0.1:8080" => "127.0.0.1", ":2: server: found `127.0.0.1`";
+    server_is_the_agent: "127.0.0.1:8080" => "127.0.0.1:7000", ":2: server: found 127.0.0.1:7000";
+    metrics_on_the_control_port: "127.0.0.1:7001" => "127.0.0.1:7000",
+        ":13: process.metrics_address: found 127.0.0.1:7000";
+    bad_bootstrap: "127.0.0.2:7000" => "127.0.0.2:0",
+        ":12: process.bootstrap[0]: found 127.0.0.2:0";
+    name: "api-1" => "api 1", ":7: process.name: found `api 1`; allowed: 1 to 100 letters";
+    empty_data_centre: "galway-a" => "", ":8: process.data_centre: found ``";
+    region: "ie-west" => "ie/west", ":9: process.region: found `ie/west`";
+    deployment: "gazetteer" => "a/b", ":16: store.deployment: found `a/b`";
+    deployment_of_dots: "gazetteer" => "..", ":16: store.deployment: found `..`";
+    no_name: "name = \"api-1\"" => "", ":6: process.name: found nothing";
+    unknown_field: "name =" => "title = 1\nname =", ":7: process.title: found an unknown field";
+    drain_too_short: "drain_timeout_ms = 100" => "drain_timeout_ms = 99",
+        ":5: drain_timeout_ms: found 99; allowed: a whole number from 100 to 3600000";
+    log_format: "json" => "xml", ":18: log.format: found `xml`; allowed: `text`, `json`";
+    log_filter: "hop=debug" => "hop=loud", ":19: log.filter: found `info,hop=loud`";
+    secret_missing: "\"secret\"" => "\"absent\"", ":11: process.secret_file: found ";
+    secret_too_short: "\"secret\"" => "\"settings.toml\"", ":11: process.secret_file: found ";
+    certificate_missing: "certificate.pem" => "absent", ":3: certificate_file: found ";
+    certificate_of_another_kind: "certificate.pem" => "key.pem", ":3: certificate_file: found ";
+    key_is_a_folder: "key.pem" => ".", ":4: key_file: found ";
+    key_of_another_kind: "key.pem" => "certificate.pem", ":4: key_file: found ";
+}
+
+/// Guards against thread counts that the machine can't run, and against settings of an agent that
+/// start a balancer.
+#[test]
+fn faults_of_a_balancer_are_told() {
+    let bad = BALANCER.replace("64", "65") + AGENT;
+    let (_kept, path) = folder(&format!("{bad}{PROCESS}"));
+    let lines = lines(read_balancer(&path));
+    assert!(lines[0].starts_with(":2: threads: found 65; allowed: a whole number from 1 to 64"));
+    assert_eq!(lines.len(), 5, "{lines:?}");
+}
--- /dev/null
+++ b/src/cmd/agent.rs
@@ -0,0 +1,27 @@
+//! The command `agent`.
+
+use carobdrum_settings::read_agent;
+use snafu::ResultExt;
+
+use crate::{
+    cli::DaemonArgs,
+    cmd::{
+        command_error::{
+            NotAvailableSnafu,
+            SettingsSnafu, //
+        },
+        daemon_logs::start_logs,
+        CommandError, //
+    }, //
+};
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+///
+/// Returns faults of the settings, and why the agent ended.
+pub(crate) fn run(args: &DaemonArgs) -> Result<(), CommandError> {
+    let settings = read_agent(&args.settings).context(SettingsSnafu)?;
+    start_logs(&settings.log, args.log.as_deref())?;
+    NotAvailableSnafu { command: "agent" }.fail()
+}
--- /dev/null
+++ b/src/cmd/balancer.rs
@@ -0,0 +1,30 @@
+//! The command `balancer`.
+
+use carobdrum_settings::read_balancer;
+use snafu::ResultExt;
+
+use crate::{
+    cli::DaemonArgs,
+    cmd::{
+        command_error::{
+            NotAvailableSnafu,
+            SettingsSnafu, //
+        },
+        daemon_logs::start_logs,
+        CommandError, //
+    }, //
+};
+
+/// Runs a balancer until it is told to stop.
+///
+/// # Errors
+///
+/// Returns faults of the settings, and why the balancer ended.
+pub(crate) fn run(args: &DaemonArgs) -> Result<(), CommandError> {
+    let settings = read_balancer(&args.settings).context(SettingsSnafu)?;
+    start_logs(&settings.log, args.log.as_deref())?;
+    NotAvailableSnafu {
+        command: "balancer",
+    }
+    .fail()
+}
--- /dev/null
+++ b/src/cmd/check_set.rs
@@ -0,0 +1,330 @@
+//! The files that are checked together.
+
+use std::path::{
+    Path,
+    PathBuf, //
+};
+
+use carobdrum_core::{
+    version::{
+        read_pools,
+        read_routes,
+        read_tables,
+        PoolTable,
+        MAX_TABLE_BYTES, //
+    },
+    FileFault,
+    ShapedText, //
+};
+use carobdrum_settings::{
+    read_agent,
+    read_balancer,
+    read_bounded,
+    AgentSettings,
+    BalancerSettings,
+    ProcessSettings,
+    SettingsError, //
+};
+use compact_str::{
+    format_compact,
+    CompactString,
+    ToCompactString, //
+};
+
+use crate::cmd::file_kind::FileKind;
+
+/// One file and what is wrong with it.
+#[derive(Debug)]
+pub(crate) struct CheckedFile {
+    /// Path, as given.
+    pub(crate) path: PathBuf,
+    /// Faults found so far.
+    pub(crate) faults: Vec<FileFault>,
+    kind: Option<FileKind>,
+    bytes: Vec<u8>,
+    content: FileContent,
+}
+
+/// What a good file holds, as far as other files are checked against it.
+#[derive(Debug)]
+enum FileContent {
+    None,
+    Pools(PoolTable),
+    Balancer(Box<BalancerSettings>),
+    Agent(Box<AgentSettings>),
+}
+
+/// All files of one run.
+#[derive(Debug)]
+pub(crate) struct CheckSet {
+    files: Vec<CheckedFile>,
+}
+
+impl CheckSet {
+    /// Reads files; one that is given twice is read once.
+    pub(crate) fn read(paths: &[PathBuf]) -> CheckSet {
+        let mut files: Vec<CheckedFile> = Vec::new();
+        for path in paths {
+            if files.iter().all(|file| file.path != *path) {
+                files.push(CheckedFile::read(path));
+            }
+        }
+        CheckSet { files }
+    }
+
+    /// Returns the files in the order given.
+    pub(crate) fn files(&self) -> &[CheckedFile] {
+        &self.files
+    }
+
+    /// Checks the tables; those that belong together are checked against each other.
+    pub(crate) fn check_tables(&mut self) {
+        for index in 0..self.files.len() {
+            match (self.files[index].kind, self.partner(index)) {
+                (Some(FileKind::Routes), Some(pools)) => self.check_pair(index, pools),
+                (Some(FileKind::Routes), None) => self.files[index].check_routes(),
+                (Some(FileKind::Pools), None) => self.files[index].check_pools(),
+                // A table of pools with a partner is checked with the partner.
+                _ => (),
+            }
+        }
+    }
+
+    /// Checks settings, then against each other and against the table of pools.
+    pub(crate) fn check_settings(&mut self) {
+        for file in &mut self.files {
+            match file.kind {
+                Some(FileKind::Balancer) => file.check_balancer(),
+                Some(FileKind::Agent) => file.check_agent(),
+                _ => (),
+            }
+        }
+        for index in 0..self.files.len() {
+            let faults = self.conflicts(index);
+            self.files[index].faults.extend(faults);
+        }
+    }
+
+    /// Returns the table that belongs to the table at `index`: the only one of the other kind in
+    /// the same folder, or else the only one of all, if each kind was given once.
+    fn partner(&self, index: usize) -> Option<usize> {
+        let kind = self.files[index].kind?;
+        let other = match kind {
+            FileKind::Routes => FileKind::Pools,
+            FileKind::Pools => FileKind::Routes,
+            FileKind::Balancer | FileKind::Agent => return None,
+        };
+        let folder = self.files[index].folder();
+        let here = |file: &CheckedFile| file.folder() == folder;
+        if self.only(kind, here).is_some() {
+            if let Some(found) = self.only(other, here) {
+                return Some(found);
+            }
+        }
+        self.only(kind, |_| true)?;
+        self.only(other, |_| true)
+    }
+
+    /// Returns the only file of `kind` that `fits`.
+    fn only(&self, kind: FileKind, fits: impl Fn(&CheckedFile) -> bool) -> Option<usize> {
+        let mut found = self
+            .files
+            .iter()
+            .enumerate()
+            .filter(|(_, file)| file.kind == Some(kind) && fits(file));
+        let (index, _) = found.next()?;
+        found.next().is_none().then_some(index)
+    }
+
+    fn check_pair(&mut self, routes: usize, pools: usize) {
+        match read_tables(&self.files[routes].bytes, &self.files[pools].bytes) {
+            Ok((_, table)) => self.files[pools].content = FileContent::Pools(table),
+            Err(faults) => {
+                self.files[routes].faults = faults.routes;
+                self.files[pools].faults = faults.pools;
+            }
+        }
+    }
+
+    /// Returns the faults of the settings at `index` that only other files show.
+    fn conflicts(&self, index: usize) -> Vec<FileFault> {
+        let file = &self.files[index];
+        let Some(process) = file.process() else {
+            return Vec::new();
+        };
+        let mut faults = Vec::new();
+        for earlier in &self.files[..index] {
+            if earlier.deployment() == file.deployment() {
+                compare(earlier, file, &mut faults);
+            }
+        }
+        let here = |other: &CheckedFile| other.folder() == file.folder();
+        let pools = self.only(FileKind::Pools, here);
+        if let Some(FileContent::Pools(table)) = pools.map(|at| &self.files[at].content) {
+            check_place(process, table, file.agent().is_some(), &mut faults);
+        }
+        faults
+    }
+}
+
+impl CheckedFile {
+    fn read(path: &Path) -> CheckedFile {
+        let mut file = CheckedFile {
+            path: path.into(),
+            faults: Vec::new(),
+            kind: None,
+            bytes: Vec::new(),
+            content: FileContent::None,
+        };
+        match read_bounded(path, MAX_TABLE_BYTES) {
+            Ok(bytes) => {
+                file.kind = FileKind::tell(path, &bytes);
+                file.bytes = bytes;
+                file.check_kind();
+            }
+            Err(error) => file.refuse(error),
+        }
+        file
+    }
+
+    /// Adds a fault if the kind can't be told.
+    fn check_kind(&mut self) {
+        if self.kind.is_some() {
+            return;
+        }
+        let text = ShapedText::read(&self.bytes, MAX_TABLE_BYTES, &[]);
+        self.faults = if text.is_parsed() {
+            let allowed = "a table of routes or pools, or settings of a balancer or an agent";
+            vec![file_fault("", "fields of no known kind".into(), allowed)]
+        } else {
+            text.into_faults()
+        };
+    }
+
+    fn check_routes(&mut self) {
+        if let Err(faults) = read_routes(&self.bytes) {
+            self.faults = faults;
+        }
+    }
+
+    fn check_pools(&mut self) {
+        match read_pools(&self.bytes) {
+            Ok(table) => self.content = FileContent::Pools(table),
+            Err(faults) => self.faults = faults,
+        }
+    }
+
+    fn check_balancer(&mut self) {
+        match read_balancer(&self.path) {
+            Ok(settings) => self.content = FileContent::Balancer(Box::new(settings)),
+            Err(error) => self.refuse(error),
+        }
+    }
+
+    fn check_agent(&mut self) {
+        match read_agent(&self.path) {
+            Ok(settings) => self.content = FileContent::Agent(Box::new(settings)),
+            Err(error) => self.refuse(error),
+        }
+    }
+
+    fn refuse(&mut self, error: SettingsError) {
+        let allowed = "a readable file of UTF-8 text";
+        match error {
+            SettingsError::Faulty { faults, .. } => self.faults = faults,
+            SettingsError::Unreadable { source, .. } => {
+                let found = format_compact!("an unreadable file ({source})");
+                self.faults.push(file_fault("", found, allowed));
+            }
+            SettingsError::NotAFile { .. } => {
+                let found = "a folder, a pipe or a device".into();
+                self.faults.push(file_fault("", found, allowed));
+            }
+            other => {
+                let found = other.to_compact_string();
+                self.faults.push(file_fault("", found, allowed));
+            }
+        }
+    }
+
+    fn folder(&self) -> Option<&Path> {
+        self.path.parent()
+    }
+
+    fn agent(&self) -> Option<&AgentSettings> {
+        match &self.content {
+            FileContent::Agent(settings) => Some(settings),
+            _ => None,
+        }
+    }
+
+    fn process(&self) -> Option<&ProcessSettings> {
+        match &self.content {
+            FileContent::Agent(settings) => Some(&settings.process),
+            FileContent::Balancer(settings) => Some(&settings.process),
+            _ => None,
+        }
+    }
+
+    fn deployment(&self) -> Option<&CompactString> {
+        match &self.content {
+            FileContent::Agent(settings) => Some(&settings.store.deployment),
+            FileContent::Balancer(settings) => Some(&settings.store.deployment),
+            _ => None,
+        }
+    }
+}
+
+/// Adds a fault for each thing that two processes of one deployment may not share.
+fn compare(earlier: &CheckedFile, file: &CheckedFile, faults: &mut Vec<FileFault>) {
+    let (Some(other), Some(process)) = (earlier.process(), file.process()) else {
+        return;
+    };
+    let owner = earlier.path.to_string_lossy();
+    if other.name == process.name {
+        let found = format_compact!("`{}`, as in {owner}", process.name);
+        let allowed = "a name used once in a deployment";
+        faults.push(file_fault("process.name", found, allowed));
+    }
+    if other.address == process.address {
+        let found = format_compact!("{}, as in {owner}", process.address);
+        let allowed = "an address used once in a deployment";
+        faults.push(file_fault("process.address", found, allowed));
+    }
+    let (Some(other), Some(agent)) = (earlier.agent(), file.agent()) else {
+        return;
+    };
+    if other.server == agent.server && other.process.address.ip() == agent.process.address.ip() {
+        let found = format_compact!("{}, as in {owner}", agent.server);
+        faults.push(file_fault("server", found, "one agent for a server"));
+    }
+}
+
+/// Adds faults if the table of pools knows nothing of the process's data centre or server.
+fn check_place(
+    process: &ProcessSettings,
+    table: &PoolTable,
+    is_agent: bool,
+    faults: &mut Vec<FileFault>,
+) {
+    let mut centres = table.data_centres.iter();
+    if !centres.any(|centre| centre.name == process.data_centre) {
+        let found = format_compact!("`{}`", process.data_centre);
+        let allowed = "a data centre of the table of pools";
+        faults.push(file_fault("process.data_centre", found, allowed));
+    }
+    if is_agent && table.pool_for_server(&process.name).is_none() {
+        let found = format_compact!("`{}`", process.name);
+        let allowed = "a server's name that a pool of the table matches";
+        faults.push(file_fault("process.name", found, allowed));
+    }
+}
+
+fn file_fault(field: &str, found: CompactString, allowed: &str) -> FileFault {
+    FileFault {
+        line: None,
+        field: field.into(),
+        found,
+        allowed: allowed.into(),
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,18 @@
-//! carobdrum.
-fn main() {}
+//! carobdrum, a layer-4 load balancer.
+
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::cli::Cli;
+
+fn main() -> ExitCode {
+    let outcome = match Cli::try_parse() {
+        Ok(cli) => cmd::run(cli.command),
+        Err(error) => cmd::explain_usage(&error),
+    };
+    cmd::finish(outcome)
+}
