Test the whole path on loopback in one process

Cause: the daemons had only been built. The test sends a small download, one of 30 MB and an upload through three balancers to a backend server and compares every byte.

--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! A small deployment on loopback, in one process, for tests of the whole path.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
+    path::PathBuf,
+    time::Duration,
+};
+
+use carobdrum_agent::AgentHandle;
+use carobdrum_balancer::BalancerHandle;
+use carobdrum_caller::CallerClient;
+use carobdrum_core::version::{
+    PoolTable,
+    RouteTable, //
+};
+use carobdrum_settings::{
+    AgentSettings,
+    BalancerSettings,
+    LogSettings,
+    ProcessSettings,
+    StoreSettings, //
+};
+use carobdrum_standins::{
+    BackendServer,
+    BackendSettings,
+    FabricRelay,
+    RelaySettings,
+    StoreServer, //
+};
+use carobdrum_store::{
+    StoreClient,
+    TableEdit, //
+};
+use tempfile::TempDir;
+
+/// Name in the certificate of the service.
+pub(crate) const SERVER_NAME: &str = "placename-api.test";
+const CONTROL_PORT: u16 = 7400;
+const METRICS_PORT: u16 = 9400;
+const SERVICE_PORT: u16 = 8443;
+
+/// A deployment in which each process has a loopback address of its own.
+pub(crate) struct TestSite {
+    net: u8,
+    pub(crate) files: TempDir,
+    pub(crate) store: StoreServer,
+    pub(crate) fabric: FabricRelay,
+    pub(crate) servers: Vec<BackendServer>,
+    pub(crate) balancers: Vec<Option<BalancerHandle>>,
+    pub(crate) agents: Vec<Option<AgentHandle>>,
+}
+
+impl TestSite {
+    /// Starts store, fabric and backend servers at addresses below 127.`net`.
+    pub(crate) async fn start(net: u8, servers: usize) -> TestSite {
+        let files = tempfile::tempdir().expect("a temporary directory");
+        let certified =
+            rcgen::generate_simple_self_signed([SERVER_NAME.to_owned()]).expect("a certificate");
+        std::fs::write(files.path().join("cert.pem"), certified.cert.pem()).expect("a file");
+        let key = certified.signing_key.serialize_pem();
+        std::fs::write(files.path().join("key.pem"), key).expect("a file");
+        std::fs::write(files.path().join("secret.hex"), "5a".repeat(32)).expect("a file");
+        let store_address = SocketAddrV4::new(Ipv4Addr::new(127, net, 0, 2), 8500);
+        let store = StoreServer::start(store_address.into())
+            .await
+            .expect("a store");
+        let service = service_address(net);
+        let fabric = FabricRelay::start(RelaySettings::new([service], [])).expect("a fabric");
+        let mut backends = Vec::new();
+        for index in 0..servers {
+            let name = format!("placename-api-{index}");
+            let settings = BackendSettings::new(name, "placename-api", 4);
+            backends.push(
+                BackendServer::start(settings)
+                    .await
+                    .expect("a backend server"),
+            );
+        }
+        TestSite {
+            net,
+            files,
+            store,
+            fabric,
+            servers: backends,
+            balancers: Vec::new(),
+            agents: Vec::new(),
+        }
+    }
+
+    /// Returns the address that callers use.
+    pub(crate) fn service(&self) -> SocketAddrV4 {
+        service_address(self.net)
+    }
+
+    /// Returns the IP of balancer `index`.
+    pub(crate) fn balancer_ip(&self, index: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net, 1, index as u8 + 1)
+    }
+
+    /// Starts a balancer and tells the fabric.
+    pub(crate) fn add_balancer(&mut self, data_centre: &str) {
+        let index = self.balancers.len();
+        let settings = BalancerSettings {
+            process: self.process(
+                &format!("balancer-{index}"),
+                data_centre,
+                self.balancer_ip(index),
+            ),
+            store: self.store_settings(),
+            log: LogSettings::default(),
+            listen_ip: Some(self.balancer_ip(index)),
+            threads: 1,
+        };
+        let handle = BalancerHandle::spawn(settings).expect("a balancer");
+        self.balancers.push(Some(handle));
+        let ips = (0..self.balancers.len()).filter(|&at| self.balancers[at].is_some());
+        let ips: Vec<_> = ips.map(|at| self.balancer_ip(at)).collect();
+        self.fabric.set_balancers(ips);
+    }
+
+    /// Starts the agent of server `index`.
+    pub(crate) fn add_agent(&mut self, data_centre: &str) {
+        let index = self.agents.len();
+        let ip = Ipv4Addr::new(127, self.net, 2, index as u8 + 1);
+        let settings = AgentSettings {
+            process: self.process(&format!("placename-api-{index}"), data_centre, ip),
+            store: self.store_settings(),
+            log: LogSettings::default(),
+            server: self.servers[index].address(),
+            certificate_file: self.file("cert.pem"),
+            key_file: self.file("key.pem"),
+            drain_timeout_ms: 5_000,
+        };
+        self.agents
+            .push(Some(AgentHandle::spawn(settings).expect("an agent")));
+    }
+
+    /// Applies tables.
+    pub(crate) async fn apply(&self, routes: &str, pools: &str) {
+        let routes: RouteTable = toml::from_str(routes).expect("routes");
+        let pools: PoolTable = toml::from_str(pools).expect("pools");
+        let client = StoreClient::new(self.store.address(), "test");
+        let stored = client.read_version().await.expect("a store");
+        let base = stored.map_or(0, |stored| stored.version.number);
+        let edit = TableEdit::new(base, routes, pools);
+        client.apply_version(edit).await.expect("an accepted edit");
+    }
+
+    /// Returns a caller that trusts the site's certificate.
+    pub(crate) fn caller(&self) -> CallerClient {
+        let pem = std::fs::read(self.file("cert.pem")).expect("a certificate");
+        CallerClient::builder(SERVER_NAME)
+            .root_pem(pem)
+            .expect("a certificate")
+            .handshake_timeout(Duration::from_secs(5))
+            .build()
+            .expect("a caller")
+    }
+
+    /// Returns the table of routes of the site.
+    pub(crate) fn routes(&self) -> String {
+        format!(
+            "[[route]]\nname = 'lookup'\nservice = 'placename-api'\naddress = '{}'\n",
+            self.service()
+        )
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        self.files.path().join(name)
+    }
+
+    fn store_settings(&self) -> StoreSettings {
+        StoreSettings {
+            address: self.store.address(),
+            deployment: "test".into(),
+        }
+    }
+
+    fn process(&self, name: &str, data_centre: &str, ip: Ipv4Addr) -> ProcessSettings {
+        ProcessSettings {
+            name: name.into(),
+            data_centre: data_centre.into(),
+            region: "ie-west".into(),
+            address: SocketAddrV4::new(ip, CONTROL_PORT),
+            secret_file: self.file("secret.hex"),
+            bootstrap: Vec::new(),
+            metrics_address: Some((ip, METRICS_PORT).into()),
+        }
+    }
+}
+
+/// Pools of the site, with both data centres in.
+pub(crate) const POOLS: &str = "
+[[pool]]
+service = 'placename-api'
+servers = ['placename-api-*']
+slots = 4
+connections = 2000
+
+[[data_centre]]
+name = 'galway-a'
+
+[[data_centre]]
+name = 'galway-b'
+";
+
+fn service_address(net: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, net, 0, 1), SERVICE_PORT)
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,61 @@
+//! The whole path on loopback, from a caller to a backend server and back.
+
+mod common;
+
+use std::time::Duration;
+
+use carobdrum_caller::{
+    CallerFlow,
+    CallerRequest, //
+};
+use common::{
+    TestSite,
+    POOLS, //
+};
+
+/// Guards against a path on which small, large and uploaded bodies don't come back whole when the
+/// fabric sprays the packets of a flow over three balancers.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_come_back_whole_over_three_balancers() {
+    if std::env::var("CAROBDRUM_LOG").is_ok() {
+        let _ = carobdrum_telemetry::init_logs(false, "debug,quinn=info,h3=info,hyper=info");
+    }
+    let mut site = TestSite::start(31, 2).await;
+    site.apply(&site.routes(), POOLS).await;
+    for _ in 0..3 {
+        site.add_balancer("galway-a");
+    }
+    site.add_agent("galway-a");
+    site.add_agent("galway-b");
+    let flow = connect(&site).await;
+    let small = flow
+        .request(CallerRequest::get("/bytes/100?seed=3"))
+        .await
+        .expect("an answer");
+    assert_eq!(small.body, carobdrum_standins::body_chunk(3, 0, 100));
+    let len = 30_000_000;
+    let start = std::time::Instant::now();
+    let large = CallerRequest::get("/bytes/30000000?seed=5").timeout(Duration::from_secs(30));
+    let large = flow.request(large).await.expect("an answer");
+    println!("30 MB in {:?}", start.elapsed());
+    assert!(large.body == carobdrum_standins::body_chunk(5, 0, len));
+    let upload = carobdrum_standins::body_chunk(7, 0, 200_000);
+    let echo = flow
+        .request(CallerRequest::post("/echo", upload.clone()))
+        .await
+        .expect("an answer");
+    assert!(echo.body == upload);
+}
+
+async fn connect(site: &TestSite) -> CallerFlow {
+    let caller = site.caller();
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(10);
+    loop {
+        match caller.connect(site.service().into()).await {
+            Ok(flow) => return flow,
+            Err(error) if tokio::time::Instant::now() < deadline => println!("{error}"),
+            Err(error) => panic!("no flow within 10 s: {error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
