--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,10 @@
 //! Arguments of the command line.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
     path::PathBuf, //
 };
 
@@ -43,6 +46,8 @@
     /// Shows and edits the tables in the store.
     #[command(subcommand)]
     Tables(TablesCommand),
+    /// Asks a process which version is in force there, and a balancer for its members.
+    Status(StatusArgs),
     /// Sends load to a service and verifies each response.
     Load(LoadArgs),
     /// Runs a whole deployment on loopback addresses.
@@ -187,6 +192,23 @@
     pub(crate) edit: EditArgs,
 }
 
+/// Arguments of `status`.
+#[derive(Args, Debug)]
+pub(crate) struct StatusArgs {
+    /// Address of the process, as in `process.address` of its settings.
+    #[arg(long, value_name = "IP:PORT")]
+    pub(crate) address: SocketAddrV4,
+    /// File with the bootstrap secret.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) secret_file: PathBuf,
+    /// Lists the members that the process knows.
+    ///
+    /// The list of a large deployment takes its balancer's bytes for control traffic, so don't ask
+    /// all the time.
+    #[arg(long)]
+    pub(crate) members: bool,
+}
+
 /// Arguments of `completions`.
 #[derive(Args, Debug)]
 pub(crate) struct CompletionsArgs {
--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -1,14 +1,20 @@
 //! Failures of commands.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
     path::PathBuf, //
 };
 
+use carobdrum_agent::AgentError;
+use carobdrum_balancer::BalancerError;
 use carobdrum_caller::{
     ClientError,
     LoadError, //
 };
+use carobdrum_control::CallError;
 use carobdrum_core::{
     version::TableError,
     OneLine, //
@@ -41,11 +47,31 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum CommandError {
-    /// The command isn't part of this build yet.
-    #[snafu(display("`{command}` is not available yet"))]
-    NotAvailable {
-        /// The command.
-        command: &'static str,
+    /// A balancer can't start.
+    #[snafu(display("{source}"))]
+    Balancer {
+        /// The cause.
+        source: BalancerError,
+    },
+    /// An agent can't start.
+    #[snafu(display("{source}"))]
+    Agent {
+        /// The cause.
+        source: AgentError,
+    },
+    /// A process doesn't answer.
+    #[snafu(display("{source}"))]
+    Control {
+        /// The cause.
+        source: CallError,
+    },
+    /// A process gives a version that can't be read.
+    #[snafu(display("{address}: malformed version: {source}"))]
+    MalformedVersion {
+        /// Address of the process.
+        address: SocketAddrV4,
+        /// What the parser reports.
+        source: serde_json::Error,
     },
     /// The arguments are wrong.
     #[snafu(display("{message}"))]
@@ -219,7 +245,10 @@
                 source: LoadError::OutOfRange { .. },
             } => BAD_INPUT,
             CommandError::Store { source } => code_of_store(source),
-            CommandError::NotAvailable { .. }
+            CommandError::Balancer { .. }
+            | CommandError::Agent { .. }
+            | CommandError::Control { .. }
+            | CommandError::MalformedVersion { .. }
             | CommandError::LoadFailed { .. }
             | CommandError::WrongAnswers { .. }
             | CommandError::NothingAnswered
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod file_kind;
 mod load;
+mod status;
 mod tables;
 mod usage;
 
@@ -40,6 +41,7 @@
         Command::Check(args) => check::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Status(args) => status::run(&args),
         Command::Tables(command) => tables::run(&command),
         Command::Completions(args) => completions::run(&args),
     }
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,128 @@
+//! The command `status`.
+
+use carobdrum_control::{
+    call_control,
+    decode_records, //
+};
+use carobdrum_core::{
+    process::{
+        MemberRecord,
+        MemberRole,
+        MemberState,
+        BUCKETS, //
+    },
+    version::ConfigVersion,
+    OneLine, //
+};
+use carobdrum_settings::read_secret;
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        FetchVersion,
+        SyncMembers, //
+    },
+    ControlMessage,
+    TunnelKey, //
+};
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use snafu::ResultExt;
+
+use crate::{
+    cli::StatusArgs,
+    cmd::{
+        command_error::{
+            ControlSnafu,
+            MalformedVersionSnafu,
+            RuntimeSnafu,
+            SettingsSnafu, //
+        },
+        print,
+        tables::summarise,
+        CommandError, //
+    }, //
+};
+
+/// Full warmth of a server, in the unit of its record.
+const FULL_WARMTH: u32 = 255;
+
+/// Prints the version in force at a process, and its members if they are asked for.
+///
+/// # Errors
+///
+/// Returns [`CommandError::Settings`] if the secret can't be read, and [`CommandError::Control`]
+/// if the process doesn't answer.
+pub(crate) fn run(args: &StatusArgs) -> Result<(), CommandError> {
+    let secret = read_secret(&args.secret_file).context(SettingsSnafu)?;
+    let key = TunnelKey::new(&secret);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let mut text = runtime.block_on(describe_version(args, &key))?;
+    if args.members {
+        text.push_str(&runtime.block_on(describe_members(args, &key))?);
+    }
+    print(text.as_bytes())
+}
+
+async fn describe_version(
+    args: &StatusArgs,
+    key: &TunnelKey,
+) -> Result<CompactString, CommandError> {
+    let request = ControlMessage::new(ControlBody::FetchVersion(FetchVersion { have: 0 }));
+    let answer = call_control(args.address, key, request).await;
+    let Some(ControlBody::Version(found)) = answer.context(ControlSnafu)?.body else {
+        return Ok("no version in force\n".into());
+    };
+    let address = args.address;
+    let version: ConfigVersion =
+        serde_json::from_slice(&found.document).context(MalformedVersionSnafu { address })?;
+    Ok(format_compact!("{}\n", summarise(&version)))
+}
+
+async fn describe_members(
+    args: &StatusArgs,
+    key: &TunnelKey,
+) -> Result<CompactString, CommandError> {
+    // Digests of an empty list, from which the list of the process differs wherever it has records.
+    let empty = SyncMembers {
+        buckets: vec![0; BUCKETS],
+        members: Vec::new(),
+    };
+    let request = ControlMessage::new(ControlBody::SyncMembers(empty));
+    let answer = call_control(args.address, key, request).await;
+    let Some(ControlBody::Members(gossip)) = answer.context(ControlSnafu)?.body else {
+        return Ok("no members are given; ask a balancer, or again later\n".into());
+    };
+    let mut records = decode_records(gossip.members);
+    records.sort_by(|left, right| left.name.cmp(&right.name));
+    Ok(records.iter().map(describe_member).collect())
+}
+
+fn describe_member(record: &MemberRecord) -> CompactString {
+    let state = match record.state {
+        MemberState::Cold => "cold",
+        MemberState::Warm => "warm",
+        MemberState::Draining => "draining",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+    };
+    let name = OneLine(&record.name);
+    let centre = OneLine(&record.data_centre);
+    let address = record.address;
+    match record.role {
+        MemberRole::Balancer => {
+            format_compact!("balancer {name} {centre} {address} {state}\n")
+        }
+        MemberRole::Agent => {
+            let warmth = u32::from(record.warmth) * 100 / FULL_WARMTH;
+            let slots = record.slots;
+            format_compact!(
+                "agent {name} {centre} {address} {state} slots={slots} warmth={warmth}%\n"
+            )
+        }
+    }
+}
--- a/src/cmd/tables/mod.rs
+++ b/src/cmd/tables/mod.rs
@@ -22,6 +22,8 @@
 };
 use snafu::ResultExt;
 
+pub(crate) use show::summarise;
+
 use crate::{
     cli::{
         EditArgs,
--- a/src/cmd/tables/show.rs
+++ b/src/cmd/tables/show.rs
@@ -64,7 +64,7 @@
 }
 
 /// Describes a version in one line.
-pub(super) fn summarise(version: &ConfigVersion) -> CompactString {
+pub(crate) fn summarise(version: &ConfigVersion) -> CompactString {
     format_compact!(
         "version {} at {} by `{}`: {}",
         version.number,
