--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -9,8 +9,15 @@
     ClientError,
     LoadError, //
 };
-use carobdrum_core::OneLine;
+use carobdrum_core::{
+    version::TableError,
+    OneLine, //
+};
 use carobdrum_settings::SettingsError;
+use carobdrum_store::{
+    ConflictReport,
+    StoreError, //
+};
 use carobdrum_telemetry::TelemetryError;
 use compact_str::{
     format_compact,
@@ -19,7 +26,10 @@
 };
 use snafu::Snafu;
 
-use crate::cmd::demo::DemoError;
+use crate::cmd::{
+    demo::DemoError,
+    tables::describe_changes, //
+};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -31,12 +41,6 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum CommandError {
-    /// The command isn't part of this build yet.
-    #[snafu(display("`{command}` is not available yet"))]
-    NotAvailable {
-        /// The command.
-        command: &'static str,
-    },
     /// The arguments are wrong.
     #[snafu(display("{message}"))]
     Usage {
@@ -61,6 +65,18 @@
         /// The cause.
         source: TelemetryError,
     },
+    /// The balancer can't start.
+    #[snafu(display("{source}"))]
+    Balancer {
+        /// The cause.
+        source: carobdrum_balancer::BalancerError,
+    },
+    /// The agent can't start.
+    #[snafu(display("{source}"))]
+    Agent {
+        /// The cause.
+        source: carobdrum_agent::AgentError,
+    },
     /// The load would go to another machine.
     #[snafu(display("address: found {address}; allowed: a loopback address"))]
     NotLoopback {
@@ -75,6 +91,14 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// A file can't be written.
+    #[snafu(display("{}: {source}", path.display()))]
+    WriteFile {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
     /// The certificates to trust can't be used.
     #[snafu(display("{}: {source}", path.display()))]
     CaUnusable {
@@ -110,8 +134,14 @@
         /// How many.
         count: usize,
     },
-    /// The threads of the command can't be started.
-    #[snafu(display("runtime: {source}"))]
+    /// A file would be replaced.
+    #[snafu(display("{}: exists; allowed: a new file, or --force", path.display()))]
+    FileExists {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The runtime of asynchronous calls can't be started.
+    #[snafu(display("no runtime: {source}"))]
     Runtime {
         /// The cause.
         source: std::io::Error,
@@ -122,6 +152,52 @@
         /// The cause.
         source: serde_json::Error,
     },
+    /// A call of the store failed.
+    #[snafu(display("{source}"))]
+    Store {
+        /// The cause.
+        source: StoreError,
+    },
+    /// Nothing was applied yet.
+    #[snafu(display("the store holds no version of deployment `{deployment}`"))]
+    NoVersion {
+        /// The deployment.
+        deployment: CompactString,
+    },
+    /// The store doesn't have the version.
+    #[snafu(display("version {number}: not in the store"))]
+    UnknownVersion {
+        /// The number.
+        number: u32,
+    },
+    /// The files don't tell which version they are an edit of.
+    #[snafu(display("{}: found no base version; allowed: files of `tables show`, or --base", folder.display()))]
+    NoBase {
+        /// Folder of the files.
+        folder: PathBuf,
+    },
+    /// The files are edits of different versions.
+    #[snafu(display("{}: found base versions {routes} of routes and {pools} of pools; allowed: one for both", folder.display()))]
+    TwoBases {
+        /// Folder of the files.
+        folder: PathBuf,
+        /// Version that routes.toml is an edit of.
+        routes: u32,
+        /// Version that pools.toml is an edit of.
+        pools: u32,
+    },
+    /// Another edit came first.
+    #[snafu(display("{}", explain_conflict(report)))]
+    Conflict {
+        /// What is in force instead.
+        report: Box<ConflictReport>,
+    },
+    /// A version can't be written as TOML.
+    #[snafu(display("the tables can't be written as TOML: {source}"))]
+    Encode {
+        /// The cause.
+        source: toml::ser::Error,
+    },
     /// The result can't be written.
     #[snafu(display("stdout: {source}"))]
     Output {
@@ -143,8 +219,14 @@
             | CommandError::CaUnusable { .. }
             | CommandError::LoadFailed {
                 source: LoadError::OutOfRange { .. },
-            } => BAD_INPUT,
-            CommandError::NotAvailable { .. }
+            }
+            | CommandError::FileExists { .. }
+            | CommandError::NoBase { .. }
+            | CommandError::TwoBases { .. }
+            | CommandError::UnknownVersion { .. } => BAD_INPUT,
+            CommandError::Store { source } => code_of_store(source),
+            CommandError::Balancer { .. }
+            | CommandError::Agent { .. }
             | CommandError::LoadFailed { .. }
             | CommandError::WrongAnswers { .. }
             | CommandError::NothingAnswered
@@ -152,6 +234,10 @@
             | CommandError::FlowsBroken { .. }
             | CommandError::Runtime { .. }
             | CommandError::Encoding { .. }
+            | CommandError::WriteFile { .. }
+            | CommandError::NoVersion { .. }
+            | CommandError::Conflict { .. }
+            | CommandError::Encode { .. }
             | CommandError::Output { .. } => FAILED,
         }
     }
@@ -166,6 +252,15 @@
                 .iter()
                 .map(|fault| format_compact!("{}{fault}", OneLine(&path.to_string_lossy())))
                 .collect(),
+            CommandError::Store {
+                source:
+                    StoreError::WrongTables {
+                        source: TableError::Faulty { faults },
+                    },
+            } => faults
+                .iter()
+                .map(ToCompactString::to_compact_string)
+                .collect(),
             other => {
                 let message = other.to_compact_string();
                 vec![format_compact!("error: {}", OneLine(&message))]
@@ -173,3 +268,36 @@
         }
     }
 }
+
+fn code_of_store(error: &StoreError) -> u8 {
+    match error {
+        StoreError::WrongTables { .. }
+        | StoreError::ValueTooLarge { .. }
+        | StoreError::BadKey { .. }
+        | StoreError::NoSuchVersion { .. } => BAD_INPUT,
+        _ => FAILED,
+    }
+}
+
+/// Tells the author of a refused edit who came first, and what that edit changed.
+fn explain_conflict(report: &ConflictReport) -> CompactString {
+    let ConflictReport {
+        base,
+        in_force,
+        author,
+        comment,
+        ..
+    } = report;
+    let mut text = format_compact!(
+        "not applied: the edit is based on version {base}, but version {in_force} by `{author}` \
+         (`{comment}`) is in force"
+    );
+    match &report.changes {
+        Some(changes) => text.push_str(&format_compact!(
+            "; since then: {}",
+            describe_changes(changes)
+        )),
+        None => text.push_str("; the base is not in the history"),
+    }
+    text
+}
