Move silent paths, close flows of a taken-out data centre, trace the balancer's hop

Cause: a path between a balancer and an agent that something on the way has forgotten stayed in use for ever; flows of a data centre that operators take out lived on at its agents; the first hop left no span. Ruled out: waiting on the flag that the announcer sets, which follows the published state a moment later, so that a flow could miss the change.

--- a/components/agent/src/process/agent_handle.rs
+++ b/components/agent/src/process/agent_handle.rs
@@ -99,7 +99,11 @@
         let socket = open_socket(address).context(SocketFailedSnafu { address })?;
         let control_socket = socket.try_clone().context(SocketFailedSnafu { address })?;
         let clock = ProcessClock::start();
-        let shared = Arc::new(AgentShared::new(clock, address.port()));
+        let shared = Arc::new(AgentShared::new(
+            clock,
+            address.port(),
+            settings.process.data_centre.clone(),
+        ));
         let metrics = AgentMetrics::default();
         let incarnation = unix_millis();
         let ledger = SharedLedger::new(OutcomeLedger::new(LEDGER_BOUNDS), incarnation);
--- a/components/agent/src/process/agent_shared.rs
+++ b/components/agent/src/process/agent_shared.rs
@@ -8,14 +8,19 @@
     Ordering, //
 };
 
-use carobdrum_control::ProcessClock;
+use carobdrum_control::{
+    ProcessClock,
+    PublishedState, //
+};
 use carobdrum_core::version::ServiceId;
+use compact_str::CompactString;
 
 /// Facts that the threads of an agent share. Each is a single value that is read as it is, so the
 /// order of their changes doesn't matter.
 pub(crate) struct AgentShared {
     pub(crate) clock: ProcessClock,
     pub(crate) control_port: u16,
+    data_centre: CompactString,
     service: AtomicU16,
     number: AtomicU32,
     out: AtomicBool,
@@ -28,10 +33,15 @@
 
 impl AgentShared {
     /// Creates the facts of an agent that serves nothing yet.
-    pub(crate) fn new(clock: ProcessClock, control_port: u16) -> AgentShared {
+    pub(crate) fn new(
+        clock: ProcessClock,
+        control_port: u16,
+        data_centre: CompactString,
+    ) -> AgentShared {
         AgentShared {
             clock,
             control_port,
+            data_centre,
             service: AtomicU16::new(0),
             number: AtomicU32::new(0),
             out: AtomicBool::new(false),
@@ -104,6 +114,15 @@
         self.out.load(Ordering::Relaxed)
     }
 
+    /// Returns whether `state` takes the agent's data centre out.
+    ///
+    /// Who waits for that must ask the state itself, because the facts kept here follow it a moment
+    /// later.
+    pub(crate) fn is_out_in(&self, state: &PublishedState) -> bool {
+        let config = state.config.as_deref();
+        config.is_some_and(|config| config.pools.is_out(&self.data_centre))
+    }
+
     /// Returns whether the planned stop has begun.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -154,13 +154,18 @@
         slots,
         settings.process.name.clone(),
     ));
-    spawn_local(follow_certificate(endpoint.clone(), files, published));
+    spawn_local(follow_certificate(
+        endpoint.clone(),
+        files,
+        published.clone(),
+    ));
     info!(%address, "agent serves flows");
     let server = FlowServer {
         endpoint,
         path,
         shared,
         metrics,
+        published,
         stopped,
     };
     let drain = Duration::from_millis(u64::from(settings.drain_timeout_ms));
@@ -249,6 +254,7 @@
     path: Rc<RequestPath>,
     shared: Arc<AgentShared>,
     metrics: AgentMetrics,
+    published: watch::Receiver<PublishedState>,
     stopped: watch::Receiver<bool>,
 }
 
@@ -288,6 +294,7 @@
             path: Rc::clone(&self.path),
             shared: Arc::clone(&self.shared),
             metrics: self.metrics.clone(),
+            published: self.published.clone(),
             stopped: self.stopped.clone(),
         };
         let handshake = Rc::clone(handshakes);
@@ -324,6 +331,7 @@
     path: Rc<RequestPath>,
     shared: Arc<AgentShared>,
     metrics: AgentMetrics,
+    published: watch::Receiver<PublishedState>,
     stopped: watch::Receiver<bool>,
 }
 
@@ -356,6 +364,7 @@
         };
         let mut requests = JoinSet::new();
         let mut stopped = self.stopped.clone();
+        let mut published = self.published.clone();
         let mut draining = false;
         loop {
             let resolver = tokio::select! {
@@ -374,6 +383,11 @@
                     }
                     continue;
                 }
+                // Operators give up the flows of a data centre that they take out.
+                _ = published.wait_for(|state| self.shared.is_out_in(state)) => {
+                    connection.close(H3_NO_ERROR, b"data centre taken out");
+                    break;
+                }
                 Some(_) = requests.join_next() => continue,
                 () = linger(), if draining && requests.is_empty() => break,
             };
--- a/components/balancer/src/connection/service_socket.rs
+++ b/components/balancer/src/connection/service_socket.rs
@@ -155,13 +155,4 @@
             }
         }
     }
-
-    /// Returns the port that the system gave the socket.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the system call that failed.
-    pub(crate) fn local_address(&self) -> io::Result<std::net::SocketAddr> {
-        self.socket.local_addr()
-    }
 }
--- a/components/balancer/src/process/balancer_metrics.rs
+++ b/components/balancer/src/process/balancer_metrics.rs
@@ -29,6 +29,10 @@
     pub(crate) answered: Counter,
     /// Stateless resets sent for flows of taken-out data centres.
     pub(crate) resets: Counter,
+    /// Probes of paths that seem silent.
+    pub(crate) pings: Counter,
+    /// Silent paths moved to another source port.
+    pub(crate) moved_paths: Counter,
     /// Datagrams dropped, by reason.
     pub(crate) dropped: Family<DropLabel, Counter>,
     /// Bytes of control datagrams sent.
@@ -60,6 +64,14 @@
             "Resets for taken-out data centres",
             resets,
         );
+        let pings = self.pings.clone();
+        registry.register("path_pings", "Probes of paths that seem silent", pings);
+        let moved = self.moved_paths.clone();
+        registry.register(
+            "moved_paths",
+            "Silent paths moved to another source port",
+            moved,
+        );
         let dropped = self.dropped.clone();
         registry.register("dropped_datagrams", "Datagrams dropped, by reason", dropped);
         let sent = self.control_sent_bytes.clone();
--- a/components/balancer/src/process/traffic_state.rs
+++ b/components/balancer/src/process/traffic_state.rs
@@ -6,26 +6,43 @@
     time::Instant, //
 };
 
-use carobdrum_core::version::ServiceId;
+use carobdrum_control::ProcessClock;
+use carobdrum_core::{
+    connection::{
+        FlowId,
+        PathAction, //
+    },
+    version::ServiceId,
+};
+use carobdrum_telemetry::{
+    hop_span,
+    HopKind,
+    TraceContext,
+    HOP_TARGET, //
+};
 use carobdrum_wire::{
     DatagramKind,
+    PacketHead,
     SecondCandidate,
     TunnelHeader,
     TunnelKey,
     TunnelOpener,
     TunnelSealer, //
 };
+use compact_str::ToCompactString;
 use rand::{
     rngs::SmallRng,
     SeedableRng, //
 };
 use tokio::sync::mpsc;
+use tracing::info;
 
 use super::BalancerMetrics;
 use crate::{
     connection::{
         reset_packet,
         DropReason,
+        PathTable,
         RouteVerdict,
         SendBatch, //
     },
@@ -46,19 +63,14 @@
     pub(crate) peer: SocketAddrV4,
 }
 
-/// Load of an agent's server, as reported on answers.
-struct AgentLoad {
-    agent: SocketAddrV4,
-    load: u8,
-}
-
 /// State of one traffic thread.
 pub(crate) struct TrafficState {
     plan: Arc<ForwardPlan>,
     control_port: u16,
     sealer: TunnelSealer,
     opener: TunnelOpener,
-    loads: Vec<AgentLoad>,
+    paths: PathTable,
+    clock: ProcessClock,
     metrics: BalancerMetrics,
     news: mpsc::Sender<NumberSeen>,
     random: SmallRng,
@@ -74,12 +86,14 @@
         metrics: BalancerMetrics,
         news: mpsc::Sender<NumberSeen>,
     ) -> TrafficState {
+        let clock = ProcessClock::start();
         TrafficState {
             plan: Arc::new(ForwardPlan::default()),
             control_port,
             sealer: TunnelSealer::new(key, rand::random()),
             opener: TunnelOpener::new(key.clone(), MAX_SENDERS),
-            loads: Vec::new(),
+            paths: PathTable::new(clock.now()),
+            clock,
             metrics,
             news,
             random: SmallRng::from_os_rng(),
@@ -117,6 +131,7 @@
             }
             RouteVerdict::Placed { first, second } => {
                 self.metrics.placed.inc();
+                trace_placing(packet, first);
                 (first, second)
             }
             RouteVerdict::TakenOut(flow) => {
@@ -137,17 +152,36 @@
             control_port: self.control_port,
             second: second.map(|agent| SecondCandidate {
                 agent,
-                load: self.load_of(agent),
+                load: self.paths.load_of(agent),
             }),
             ..TunnelHeader::new(DatagramKind::Forward)
         };
+        let (port, action) = self.paths.send(self.clock.now(), agent);
         self.sealer.seal(&header, packet, tunnel.buffer());
-        tunnel.commit(0, agent);
+        tunnel.commit(port, agent);
+        match action {
+            PathAction::Nothing => {}
+            PathAction::Ping => {
+                self.metrics.pings.inc();
+                let ping = TunnelHeader {
+                    version: self.plan.number,
+                    control_port: self.control_port,
+                    ..TunnelHeader::new(DatagramKind::Ping)
+                };
+                self.sealer.seal(&ping, &[], tunnel.buffer());
+                tunnel.commit(port, agent);
+            }
+            PathAction::ChangePort => {
+                info!(%agent, port, "silent path moved to another source port");
+                self.metrics.moved_paths.inc();
+            }
+        }
     }
 
     /// Handles a datagram from another process and adds what goes to callers to `answers`.
     pub(crate) fn handle_tunnel(
         &mut self,
+        port: u16,
         source: SocketAddrV4,
         datagram: &[u8],
         answers: &mut SendBatch,
@@ -160,11 +194,17 @@
             }
         };
         self.note_version(source, &header);
-        if header.kind != DatagramKind::Answer {
-            self.metrics.drop(DropReason::UnexpectedKind);
-            return;
+        match header.kind {
+            DatagramKind::Answer => self.paths.receive(source, port, header.load),
+            DatagramKind::Pong => {
+                self.paths.receive(source, port, header.load);
+                return;
+            }
+            _ => {
+                self.metrics.drop(DropReason::UnexpectedKind);
+                return;
+            }
         }
-        self.note_load(source, header.load);
         let found = self
             .plan
             .addresses
@@ -188,21 +228,9 @@
         }
     }
 
-    fn note_load(&mut self, agent: SocketAddrV4, load: u8) {
-        match self.loads.binary_search_by_key(&agent, |entry| entry.agent) {
-            Ok(index) => self.loads[index].load = load,
-            Err(index) => self.loads.insert(index, AgentLoad { agent, load }),
-        }
-    }
-
-    fn load_of(&self, agent: SocketAddrV4) -> u8 {
-        let found = self.loads.binary_search_by_key(&agent, |entry| entry.agent);
-        found.map_or(0, |index| self.loads[index].load)
-    }
-
     fn reset(
         &mut self,
-        flow: &carobdrum_core::connection::FlowId,
+        flow: &FlowId,
         caller: SocketAddrV4,
         trigger_len: usize,
         answers: &mut SendBatch,
@@ -225,3 +253,16 @@
         }
     }
 }
+
+/// Leaves a span for the hop of a flow's first packet, joined with the agent's by the trace that
+/// both derive from the packet's connection ID.
+fn trace_placing(packet: &[u8], agent: SocketAddrV4) {
+    if !tracing::enabled!(target: HOP_TARGET, tracing::Level::DEBUG) {
+        return;
+    }
+    if let Some(head) = PacketHead::parse(packet) {
+        let trace = TraceContext::from_flow(head.id());
+        let target = agent.to_compact_string();
+        hop_span(HopKind::Balancer, &trace, "", &target).in_scope(|| {});
+    }
+}
--- a/components/balancer/src/process/traffic_thread.rs
+++ b/components/balancer/src/process/traffic_thread.rs
@@ -30,7 +30,8 @@
         BatchSocket,
         DropReason,
         ReceiveBuffer,
-        SendBatch, //
+        SendBatch,
+        PATH_PORTS, //
     },
     process::BalancerMetrics,
     ForwardPlan,
@@ -59,7 +60,8 @@
     services: RefCell<Vec<OpenService>>,
     /// Receive buffers are large, so tasks take one only while they handle datagrams.
     buffers: RefCell<Vec<ReceiveBuffer>>,
-    tunnel: Rc<BatchSocket>,
+    /// One socket for each source port.
+    tunnels: Vec<BatchSocket>,
     metrics: BalancerMetrics,
 }
 
@@ -74,16 +76,19 @@
     metrics: BalancerMetrics,
     mut plans: watch::Receiver<Arc<ForwardPlan>>,
 ) -> io::Result<()> {
-    let tunnel = BatchSocket::open(SocketAddrV4::new(addresses.tunnel_ip, 0))?;
-    debug!(address = ?tunnel.local_address(), "tunnel socket open");
+    let tunnels = (0..PATH_PORTS)
+        .map(|_| BatchSocket::open(SocketAddrV4::new(addresses.tunnel_ip, 0)))
+        .collect::<io::Result<Vec<_>>>()?;
     let shared = Rc::new(TrafficShared {
         state: RefCell::new(state),
         services: RefCell::new(Vec::new()),
         buffers: RefCell::new(Vec::new()),
-        tunnel: Rc::new(tunnel),
+        tunnels,
         metrics,
     });
-    let answers = spawn_local(forward_answers(Rc::clone(&shared)));
+    let answers: Vec<_> = (0..PATH_PORTS)
+        .map(|port| spawn_local(forward_answers(Rc::clone(&shared), port)))
+        .collect();
     loop {
         let plan = Arc::clone(&plans.borrow_and_update());
         shared.open_services(&plan, addresses.listen_ip);
@@ -92,7 +97,9 @@
             break;
         }
     }
-    answers.abort();
+    for task in answers {
+        task.abort();
+    }
     for service in shared.services.borrow().iter() {
         service.task.abort();
     }
@@ -201,8 +208,9 @@
         }
         buffer.clear();
         shared.buffers.borrow_mut().push(buffer);
-        for (_, agent, bytes, segment_len) in tunnel.groups() {
-            shared.send(&shared.tunnel, agent, bytes, segment_len).await;
+        for (port, agent, bytes, segment_len) in tunnel.groups() {
+            let socket = &shared.tunnels[usize::from(port)];
+            shared.send(socket, agent, bytes, segment_len).await;
         }
         tunnel.clear();
         for (_, caller, bytes, segment_len) in resets.groups() {
@@ -212,18 +220,18 @@
     }
 }
 
-/// Forwards answers of agents to callers.
-async fn forward_answers(shared: Rc<TrafficShared>) {
+/// Forwards answers that agents send to one source port.
+async fn forward_answers(shared: Rc<TrafficShared>, port: u16) {
     let mut answers = SendBatch::default();
     loop {
-        let mut buffer = match read_batch(&shared, &shared.tunnel).await {
+        let mut buffer = match read_batch(&shared, &shared.tunnels[usize::from(port)]).await {
             Some(buffer) => buffer,
             None => continue,
         };
         {
             let mut state = shared.state.borrow_mut();
             for (source, datagram) in buffer.datagrams() {
-                state.handle_tunnel(source, datagram, &mut answers);
+                state.handle_tunnel(port, source, datagram, &mut answers);
             }
         }
         buffer.clear();
