Test the store client against lost, late and malformed responses

A write under an expired session now fails with SessionLost. It was reported as a failure of the store, because Consul answers it with status 500, and a retry could never succeed.

--- a/components/store/src/store_call.rs
+++ b/components/store/src/store_call.rs
@@ -39,6 +39,7 @@
         LongAnswerSnafu,
         MissingIndexSnafu,
         RejectedSnafu,
+        SessionLostSnafu,
         TimeoutSnafu,
         UnavailableSnafu, //
     },
@@ -52,6 +53,9 @@
 /// Longest part of an error response that is kept, in characters.
 const MAX_REASON: usize = 200;
 
+/// What Consul says, with status 500, when a write names an unknown session.
+const INVALID_SESSION: &str = "invalid session";
+
 /// One HTTP call of the store.
 pub(crate) struct StoreCall {
     pub(crate) method: Method,
@@ -169,6 +173,7 @@
     let busy = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
     if busy {
         let reason = reason();
+        ensure!(!reason.contains(INVALID_SESSION), SessionLostSnafu);
         return UnavailableSnafu { status, reason }.fail();
     }
     let accepted = status.is_success() || status == StatusCode::NOT_FOUND;
--- a/components/store/src/store_error.rs
+++ b/components/store/src/store_error.rs
@@ -54,6 +54,9 @@
         /// Start of its body.
         reason: CompactString,
     },
+    /// The session doesn't exist; a new one is needed.
+    #[snafu(display("the session is unknown to the store"))]
+    SessionLost,
     /// The body of a response is longer than any that the store should send.
     #[snafu(display("the response is longer than {limit} bytes"))]
     LongAnswer {
@@ -149,6 +152,7 @@
             | StoreError::Contended { .. }
             | StoreError::OutcomeUnknown { .. } => true,
             StoreError::Rejected { .. }
+            | StoreError::SessionLost
             | StoreError::LongAnswer { .. }
             | StoreError::MalformedVersion { .. }
             | StoreError::ValueTooLarge { .. }
@@ -165,6 +169,7 @@
             self,
             StoreError::Connect { .. }
                 | StoreError::Rejected { .. }
+                | StoreError::SessionLost
                 | StoreError::ValueTooLarge { .. }
                 | StoreError::BadKey { .. }
                 | StoreError::WrongTables { .. }
--- a/components/store/tests/version_apply.rs
+++ b/components/store/tests/version_apply.rs
@@ -13,13 +13,18 @@
     RouteEntry,
     RouteTable, //
 };
-use carobdrum_standins::StoreServer;
+use carobdrum_standins::{
+    PortMode,
+    StoreServer, //
+};
 use carobdrum_store::{
     ApplyOutcome,
     ConflictReport,
     RetryPlan,
     StoreClient,
-    TableEdit, //
+    StoreError,
+    TableEdit,
+    UndoEdit, //
 };
 use rstest::rstest;
 
@@ -137,6 +142,17 @@
     }
 }
 
+/// Waits until a condition holds, for at most 5 s.
+async fn wait_until(condition: impl Fn() -> bool) {
+    for _ in 0..5_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    panic!("the condition doesn't hold after 5 s");
+}
+
 macro_rules! lost_responses {
     ($($name:ident: $skipped:expr, $lost:expr;)*) => {
         /// Guards against an edit that takes effect twice, or is reported as failed, when the
@@ -163,3 +179,163 @@
     both_writes: 1, 2;
     every_write: 0, 5;
 }
+
+/// Guards against a write that takes effect after the client gave it up and tried again.
+#[tokio::test]
+async fn late_write_makes_no_second_version() {
+    let (server, client) = start().await;
+    let client = client.with_timeout(Duration::from_millis(60));
+    apply(&client, edit(0, 1_000)).await;
+    let late = Duration::from_millis(300);
+    server.delay_writes(1, 1, late);
+    assert_eq!(apply(&client, edit(1, 2_000)).await.number, 2);
+    let stored = client.read_version().await.unwrap();
+    let writes = server.counts().writes;
+    tokio::time::sleep(2 * late).await;
+    assert_eq!(server.counts().writes, writes + 1, "the late write");
+    assert_eq!(client.read_version().await.unwrap(), stored);
+}
+
+/// Guards against an author who is told "refused" although the edit took effect and was replaced
+/// before the lost response was resolved.
+#[tokio::test]
+async fn lost_response_is_found_in_the_history() {
+    let (server, client) = start().await;
+    apply(&client, edit(0, 1_000)).await;
+    let slow = RetryPlan::new(Duration::from_millis(400), Duration::from_millis(400));
+    let slow = client.clone().with_retry(slow.limited_to(2));
+    server.lose_write_answers(1, 1);
+    let (first, second) = tokio::join!(slow.apply_version(edit(1, 2_000)), async {
+        wait_until(|| server.counts().writes == 3).await;
+        apply(&client, edit(2, 3_000)).await
+    });
+    assert_eq!(second.number, 3);
+    assert_eq!(applied(first.unwrap()).number, 2);
+}
+
+/// Guards against a failure report that hides that the edit may have taken effect, and against a
+/// second version when its author applies it again.
+#[tokio::test]
+async fn unknown_outcome_is_settled_by_the_same_edit() {
+    let (server, client) = start().await;
+    let client = client.with_timeout(Duration::from_millis(60));
+    let first = edit(0, 1_000);
+    server.lose_write_answers(0, 1);
+    let down = async {
+        wait_until(|| server.counts().writes > 0).await;
+        server.set_mode(PortMode::Refusing).await;
+    };
+    let (outcome, ()) = tokio::join!(client.apply_version(first.clone()), down);
+    let error = outcome.unwrap_err();
+    assert!(
+        matches!(&error, StoreError::OutcomeUnknown { edit_id, .. } if edit_id == first.id()),
+        "{error}"
+    );
+    server.set_mode(PortMode::Open).await;
+    assert_eq!(apply(&client, first).await.number, 1);
+    assert_eq!(timeouts(&client).await, [(1, 1_000)]);
+}
+
+/// Guards against an apply that gives up during a short outage, or claims an unknown outcome when
+/// nothing was sent.
+#[tokio::test]
+async fn apply_rides_out_a_short_outage() {
+    let (server, client) = start().await;
+    server.set_mode(PortMode::Refusing).await;
+    let error = client.apply_version(edit(0, 1_000)).await.unwrap_err();
+    assert!(matches!(error, StoreError::Connect { .. }), "{error}");
+    assert!(error.is_retryable() && error.is_without_effect());
+    let (version, ()) = tokio::join!(apply(&client, edit(0, 1_000)), async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        server.set_mode(PortMode::Open).await;
+    });
+    assert_eq!(version.number, 1);
+}
+
+/// Guards against an undo that reverts by number, loses the history or gives a name a new id.
+#[tokio::test]
+async fn undo_makes_a_new_version_with_the_ids_in_force() {
+    let (_server, client) = start().await;
+    apply(&client, edit(0, 1_000)).await;
+    let mut wider = pools(CentreState::In);
+    wider.data_centres.insert(
+        0,
+        CentreEntry {
+            name: "ennis-a".into(),
+            state: CentreState::In,
+        },
+    );
+    let second = apply(&client, TableEdit::new(1, routes(2_000), wider)).await;
+    let stale = client.undo(UndoEdit::new(1, 1)).await.unwrap();
+    assert_eq!(refused(stale).in_force, 2);
+    let undo = UndoEdit::new(2, 1).author("brian").comment("wrong");
+    let third = applied(client.undo(undo.clone()).await.unwrap());
+    assert_eq!((third.number, &*third.author), (3, "brian"));
+    assert_eq!(third.routes, routes(1_000));
+    assert_eq!(third.pools, pools(CentreState::In));
+    assert_eq!(third.centres, second.centres);
+    assert_eq!(applied(client.undo(undo).await.unwrap()), third);
+    let missing = client.undo(UndoEdit::new(3, 9)).await.unwrap_err();
+    assert!(matches!(missing, StoreError::NoSuchVersion { number: 9 }));
+}
+
+/// Guards against a document that the store refuses after the history was already touched.
+#[tokio::test]
+async fn too_large_version_is_refused_before_sending() {
+    let (server, client) = start().await;
+    apply(&client, edit(0, 1_000)).await;
+    let writes = server.counts().writes;
+    let comment = "x".repeat(1_000_001);
+    let error = client.apply_version(edit(1, 2_000).comment(comment)).await;
+    let error = error.unwrap_err();
+    assert!(
+        matches!(
+            error,
+            StoreError::ValueTooLarge {
+                limit: 1_000_000,
+                ..
+            }
+        ),
+        "{error}"
+    );
+    assert!(!error.is_retryable());
+    assert_eq!(server.counts().writes, writes);
+}
+
+/// Guards against an unknown outcome that is reported although the store refused the write.
+#[tokio::test]
+async fn refusal_by_the_store_is_final() {
+    let (server, client) = start().await;
+    server.set_max_value(100);
+    let error = client.apply_version(edit(0, 1_000)).await.unwrap_err();
+    assert!(matches!(error, StoreError::Rejected { .. }), "{error}");
+    assert!(error.is_without_effect() && !error.is_retryable());
+}
+
+/// Guards against wrong tables that come into force.
+#[tokio::test]
+async fn wrong_tables_are_refused_before_sending() {
+    let (server, client) = start().await;
+    let error = client.apply_version(edit(0, 1)).await.unwrap_err();
+    assert!(matches!(error, StoreError::WrongTables { .. }), "{error}");
+    assert_eq!(server.counts().writes, 0);
+}
+
+/// Guards against a history that is overwritten by another document of the same number.
+#[tokio::test]
+async fn foreign_history_stops_an_apply() {
+    let (server, client) = start().await;
+    apply(&client, edit(0, 1_000)).await;
+    let key = "carobdrum/test/tables/history/1";
+    server.set_value(key, "{}");
+    let error = client.apply_version(edit(1, 2_000)).await.unwrap_err();
+    assert!(
+        matches!(error, StoreError::HistoryMismatch { number: 1 }),
+        "{error}"
+    );
+    assert_eq!(server.value(key).unwrap(), "{}");
+    assert_eq!(
+        client.read_version().await.unwrap().unwrap().version.number,
+        1
+    );
+}
