--- a/components/telemetry/src/log_setup.rs
+++ b/components/telemetry/src/log_setup.rs
@@ -1,5 +1,6 @@
 //! Setup of the log output.
 
+use compact_str::format_compact;
 use snafu::ResultExt;
 use tracing_subscriber::{
     fmt::format::FmtSpan,
@@ -14,6 +15,10 @@
     TelemetryError, //
 };
 
+/// Directives that come before those of the user, who may replace them. `ractor` opens a span at
+/// level info for each actor, whose end would be written like that of a hop.
+const FIRST_DIRECTIVES: &str = "ractor=warn";
+
 /// Starts logging to stderr, as JSON objects if `format_json` is set and as text otherwise.
 ///
 /// `filter` is in the syntax of `tracing-subscriber`, such as `info,hop=debug`. A span of a hop is
@@ -24,8 +29,9 @@
 /// Returns [`TelemetryError::BadFilter`] if `filter` can't be parsed, and
 /// [`TelemetryError::LogsAreSet`] if the process has set up logs before.
 pub fn init_logs(format_json: bool, filter: &str) -> Result<(), TelemetryError> {
+    let directives = format_compact!("{FIRST_DIRECTIVES},{filter}");
     let parsed = EnvFilter::builder()
-        .parse(filter)
+        .parse(directives)
         .context(BadFilterSnafu { filter })?;
     let output = tracing_subscriber::fmt()
         .with_env_filter(parsed)
--- a/components/telemetry/tests/logs.rs
+++ b/components/telemetry/tests/logs.rs
@@ -8,8 +8,8 @@
     TraceContext, //
 };
 
-/// Guards against a filter that is ignored, a second setup that panics, and spans of hops that the
-/// filter of the documentation doesn't show.
+/// Guards against a filter that is ignored, a second setup that panics, spans of hops that the
+/// filter of the documentation doesn't show, and lines for the spans of libraries.
 #[test]
 fn filter_and_second_setup_are_checked() {
     let refused = init_logs(false, "info,hop=loud");
@@ -21,4 +21,6 @@
         let span = hop_span(hop, &TraceContext::random(), "archief", "archief-1");
         assert!(!span.is_disabled());
     }
+    let of_library = tracing::info_span!(target: "ractor::actor", "Actor");
+    assert!(of_library.is_disabled());
 }
--- a/tests/tables_command.rs
+++ b/tests/tables_command.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{
+        Ipv4Addr,
         SocketAddr,
         TcpListener, //
     },
@@ -182,6 +183,37 @@
     assert_eq!(desk.tables(&["show"]).0, 1);
 }
 
+/// Guards against tables that pass the check and are then too long for the store, and against a
+/// check that takes minutes for them: both files are filled with rows as short as possible.
+#[test]
+fn largest_tables_fit_the_store() {
+    const MAX_BYTES: usize = 160 * 1024;
+    let desk = TableDesk::new();
+    let mut routes = String::from("route=[");
+    let mut pools = String::from("pool=[");
+    for index in 0_u32.. {
+        let ip = Ipv4Addr::from(0x0100_0001 + index);
+        let route = format!("{{name='{index}',service='{index}',address='{ip}:1'}},");
+        let pool = format!("{{service='{index}',servers=['{index}'],slots=1,connections=1}},");
+        let longest = (routes.len() + route.len()).max(pools.len() + pool.len());
+        if longest >= MAX_BYTES {
+            break;
+        }
+        routes.push_str(&route);
+        pools.push_str(&pool);
+    }
+    desk.write("routes.toml", &(routes + "]"));
+    desk.write("pools.toml", &(pools + "]"));
+    let (code, stdout, stderr) = desk.apply(&["--base", "0"]);
+    assert_eq!(
+        (code, stdout.as_str(), stderr.as_str()),
+        (0, "version 1 is accepted\n", "")
+    );
+    let stored = desk.store.value("carobdrum/test/tables/current").unwrap();
+    println!("{} bytes", stored.len());
+    assert!(stored.len() <= 1_000_000);
+}
+
 /// Guards against a command that claims success or fails without a word when no store listens.
 #[test]
 fn store_that_is_down_is_told() {
