--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -1,14 +1,20 @@
 //! Failures of commands.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
     path::PathBuf, //
 };
 
+use carobdrum_agent::AgentError;
+use carobdrum_balancer::BalancerError;
 use carobdrum_caller::{
     ClientError,
     LoadError, //
 };
+use carobdrum_control::CallError;
 use carobdrum_core::{
     version::TableError,
     OneLine, //
@@ -41,6 +47,32 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum CommandError {
+    /// A balancer can't start.
+    #[snafu(display("{source}"))]
+    Balancer {
+        /// The cause.
+        source: BalancerError,
+    },
+    /// An agent can't start.
+    #[snafu(display("{source}"))]
+    Agent {
+        /// The cause.
+        source: AgentError,
+    },
+    /// A process doesn't answer.
+    #[snafu(display("{source}"))]
+    Control {
+        /// The cause.
+        source: CallError,
+    },
+    /// A process gives a version that can't be read.
+    #[snafu(display("{address}: malformed version: {source}"))]
+    MalformedVersion {
+        /// Address of the process.
+        address: SocketAddrV4,
+        /// What the parser reports.
+        source: serde_json::Error,
+    },
     /// The arguments are wrong.
     #[snafu(display("{message}"))]
     Usage {
@@ -65,17 +97,13 @@
         /// The cause.
         source: TelemetryError,
     },
-    /// The balancer can't start.
-    #[snafu(display("{source}"))]
-    Balancer {
-        /// The cause.
-        source: carobdrum_balancer::BalancerError,
-    },
-    /// The agent can't start.
-    #[snafu(display("{source}"))]
-    Agent {
+    /// A file can't be written.
+    #[snafu(display("{}: {source}", path.display()))]
+    WriteFile {
+        /// The file.
+        path: PathBuf,
         /// The cause.
-        source: carobdrum_agent::AgentError,
+        source: std::io::Error,
     },
     /// The load would go to another machine.
     #[snafu(display("address: found {address}; allowed: a loopback address"))]
@@ -91,13 +119,11 @@
         /// The cause.
         source: std::io::Error,
     },
-    /// A file can't be written.
-    #[snafu(display("{}: {source}", path.display()))]
-    WriteFile {
+    /// A file would be replaced.
+    #[snafu(display("{}: exists; allowed: a new file, or --force", path.display()))]
+    FileExists {
         /// The file.
         path: PathBuf,
-        /// The cause.
-        source: std::io::Error,
     },
     /// The certificates to trust can't be used.
     #[snafu(display("{}: {source}", path.display()))]
@@ -134,24 +160,12 @@
         /// How many.
         count: usize,
     },
-    /// A file would be replaced.
-    #[snafu(display("{}: exists; allowed: a new file, or --force", path.display()))]
-    FileExists {
-        /// The file.
-        path: PathBuf,
-    },
-    /// The runtime of asynchronous calls can't be started.
-    #[snafu(display("no runtime: {source}"))]
+    /// The threads of the command can't be started.
+    #[snafu(display("runtime: {source}"))]
     Runtime {
         /// The cause.
         source: std::io::Error,
     },
-    /// The result can't be encoded.
-    #[snafu(display("result: {source}"))]
-    Encoding {
-        /// The cause.
-        source: serde_json::Error,
-    },
     /// A call of the store failed.
     #[snafu(display("{source}"))]
     Store {
@@ -198,6 +212,12 @@
         /// The cause.
         source: toml::ser::Error,
     },
+    /// The result can't be encoded.
+    #[snafu(display("result: {source}"))]
+    Encoding {
+        /// The cause.
+        source: serde_json::Error,
+    },
     /// The result can't be written.
     #[snafu(display("stdout: {source}"))]
     Output {
@@ -214,19 +234,21 @@
             | CommandError::Faulty { .. }
             | CommandError::Settings { .. }
             | CommandError::Logs { .. }
+            | CommandError::FileExists { .. }
+            | CommandError::NoBase { .. }
+            | CommandError::TwoBases { .. }
+            | CommandError::UnknownVersion { .. }
             | CommandError::NotLoopback { .. }
             | CommandError::CaUnreadable { .. }
             | CommandError::CaUnusable { .. }
             | CommandError::LoadFailed {
                 source: LoadError::OutOfRange { .. },
-            }
-            | CommandError::FileExists { .. }
-            | CommandError::NoBase { .. }
-            | CommandError::TwoBases { .. }
-            | CommandError::UnknownVersion { .. } => BAD_INPUT,
+            } => BAD_INPUT,
             CommandError::Store { source } => code_of_store(source),
             CommandError::Balancer { .. }
             | CommandError::Agent { .. }
+            | CommandError::Control { .. }
+            | CommandError::MalformedVersion { .. }
             | CommandError::LoadFailed { .. }
             | CommandError::WrongAnswers { .. }
             | CommandError::NothingAnswered
