--- a/components/core/src/request/gradient_limit.rs
+++ b/components/core/src/request/gradient_limit.rs
@@ -49,13 +49,20 @@
         let gradient = self.gradient_of(result);
         let used = f64::from(in_flight) * 2.0 >= self.limit;
         if gradient < 1.0 || used {
-            let headroom = self.limit.sqrt();
-            let target = self.limit * gradient + headroom;
+            let target = self.limit * gradient + self.headroom(result);
             self.limit += SMOOTHING * (target - self.limit);
         }
         self.limit = self.limit.clamp(1.0, f64::from(slots.max(1)));
     }
 
+    /// Returns the growth of the estimate; a failure gets none, or the limit couldn't fall below 4.
+    fn headroom(&self, result: RequestResult) -> f64 {
+        if result.outcome.is_failure() {
+            return 0.0;
+        }
+        self.limit.sqrt()
+    }
+
     fn gradient_of(&mut self, result: RequestResult) -> f64 {
         if result.outcome.is_failure() {
             return MIN_GRADIENT;
--- a/components/core/src/request/latency_norm.rs
+++ b/components/core/src/request/latency_norm.rs
@@ -3,11 +3,11 @@
 use crate::Millis;
 
 /// Weight of one sample.
-const WEIGHT: f64 = 1.0 / 32.0;
+const WEIGHT: f64 = 1.0 / 64.0;
 
-/// A sample counts as at most this many times the norm, so that a few slow requests hardly move the
-/// norm while a lasting change still does.
-const CLIP: f64 = 4.0;
+/// A sample counts as at most this many times the norm. The norm then grows by at most an eighth
+/// over eight slow requests, which are still seen as slow, and doubles after about 45.
+const CLIP: f64 = 2.0;
 
 /// Norm of a server that responds within the clock's resolution, in milliseconds.
 const FLOOR_MS: f64 = 1.0;
--- a/components/core/src/request/outcome_ledger.rs
+++ b/components/core/src/request/outcome_ledger.rs
@@ -123,8 +123,6 @@
             Ok(at) => self.verdict_at(at),
             Err(_) if !self.is_unused(sequence) => LedgerVerdict::Unknown,
             Err(_) if !self.make_place() => LedgerVerdict::Full,
-            // Making place may have raised `unknown_below` above this key.
-            Err(_) if !self.is_unused(sequence) => LedgerVerdict::Unknown,
             Err(_) => {
                 self.insert(sequence, KeyState::Running);
                 LedgerVerdict::Fresh
@@ -172,7 +170,6 @@
             Ok(at) => self.verdict_at(at),
             Err(_) if !self.is_unused(sequence) => LedgerVerdict::Unknown,
             Err(_) if !self.make_place() => LedgerVerdict::Full,
-            Err(_) if !self.is_unused(sequence) => LedgerVerdict::Unknown,
             Err(_) => {
                 self.insert(sequence, KeyState::Fenced);
                 self.ended.push_back((sequence, now));
--- /dev/null
+++ b/components/core/tests/flow_policy.rs
@@ -0,0 +1,99 @@
+//! Pass decision, pass ring and path health.
+
+mod case_table;
+
+use carobdrum_core::{
+    connection::{
+        pass_first_packet,
+        PassQuestion,
+        PassRing,
+        PassVerdict,
+        PathAction,
+        PathHealth,
+        ProbeBudget, //
+    },
+    Millis,
+};
+
+case_table! {
+    /// Guards against flows passed without need, kept without room, or refused while the second
+    /// candidate could take them.
+    fn first_packet_goes_where_room_is(
+        own_load: u8, second_load: Option<u8>, has_room: bool, expected: PassVerdict,
+    ) {
+        let question = PassQuestion { own_load, second_load, margin: 32, has_room };
+        assert_eq!(pass_first_packet(question), expected);
+    }
+    lighter: (10, Some(20), true, PassVerdict::Keep),
+    within_margin: (52, Some(20), true, PassVerdict::Keep),
+    above_margin: (53, Some(20), true, PassVerdict::Pass),
+    both_full: (255, Some(255), true, PassVerdict::Keep),
+    margin_beyond_range: (255, Some(240), true, PassVerdict::Keep),
+    no_room: (0, Some(255), false, PassVerdict::Pass),
+    alone: (255, None, true, PassVerdict::Keep),
+    alone_without_room: (0, None, false, PassVerdict::Refuse),
+}
+
+/// Guards against a handshake that is split between candidates, and against growth under a flood.
+#[test]
+fn ring_remembers_within_bounds() {
+    let mut ring = PassRing::new(4);
+    for id in 0..10u8 {
+        ring.remember(Millis(u64::from(id)), &[id; 8], id);
+    }
+    assert_eq!(ring.len(), 4);
+    assert_eq!(ring.lookup(Millis(10), &[9; 8]), Some(9));
+    assert_eq!(ring.lookup(Millis(10), &[5; 8]), None);
+    assert_eq!(ring.lookup(Millis(10), &[9; 9]), None);
+    assert_eq!(ring.lookup(Millis(10_009), &[9; 8]), Some(9));
+    assert_eq!(ring.lookup(Millis(10_010), &[9; 8]), None);
+}
+
+/// Returns the actions of a path on which a datagram is sent every `interval`, with their times.
+fn actions(interval: u64, answers: impl Fn(u64) -> bool, bytes: u32) -> Vec<(u64, PathAction)> {
+    let mut health = PathHealth::default();
+    let mut budget = ProbeBudget::new(Millis(0), bytes);
+    let mut actions = Vec::new();
+    for now in (0..1_200).step_by(10) {
+        if now % interval == 0 {
+            health.record_sent(Millis(now));
+        }
+        let action = health.check(Millis(now), &mut budget);
+        if action != PathAction::Nothing {
+            actions.push((now, action));
+        }
+        if answers(now) {
+            health.record_received();
+        }
+    }
+    actions
+}
+
+case_table! {
+    /// Guards against a silent path that is never left, probes without evidence, and probes beyond
+    /// the budget.
+    fn path_is_probed_on_evidence(
+        interval: u64, answers: fn(u64) -> bool, bytes: u32, expected: &[(u64, PathAction)],
+    ) {
+        assert_eq!(actions(interval, answers, bytes), expected);
+    }
+    silent: (10, |_| false, 1_000, &[
+        (250, PathAction::Ping),
+        (500, PathAction::Ping),
+        (750, PathAction::ChangePort),
+        (1_010, PathAction::Ping),
+    ]),
+    silent_and_slow: (100, |_| false, 1_000, &[
+        (700, PathAction::Ping),
+        (950, PathAction::Ping),
+    ]),
+    healthy: (10, |now| now % 200 == 0, 1_000, &[]),
+    few_datagrams: (200, |_| false, 1_000, &[]),
+    answered_after_ping: (10, |now| now == 400, 1_000, &[
+        (250, PathAction::Ping),
+        (660, PathAction::Ping),
+        (910, PathAction::Ping),
+        (1_160, PathAction::ChangePort),
+    ]),
+    without_budget: (10, |_| false, 10, &[]),
+}
