--- /dev/null
+++ b/components/core/examples/policy/figures.rs
@@ -0,0 +1,28 @@
+//! Figures of a run.
+
+use carobdrum_core::Millis;
+
+/// Returns the value that `percent` of the values don't exceed, or zero without values.
+pub(crate) fn percentile(values: &mut [u64], percent: usize) -> u64 {
+    if values.is_empty() {
+        return 0;
+    }
+    values.sort_unstable();
+    values[(values.len() - 1) * percent / 100]
+}
+
+/// Returns `part` of `whole`, or zero of nothing.
+pub(crate) fn ratio(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+/// Returns an exponentially distributed span with this mean; `uniform` is from `0.0..1.0`.
+pub(crate) fn exponential(uniform: f64, mean_ms: f64) -> Millis {
+    Millis((-(1.0 - uniform).ln() * mean_ms).round() as u64)
+}
+
+/// Returns a service time with this mean: half of it constant, half exponential.
+pub(crate) fn service_time(uniform: f64, mean_ms: f64) -> Millis {
+    let variable = exponential(uniform, mean_ms / 2.0);
+    Millis(variable.0 + (mean_ms / 2.0).round() as u64)
+}
--- a/components/core/src/connection/mod.rs
+++ b/components/core/src/connection/mod.rs
@@ -18,7 +18,8 @@
 pub use pass_decision::{
     pass_first_packet,
     PassQuestion,
-    PassVerdict, //
+    PassVerdict,
+    PASS_MARGIN, //
 };
 pub use pass_ring::PassRing;
 pub use path_health::{
--- a/components/core/src/request/admission_gate.rs
+++ b/components/core/src/request/admission_gate.rs
@@ -12,13 +12,25 @@
     AdaptiveLimit,
     AdmissionGateBuilder,
     AdmissionVerdict,
+    LoadMeter,
     RefusalReason,
     RequestOffer,
+    RequestOutcome,
     RequestResult,
     RequestTicket,
     WarmupRamp, //
 };
-use crate::Millis;
+use crate::{
+    version::PriorityClass,
+    Millis, //
+};
+
+/// A timeout counts against the server after this many times its usual latency.
+const PATIENCE_FACTOR: f64 = 2.0;
+
+/// Time after a dispatch request for which slots are kept free of bulk. Bulk holds its slots long,
+/// and a dispatch request would wait for one to end; without dispatch, bulk may use them all.
+const RESERVE_TIME: Millis = Millis(10_000);
 
 /// Effect of a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +58,12 @@
     arena: TicketArena,
     queue: RequestQueue,
     in_flight: u32,
+    bulk_in_flight: u32,
+    bulk_reserve: u32,
+    early_expiry: bool,
+    last_dispatch: Option<Millis>,
     arrivals: u64,
+    meter: LoadMeter,
 }
 
 impl AdmissionGate {
@@ -63,38 +80,47 @@
             arena: TicketArena::default(),
             queue: RequestQueue::new(builder.queue),
             in_flight: 0,
+            bulk_in_flight: 0,
+            bulk_reserve: builder.bulk_reserve,
+            early_expiry: builder.early_expiry,
+            last_dispatch: None,
             arrivals: 0,
+            meter: LoadMeter::default(),
         }
     }
 
     /// Offers a request.
     pub fn offer(&mut self, now: Millis, offer: RequestOffer) -> AdmissionVerdict {
+        self.meter.update(now, self.held());
         if offer.deadline <= now {
             return AdmissionVerdict::Refused(RefusalReason::DeadlinePassed);
         }
         if self.slots == 0 {
             return AdmissionVerdict::Refused(RefusalReason::NoSlots);
         }
+        if offer.class == PriorityClass::Dispatch {
+            self.last_dispatch = Some(now);
+        }
         let rank = self.rank_of(offer);
         let is_next = self.queue.first().is_none_or(|first| rank < first);
-        if is_next && self.has_room() {
-            return AdmissionVerdict::Run(self.start_new());
+        if is_next && self.has_room_for(now, rank.class) {
+            return AdmissionVerdict::Run(self.start_new(rank.class));
         }
         self.enqueue(rank)
     }
 
     /// Starts the next queued request, if the limit allows one.
     ///
-    /// A request whose deadline has passed is never started; [`AdmissionGate::expire`] returns it.
+    /// A request that can't be expected to meet its deadline is never started;
+    /// [`AdmissionGate::expire`] returns it.
     pub fn start_next(&mut self, now: Millis) -> Option<RequestTicket> {
-        if !self.has_room() {
-            return None;
-        }
-        let (rank, ticket) = self.queue.find(|rank| rank.deadline > now)?;
+        let latest = self.latest_hopeless(now);
+        let is_eligible =
+            |rank: &QueueRank| rank.deadline > latest && self.has_room_for(now, rank.class);
+        let (rank, ticket) = self.queue.find(is_eligible)?;
         self.queue.remove(rank);
-        let state = self.running();
+        let state = self.start(rank.class);
         self.arena.set(ticket, state);
-        self.in_flight += 1;
         Some(ticket)
     }
 
@@ -102,36 +128,46 @@
     ///
     /// Queued and stale tickets change nothing.
     pub fn finish(&mut self, now: Millis, ticket: RequestTicket, result: RequestResult) -> bool {
-        let Some(TicketState::Running { epoch }) = self.arena.get(ticket) else {
+        let Some(TicketState::Running { class, epoch }) = self.arena.get(ticket) else {
             return false;
         };
         self.arena.remove(ticket);
+        self.meter.update(now, self.held());
+        let result = self.judged(result);
+        if result.outcome != RequestOutcome::Abandoned {
+            self.meter.record(result.outcome.is_failure());
+        }
         self.limit.record(now, self.slots, self.in_flight, result);
         self.ramp.record(self.slots, epoch, result);
-        self.in_flight -= 1;
+        self.stop(class);
         true
     }
 
     /// Withdraws a request in whatever state it is.
     ///
     /// For a running request, the caller first closes the connection to the server.
-    pub fn cancel(&mut self, _now: Millis, ticket: RequestTicket) -> CancelEffect {
+    pub fn cancel(&mut self, now: Millis, ticket: RequestTicket) -> CancelEffect {
+        self.meter.update(now, self.held());
         match self.arena.remove(ticket) {
             Some(TicketState::Queued(rank)) => {
                 self.queue.remove(rank);
                 CancelEffect::NeverStarted
             }
-            Some(TicketState::Running { .. }) => {
-                self.in_flight -= 1;
+            Some(TicketState::Running { class, .. }) => {
+                self.stop(class);
                 CancelEffect::Stopped
             }
             None => CancelEffect::Stale,
         }
     }
 
-    /// Removes and returns the queued requests whose deadline has passed; none was started.
+    /// Removes and returns the queued requests that can't meet their deadline; none was started.
+    ///
+    /// These are the requests for which less than the usual latency remains. If they ran, an
+    /// overloaded server would spend its time on responses that come too late.
     pub fn expire(&mut self, now: Millis) -> Vec<RequestTicket> {
-        let expired = self.queue.take_expired(now);
+        self.meter.update(now, self.held());
+        let expired = self.queue.take_expired(self.latest_hopeless(now));
         for ticket in &expired {
             self.arena.remove(*ticket);
         }
@@ -140,7 +176,8 @@
 
     /// Returns the time of the next useful call of [`AdmissionGate::expire`].
     pub fn next_expiry(&self) -> Option<Millis> {
-        self.queue.earliest_deadline()
+        let earliest = self.queue.earliest_deadline()?;
+        Some(Millis(earliest.0.saturating_sub(self.usual_latency().0)))
     }
 
     /// Changes the slots, when a version of the configuration does.
@@ -170,10 +207,9 @@
         self.queue.len()
     }
 
-    /// Returns running and waiting requests in 1/255 of the limit.
-    pub fn load(&self) -> u8 {
-        let held = u64::from(self.in_flight) + self.queue.len() as u64;
-        share(held, u64::from(self.limit()))
+    /// Returns the load of the server, see [`LoadMeter::load`].
+    pub fn load(&self, now: Millis) -> u8 {
+        self.meter.load(now, self.held(), self.limit())
     }
 
     /// Returns the share of the slots that the warm-up allows, in 1/255.
@@ -181,8 +217,49 @@
         share(u64::from(self.ramp.allowed()), u64::from(self.slots))
     }
 
-    fn has_room(&self) -> bool {
-        self.in_flight < self.limit()
+    /// Returns the result as evidence about the server.
+    ///
+    /// A request that was stopped before the usual latency had passed ran out of time in the queue.
+    fn judged(&self, result: RequestResult) -> RequestResult {
+        let usual = self.ramp.norm().mean_ms().unwrap_or(0.0);
+        let cut_short = (result.latency.0 as f64) < usual * PATIENCE_FACTOR;
+        if result.outcome != RequestOutcome::TimedOut || !cut_short {
+            return result;
+        }
+        RequestResult {
+            outcome: RequestOutcome::Abandoned,
+            ..result
+        }
+    }
+
+    fn held(&self) -> usize {
+        self.in_flight as usize + self.queue.len()
+    }
+
+    fn has_room_for(&self, now: Millis, class: PriorityClass) -> bool {
+        if self.in_flight >= self.limit() {
+            return false;
+        }
+        class != PriorityClass::Bulk || self.bulk_in_flight < self.bulk_limit(now)
+    }
+
+    /// Returns the bulk requests that may run at once; one at least, or bulk would starve.
+    fn bulk_limit(&self, now: Millis) -> u32 {
+        let recent = |last: Millis| now.since(last) <= RESERVE_TIME;
+        if !self.last_dispatch.is_some_and(recent) {
+            return self.limit();
+        }
+        self.limit().saturating_sub(self.bulk_reserve).max(1)
+    }
+
+    /// Returns the latest deadline that a request started now can't be expected to meet.
+    fn latest_hopeless(&self, now: Millis) -> Millis {
+        now.plus(self.usual_latency())
+    }
+
+    fn usual_latency(&self) -> Millis {
+        let usual = self.ramp.norm().mean_ms().filter(|_| self.early_expiry);
+        Millis(usual.unwrap_or(0.0) as u64)
     }
 
     fn rank_of(&mut self, offer: RequestOffer) -> QueueRank {
@@ -194,15 +271,23 @@
         }
     }
 
-    fn running(&self) -> TicketState {
+    fn start(&mut self, class: PriorityClass) -> TicketState {
+        self.in_flight += 1;
+        self.bulk_in_flight += u32::from(class == PriorityClass::Bulk);
         TicketState::Running {
+            class,
             epoch: self.ramp.epoch(),
         }
     }
 
-    fn start_new(&mut self) -> RequestTicket {
-        self.in_flight += 1;
-        self.arena.insert(self.running())
+    fn stop(&mut self, class: PriorityClass) {
+        self.in_flight -= 1;
+        self.bulk_in_flight -= u32::from(class == PriorityClass::Bulk);
+    }
+
+    fn start_new(&mut self, class: PriorityClass) -> RequestTicket {
+        let state = self.start(class);
+        self.arena.insert(state)
     }
 
     fn enqueue(&mut self, rank: QueueRank) -> AdmissionVerdict {
--- a/components/core/src/request/admission_gate_builder.rs
+++ b/components/core/src/request/admission_gate_builder.rs
@@ -10,6 +10,9 @@
 /// Queue capacity unless set, in requests.
 const DEFAULT_QUEUE: usize = 256;
 
+/// Part of the limit that bulk requests may not use unless set, in requests.
+const DEFAULT_BULK_RESERVE: u32 = 1;
+
 /// Builds an [`AdmissionGate`].
 #[derive(Clone, Debug)]
 pub struct AdmissionGateBuilder {
@@ -17,6 +20,8 @@
     pub(super) queue: usize,
     pub(super) limit: AdaptiveLimit,
     pub(super) ramp: WarmupRamp,
+    pub(super) bulk_reserve: u32,
+    pub(super) early_expiry: bool,
 }
 
 impl AdmissionGateBuilder {
@@ -26,7 +31,9 @@
             slots,
             queue: DEFAULT_QUEUE,
             limit: AdaptiveLimit::Aimd(AimdLimit::new(slots)),
-            ramp: WarmupRamp::new(),
+            ramp: WarmupRamp::default(),
+            bulk_reserve: DEFAULT_BULK_RESERVE,
+            early_expiry: true,
         }
     }
 
@@ -48,6 +55,18 @@
         self
     }
 
+    /// Sets the part of the limit that bulk requests may not use while dispatch requests arrive.
+    pub fn bulk_reserve(mut self, slots: u32) -> AdmissionGateBuilder {
+        self.bulk_reserve = slots;
+        self
+    }
+
+    /// Sets whether a request leaves the queue when less than the usual latency remains.
+    pub fn early_expiry(mut self, enabled: bool) -> AdmissionGateBuilder {
+        self.early_expiry = enabled;
+        self
+    }
+
     /// Builds the gate.
     pub fn build(self) -> AdmissionGate {
         AdmissionGate::from_builder(self)
--- a/components/core/src/request/aimd_limit.rs
+++ b/components/core/src/request/aimd_limit.rs
@@ -7,20 +7,32 @@
 };
 use crate::Millis;
 
+/// Growth by one round of successes. Growth by one outran the decreases: on a server that bears 6
+/// of 14 slots, the limit stayed near 10 and goodput at 0.6 of what it bears instead of 0.75.
+const GROWTH: f64 = 0.2;
+
 /// Factor of one decrease.
 const DECREASE: f64 = 0.9;
 
 /// Latency above this many times the norm counts as a sign of overload.
 const SLOW_FACTOR: f64 = 3.0;
 
+/// Signs of overload among the latest eight results that decrease the limit. A single one is
+/// ordinary noise, which would keep a large limit well below the slots.
+const OVERLOAD_SIGNS: u32 = 2;
+
+/// Samples of the norm. Over a short span, the latency of an overloaded server becomes its norm.
+const NORM_SPAN: u32 = 1_000;
+
 /// Shortest time between two decreases, so that requests that were in flight together count once.
 const CUT_INTERVAL_MS: f64 = 100.0;
 
-/// Limit that grows by one after about `limit` successes and shrinks by a tenth on overload.
+/// Limit that grows by a fifth after `limit` successes and shrinks by a tenth on overload.
 #[derive(Clone, Debug)]
 pub struct AimdLimit {
     limit: f64,
     norm: LatencyNorm,
+    signs: u8,
     last_cut: Option<Millis>,
 }
 
@@ -29,7 +41,8 @@
     pub fn new(slots: u32) -> AimdLimit {
         AimdLimit {
             limit: f64::from(slots.max(1)),
-            norm: LatencyNorm::default(),
+            norm: LatencyNorm::new(NORM_SPAN),
+            signs: 0,
             last_cut: None,
         }
     }
@@ -45,11 +58,13 @@
             return;
         }
         let slow = self.norm.is_exceeded(result.latency, SLOW_FACTOR);
-        if result.outcome.is_failure() || slow {
+        let sign = result.outcome.is_failure() || slow;
+        self.signs = (self.signs << 1) | u8::from(sign);
+        if sign && self.signs.count_ones() >= OVERLOAD_SIGNS {
             self.decrease(now);
-        } else if f64::from(in_flight) * 2.0 >= self.limit {
+        } else if !sign && f64::from(in_flight) * 2.0 >= self.limit {
             // An unused limit doesn't grow: the result says nothing about a higher one.
-            self.limit += 1.0 / self.limit;
+            self.limit += GROWTH / self.limit;
         }
         self.limit = self.limit.clamp(1.0, f64::from(slots.max(1)));
         if !result.outcome.is_failure() {
--- a/components/core/src/request/gradient_limit.rs
+++ b/components/core/src/request/gradient_limit.rs
@@ -6,6 +6,9 @@
     RequestResult, //
 };
 
+/// Samples of the long-term latency.
+const NORM_SPAN: u32 = 1_000;
+
 /// Weight of one sample in the short-term latency.
 const SHORT_WEIGHT: f64 = 0.2;
 
@@ -31,7 +34,7 @@
     pub fn new(slots: u32) -> GradientLimit {
         GradientLimit {
             limit: f64::from(slots.max(1)),
-            norm: LatencyNorm::default(),
+            norm: LatencyNorm::new(NORM_SPAN),
             short_ms: None,
         }
     }
--- a/components/core/src/request/mod.rs
+++ b/components/core/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod gradient_limit;
 mod idempotency_key;
 mod latency_norm;
+mod load_meter;
 mod outcome_ledger;
 mod request_deadline;
 mod request_offer;
@@ -30,6 +31,7 @@
     KEY_NONCE_LEN, //
 };
 pub use latency_norm::LatencyNorm;
+pub use load_meter::LoadMeter;
 pub use outcome_ledger::{
     FinalOutcome,
     LedgerBounds,
@@ -52,4 +54,7 @@
 };
 pub use retry_budget::RetryBudget;
 pub use ticket_arena::RequestTicket;
-pub use warmup_ramp::WarmupRamp;
+pub use warmup_ramp::{
+    RampGrowth,
+    WarmupRamp, //
+};
--- a/components/core/src/request/ticket_arena.rs
+++ b/components/core/src/request/ticket_arena.rs
@@ -1,6 +1,7 @@
 //! Arena of the requests that admission knows.
 
 use super::request_queue::QueueRank;
+use crate::version::PriorityClass;
 
 /// Key of a request in the arena of one [`AdmissionGate`](super::AdmissionGate).
 ///
@@ -19,6 +20,8 @@
     Queued(QueueRank),
     /// The request holds a slot.
     Running {
+        /// Class of the request.
+        class: PriorityClass,
         /// Epoch of the warm-up at the start.
         epoch: u32,
     },
--- a/components/core/src/request/warmup_ramp.rs
+++ b/components/core/src/request/warmup_ramp.rs
@@ -9,6 +9,9 @@
 /// Latency above this many times the norm is a sign of coldness.
 const COLD_FACTOR: f64 = 4.0;
 
+/// Samples of the usual latency.
+const NORM_SPAN: u32 = 64;
+
 /// Number of latest results that are judged together.
 const HISTORY_BITS: u32 = 12;
 
@@ -28,13 +31,44 @@
 /// in ordinary operation.
 const RESET_SIGNS: u32 = 2;
 
+/// Factor of the successes that the next step needs, after a failure during warm-up.
+const PATIENCE_GROWTH: u32 = 4;
+
+/// Divisor of the successes that the next step needs, after a step.
+const PATIENCE_DECAY: u32 = 2;
+
+/// Most that the successes of a step are multiplied by.
+const MAX_PATIENCE: u32 = 16;
+
+/// Rounds of successes at the full limit that end the warm-up.
+const SETTLE_ROUNDS: u32 = 4;
+
+/// Results that end the warm-up at the latest. A server that fails a constant share of its requests
+/// for another reason than load would be held back without end.
+const MAX_WARMUP_RESULTS: u32 = 1_000;
+
+/// Rule by which the limit of a server in warm-up grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RampGrowth {
+    /// The limit grows by one after `limit` successes, whatever fails in between.
+    BySuccess,
+    /// In addition, each failure during warm-up takes the last step back, and the next steps need
+    /// more successes.
+    #[default]
+    Patient,
+}
+
 /// Limit of a server that starts at one request in flight and grows with its successes.
 ///
 /// Results count only if their request started after the latest restart; the epoch tells.
 #[derive(Clone, Debug)]
 pub struct WarmupRamp {
+    growth: RampGrowth,
     allowed: u32,
     successes: u32,
+    patience: u32,
+    results: u32,
+    warming: bool,
     epoch: u32,
     norm: LatencyNorm,
     signs: u16,
@@ -44,12 +78,16 @@
 
 impl WarmupRamp {
     /// Creates the ramp of a cold server.
-    pub fn new() -> WarmupRamp {
+    pub fn new(growth: RampGrowth) -> WarmupRamp {
         WarmupRamp {
+            growth,
             allowed: 1,
             successes: 0,
+            patience: 1,
+            results: 0,
+            warming: true,
             epoch: 0,
-            norm: LatencyNorm::default(),
+            norm: LatencyNorm::new(NORM_SPAN),
             signs: 0,
             failures: 0,
             resets: 0,
@@ -61,6 +99,11 @@
         self.allowed
     }
 
+    /// Returns the usual latency of the server.
+    pub fn norm(&self) -> LatencyNorm {
+        self.norm
+    }
+
     /// Returns the number of restarts so far.
     pub fn epoch(&self) -> u32 {
         self.epoch
@@ -70,6 +113,8 @@
     pub fn restart(&mut self) {
         self.allowed = 1;
         self.successes = 0;
+        self.results = 0;
+        self.warming = true;
         self.signs = 0;
         self.failures = 0;
         self.resets = 0;
@@ -86,11 +131,14 @@
         push(&mut self.signs, slow || result.outcome.is_failure());
         push(&mut self.failures, result.outcome.is_failure());
         push(&mut self.resets, reset);
+        self.count_result();
         if self.is_cold(result.outcome) {
             self.restart();
-        } else if !result.outcome.is_failure() {
-            self.norm.record(result.latency);
+        } else if result.outcome.is_failure() {
+            self.step_back();
+        } else {
             self.grow(slots);
+            self.norm.record(result.latency);
         }
     }
 
@@ -101,21 +149,47 @@
             || self.signs.count_ones() >= COLD_SIGNS
     }
 
+    fn step_back(&mut self) {
+        if self.growth == RampGrowth::BySuccess || !self.warming {
+            return;
+        }
+        self.allowed = (self.allowed - 1).max(1);
+        self.successes = 0;
+        self.patience = (self.patience * PATIENCE_GROWTH).min(MAX_PATIENCE);
+    }
+
     fn grow(&mut self, slots: u32) {
+        self.successes += 1;
         if self.allowed >= slots {
+            if self.warming && self.successes >= SETTLE_ROUNDS * slots {
+                self.end_warmup();
+            }
             return;
         }
-        self.successes += 1;
-        if self.successes >= self.allowed {
+        if self.successes >= self.allowed * self.patience {
             self.allowed += 1;
             self.successes = 0;
+            self.patience = (self.patience / PATIENCE_DECAY).max(1);
         }
     }
+
+    fn count_result(&mut self) {
+        self.results = self.results.saturating_add(1);
+        if self.warming && self.results >= MAX_WARMUP_RESULTS {
+            self.end_warmup();
+        }
+    }
+
+    fn end_warmup(&mut self) {
+        self.warming = false;
+        self.successes = 0;
+        self.patience = 1;
+    }
 }
 
 impl Default for WarmupRamp {
     fn default() -> WarmupRamp {
-        WarmupRamp::new()
+        WarmupRamp::new(RampGrowth::default())
     }
 }
 
