Cut answers after their first half, and bound numbers of versions

Cause: a cut answer closed the connection without a single byte, because hyper drops what it hasn't written when a body fails. Callers therefore never saw a response that ends in the middle. The body is now pending once before it fails, which makes hyper write the first half.

A stored version with the highest number overflowed the next one, which panics in an unoptimised build. It is refused now. The history counts down by itself instead of trusting the numbers in the documents.

The test of a constant delay runs on four threads now, and the comment says so.

The least time to live of a session can be set in the stand-in, as in Consul, so that the end of a lease by time is tested as well.

--- a/components/standins/src/backend/answer_body.rs
+++ b/components/standins/src/backend/answer_body.rs
@@ -42,6 +42,7 @@
     offset: u64,
     len: u64,
     cut_at: Option<u64>,
+    is_flushed: bool,
     guard: Option<LoadGuard>,
 }
 
@@ -64,6 +65,7 @@
             offset: 0,
             len,
             cut_at: None,
+            is_flushed: false,
             guard: None,
         }
     }
@@ -100,7 +102,7 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyCut>>> {
         let end = self.cut_at.unwrap_or(self.len);
         if self.offset < end {
@@ -113,7 +115,7 @@
             return Poll::Ready(Some(Ok(Frame::data(piece))));
         }
         if self.cut_at.is_some() {
-            return Poll::Ready(Some(BodyCutSnafu.fail()));
+            return self.poll_cut(context);
         }
         self.finish();
         Poll::Ready(None)
@@ -129,6 +131,19 @@
 }
 
 impl AnswerBody {
+    /// Fails at the second poll. hyper sends what it has when a body is pending, and drops it when
+    /// a body fails.
+    fn poll_cut(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyCut>>> {
+        if std::mem::replace(&mut self.is_flushed, true) {
+            return Poll::Ready(Some(BodyCutSnafu.fail()));
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     fn finish(&mut self) {
         if let Some(guard) = self.guard.take() {
             guard.finish();
--- a/components/standins/src/fabric/delay_line.rs
+++ b/components/standins/src/fabric/delay_line.rs
@@ -47,8 +47,8 @@
 
 /// Items that wait for their time, in the order of that time.
 ///
-/// A sleeping task for each item would release those of one millisecond in any order, so that a
-/// constant delay would reorder datagrams.
+/// One task empties the line. A sleeping task for each item reorders datagrams of a constant delay
+/// when the runtime has several threads.
 pub(crate) struct DelayLine<T> {
     waiting: Mutex<BinaryHeap<Reverse<Waiting<T>>>>,
     added: Notify,
--- a/components/standins/src/store/store_server.rs
+++ b/components/standins/src/store/store_server.rs
@@ -75,7 +75,7 @@
 const MAX_WAIT: Duration = Duration::from_secs(600);
 const DEFAULT_WAIT: Duration = Duration::from_secs(300);
 
-/// Limits of a session's time to live and the default lock delay; Consul's values.
+/// Limits of a session's time to live at the start, and the default lock delay; Consul's values.
 const MIN_TTL: Duration = Duration::from_secs(10);
 const MAX_TTL: Duration = Duration::from_secs(86_400);
 const DEFAULT_LOCK_DELAY: Duration = Duration::from_secs(15);
@@ -96,6 +96,7 @@
     faults: StoreFaults,
     counts: CallCounts,
     max_value: usize,
+    min_ttl: Duration,
 }
 
 /// What the connections share. It doesn't hold the port, which ends with the last handle.
@@ -133,6 +134,7 @@
                 faults: StoreFaults::default(),
                 counts: CallCounts::default(),
                 max_value: MAX_VALUE,
+                min_ttl: MIN_TTL,
             }),
             changes: watch::Sender::new(0),
         });
@@ -164,6 +166,11 @@
         self.shared.lock().max_value = len;
     }
 
+    /// Sets the shortest time to live of a session, like `session_ttl_min` of Consul.
+    pub fn set_min_ttl(&self, ttl: Duration) {
+        self.shared.lock().min_ttl = ttl;
+    }
+
     /// Delays each call before it takes effect.
     pub fn set_delay(&self, delay: Duration) {
         self.shared.lock().faults.delay_before = delay;
@@ -472,7 +479,7 @@
     shared.change(|inner| {
         inner.counts.session_calls += 1;
         match call.split_once('/') {
-            None if call == "create" => create_session(&mut inner.state, body),
+            None if call == "create" => create_session(&mut inner.state, inner.min_ttl, body),
             Some(("renew", id)) => renew_session(&mut inner.state, id),
             Some(("destroy", id)) => {
                 inner.state.end_lease(id, false, Instant::now());
@@ -483,7 +490,7 @@
     })
 }
 
-fn create_session(state: &mut KvState, body: &[u8]) -> Answer {
+fn create_session(state: &mut KvState, min_ttl: Duration, body: &[u8]) -> Answer {
     let parsed = match body {
         [] => Ok(SessionRequest::default()),
         body => serde_json::from_slice(body),
@@ -494,7 +501,7 @@
     let ttl = match wish.ttl.as_str() {
         "" => None,
         span => match parse_span(span) {
-            Some(ttl) if (MIN_TTL..=MAX_TTL).contains(&ttl) => Some(ttl),
+            Some(ttl) if (min_ttl..=MAX_TTL).contains(&ttl) => Some(ttl),
             _ => return text(StatusCode::BAD_REQUEST, "invalid session TTL"),
         },
     };
--- a/components/standins/tests/backend_server.rs
+++ b/components/standins/tests/backend_server.rs
@@ -26,6 +26,10 @@
 use hyper_util::rt::TokioIo;
 use rstest::rstest;
 use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
     net::TcpStream,
     time::timeout, //
 };
@@ -64,6 +68,17 @@
     ask(server.address(), Request::get(path), "").await
 }
 
+/// Returns all bytes that come on the connection until it is closed.
+async fn read_raw(server: &BackendServer, path: &str) -> Vec<u8> {
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let closed = timeout(LIMIT, stream.read_to_end(&mut received)).await;
+    closed.expect("the connection stays open").unwrap();
+    received
+}
+
 async fn json(server: &BackendServer, path: &str) -> serde_json::Value {
     let answer = get(server, path).await.unwrap();
     serde_json::from_slice(answer.body()).unwrap()
@@ -220,6 +235,13 @@
     server.cut_answers(1);
     assert!(get(&server, "/bytes/50000").await.is_none());
     assert!(get(&server, "/bytes/50000").await.is_some());
+    server.cut_answers(1);
+    let received = read_raw(&server, "/bytes/50000").await;
+    assert!(
+        (25_000..50_000).contains(&received.len()),
+        "{}",
+        received.len()
+    );
 
     server.set_frozen(true);
     assert!(get(&server, "/health").await.is_none());
--- a/components/standins/tests/fabric_relay.rs
+++ b/components/standins/tests/fabric_relay.rs
@@ -152,8 +152,9 @@
     assert_eq!((counts.forwarded, counts.returned, counts.lost), (1, 0, 1));
 }
 
-/// Guards against a constant delay that reorders datagrams or is shorter than set.
-#[tokio::test]
+/// Guards against a constant delay that reorders datagrams or is shorter than set. The order breaks
+/// only on several threads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn constant_delay_keeps_the_order() {
     let setup = start(|settings| settings).await;
     let delay = Duration::from_millis(20);
--- a/components/store/src/store_client.rs
+++ b/components/store/src/store_client.rs
@@ -53,7 +53,7 @@
 /// Time limit of a call. The store responds within milliseconds when it is well.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Retries of an apply: about 3 s of delays in all, after which an operator decides.
+/// Retries of an apply: at most 2.6 s of delays in all, after which an operator decides.
 const APPLY_RETRIES: u32 = 6;
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 const LONGEST_RETRY: Duration = Duration::from_secs(1);
@@ -179,21 +179,18 @@
     ///
     /// Returns a [`StoreError`] of the calls, or [`StoreError::MalformedVersion`].
     pub async fn history(&self, limit: usize) -> Result<Vec<ConfigVersion>, StoreError> {
-        let mut versions = Vec::new();
-        let mut next = match self.read_version().await? {
-            Some(stored) => Some(stored.version),
-            None => None,
+        let Some(current) = self.read_version().await? else {
+            return Ok(Vec::new());
         };
-        while let Some(version) = next.take() {
-            if versions.len() >= limit {
-                break;
-            }
-            let number = version.number;
-            versions.push(version);
-            if versions.len() < limit && number > 1 {
-                next = self.read_history(number - 1).await?;
+        let newest = current.version.number;
+        let mut versions = vec![current.version];
+        for number in (1..newest).rev().take(limit.saturating_sub(1)) {
+            match self.read_history(number).await? {
+                Some(version) => versions.push(version),
+                None => break,
             }
         }
+        versions.truncate(limit);
         Ok(versions)
     }
 
@@ -331,14 +328,15 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`StoreError`] of the call; the store refuses a `ttl` below 10 s.
+    /// Returns a [`StoreError`] of the call; the store refuses a `ttl` below its own
+    /// minimum, which is 10 s unless configured otherwise.
     pub async fn create_session(
         &self,
         ttl: Duration,
         end: SessionEnd,
     ) -> Result<CompactString, StoreError> {
         let body = json!({
-            "TTL": format_compact!("{}s", ttl.as_secs()),
+            "TTL": format_compact!("{}ms", ttl.as_millis()),
             "Behavior": end.behavior(),
             "LockDelay": "0s",
         });
--- a/components/store/src/version_apply.rs
+++ b/components/store/src/version_apply.rs
@@ -1,7 +1,10 @@
 //! The path of an edit into the store.
 
 use bytes::Bytes;
-use carobdrum_core::version::ConfigVersion;
+use carobdrum_core::version::{
+    ConfigVersion,
+    TableError, //
+};
 use rand::{
     rngs::SmallRng,
     SeedableRng, //
@@ -62,10 +65,11 @@
                 Err(error) => error,
             };
             let retryable = error.is_retryable();
-            match retryable.then(|| plan.next_delay(&mut rng)).flatten() {
-                Some(delay) => tokio::time::sleep(delay).await,
-                None => return Err(self.last_error(error)),
-            }
+            let Some(delay) = retryable.then(|| plan.next_delay(&mut rng)).flatten() else {
+                return Err(self.last_error(error));
+            };
+            tracing::warn!(edit_id = %self.edit.edit_id, %error, ?delay, "apply is retried");
+            tokio::time::sleep(delay).await;
         }
     }
 
@@ -111,7 +115,8 @@
         }
         // An edit that took effect has the number after its base, and was copied to the history
         // before its own replacement.
-        let next = self.client.read_history(self.edit.base + 1).await?;
+        let number = self.edit.base.saturating_add(1);
+        let next = self.client.read_history(number).await?;
         if let Some(version) = next.as_ref().filter(own) {
             return Ok(Some(ApplyOutcome::Applied(Box::new(version.clone()))));
         }
@@ -139,6 +144,12 @@
     fn successor(&self, current: Option<&ConfigVersion>) -> Result<ConfigVersion, StoreError> {
         let first = ConfigVersion::default();
         let current = current.unwrap_or(&first);
+        let limit = u32::MAX;
+        if current.number == limit {
+            let name = CURRENT.into();
+            let source = TableError::NumbersExhausted { name, limit };
+            return Err(StoreError::WrongTables { source });
+        }
         let edit = &self.edit;
         let version = current.successor(edit.routes.clone(), edit.pools.clone());
         let mut version = version.context(WrongTablesSnafu)?;
--- a/components/store/tests/store_client.rs
+++ b/components/store/tests/store_client.rs
@@ -207,6 +207,31 @@
     assert_eq!((&*entry.value, entry.session), (&b"c"[..], None));
 }
 
+/// Guards against a lease that ends although it is renewed, or doesn't end without renewal, and
+/// against a watch that misses the end.
+#[tokio::test]
+async fn lease_lasts_as_long_as_it_is_renewed() {
+    let (server, client) = start().await;
+    let ttl = Duration::from_millis(1_000);
+    let refused = client.create_session(ttl, SessionEnd::Delete).await;
+    assert!(matches!(refused, Err(StoreError::Rejected { .. })));
+    server.set_min_ttl(ttl);
+    let session = client
+        .create_session(ttl, SessionEnd::Delete)
+        .await
+        .unwrap();
+    let key = "entry/galway-a/1";
+    assert!(client.acquire_key(key, "a", &session).await.unwrap());
+    for _ in 0..3 {
+        tokio::time::sleep(ttl / 2).await;
+        assert!(client.renew_session(&session).await.unwrap());
+    }
+    let entry = client.read_key(key).await.unwrap().unwrap();
+    assert_eq!(entry.session, Some(session));
+    let watched = client.watch_key(key, entry.index, WAIT).await.unwrap();
+    assert_eq!(watched.entry, None);
+}
+
 /// Guards against a list that holds keys of another prefix, or lacks some of its own.
 #[tokio::test]
 async fn list_holds_the_keys_of_its_prefix() {
--- a/components/store/tests/version_apply.rs
+++ b/components/store/tests/version_apply.rs
@@ -321,6 +321,28 @@
     assert_eq!(server.counts().writes, 0);
 }
 
+/// Guards against an overflow after a stored number that no more edits can follow.
+#[tokio::test]
+async fn last_number_has_no_successor() {
+    let (server, client) = start().await;
+    let last = ConfigVersion {
+        number: u32::MAX,
+        ..ConfigVersion::default()
+    };
+    let document = serde_json::to_vec(&last).unwrap();
+    server.set_value("carobdrum/test/tables/current", document);
+    for base in [1, u32::MAX - 1] {
+        let outcome = client.apply_version(edit(base, 1_000)).await.unwrap();
+        assert_eq!(refused(outcome).in_force, u32::MAX);
+    }
+    let error = client
+        .apply_version(edit(u32::MAX, 1_000))
+        .await
+        .unwrap_err();
+    assert!(matches!(error, StoreError::WrongTables { .. }), "{error}");
+    assert_eq!(client.history(3).await.unwrap(), [last]);
+}
+
 /// Guards against a history that is overwritten by another document of the same number.
 #[tokio::test]
 async fn foreign_history_stops_an_apply() {
