Widen the margins of two stand-in tests

Cause: two tests depended on a pause of less than 50 ms, which a busy machine can exceed. One now cuts at a quarter of a delay of 400 ms, and the other waits until the request is in flight.

--- a/components/standins/tests/backend_server.rs
+++ b/components/standins/tests/backend_server.rs
@@ -98,6 +98,16 @@
     answered
 }
 
+/// Waits until a request is in flight.
+async fn in_flight(server: &BackendServer) {
+    let arrived = async {
+        while server.measures().in_flight == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(LIMIT, arrived).await.expect("no request arrives");
+}
+
 macro_rules! bodies {
     ($($name:ident: $path:expr => $len:expr, $seed:expr;)*) => {
         /// Guards against a body that a caller can't check against its own computation.
@@ -257,13 +267,13 @@
 /// Guards against a health endpoint that can't be made to lag or to lie.
 #[tokio::test]
 async fn health_lags_and_lies() {
-    let slow = settings(4).service_time(ServiceTime::Fixed(WORK));
+    let slow = settings(4).service_time(ServiceTime::Fixed(LIMIT / 2));
     let server = BackendServer::start(slow).await.unwrap();
     server.set_health_lag(Duration::from_secs(60));
     assert_eq!(json(&server, "/health").await["in_flight"], 0);
     let busy = server.clone();
     let request = tokio::spawn(async move { get(&busy, "/whoami").await });
-    tokio::time::sleep(WORK / 3).await;
+    in_flight(&server).await;
     assert_eq!(json(&server, "/health").await["in_flight"], 0);
     server.set_health_lag(Duration::ZERO);
     assert_eq!(json(&server, "/health").await["in_flight"], 1);
@@ -279,9 +289,7 @@
     let server = BackendServer::start(slow).await.unwrap();
     let busy = server.clone();
     let request = tokio::spawn(async move { get(&busy, "/whoami").await });
-    while server.measures().in_flight == 0 {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    in_flight(&server).await;
     server.restart();
     assert!(request.await.unwrap().is_none());
     assert_eq!(json(&server, "/whoami").await["instance"], 2);
--- a/components/standins/tests/fabric_relay.rs
+++ b/components/standins/tests/fabric_relay.rs
@@ -141,12 +141,13 @@
 #[tokio::test]
 async fn cut_balancer_is_cut_in_both_directions() {
     let setup = start(|settings| settings).await;
-    let delay = Duration::from_millis(100);
+    let delay = Duration::from_millis(400);
     setup.relay.set_delay(delay, Duration::ZERO);
     setup.send(&setup.caller, 1).await;
-    tokio::time::sleep(delay / 2).await;
+    tokio::time::sleep(delay / 4).await;
     setup.relay.cut_balancer(BALANCERS[0]);
     setup.relay.cut_balancer(BALANCERS[1]);
+    tokio::time::sleep(delay).await;
     assert_eq!(setup.receive(&setup.caller).await, None);
     let counts = setup.relay.counts();
     assert_eq!((counts.forwarded, counts.returned, counts.lost), (1, 0, 1));
