--- a/components/balancer/src/process/traffic_thread.rs
+++ b/components/balancer/src/process/traffic_thread.rs
@@ -8,12 +8,23 @@
         SocketAddrV4, //
     },
     rc::Rc,
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+    },
+    time::Duration,
 };
 
 use carobdrum_core::version::ServiceId;
+use carobdrum_wire::TunnelKey;
 use tokio::{
-    sync::watch,
+    sync::{
+        mpsc,
+        watch, //
+    },
     task::{
         spawn_local,
         AbortHandle, //
@@ -30,7 +41,8 @@
         BatchSocket,
         DropReason,
         ReceiveBuffer,
-        SendBatch, //
+        SendBatch,
+        PATH_PORTS, //
     },
     process::BalancerMetrics,
     ForwardPlan,
@@ -59,7 +71,8 @@
     services: RefCell<Vec<OpenService>>,
     /// Receive buffers are large, so tasks take one only while they handle datagrams.
     buffers: RefCell<Vec<ReceiveBuffer>>,
-    tunnel: Rc<BatchSocket>,
+    /// One socket for each source port.
+    tunnels: Vec<BatchSocket>,
     metrics: BalancerMetrics,
 }
 
@@ -74,16 +87,19 @@
     metrics: BalancerMetrics,
     mut plans: watch::Receiver<Arc<ForwardPlan>>,
 ) -> io::Result<()> {
-    let tunnel = BatchSocket::open(SocketAddrV4::new(addresses.tunnel_ip, 0))?;
-    debug!(address = ?tunnel.local_address(), "tunnel socket open");
+    let tunnels = (0..PATH_PORTS)
+        .map(|_| BatchSocket::open(SocketAddrV4::new(addresses.tunnel_ip, 0)))
+        .collect::<io::Result<Vec<_>>>()?;
     let shared = Rc::new(TrafficShared {
         state: RefCell::new(state),
         services: RefCell::new(Vec::new()),
         buffers: RefCell::new(Vec::new()),
-        tunnel: Rc::new(tunnel),
+        tunnels,
         metrics,
     });
-    let answers = spawn_local(forward_answers(Rc::clone(&shared)));
+    let answers: Vec<_> = (0..PATH_PORTS)
+        .map(|port| spawn_local(forward_answers(Rc::clone(&shared), port)))
+        .collect();
     loop {
         let plan = Arc::clone(&plans.borrow_and_update());
         shared.open_services(&plan, addresses.listen_ip);
@@ -92,7 +108,9 @@
             break;
         }
     }
-    answers.abort();
+    for task in answers {
+        task.abort();
+    }
     for service in shared.services.borrow().iter() {
         service.task.abort();
     }
@@ -201,8 +219,9 @@
         }
         buffer.clear();
         shared.buffers.borrow_mut().push(buffer);
-        for (_, agent, bytes, segment_len) in tunnel.groups() {
-            shared.send(&shared.tunnel, agent, bytes, segment_len).await;
+        for (port, agent, bytes, segment_len) in tunnel.groups() {
+            let socket = &shared.tunnels[usize::from(port)];
+            shared.send(socket, agent, bytes, segment_len).await;
         }
         tunnel.clear();
         for (_, caller, bytes, segment_len) in resets.groups() {
@@ -212,18 +231,18 @@
     }
 }
 
-/// Forwards answers of agents to callers.
-async fn forward_answers(shared: Rc<TrafficShared>) {
+/// Forwards answers that agents send to one source port.
+async fn forward_answers(shared: Rc<TrafficShared>, port: u16) {
     let mut answers = SendBatch::default();
     loop {
-        let mut buffer = match read_batch(&shared, &shared.tunnel).await {
+        let mut buffer = match read_batch(&shared, &shared.tunnels[usize::from(port)]).await {
             Some(buffer) => buffer,
             None => continue,
         };
         {
             let mut state = shared.state.borrow_mut();
             for (source, datagram) in buffer.datagrams() {
-                state.handle_tunnel(source, datagram, &mut answers);
+                state.handle_tunnel(port, source, datagram, &mut answers);
             }
         }
         buffer.clear();
@@ -245,3 +264,43 @@
     }
     Some(buffer)
 }
+
+/// Forwards by one plan on the calling thread until `stop` is set, for benchmarks.
+///
+/// # Errors
+///
+/// Returns the error of a socket that can't be opened.
+#[doc(hidden)]
+pub fn forward_for_benchmark(
+    plan: ForwardPlan,
+    tunnel_ip: Ipv4Addr,
+    stop: &AtomicBool,
+) -> io::Result<()> {
+    const STOP_PACE: Duration = Duration::from_millis(20);
+    let (news, _heard) = mpsc::channel(1);
+    let metrics = BalancerMetrics::default();
+    let key = TunnelKey::new(&[0; 32]);
+    let state = TrafficState::new(&key, 1, metrics.clone(), news);
+    let (plans, watched) = watch::channel(Arc::new(plan));
+    let addresses = TrafficAddresses {
+        tunnel_ip,
+        listen_ip: None,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let watch_stop = async {
+        while !stop.load(Ordering::Relaxed) {
+            tokio::time::sleep(STOP_PACE).await;
+        }
+    };
+    let work = async {
+        tokio::select! {
+            ended = run_traffic(state, addresses, metrics, watched) => ended,
+            () = watch_stop => Ok(()),
+        }
+    };
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, work);
+    drop(plans);
+    ended
+}
--- a/components/core/src/file_fault.rs
+++ b/components/core/src/file_fault.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 
 /// Longest part of a fault that is shown, in characters, so that a fault stays readable.
-const MAX_SHOWN: usize = 200;
+const MAX_SHOWN: usize = 400;
 
 /// One fault in a file: where it is, what was found and what is allowed.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,8 @@
 mod demo;
 mod file_kind;
 mod load;
+mod status;
+mod tables;
 mod usage;
 
 use std::{
@@ -39,6 +41,8 @@
         Command::Check(args) => check::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Tables(command) => tables::run(&command),
         Command::Completions(args) => completions::run(&args),
     }
 }
