--- a/components/standins/tests/backend_server.rs
+++ b/components/standins/tests/backend_server.rs
@@ -26,6 +26,10 @@
 use hyper_util::rt::TokioIo;
 use rstest::rstest;
 use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
     net::TcpStream,
     time::timeout, //
 };
@@ -64,6 +68,17 @@
     ask(server.address(), Request::get(path), "").await
 }
 
+/// Returns all bytes that come on the connection until it is closed.
+async fn read_raw(server: &BackendServer, path: &str) -> Vec<u8> {
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let closed = timeout(LIMIT, stream.read_to_end(&mut received)).await;
+    closed.expect("the connection stays open").unwrap();
+    received
+}
+
 async fn json(server: &BackendServer, path: &str) -> serde_json::Value {
     let answer = get(server, path).await.unwrap();
     serde_json::from_slice(answer.body()).unwrap()
@@ -83,6 +98,16 @@
     answered
 }
 
+/// Waits until a request is in flight.
+async fn in_flight(server: &BackendServer) {
+    let arrived = async {
+        while server.measures().in_flight == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(LIMIT, arrived).await.expect("no request arrives");
+}
+
 macro_rules! bodies {
     ($($name:ident: $path:expr => $len:expr, $seed:expr;)*) => {
         /// Guards against a body that a caller can't check against its own computation.
@@ -220,6 +245,13 @@
     server.cut_answers(1);
     assert!(get(&server, "/bytes/50000").await.is_none());
     assert!(get(&server, "/bytes/50000").await.is_some());
+    server.cut_answers(1);
+    let received = read_raw(&server, "/bytes/50000").await;
+    assert!(
+        (25_000..50_000).contains(&received.len()),
+        "{}",
+        received.len()
+    );
 
     server.set_frozen(true);
     assert!(get(&server, "/health").await.is_none());
@@ -235,13 +267,13 @@
 /// Guards against a health endpoint that can't be made to lag or to lie.
 #[tokio::test]
 async fn health_lags_and_lies() {
-    let slow = settings(4).service_time(ServiceTime::Fixed(WORK));
+    let slow = settings(4).service_time(ServiceTime::Fixed(LIMIT / 2));
     let server = BackendServer::start(slow).await.unwrap();
     server.set_health_lag(Duration::from_secs(60));
     assert_eq!(json(&server, "/health").await["in_flight"], 0);
     let busy = server.clone();
     let request = tokio::spawn(async move { get(&busy, "/whoami").await });
-    tokio::time::sleep(WORK / 3).await;
+    in_flight(&server).await;
     assert_eq!(json(&server, "/health").await["in_flight"], 0);
     server.set_health_lag(Duration::ZERO);
     assert_eq!(json(&server, "/health").await["in_flight"], 1);
@@ -257,9 +289,7 @@
     let server = BackendServer::start(slow).await.unwrap();
     let busy = server.clone();
     let request = tokio::spawn(async move { get(&busy, "/whoami").await });
-    while server.measures().in_flight == 0 {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    in_flight(&server).await;
     server.restart();
     assert!(request.await.unwrap().is_none());
     assert_eq!(json(&server, "/whoami").await["instance"], 2);
