Start the daemons from the command line and stop the demo's at once

Cause: `carobdrum balancer` and `carobdrum agent` still answered "not available", and the demonstration stopped its agents one after the other. The time until an edit is in force now starts before the edit is sent, because the store accepts it at an unknown moment after that.

--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -7,7 +7,7 @@
     cli::DaemonArgs,
     cmd::{
         command_error::{
-            NotAvailableSnafu,
+            AgentSnafu,
             SettingsSnafu, //
         },
         daemon_logs::start_logs,
@@ -23,5 +23,5 @@
 pub(crate) fn run(args: &DaemonArgs) -> Result<(), CommandError> {
     let settings = read_agent(&args.settings).context(SettingsSnafu)?;
     start_logs(&settings.log, args.log.as_deref())?;
-    NotAvailableSnafu { command: "agent" }.fail()
+    carobdrum_agent::run(settings).context(AgentSnafu)
 }
--- a/src/cmd/balancer.rs
+++ b/src/cmd/balancer.rs
@@ -7,7 +7,7 @@
     cli::DaemonArgs,
     cmd::{
         command_error::{
-            NotAvailableSnafu,
+            BalancerSnafu,
             SettingsSnafu, //
         },
         daemon_logs::start_logs,
@@ -23,8 +23,5 @@
 pub(crate) fn run(args: &DaemonArgs) -> Result<(), CommandError> {
     let settings = read_balancer(&args.settings).context(SettingsSnafu)?;
     start_logs(&settings.log, args.log.as_deref())?;
-    NotAvailableSnafu {
-        command: "balancer",
-    }
-    .fail()
+    carobdrum_balancer::run(settings).context(BalancerSnafu)
 }
--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -5,6 +5,8 @@
     path::PathBuf, //
 };
 
+use carobdrum_agent::AgentError;
+use carobdrum_balancer::BalancerError;
 use carobdrum_caller::{
     ClientError,
     LoadError, //
@@ -31,11 +33,17 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum CommandError {
-    /// The command isn't part of this build yet.
-    #[snafu(display("`{command}` is not available yet"))]
-    NotAvailable {
-        /// The command.
-        command: &'static str,
+    /// The agent can't start.
+    #[snafu(display("agent: {source}"))]
+    Agent {
+        /// The cause.
+        source: AgentError,
+    },
+    /// The balancer can't start.
+    #[snafu(display("balancer: {source}"))]
+    Balancer {
+        /// The cause.
+        source: BalancerError,
     },
     /// The arguments are wrong.
     #[snafu(display("{message}"))]
@@ -144,7 +152,8 @@
             | CommandError::LoadFailed {
                 source: LoadError::OutOfRange { .. },
             } => BAD_INPUT,
-            CommandError::NotAvailable { .. }
+            CommandError::Agent { .. }
+            | CommandError::Balancer { .. }
             | CommandError::LoadFailed { .. }
             | CommandError::WrongAnswers { .. }
             | CommandError::NothingAnswered
--- a/src/cmd/demo/demo_daemons.rs
+++ b/src/cmd/demo/demo_daemons.rs
@@ -88,14 +88,18 @@
         Ok(daemons)
     }
 
-    /// Stops the agents, then the balancers.
+    /// Stops the agents, then the balancers; those of a kind at the same time.
     pub(super) fn stop(self) {
-        for agent in self.agents {
-            agent.stop();
-        }
-        for balancer in self.balancers {
-            balancer.stop();
-        }
+        std::thread::scope(|scope| {
+            for agent in self.agents {
+                scope.spawn(|| agent.stop());
+            }
+        });
+        std::thread::scope(|scope| {
+            for balancer in self.balancers {
+                scope.spawn(|| balancer.stop());
+            }
+        });
     }
 }
 
--- a/src/cmd/demo/demo_script.rs
+++ b/src/cmd/demo/demo_script.rs
@@ -140,6 +140,8 @@
         let edit = TableEdit::new(base, demo_routes(self.service), demo_pools(state))
             .author("demo")
             .comment(comment);
+        // The store accepts the edit after this moment, so the measured time is an upper bound.
+        let sent = Instant::now();
         let number = match self.client.apply_version(edit).await? {
             ApplyOutcome::Applied(version) => version.number,
             ApplyOutcome::Refused(report) => {
@@ -149,12 +151,11 @@
                 .fail()
             }
         };
-        let applied = Instant::now();
         reach("the edit is in force everywhere", || {
             self.is_in_force(number)
         })
         .await?;
-        Ok(applied.elapsed())
+        Ok(sent.elapsed())
     }
 
     async fn is_in_force(&self, number: u32) -> bool {
