Follow the measured pass rule in the daemons

Cause: the policy measurement changed what a load means: 128 is the limit, and an agent whose load is unknown counts as 255, so that flows stay. The daemons still stated 0 for it and passed flows to agents they knew nothing of. The load also changes with time alone, so it is stated ten times a second.

--- a/components/agent/src/connection/pass_table.rs
+++ b/components/agent/src/connection/pass_table.rs
@@ -7,7 +7,8 @@
         pass_first_packet,
         PassQuestion,
         PassRing,
-        PassVerdict, //
+        PassVerdict,
+        PASS_MARGIN, //
     },
     Millis,
 };
@@ -15,8 +16,6 @@
 
 /// Handshakes remembered at once.
 const CAPACITY: usize = 512;
-/// Difference of loads below which a flow stays, in 1/255: an eighth of the limit.
-const MARGIN: u8 = 32;
 
 /// Decides once for each handshake, so that all its datagrams go the same way.
 pub(crate) struct PassTable {
@@ -48,7 +47,7 @@
         let question = PassQuestion {
             own_load,
             second_load: second.map(|second| second.load),
-            margin: MARGIN,
+            margin: PASS_MARGIN,
             has_room,
         };
         let decided = match pass_first_packet(question) {
--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -83,6 +83,8 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// Pace at which certificate files are looked at.
 const CERTIFICATE_PACE: Duration = Duration::from_secs(5);
+/// Pace at which the load is stated anew; it is a mean over about a second.
+const LOAD_PACE: Duration = Duration::from_millis(100);
 /// Largest head of a request, in bytes.
 const MAX_HEAD_LEN: u64 = 16 * 1024;
 /// Error code of a connection that ends without an error (RFC 9114).
@@ -149,6 +151,7 @@
     let endpoint = open_endpoint(tunnel, &settings.process, incarnation, &published)?;
     let config = server_config(files.load()?, &published.borrow())?;
     endpoint.set_server_config(Some(config));
+    spawn_local(refresh_load(Rc::clone(&slots)));
     spawn_local(follow_slots(
         published.clone(),
         slots,
@@ -220,6 +223,15 @@
     }
 }
 
+/// Keeps the stated load up to date while no request begins or ends.
+async fn refresh_load(slots: Rc<SlotKeeper>) {
+    let mut pace = tokio::time::interval(LOAD_PACE);
+    loop {
+        pace.tick().await;
+        slots.refresh();
+    }
+}
+
 /// Reloads the certificate when its files or the key ring change.
 async fn follow_certificate(
     endpoint: Endpoint,
--- a/components/agent/src/request/request_path.rs
+++ b/components/agent/src/request/request_path.rs
@@ -15,6 +15,7 @@
 use carobdrum_core::{
     request::{
         IdempotencyKey,
+        IdempotencyKeyError,
         RequestDeadline,
         RequestOffer,
         RetryBudget, //
@@ -220,7 +221,7 @@
         let keys = self.parts.published.borrow().keys.clone();
         let opened = keys.map(|keys| IdempotencyKey::open(text, &keys));
         let Some(Ok(key)) = opened else {
-            return Err(self.unopened(opened));
+            return Err(unopened(opened));
         };
         if key.agent != self.parts.address {
             return Err(KeyedAnswer::Known(self.ask_owner(text, key.agent).await));
@@ -231,19 +232,6 @@
         }
     }
 
-    /// Answers for a key that can't be opened: one that was never issued hasn't run, but one under
-    /// an expired fleet key may have.
-    fn unopened(
-        &self,
-        opened: Option<Result<IdempotencyKey, carobdrum_core::request::IdempotencyKeyError>>,
-    ) -> KeyedAnswer {
-        use carobdrum_core::request::IdempotencyKeyError;
-        match opened {
-            Some(Err(IdempotencyKeyError::Malformed)) => KeyedAnswer::NotIssued,
-            _ => KeyedAnswer::Known(KeyedOutcome::Unknown),
-        }
-    }
-
     async fn ask_owner(&self, text: &str, owner: SocketAddrV4) -> KeyedOutcome {
         let query = QueryOutcome { key: text.into() };
         let message = ControlMessage::new(ControlBody::QueryOutcome(query));
@@ -259,10 +247,21 @@
 pub(super) enum KeyedAnswer {
     /// The key was not issued by the system.
     NotIssued,
+    /// The key can't be checked any more, so its request may have run.
+    Expired,
     /// What the owner of the key knows.
     Known(KeyedOutcome),
 }
 
+/// Answers for a key that can't be opened: one that was never issued hasn't run, but one under an
+/// expired fleet key may have.
+fn unopened(opened: Option<Result<IdempotencyKey, IdempotencyKeyError>>) -> KeyedAnswer {
+    match opened {
+        Some(Err(IdempotencyKeyError::Malformed)) => KeyedAnswer::NotIssued,
+        _ => KeyedAnswer::Expired,
+    }
+}
+
 async fn answer_known(stream: RequestStream, answer: KeyedAnswer) -> RequestEnd {
     let outcome = match answer {
         KeyedAnswer::NotIssued => {
@@ -275,6 +274,11 @@
             )
             .await;
         }
+        KeyedAnswer::Expired => {
+            let text = "the idempotency key can't be checked any more\n";
+            let answer = simple_answer(StatusCode::BAD_REQUEST, RunState::Unknown, text);
+            return send_whole(stream, answer, RequestEnd::Unknown).await;
+        }
         KeyedAnswer::Known(outcome) => outcome,
     };
     let conflict = StatusCode::CONFLICT;
--- a/components/agent/src/request/slot_keeper.rs
+++ b/components/agent/src/request/slot_keeper.rs
@@ -71,6 +71,12 @@
         self.wake_next();
     }
 
+    /// Ends the waits of requests whose time is up, and states the current load, which changes with
+    /// time alone.
+    pub(crate) fn refresh(&self) {
+        self.wake_next();
+    }
+
     /// Waits for a slot until the deadline of `offer`.
     ///
     /// # Errors
@@ -165,9 +171,10 @@
     }
 
     fn report(&self) {
+        let now = self.shared.clock.now();
         let state = self.state.borrow();
         let gate = &state.gate;
-        self.shared.set_load(gate.load(), gate.warmth());
+        self.shared.set_load(gate.load(now), gate.warmth());
         self.metrics.in_flight.set(i64::from(gate.in_flight()));
         self.metrics.limit.set(i64::from(gate.limit()));
         self.metrics.queued.set(gate.queued() as i64);
--- a/components/balancer/src/connection/path_table.rs
+++ b/components/balancer/src/connection/path_table.rs
@@ -16,6 +16,9 @@
 /// Bytes of probes that a thread may send a second, a small part of the 4 KB for control.
 const PROBE_BYTES_PER_SECOND: u32 = 512;
 
+/// Load of an agent that has reported none; flows then stay at the first candidate.
+const UNKNOWN_LOAD: u8 = u8::MAX;
+
 struct AgentPath {
     agent: SocketAddrV4,
     /// Source port in use, as a place in the thread's list of tunnel sockets.
@@ -62,10 +65,10 @@
         }
     }
 
-    /// Returns the load that `agent` reported last, in 1/255 of its limit.
+    /// Returns the load that `agent` reported last, or [`UNKNOWN_LOAD`].
     pub(crate) fn load_of(&self, agent: SocketAddrV4) -> u8 {
         let found = self.paths.binary_search_by_key(&agent, |path| path.agent);
-        found.map_or(0, |index| self.paths[index].load)
+        found.map_or(UNKNOWN_LOAD, |index| self.paths[index].load)
     }
 
     fn index_of(&mut self, agent: SocketAddrV4) -> usize {
@@ -74,7 +77,7 @@
             let path = AgentPath {
                 agent,
                 port: 0,
-                load: 0,
+                load: UNKNOWN_LOAD,
                 health: PathHealth::default(),
             };
             self.paths.insert(index, path);
--- a/components/balancer/src/process/traffic_thread.rs
+++ b/components/balancer/src/process/traffic_thread.rs
@@ -252,9 +252,10 @@
             None => continue,
         };
         for (source, datagram) in buffer.datagrams() {
-            let mut state = shared.state.borrow_mut();
-            state.handle_tunnel(port, source, datagram, &mut answers);
-            drop(state);
+            shared
+                .state
+                .borrow_mut()
+                .handle_tunnel(port, source, datagram, &mut answers);
             if answers.is_full() {
                 shared.send_answers(&mut answers).await;
             }
