--- a/components/core/src/request/admission_gate.rs
+++ b/components/core/src/request/admission_gate.rs
@@ -90,6 +90,9 @@
     }
 
     /// Offers a request.
+    ///
+    /// The caller calls [`AdmissionGate::expire`] first; until then, requests that can't be started
+    /// any more hold places in the queue.
     pub fn offer(&mut self, now: Millis, offer: RequestOffer) -> AdmissionVerdict {
         self.meter.update(now, self.held());
         if offer.deadline <= now {
