--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,17 +1,27 @@
 //! A small deployment on loopback, in one process, for tests of the whole path.
 
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
 use std::{
     net::{
         Ipv4Addr,
         SocketAddrV4, //
     },
     path::PathBuf,
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use carobdrum_agent::AgentHandle;
 use carobdrum_balancer::BalancerHandle;
-use carobdrum_caller::CallerClient;
+use carobdrum_caller::{
+    CallerClient,
+    CallerFlow,
+    CallerRequest, //
+};
 use carobdrum_core::version::{
     PoolTable,
     RouteTable, //
@@ -45,6 +55,8 @@
 /// A deployment in which each process has a loopback address of its own.
 pub(crate) struct TestSite {
     net: u8,
+    /// Control addresses for processes that start without the store.
+    pub(crate) bootstrap: Vec<(Ipv4Addr, u16)>,
     pub(crate) files: TempDir,
     pub(crate) store: StoreServer,
     pub(crate) fabric: FabricRelay,
@@ -81,6 +93,7 @@
         }
         TestSite {
             net,
+            bootstrap: Vec::new(),
             files,
             store,
             fabric,
@@ -149,6 +162,51 @@
         client.apply_version(edit).await.expect("an accepted edit");
     }
 
+    /// Returns the version in force at each running process, from its metrics.
+    pub(crate) async fn versions(&self) -> Vec<u32> {
+        let balancers = (0..self.balancers.len())
+            .filter(|&at| self.balancers[at].is_some())
+            .map(|at| self.balancer_ip(at));
+        let agents = (0..self.agents.len())
+            .filter(|&at| self.agents[at].is_some())
+            .map(|at| Ipv4Addr::new(127, self.net, 2, at as u8 + 1));
+        let mut versions = Vec::new();
+        for ip in balancers.chain(agents) {
+            versions.push(scrape_version(SocketAddrV4::new(ip, METRICS_PORT)).await);
+        }
+        versions
+    }
+
+    /// Stops agent `index` as planned and waits for its end.
+    pub(crate) async fn stop_agent(&mut self, index: usize) {
+        let agent = self.agents[index].take().expect("a running agent");
+        let stopping = tokio::task::spawn_blocking(move || agent.stop());
+        stopping.await.expect("an ended agent");
+    }
+
+    /// Opens a flow, trying for 10 s while the site comes up.
+    pub(crate) async fn connect(&self) -> CallerFlow {
+        self.connect_when(|_| true).await
+    }
+
+    /// Opens a flow whose server has a name that `wanted` accepts.
+    pub(crate) async fn connect_when(&self, wanted: impl Fn(&str) -> bool) -> CallerFlow {
+        let deadline = Instant::now() + Duration::from_secs(10);
+        loop {
+            if let Ok(flow) = self.caller().connect(self.service().into()).await {
+                let who = flow.request(CallerRequest::get("/whoami")).await;
+                if who.is_ok_and(|answer| wanted(&server_name(&answer.body))) {
+                    return flow;
+                }
+            }
+            assert!(
+                Instant::now() < deadline,
+                "no flow of the wanted kind within 10 s"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Returns a caller that trusts the site's certificate.
     pub(crate) fn caller(&self) -> CallerClient {
         let pem = std::fs::read(self.file("cert.pem")).expect("a certificate");
@@ -186,7 +244,11 @@
             region: "ie-west".into(),
             address: SocketAddrV4::new(ip, CONTROL_PORT),
             secret_file: self.file("secret.hex"),
-            bootstrap: Vec::new(),
+            bootstrap: self
+                .bootstrap
+                .iter()
+                .map(|&(ip, port)| SocketAddrV4::new(ip, port))
+                .collect(),
             metrics_address: Some((ip, METRICS_PORT).into()),
         }
     }
@@ -207,6 +269,32 @@
 name = 'galway-b'
 ";
 
+async fn scrape_version(address: SocketAddrV4) -> u32 {
+    use tokio::io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    };
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("metrics");
+    let request = b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).await.expect("a request");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("an answer");
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("carobdrum_") && line.contains("_config_version "));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value
+        .and_then(|value| value.parse().ok())
+        .expect("a version")
+}
+
+fn server_name(body: &[u8]) -> String {
+    let parsed: serde_json::Value = serde_json::from_slice(body).expect("JSON");
+    parsed["server"].as_str().expect("a name").to_owned()
+}
+
 fn service_address(net: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(127, net, 0, 1), SERVICE_PORT)
 }
--- /dev/null
+++ b/tests/site_faults.rs
@@ -0,0 +1,172 @@
+//! What the whole system promises while data centres, balancers and the store go and return.
+
+mod common;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use carobdrum_caller::{
+    CallerRequest,
+    LostCause, //
+};
+use carobdrum_standins::PortMode;
+use common::{
+    TestSite,
+    POOLS, //
+};
+
+/// Time within which an accepted edit must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+async fn two_centres(net: u8) -> TestSite {
+    let mut site = TestSite::start(net, 2).await;
+    site.apply(&site.routes(), POOLS).await;
+    for _ in 0..3 {
+        site.add_balancer("galway-a");
+    }
+    site.add_agent("galway-a");
+    site.add_agent("galway-b");
+    site
+}
+
+fn pools_without(data_centre: &str) -> String {
+    let name = format!("name = '{data_centre}'");
+    POOLS.replace(&name, &format!("{name}\nstate = 'out'"))
+}
+
+/// Guards against flows that linger in a data centre that was taken out, against callers left in
+/// silence by it, against harm to flows elsewhere, and against a data centre that can't return.
+#[tokio::test(flavor = "multi_thread")]
+async fn data_centre_leaves_and_returns_without_harm_elsewhere() {
+    let site = two_centres(61).await;
+    let staying = site.connect_when(|name| name.ends_with('0')).await;
+    let leaving = site.connect_when(|name| name.ends_with('1')).await;
+    let start = Instant::now();
+    site.apply(&site.routes(), &pools_without("galway-b")).await;
+    let cause = tokio::time::timeout(IN_FORCE, leaving.closed()).await;
+    cause.expect("the flow ends within 3 s");
+    println!("flow given up after {:?}", start.elapsed());
+    for _ in 0..8 {
+        site.connect_when(|name| name.ends_with('0')).await;
+    }
+    staying
+        .request(CallerRequest::get("/bytes/9?seed=1"))
+        .await
+        .expect("an answer");
+    site.apply(&site.routes(), POOLS).await;
+    site.connect_when(|name| name.ends_with('1')).await;
+    staying
+        .request(CallerRequest::get("/bytes/9?seed=1"))
+        .await
+        .expect("an answer");
+}
+
+/// Guards against established flows and new ones that need the store, and against a balancer that
+/// can't start without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_go_on_and_begin_while_the_store_is_down() {
+    let mut site = two_centres(62).await;
+    let flow = site.connect().await;
+    site.store.set_mode(PortMode::Refusing).await;
+    site.bootstrap = vec![(site.balancer_ip(0), 7400)];
+    site.add_balancer("galway-a");
+    // Only the new balancer is left at the fabric, so every packet needs it.
+    let fresh = site.balancer_ip(3);
+    let deadline = Instant::now() + Duration::from_secs(10);
+    loop {
+        site.fabric.set_balancers([fresh]);
+        let request = CallerRequest::get("/bytes/9?seed=1").timeout(Duration::from_millis(500));
+        if flow.request(request).await.is_ok() {
+            break;
+        }
+        assert!(
+            Instant::now() < deadline,
+            "the new balancer doesn't forward within 10 s"
+        );
+    }
+    site.connect().await;
+}
+
+/// Guards against a caller that waits for an agent that has lost its flows: the restarted agent must
+/// answer with a stateless reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_agent_resets_flows_of_its_predecessor() {
+    let mut site = two_centres(63).await;
+    let flow = site.connect_when(|name| name.ends_with('1')).await;
+    // A process that is killed sends nothing more; here the network loses what it sends at its end.
+    site.fabric.set_loss(1.0);
+    site.stop_agent(1).await;
+    site.agents.truncate(1);
+    site.add_agent("galway-b");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    site.fabric.set_loss(0.0);
+    let request = flow.request(CallerRequest::get("/whoami").timeout(Duration::from_secs(8)));
+    request.await.expect_err("the flow is gone");
+    let cause = tokio::time::timeout(IN_FORCE, flow.closed()).await;
+    assert_eq!(cause.expect("the flow ends"), LostCause::StatelessReset);
+}
+
+/// Guards against broken downloads while every balancer is replaced in turn.
+#[tokio::test(flavor = "multi_thread")]
+async fn downloads_survive_the_replacement_of_every_balancer() {
+    let mut site = two_centres(64).await;
+    let flow = site.connect().await;
+    let download = tokio::spawn(async move {
+        let mut whole = 0;
+        for _ in 0..40 {
+            let path = "/bytes/2000000?seed=4";
+            let request = CallerRequest::get(path).timeout(Duration::from_secs(10));
+            let answer = flow.request(request).await.expect("an answer");
+            assert!(answer.body == carobdrum_standins::body_chunk(4, 0, 2_000_000));
+            whole += 1;
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+        whole
+    });
+    for index in 0..3 {
+        site.add_balancer("galway-a");
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let old = site.balancers[index].take().expect("a balancer");
+        tokio::task::spawn_blocking(move || old.stop())
+            .await
+            .expect("an ended balancer");
+        let live: Vec<_> = (0..site.balancers.len())
+            .filter(|&at| site.balancers[at].is_some())
+            .map(|at| site.balancer_ip(at))
+            .collect();
+        site.fabric.set_balancers(live);
+    }
+    assert_eq!(download.await.expect("whole downloads"), 40);
+}
+
+/// Guards against configuration that takes longer than 3 s, also while the store is slow, and
+/// against a process that goes back to an older version.
+#[tokio::test(flavor = "multi_thread")]
+async fn edit_is_in_force_everywhere_within_three_seconds() {
+    let site = two_centres(65).await;
+    site.connect().await;
+    site.store.set_delay(Duration::from_millis(50));
+    let mut last = vec![0; 5];
+    for edit in 2..6 {
+        site.apply(&site.routes(), POOLS).await;
+        let start = Instant::now();
+        loop {
+            let found = site.versions().await;
+            for (older, newer) in last.iter().zip(&found) {
+                assert!(
+                    newer >= older,
+                    "a process went from version {older} to {newer}"
+                );
+            }
+            last = found;
+            if last.iter().all(|&number| number == edit) {
+                println!("version {edit} in force after {:?}", start.elapsed());
+                break;
+            }
+            assert!(start.elapsed() < IN_FORCE, "versions in force: {last:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -4,10 +4,7 @@
 
 use std::time::Duration;
 
-use carobdrum_caller::{
-    CallerFlow,
-    CallerRequest, //
-};
+use carobdrum_caller::CallerRequest;
 use common::{
     TestSite,
     POOLS, //
@@ -17,9 +14,6 @@
 /// fabric sprays the packets of a flow over three balancers.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_come_back_whole_over_three_balancers() {
-    if std::env::var("CAROBDRUM_LOG").is_ok() {
-        let _ = carobdrum_telemetry::init_logs(false, "debug,quinn=info,h3=info,hyper=info");
-    }
     let mut site = TestSite::start(31, 2).await;
     site.apply(&site.routes(), POOLS).await;
     for _ in 0..3 {
@@ -27,7 +21,7 @@
     }
     site.add_agent("galway-a");
     site.add_agent("galway-b");
-    let flow = connect(&site).await;
+    let flow = site.connect().await;
     let small = flow
         .request(CallerRequest::get("/bytes/100?seed=3"))
         .await
@@ -46,16 +40,3 @@
         .expect("an answer");
     assert!(echo.body == upload);
 }
-
-async fn connect(site: &TestSite) -> CallerFlow {
-    let caller = site.caller();
-    let deadline = tokio::time::Instant::now() + Duration::from_secs(10);
-    loop {
-        match caller.connect(site.service().into()).await {
-            Ok(flow) => return flow,
-            Err(error) if tokio::time::Instant::now() < deadline => println!("{error}"),
-            Err(error) => panic!("no flow within 10 s: {error}"),
-        }
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-}
