--- a/components/standins/src/store/call_counts.rs
+++ b/components/standins/src/store/call_counts.rs
@@ -3,7 +3,7 @@
 /// Counts of the calls that the store served since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CallCounts {
-    /// Reads that were answered at once.
+    /// Reads that were answered, blocking queries included.
     pub reads: u64,
     /// Writes of keys, deletions included.
     pub writes: u64,
