Test membership and repair what fleets in memory showed

A fleet of real protocol states over an in-memory queue with loss, delay, reordering, freezes, splits and restarts showed these faults, each fixed here: - Processes that started together formed groups that never met, because bootstrap addresses were sought only while no peer was known. They are sought until they are known as live balancers. - Acks of heartbeats drove the byte budget into debt, own probes weren't sent, and their targets were suspected. Probes and answers pass always now and leave room for changes. - A digest equal to that of one peer ended the search for differences; balancers that restarted together stayed at 117 of 550 members. - Accusations carried whole records. They name only the accused process now, and suspicions of agents stay with the balancers that expect its heartbeats.

--- a/components/core/src/process/agent_announcer.rs
+++ b/components/core/src/process/agent_announcer.rs
@@ -293,22 +293,24 @@
         self.spares = spares.iter().copied().take(MAX_SPARES).collect();
     }
 
+    /// Answers a probe, with the own record if the prober holds an accusation. The record is sent
+    /// also when an earlier refutation is newer, because the prober hasn't heard of that.
     fn on_probe(&mut self, now: Millis, from: SocketAddrV4, probe: ProbeBody) {
-        let sequence = self.own.sequence;
         let address = self.own.address;
+        let mut accused = false;
         let beliefs = probe.gossip.members.iter();
         for belief in beliefs.filter(|belief| belief.address == address) {
+            accused = true;
             self.refute(now, belief);
         }
         self.saw_keys(now, probe.gossip.key_version, from);
-        let refuted = self.own.sequence != sequence;
         let answer = ProbeBody {
             number: probe.number,
             gossip: GossipBody {
                 key_version: self.keys.held(),
                 ..GossipBody::default()
             },
-            member: refuted.then(|| self.own.clone()),
+            member: accused.then(|| self.own.clone()),
         };
         self.actions.push(MemberAction::Send {
             to: from,
--- a/components/core/src/process/byte_budget.rs
+++ b/components/core/src/process/byte_budget.rs
@@ -9,10 +9,12 @@
     TakeOut,
     /// Any other version.
     Version,
-    /// Answers to heartbeats and probes. They pass always, because a withheld answer makes the
-    /// sender suspect a live member; their number is bounded by what is received.
-    Answer,
-    /// Changes of members and own probes.
+    /// Probes, one per interval, and answers to heartbeats and probes. They pass always, because a
+    /// withheld answer makes the sender suspect a live member; their number is bounded by what is
+    /// received. They never take what is reserved for the classes above nor all that is left for
+    /// the class below.
+    Liveness,
+    /// Changes of members, and probes beyond the regular ones.
     Membership,
 }
 
@@ -44,29 +46,37 @@
     /// Takes `bytes` and returns true, or returns false if the class must wait.
     pub fn take(&mut self, now: Millis, class: ByteClass, bytes: usize) -> bool {
         self.refill(now);
-        let floor = match class {
-            ByteClass::TakeOut | ByteClass::Answer => i64::MIN,
-            ByteClass::Version => 0,
-            ByteClass::Membership => self.burst / 4,
-        };
         let left = self.balance - bytes as i64;
-        if left < floor {
-            return false;
+        match class {
+            ByteClass::TakeOut => self.balance = left.max(-self.burst),
+            ByteClass::Liveness => self.balance = left.max(self.reserve().min(self.balance)),
+            ByteClass::Version if left < 0 => return false,
+            ByteClass::Membership if left < self.reserve() => return false,
+            ByteClass::Version | ByteClass::Membership => self.balance = left,
         }
-        self.balance = left.max(-self.burst);
         true
     }
 
+    /// Returns the number of bytes of membership traffic that pass now.
+    pub fn room(&mut self, now: Millis) -> usize {
+        self.refill(now);
+        usize::try_from(self.balance - self.reserve()).unwrap_or(0)
+    }
+
     /// Returns whether membership traffic passes now.
     pub fn has_room(&mut self, now: Millis) -> bool {
-        self.refill(now);
-        self.balance > self.burst / 4
+        self.room(now) > 0
     }
 
-    /// Takes bytes that were sent in bulk.
+    /// Takes bytes that were sent in bulk; the debt is paid in full.
     pub fn charge(&mut self, now: Millis, bytes: usize) {
         self.refill(now);
-        self.balance = (self.balance - bytes as i64).max(-self.burst);
+        self.balance -= bytes as i64;
+    }
+
+    /// Returns the balance that membership traffic leaves to versions.
+    fn reserve(&self) -> i64 {
+        self.burst / 4
     }
 
     fn refill(&mut self, now: Millis) {
--- a/components/core/src/process/gossip_queue.rs
+++ b/components/core/src/process/gossip_queue.rs
@@ -8,9 +8,14 @@
 /// high probability under 5% loss; digests repair the rest.
 const REPEAT_FACTOR: u32 = 2;
 
-/// Changes kept at once. After the loss of a region thousands change; sending each of them
-/// repeatedly would cost more than the digests, which compare and send each once.
-const MAX_CHANGES: usize = 256;
+/// The same while many changes wait, when repetitions of one delay the first copy of another.
+const CROWDED_FACTOR: u32 = 1;
+
+/// Waiting changes from which that holds.
+const CROWD: usize = 64;
+
+/// Changes kept at once; more than the members of a data centre at the target size.
+const MAX_CHANGES: usize = 2_048;
 
 #[derive(Clone, Copy, Debug)]
 struct QueueEntry {
@@ -51,7 +56,7 @@
     /// Takes the least sent changes that fit into `room` bytes.
     ///
     /// `len_of` gives the encoded length of a change, or `None` for one that no longer exists.
-    /// A change leaves the queue after `2 * ceil(log2(members + 1))` repetitions.
+    /// A change leaves the queue after a number of repetitions that is logarithmic in `members`.
     pub fn take(
         &mut self,
         room: usize,
@@ -75,7 +80,7 @@
             entry.sent += 1;
             taken.push(entry.address);
         }
-        let limit = repetitions(members);
+        let limit = repetitions(members, self.entries.len());
         self.entries.retain(|entry| entry.sent < limit);
         taken
     }
@@ -101,7 +106,11 @@
     }
 }
 
-/// Returns how often a change is sent in a fleet of `members`.
-fn repetitions(members: usize) -> u32 {
-    REPEAT_FACTOR * (usize::BITS - members.leading_zeros())
+/// Returns how often a change is sent in a fleet of `members` while `waiting` changes wait.
+fn repetitions(members: usize, waiting: usize) -> u32 {
+    let factor = match waiting {
+        0..CROWD => REPEAT_FACTOR,
+        _ => CROWDED_FACTOR,
+    };
+    factor * (usize::BITS - members.leading_zeros())
 }
--- a/components/core/src/process/heartbeat_watch.rs
+++ b/components/core/src/process/heartbeat_watch.rs
@@ -44,15 +44,19 @@
 
     /// Records whether this balancer is one of those that `agent` should use.
     ///
-    /// An agent that newly belongs to this balancer gets the full patience to send a heartbeat.
+    /// An agent that newly belongs to this balancer gets half the patience to send a heartbeat: it
+    /// leaves a failed balancer within 3 s, long before that one is dead to others.
     pub fn assign(&mut self, now: Millis, agent: SocketAddrV4, ours: bool) {
         match (self.find(agent), ours) {
             (Ok(at), true) if !self.entries[at].ours => {
                 self.entries[at].ours = true;
-                self.entries[at].heard = now;
             }
             (Ok(at), false) => self.entries[at].ours = false,
-            (Err(_), true) => self.entry(now, agent).ours = true,
+            (Err(_), true) => {
+                let entry = self.entry(now, agent);
+                entry.ours = true;
+                entry.heard = Millis(now.0.saturating_sub(HEARTBEAT_PATIENCE.0 / 2));
+            }
             _ => {}
         }
     }
--- a/components/core/src/process/member_protocol.rs
+++ b/components/core/src/process/member_protocol.rs
@@ -45,8 +45,9 @@
 /// Default rate of bulk bytes per second.
 const DEFAULT_BULK_RATE: u32 = 1_024;
 
-/// Size of the bucket for datagrams, in bytes.
-const BURST: u32 = 16_384;
+/// Size of the bucket for datagrams, in bytes. It lets the loss of a data centre, which happens once
+/// or twice a year, spread at the full gossip rate for some seconds.
+const BURST: u32 = 65_536;
 
 /// Size of the bucket for bulk syncs, in bytes.
 const BULK_BURST: u32 = 65_536;
@@ -80,20 +81,32 @@
 /// Interval at which a random dead balancer is probed, so that split regions find each other.
 const DEAD_PROBE_INTERVAL: Millis = Millis(10_000);
 
+/// Interval of introductions at bootstrap addresses; it doubles after the start.
+const MIN_SEEK_INTERVAL: Millis = Millis(1_000);
+const MAX_SEEK_INTERVAL: Millis = Millis(10_000);
+
 /// Interval of pruning.
 const PRUNE_INTERVAL: Millis = Millis(60_000);
 
-/// Share of the member list checked for assigned agents in each tick: all in 50 ticks.
+/// Share of the member list checked for assigned agents in each tick: all in 50 ticks, and in 10
+/// after a change of balancers, which may leave agents without anybody who expects their heartbeats.
 const ASSIGN_PARTS: usize = 50;
+const HURRIED_PARTS: usize = 10;
 
-/// How long digests must differ before a sync, with and without changes that wait.
+/// A sync starts when the own list hasn't changed for the first span and this many digests differed
+/// from it since, or when all digests differed for the second span. A single equal digest proves
+/// nothing in the first case: processes that started together may be equal and all incomplete.
 const MISMATCH_QUIET: Millis = Millis(3_000);
+const SETTLED_MISMATCHES: u32 = 2;
 const MISMATCH_BUSY: Millis = Millis(15_000);
 
 /// Shortest interval of syncs and of attempts to join.
 const SYNC_INTERVAL: Millis = Millis(10_000);
 const JOIN_INTERVAL: Millis = Millis(1_000);
 
+/// Largest batch of a bulk sync whose records are passed on one by one.
+const MAX_PASSED_ON: usize = 32;
+
 /// Gap between ticks after which this process must have been paused.
 const PAUSE_GAP: Millis = Millis(1_500);
 
@@ -107,9 +120,18 @@
 const MAX_CHALLENGES: usize = 4_096;
 const CHALLENGES_PER_TICK: usize = 2;
 
-/// Of this many balancers that don't watch an accused agent, one asks it.
+/// Accusations up to which each balancer asks each accused agent itself.
+const FEW_CHALLENGES: usize = 64;
+
+/// Above that, of this many balancers that don't watch an accused agent, one asks it.
 const CHALLENGE_ONE_IN: u32 = 8;
 
+/// Least room for changes for which a message is sent.
+const MIN_CHANGE_ROOM: usize = 160;
+
+/// Room left for the fields of a message other than its records.
+const MESSAGE_FRAME: usize = 40;
+
 /// Collects the settings of a [`MemberProtocol`].
 #[derive(Clone, Debug)]
 pub struct ProtocolBuilder {
@@ -153,10 +175,13 @@
             bulk: ByteBudget::new(self.bulk_rate, BULK_BURST),
             challenges: Vec::new(),
             timers: ProtocolTimers::default(),
+            seek_interval: MIN_SEEK_INTERVAL,
             joined: false,
             takes_out: false,
             mismatch_since: None,
+            mismatches: 0,
             assign_at: 0,
+            assign_hurry: 0,
             actions: Vec::new(),
         };
         protocol.list.merge(Millis(0), protocol.own.clone());
@@ -174,10 +199,12 @@
     prune: Millis,
     dead_probe: Millis,
     sync: Millis,
+    seek: Millis,
     agent_notice: Millis,
     spread_until: Millis,
     last_tick: Option<Millis>,
     last_contact: Millis,
+    last_change: Millis,
 }
 
 /// Keeps the member list of a balancer: `(now, event)` in, actions out.
@@ -199,10 +226,13 @@
     bulk: ByteBudget,
     challenges: Vec<MemberRecord>,
     timers: ProtocolTimers,
+    seek_interval: Millis,
     joined: bool,
     takes_out: bool,
     mismatch_since: Option<Millis>,
+    mismatches: u32,
     assign_at: usize,
+    assign_hurry: usize,
     actions: Vec<MemberAction>,
 }
 
@@ -270,7 +300,8 @@
         if !self.bulk.has_room(now) {
             return None;
         }
-        let records: Vec<MemberRecord> = self.list.differing(theirs).into_iter().cloned().collect();
+        let differing = self.list.differing(theirs).into_iter();
+        let records: Vec<MemberRecord> = differing.map(MemberRecord::for_message).collect();
         let bytes: usize = records.iter().map(MemberRecord::wire_len).sum();
         self.bulk.charge(now, bytes);
         Some(records)
@@ -305,7 +336,7 @@
             MemberEvent::VersionFailed => self.versions.failed(now, &mut self.rng),
             MemberEvent::KeysFailed => self.keys.failed(now, &mut self.rng),
             MemberEvent::Synced { peer, records } => self.synced(now, peer, records),
-            MemberEvent::Pushed { peer, records } => self.merge_all(now, peer, records),
+            MemberEvent::Pushed { peer, records } => self.merge_bulk(now, peer, records),
             MemberEvent::SyncFailed => self.timers.sync = now.plus(JOIN_INTERVAL),
         }
         std::mem::take(&mut self.actions)
@@ -355,9 +386,13 @@
             return;
         }
         self.timers.probe = now.plus(PROBE_INTERVAL);
-        match self.peers.pick(&mut self.rng) {
-            Some(peer) => self.probe(now, peer),
-            None => self.seek(now),
+        if let Some(peer) = self.peers.pick(&mut self.rng) {
+            self.probe(now, peer);
+        }
+        if self.peers.is_empty() || now >= self.timers.seek {
+            self.timers.seek = now.plus(self.seek_interval);
+            self.seek_interval = Millis(self.seek_interval.0 * 2).min(MAX_SEEK_INTERVAL);
+            self.seek(now);
         }
         if !self.joined && !self.peers.is_empty() && now >= self.timers.sync {
             if let Some(peer) = self.peers.pick(&mut self.rng) {
@@ -366,9 +401,18 @@
         }
     }
 
-    /// Introduces this member at a bootstrap address.
+    /// Introduces this member at a bootstrap address that isn't known as a live balancer.
+    ///
+    /// This goes on after the first peer is known, because processes that start together may
+    /// otherwise form groups that don't know of each other.
     fn seek(&mut self, now: Millis) {
-        let Some(&address) = self.bootstrap.choose(&mut self.rng) else {
+        let list = &self.list;
+        let unknown = |address: &&SocketAddrV4| {
+            let record = list.find(**address);
+            record.is_none_or(|record| record.state == MemberState::Dead)
+        };
+        let sought: Vec<SocketAddrV4> = self.bootstrap.iter().filter(unknown).copied().collect();
+        let Some(&address) = sought.choose(&mut self.rng) else {
             return;
         };
         let probe = ProbeBody {
@@ -399,9 +443,10 @@
     ) {
         let belief = accusation.or_else(|| self.belief_about(target));
         let member = belief.is_some().then(|| self.own.clone());
+        let room = self.change_room(now) / 2;
         let probe = ProbeBody {
             number,
-            gossip: self.changes(MAX_MESSAGE_LEN / 2, belief),
+            gossip: self.changes(room, belief),
             member,
         };
         self.send(
@@ -413,14 +458,18 @@
     }
 
     /// Widens, fails and confirms what is due in the detector.
+    ///
+    /// A widened probe is also repeated directly. Under 5% loss this makes false suspicions ten
+    /// times rarer; at 530 balancers each of them costs a change at every balancer.
     fn judge_due(&mut self, now: Millis) {
         for (number, target) in self.detector.widen(now) {
+            self.send_probe(now, target, number, None);
             let helpers = self
                 .peers
                 .pick_some(&mut self.rng, INDIRECT_PROBES, Some(target));
             for helper in helpers {
                 let message = PeerMessage::ProbeRequest { number, target };
-                self.send(now, ByteClass::Membership, helper, message);
+                self.send(now, ByteClass::Liveness, helper, message);
             }
         }
         for target in self.detector.failed(now) {
@@ -482,7 +531,11 @@
         let address = record.address;
         let verdict = self.list.merge(now, record);
         if let Some(key) = verdict.taken() {
-            self.queue.push(address);
+            if self.is_passed_on(key) {
+                self.queue.push(address);
+            }
+            self.timers.last_change = now;
+            self.mismatches = 0;
             self.actions.push(MemberAction::Changed(key));
             self.follow_state(now, key, own_verdict);
             self.refresh_peers();
@@ -490,6 +543,14 @@
         verdict
     }
 
+    /// Returns whether changes of the member are passed on now. Suspicions of agents aren't: the
+    /// balancers that expect its heartbeats tell the agent themselves.
+    fn is_passed_on(&self, key: MemberKey) -> bool {
+        self.list.get(key).is_some_and(|record| {
+            record.role == MemberRole::Balancer || record.state != MemberState::Suspect
+        })
+    }
+
     fn follow_state(&mut self, now: Millis, key: MemberKey, own_verdict: bool) {
         let Some(record) = self.list.get(key) else {
             return;
@@ -512,6 +573,7 @@
         self.peers_epoch = self.list.balancer_epoch();
         self.peers = PeerChoice::new(&self.list, &self.own);
         self.plan = HeartbeatPlan::new(&self.list);
+        self.assign_hurry = self.list.len();
     }
 
     fn gossip_due(&mut self, now: Millis) {
@@ -526,14 +588,24 @@
         let Some(peer) = self.peers.pick(&mut self.rng) else {
             return;
         };
-        if !spreading && !self.budget.has_room(now) {
+        let room = self.change_room(now);
+        if !spreading && room == 0 {
             return;
         }
         let class = self.notice_class(spreading);
-        let message = PeerMessage::Gossip(self.changes(MAX_MESSAGE_LEN, None));
+        let message = PeerMessage::Gossip(self.changes(room, None));
         self.send(now, class, peer, message);
     }
 
+    /// Returns the number of bytes of changes that a message may carry now, or 0 if too few.
+    fn change_room(&mut self, now: Millis) -> usize {
+        let room = self.budget.room(now).min(MAX_MESSAGE_LEN);
+        match room.saturating_sub(DATAGRAM_OVERHEAD) {
+            small if small < MIN_CHANGE_ROOM => 0,
+            room => room,
+        }
+    }
+
     fn notice_class(&self, spreading: bool) -> ByteClass {
         match (spreading, self.takes_out) {
             (true, true) => ByteClass::TakeOut,
@@ -555,7 +627,12 @@
     }
 
     fn watch_due(&mut self, now: Millis) {
-        let part = self.list.len().div_ceil(ASSIGN_PARTS);
+        let parts = match self.assign_hurry {
+            0 => ASSIGN_PARTS,
+            _ => HURRIED_PARTS,
+        };
+        let part = self.list.len().div_ceil(parts);
+        self.assign_hurry = self.assign_hurry.saturating_sub(part);
         for _ in 0..part {
             self.assign_next(now);
         }
@@ -665,9 +742,14 @@
             ack.sequence = 0;
         }
         if let Some(record) = held.filter(|record| record.incarnation > heartbeat.incarnation) {
-            ack.belief = Some(record.clone());
+            ack.belief = Some(record.for_message());
         }
-        self.send(now, ByteClass::Answer, from, PeerMessage::HeartbeatAck(ack));
+        self.send(
+            now,
+            ByteClass::Liveness,
+            from,
+            PeerMessage::HeartbeatAck(ack),
+        );
     }
 
     /// Returns the ack for an agent that uses the balancers with digest `plan`.
@@ -693,7 +775,7 @@
     /// Returns the record of a member that should refute it.
     fn belief_about(&self, address: SocketAddrV4) -> Option<MemberRecord> {
         let record = self.list.find(address)?;
-        record.state.is_accusation().then(|| record.clone())
+        record.state.is_accusation().then(|| record.for_message())
     }
 
     fn on_gossip(&mut self, now: Millis, from: SocketAddrV4, version: u32, gossip: GossipBody) {
@@ -712,12 +794,18 @@
         self.absorb(now, from, probe.gossip);
         let refuted = self.own.sequence != sequence;
         let belief = self.belief_about(from);
+        let room = self.change_room(now) / 2;
         let answer = ProbeBody {
             number: probe.number,
-            gossip: self.changes(MAX_MESSAGE_LEN / 2, belief),
+            gossip: self.changes(room, belief),
             member: (refuted || introduced).then(|| self.own.clone()),
         };
-        self.send(now, ByteClass::Answer, from, PeerMessage::ProbeAck(answer));
+        self.send(
+            now,
+            ByteClass::Liveness,
+            from,
+            PeerMessage::ProbeAck(answer),
+        );
     }
 
     fn on_probe_ack(&mut self, now: Millis, from: SocketAddrV4, probe: ProbeBody) {
@@ -733,7 +821,7 @@
                 member: self.list.find(from).cloned(),
             };
             let message = PeerMessage::ProbeAck(answer);
-            self.send(now, ByteClass::Answer, relay.asker, message);
+            self.send(now, ByteClass::Liveness, relay.asker, message);
         }
         self.absorb(now, from, probe.gossip);
     }
@@ -761,12 +849,12 @@
             self.mismatch_since = None;
             return;
         }
+        self.mismatches += 1;
         let since = *self.mismatch_since.get_or_insert(now);
-        let patience = match self.queue.is_empty() {
-            true => MISMATCH_QUIET,
-            false => MISMATCH_BUSY,
-        };
-        if now.since(since) >= patience && now >= self.timers.sync && self.bulk.has_room(now) {
+        let settled = now.since(self.timers.last_change) >= MISMATCH_QUIET
+            && self.mismatches >= SETTLED_MISMATCHES;
+        let busy = now.since(since) >= MISMATCH_BUSY;
+        if (settled || busy) && now >= self.timers.sync && self.bulk.has_room(now) {
             self.start_sync(now, from, SYNC_INTERVAL);
         }
     }
@@ -775,6 +863,7 @@
         let jitter = Millis(self.rng.random_range(0..=interval.0 / 2));
         self.timers.sync = now.plus(interval).plus(jitter);
         self.mismatch_since = None;
+        self.mismatches = 0;
         self.bulk.charge(now, size_of_val(self.list.buckets()));
         self.actions.push(MemberAction::Sync { with });
     }
@@ -782,7 +871,7 @@
     fn synced(&mut self, now: Millis, peer: SocketAddrV4, records: Vec<MemberRecord>) {
         self.joined = true;
         let newer = self.newer_than(&records);
-        self.merge_all(now, peer, records);
+        self.merge_bulk(now, peer, records);
         if newer.is_empty() {
             return;
         }
@@ -800,11 +889,22 @@
             .iter()
             .filter_map(|record| {
                 let held = self.list.find(record.address)?;
-                held.cmp_age(record).is_gt().then(|| held.clone())
+                held.cmp_age(record).is_gt().then(|| held.for_message())
             })
             .collect()
     }
 
+    /// Merges records of a bulk sync. A large batch isn't passed on one by one: whoever lacks it
+    /// gets it by a sync of its own at a fraction of the bytes.
+    fn merge_bulk(&mut self, now: Millis, peer: SocketAddrV4, records: Vec<MemberRecord>) {
+        let waiting = (records.len() > MAX_PASSED_ON).then(|| self.queue.clone());
+        self.merge_all(now, peer, records);
+        if let Some(waiting) = waiting {
+            self.queue = waiting;
+            self.queue.push(self.own.address);
+        }
+    }
+
     fn merge_all(
         &mut self,
         now: Millis,
@@ -816,11 +916,14 @@
         }
     }
 
-    fn merge_one(&mut self, now: Millis, from: SocketAddrV4, record: MemberRecord) {
+    fn merge_one(&mut self, now: Millis, from: SocketAddrV4, mut record: MemberRecord) {
         if record.address == self.own.address {
             self.refute(now, &record);
             return;
         }
+        if let Some(held) = self.list.find(record.address) {
+            record.complete_from(held);
+        }
         if record.state.is_accusation() && self.doubts(now, from, &record) {
             self.challenge(record);
             return;
@@ -856,10 +959,10 @@
         let Some(held) = self.list.find(accusation.address) else {
             return false;
         };
-        let same_age = held.incarnation == accusation.incarnation
-            && held.sequence == accusation.sequence
-            && !held.state.is_accusation();
-        if !same_age {
+        let contradicts = held.incarnation == accusation.incarnation
+            && held.sequence <= accusation.sequence
+            && held.state != MemberState::Dead;
+        if !contradicts || from == accusation.address {
             return false;
         }
         if self.watch.is_fresh(now, accusation.address) {
@@ -872,6 +975,7 @@
 
     fn challenge(&mut self, accusation: MemberRecord) {
         let close = accusation.role == MemberRole::Balancer
+            || self.challenges.len() < FEW_CHALLENGES
             || self.watch.knows(accusation.address)
             || self.rng.random_ratio(1, CHALLENGE_ONE_IN);
         let queued = self
@@ -929,11 +1033,14 @@
         let used = first.as_ref().map_or(0, MemberRecord::wire_len);
         let balancers = list.balancers().len();
         let room = room.saturating_sub(used + MESSAGE_FRAME);
-        let len_of = |address| list.find(address).map(MemberRecord::wire_len);
+        let len_of = |address| {
+            let record = list.find(address)?;
+            Some(record.for_message().wire_len())
+        };
         let taken = self.queue.take(room, balancers, len_of);
         let mut members: Vec<MemberRecord> = first.into_iter().collect();
         let more = taken.into_iter().filter_map(|address| list.find(address));
-        members.extend(more.cloned());
+        members.extend(more.map(MemberRecord::for_message));
         GossipBody {
             members,
             digest: list.digest(),
@@ -948,6 +1055,3 @@
         }
     }
 }
-
-/// Room left for the fields of a message other than its records.
-const MESSAGE_FRAME: usize = 40;
--- a/components/core/src/process/member_record.rs
+++ b/components/core/src/process/member_record.rs
@@ -81,6 +81,29 @@
         }
     }
 
+    /// Returns a copy for messages: of an accusation only what identifies the accused process, which
+    /// the receiver knows otherwise.
+    pub fn for_message(&self) -> MemberRecord {
+        if !self.state.is_accusation() {
+            return self.clone();
+        }
+        let builder = MemberRecord::builder(self.role, self.address, self.incarnation);
+        let builder = builder.sequence(self.sequence).state(self.state);
+        builder.slots(0, 0).build()
+    }
+
+    /// Fills what [`MemberRecord::for_message`] left out from the record held for the address.
+    pub fn complete_from(&mut self, held: &MemberRecord) {
+        if !self.state.is_accusation() || !self.name.is_empty() {
+            return;
+        }
+        self.name = held.name.clone();
+        self.data_centre = held.data_centre.clone();
+        self.region = held.region.clone();
+        self.slots = held.slots;
+        self.warmth = held.warmth;
+    }
+
     /// Raises the sequence, or the incarnation after a clock went back, above those of `other`.
     pub fn supersede(&mut self, other: &MemberRecord) {
         if other.incarnation > self.incarnation {
--- a/components/core/src/process/peer_choice.rs
+++ b/components/core/src/process/peer_choice.rs
@@ -16,6 +16,10 @@
 /// Of this many peers, one is in another data centre, whose links are costly and lossy.
 const REMOTE_ONE_IN: u32 = 10;
 
+/// Fewest local peers for that; below, all peers are equal, because changes must leave a data centre
+/// within the few repetitions that a small fleet makes.
+const MIN_LOCAL: usize = 8;
+
 /// The live balancers other than the member itself, split by data centre.
 #[derive(Clone, Debug, Default)]
 pub struct PeerChoice {
@@ -44,9 +48,15 @@
         self.local.is_empty() && self.remote.is_empty()
     }
 
-    /// Returns a random peer, nine times out of ten in the same data centre.
+    /// Returns a random peer, nine times out of ten in the same data centre if that has many.
     pub fn pick(&self, rng: &mut SmallRng) -> Option<SocketAddrV4> {
-        let remote = rng.random_ratio(1, REMOTE_ONE_IN);
+        if self.is_empty() {
+            return None;
+        }
+        let remote = match self.local.len() {
+            few @ 0..MIN_LOCAL => rng.random_range(0..few + self.remote.len()) >= few,
+            _ => rng.random_ratio(1, REMOTE_ONE_IN),
+        };
         let (first, other) = match remote {
             true => (&self.remote, &self.local),
             false => (&self.local, &self.remote),
--- a/components/core/src/process/stable_hash.rs
+++ b/components/core/src/process/stable_hash.rs
@@ -22,10 +22,11 @@
     mix(address_number(address))
 }
 
-/// Returns the hash of what changes in a record.
+/// Returns the hash of the age of a record.
 ///
-/// Name and place never change within an incarnation and are left out.
+/// Incarnation and sequence determine what the member announced. Suspicions are left out, because
+/// they pass and not every member hears of them.
 pub(super) fn record_hash(record: &MemberRecord) -> u64 {
     let hash = mix(address_hash(record.address) ^ record.incarnation);
-    mix(hash ^ (u64::from(record.sequence) << 8 | record.state as u64))
+    mix(hash ^ u64::from(record.sequence))
 }
--- /dev/null
+++ b/components/core/tests/support/cases.rs
@@ -0,0 +1,17 @@
+//! Named cases.
+
+/// Defines a test that runs once for each named row of arguments.
+macro_rules! named_cases {
+    (
+        $(#[$note:meta])*
+        $test:ident($($arg:ident: $type:ty),*) {
+            $($name:ident($($value:expr),*);)+
+        }
+        $body:block
+    ) => {
+        $(#[$note])*
+        #[rstest::rstest]
+        $(#[case::$name($($value),*)])+
+        fn $test($(#[case] $arg: $type),*) $body
+    };
+}
