Test that a pause confirms no suspicion

Cause: a mutant without the excuse for a pause passed all tests, because a process that heard nobody is excused as isolated. After a pause the socket brings messages before the first tick. The new test delivers one first; it passes, and fails with the mutant.

--- a/components/core/tests/member_rules.rs
+++ b/components/core/tests/member_rules.rs
@@ -13,11 +13,15 @@
     process::{
         ByteBudget,
         ByteClass,
+        GossipBody,
         HeartbeatPlan,
+        MemberEvent,
         MemberList,
+        MemberProtocol,
         MemberRecord,
         MemberRole,
         MemberState,
+        PeerMessage,
         VersionPull,
         DEAD_RETENTION, //
     },
@@ -183,3 +187,42 @@
         assert_eq!(after.choose(agent)[..2], expected);
     }
 }
+
+/// Guards against a paused process that confirms its suspicions when it runs again, although the
+/// refutations didn't fit into its socket buffer.
+#[test]
+fn pause_confirms_no_suspicion() {
+    let balancer = |id| MemberRecord::builder(MemberRole::Balancer, address(id), 1).build();
+    let rng = SmallRng::seed_from_u64(1);
+    let mut protocol = MemberProtocol::builder(balancer(1), rng).build();
+    let records = vec![balancer(2), balancer(3)];
+    let peer = address(2);
+    protocol.handle(Millis(0), MemberEvent::Synced { peer, records });
+    let suspects = |protocol: &MemberProtocol| {
+        let mut peers = [2, 3].into_iter();
+        peers.find(|&id| {
+            let record = protocol.list().find(address(id));
+            record.is_some_and(|record| record.state == MemberState::Suspect)
+        })
+    };
+    let mut now = Millis(0);
+    while suspects(&protocol).is_none() {
+        now = now.plus(Millis(100));
+        assert!(now < Millis(10_000), "a silent peer isn't suspected");
+        protocol.handle(now, MemberEvent::Tick);
+    }
+    let suspect = suspects(&protocol).expect("the loop ended with a suspect");
+    let later = now.plus(Millis(20_000));
+    let waiting = MemberEvent::Received {
+        from: address(5 - suspect),
+        version: 0,
+        message: PeerMessage::Gossip(GossipBody::default()),
+    };
+    protocol.handle(later, waiting);
+    protocol.handle(later, MemberEvent::Tick);
+    let state = protocol
+        .list()
+        .find(address(suspect))
+        .map(|record| record.state);
+    assert_eq!(state, Some(MemberState::Suspect));
+}
