Send probes whatever the byte budget

Probes were still of the class that waits for budget; a probe that was kept back counted as unanswered. Ruled out by a trace of each message: loss, and the agent's answer. The new test fails with probes in the class of membership changes.

--- a/components/core/src/process/member_protocol.rs
+++ b/components/core/src/process/member_protocol.rs
@@ -420,12 +420,7 @@
             gossip: self.changes(0, None),
             member: Some(self.own.clone()),
         };
-        self.send(
-            now,
-            ByteClass::Membership,
-            address,
-            PeerMessage::Probe(probe),
-        );
+        self.send(now, ByteClass::Liveness, address, PeerMessage::Probe(probe));
     }
 
     fn probe(&mut self, now: Millis, target: SocketAddrV4) {
@@ -449,12 +444,7 @@
             gossip: self.changes(room, belief),
             member,
         };
-        self.send(
-            now,
-            ByteClass::Membership,
-            target,
-            PeerMessage::Probe(probe),
-        );
+        self.send(now, ByteClass::Liveness, target, PeerMessage::Probe(probe));
     }
 
     /// Widens, fails and confirms what is due in the detector.
--- a/components/core/tests/member_rules.rs
+++ b/components/core/tests/member_rules.rs
@@ -15,6 +15,7 @@
         ByteClass,
         GossipBody,
         HeartbeatPlan,
+        MemberAction,
         MemberEvent,
         MemberList,
         MemberProtocol,
@@ -226,3 +227,45 @@
         .map(|record| record.state);
     assert_eq!(state, Some(MemberState::Suspect));
 }
+
+/// Guards against probes that count as unanswered although an empty byte budget kept them back.
+#[test]
+fn empty_budget_stops_no_probe() {
+    let balancer = |id| MemberRecord::builder(MemberRole::Balancer, address(id), 1).build();
+    let rng = SmallRng::seed_from_u64(1);
+    let builder = MemberProtocol::builder(balancer(1), rng).rates(0, 0);
+    let mut protocol = builder.build();
+    let records = vec![balancer(2)];
+    let peer = address(2);
+    protocol.handle(Millis(0), MemberEvent::Synced { peer, records });
+    let mut last_probe = Millis(0);
+    let end = Millis(1_000_000);
+    for step in 1..=end.0 / 100 {
+        let now = Millis(step * 100);
+        for action in protocol.handle(now, MemberEvent::Tick) {
+            let MemberAction::Send { to, message } = action else {
+                continue;
+            };
+            if let PeerMessage::Probe(probe) = message {
+                last_probe = now;
+                let message = PeerMessage::ProbeAck(probe);
+                let version = 0;
+                let from = to;
+                protocol.handle(
+                    now,
+                    MemberEvent::Received {
+                        from,
+                        version,
+                        message,
+                    },
+                );
+            }
+        }
+    }
+    assert!(
+        end.since(last_probe) < Millis(2_000),
+        "probes stopped at {last_probe:?}"
+    );
+    let state = protocol.list().find(peer).map(|record| record.state);
+    assert_eq!(state, Some(MemberState::Warm));
+}
