--- a/components/core/examples/capacity.rs
+++ b/components/core/examples/capacity.rs
@@ -1,7 +1,8 @@
 //! Slopes of the control plane over the size of the fleet, from the real logic in one process.
 //!
-//! Run it by `cargo run --release -p carobdrum-core --example capacity -- [--svg DIR] [SIZE ...]`,
-//! where each size is a number of balancers. It prints a Markdown table.
+//! Run it by `cargo run --release -p carobdrum-core --example capacity -- [--svg DIR] [--losses] [SIZE ...]`,
+//! where each size is a number of balancers. It prints Markdown tables. With `--losses` it measures
+//! large failures under 5% loss instead.
 
 #[path = "../tests/support/fleet.rs"]
 mod fleet;
@@ -23,6 +24,8 @@
 const BALANCERS_AT_TARGET: usize = 530;
 const WARM_UP: u64 = 15_000;
 const STEADY: u64 = 20_000;
+const SPLIT: u64 = 60_000;
+const LOSS_LIMIT: u64 = 240_000;
 const VERSION_RUNS: u32 = 3;
 
 /// Mean and largest of a figure over nodes.
@@ -58,17 +61,23 @@
 
 fn main() {
     let mut svg: Option<PathBuf> = None;
+    let mut losses = false;
     let mut sizes = Vec::new();
     let mut arguments = std::env::args().skip(1);
     while let Some(argument) = arguments.next() {
         match argument.as_str() {
             "--svg" => svg = arguments.next().map(PathBuf::from),
+            "--losses" => losses = true,
             size => sizes.extend(size.parse::<usize>()),
         }
     }
     if sizes.is_empty() {
         sizes = SIZES.to_vec();
     }
+    if losses {
+        print_losses(&sizes);
+        return;
+    }
     let mut rows = Vec::new();
     for &balancers in &sizes {
         for loss in [0.0, 0.05] {
@@ -81,7 +90,53 @@
     }
 }
 
-fn measure(balancers: usize, loss: f64) -> Row {
+/// Measures how large failures are noticed, and what they cost.
+fn print_losses(sizes: &[usize]) {
+    println!("| balancers / agents | failure | done after, ms | most sent by a balancer, B/s | false verdicts |");
+    println!("|---|---|---|---|---|");
+    for &balancers in sizes {
+        let mut sim = warmed(balancers, 0.05);
+        let mut rack: Vec<usize> = sim.in_centre(2);
+        rack.truncate(40);
+        let took = lose(&mut sim, &rack);
+        print_loss(&sim, "40 members of one data centre noticed by all", took);
+        let mut sim = warmed(balancers, 0.05);
+        let centre = sim.in_centre(3);
+        let took = lose(&mut sim, &centre);
+        print_loss(&sim, "a data centre noticed by all", took);
+        let mut sim = warmed(balancers, 0.05);
+        sim.split = true;
+        sim.run_for(SPLIT);
+        sim.split = false;
+        sim.reset_counters();
+        let took = sim.run_until(LOSS_LIMIT, FleetSim::is_converged);
+        print_loss(&sim, "regions split for 60 s, views equal again", took);
+    }
+}
+
+fn lose(sim: &mut FleetSim, victims: &[usize]) -> Option<u64> {
+    for &victim in victims {
+        sim.stop(victim);
+    }
+    sim.reset_counters();
+    sim.run_until(LOSS_LIMIT, |sim| sim.all_noticed(victims))
+}
+
+fn print_loss(sim: &FleetSim, failure: &str, took: Option<u64>) {
+    let span = took.unwrap_or(LOSS_LIMIT).max(1);
+    let balancers = &sim.nodes[..sim.shape.balancers];
+    let sent = balancers.iter().map(|node| node.traffic.sent_bytes).max();
+    let took = took.map_or_else(|| format!("over {LOSS_LIMIT}"), |took| took.to_string());
+    println!(
+        "| {} / {} | {failure} | {took} | {} | {} |",
+        sim.shape.balancers,
+        sim.shape.agents,
+        sent.unwrap_or(0) * 1_000 / span,
+        sim.false_deaths.len(),
+    );
+}
+
+fn warmed(balancers: usize, loss: f64) -> FleetSim {
     let shape = FleetShape {
         balancers,
         agents: (balancers * AGENTS_AT_TARGET + BALANCERS_AT_TARGET / 2) / BALANCERS_AT_TARGET,
@@ -92,6 +147,11 @@
     };
     let mut sim = FleetSim::warm(shape);
     sim.run_for(WARM_UP);
+    sim
+}
+
+fn measure(balancers: usize, loss: f64) -> Row {
+    let mut sim = warmed(balancers, loss);
     let mut row = steady(&mut sim);
     let mut times = Vec::new();
     for number in 1..=VERSION_RUNS {
--- a/components/core/src/process/member_protocol.rs
+++ b/components/core/src/process/member_protocol.rs
@@ -174,6 +174,7 @@
             budget: ByteBudget::new(self.rate, BURST),
             bulk: ByteBudget::new(self.bulk_rate, BULK_BURST),
             challenges: Vec::new(),
+            confirming: Vec::new(),
             timers: ProtocolTimers::default(),
             seek_interval: MIN_SEEK_INTERVAL,
             joined: false,
@@ -225,6 +226,8 @@
     budget: ByteBudget,
     bulk: ByteBudget,
     challenges: Vec<MemberRecord>,
+    /// Members that were asked because another balancer takes them for dead.
+    confirming: Vec<SocketAddrV4>,
     timers: ProtocolTimers,
     seek_interval: Millis,
     joined: bool,
@@ -365,10 +368,12 @@
         let gap = now.since(last);
         if gap >= PAUSE_GAP {
             self.detector.forgive(gap);
+            self.confirming.clear();
             self.watch.forgive(now);
             self.timers.last_contact = now;
         } else if now.since(self.timers.last_contact) >= ISOLATION_SILENCE {
             self.detector.forgive(gap);
+            self.confirming.clear();
         }
     }
 
@@ -463,7 +468,7 @@
             }
         }
         for target in self.detector.failed(now) {
-            self.suspect(now, target);
+            self.fail(now, target);
         }
         for target in self.detector.due_probes(now) {
             let number = self.detector.next_number();
@@ -474,6 +479,22 @@
         }
     }
 
+    /// Judges a member that answered no probe: dead if it was asked because another balancer takes
+    /// it for dead, which has waited for a refutation already, and suspect otherwise.
+    fn fail(&mut self, now: Millis, target: SocketAddrV4) {
+        let confirmed = self
+            .confirming
+            .iter()
+            .position(|&address| address == target);
+        match confirmed {
+            Some(at) => {
+                self.confirming.swap_remove(at);
+                self.accuse(now, target, MemberState::Dead);
+            }
+            None => self.suspect(now, target),
+        }
+    }
+
     fn suspect(&mut self, now: Millis, target: SocketAddrV4) {
         self.accuse(now, target, MemberState::Suspect);
         let Some(record) = self.list.find(target) else {
@@ -661,6 +682,9 @@
             };
             let target = accusation.address;
             if let Some(number) = self.detector.begin(now, target) {
+                if accusation.state == MemberState::Dead {
+                    self.confirming.push(target);
+                }
                 self.send_probe(now, target, number, Some(accusation));
             }
         }
@@ -697,6 +721,7 @@
     fn receive(&mut self, now: Millis, from: SocketAddrV4, version: u32, message: PeerMessage) {
         self.timers.last_contact = now;
         self.detector.heard(from);
+        self.confirming.retain(|&address| address != from);
         if let Some(from) = self.versions.saw(now, version, from) {
             self.actions.push(MemberAction::FetchVersion { from });
         }
@@ -801,6 +826,7 @@
     fn on_probe_ack(&mut self, now: Millis, from: SocketAddrV4, probe: ProbeBody) {
         self.merge_all(now, from, probe.member);
         if let Some(target) = self.detector.answered(probe.number) {
+            self.confirming.retain(|&address| address != target);
             self.watch.answered(now, target);
         }
         self.watch.answered(now, from);
