Test the balancer's data plane, and count bad headers by their fault

The tests run a real balancer against the stand-in of the store, a fake agent that announces itself, answers probes and speaks the tunnel, and a fake caller.

Cause: the balancer counted truncated and unknown tunnel headers together as BadHeader and had no count of oversized datagrams: by the code, an oversized control datagram was cut at 2,048 bytes and counted as Forged, and the tunnel sockets had no limit. Before the change the cases truncated, oversized, unknown_format and unknown_kind failed ("no 2 datagrams dropped as Truncated within 5s"); the forged cases passed before and after.

Change: the wire crate names the longest datagram (2,048 bytes, as the control socket had it) and refuses longer ones, and the balancer counts Truncated, Oversized, UnknownFormat and UnknownKind. Callers' packets are capped at 1,408 bytes by the agents, so the limit cuts no flow.

Mechanisms that were broken to see the tests fail, and restored: - a silent path keeps its source port: "8 pings, not moved" after 3 s; - the replay window accepts everything: "no 1 datagrams dropped as Replayed"; - the service of a flow isn't compared: "no 1 datagrams dropped as ForeignService"; - the reset carries a token of zeros: the token assertion failed; - the placing hash is seeded per packet: two_balancers_place_alike saw different agents for one connection ID.

A first form of the tests sent packets when the version metric was set. One of them was lost once, because the traffic thread takes over the plan later; the stand now waits until packets pass, and counts relative to that point.

--- a/components/balancer/src/connection/route_verdict.rs
+++ b/components/balancer/src/connection/route_verdict.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddrV4;
 
 use carobdrum_core::connection::FlowId;
-use carobdrum_wire::OpenError;
+use carobdrum_wire::{
+    HeaderError,
+    OpenError, //
+};
 use prometheus_client::encoding::EncodeLabelValue;
 
 /// What to do with a caller's datagram.
@@ -37,8 +40,14 @@
     TakenOut,
     /// No target for a new flow.
     NoTarget,
-    /// A tunnel datagram with a bad header.
-    BadHeader,
+    /// A tunnel datagram shorter than header and tag.
+    Truncated,
+    /// A tunnel datagram longer than any that a process sends.
+    Oversized,
+    /// A tunnel datagram of another format.
+    UnknownFormat,
+    /// A tunnel datagram of a kind that doesn't exist.
+    UnknownKind,
     /// A tunnel datagram whose tag doesn't fit.
     Forged,
     /// A tunnel datagram that came before.
@@ -54,9 +63,20 @@
 impl From<OpenError> for DropReason {
     fn from(error: OpenError) -> DropReason {
         match error {
-            OpenError::BadHeader { .. } => DropReason::BadHeader,
+            OpenError::BadHeader { source } => source.into(),
             OpenError::Forged => DropReason::Forged,
             OpenError::Replayed { .. } => DropReason::Replayed,
         }
     }
 }
+
+impl From<HeaderError> for DropReason {
+    fn from(error: HeaderError) -> DropReason {
+        match error {
+            HeaderError::Truncated { .. } => DropReason::Truncated,
+            HeaderError::Oversized { .. } => DropReason::Oversized,
+            HeaderError::UnknownFormat { .. } => DropReason::UnknownFormat,
+            HeaderError::UnknownKind { .. } => DropReason::UnknownKind,
+        }
+    }
+}
--- a/components/balancer/src/process/control_thread.rs
+++ b/components/balancer/src/process/control_thread.rs
@@ -45,7 +45,8 @@
     ControlMessage,
     DatagramKind,
     TunnelKey,
-    TunnelOpener, //
+    TunnelOpener,
+    MAX_DATAGRAM_LEN, //
 };
 use prometheus_client::registry::Registry;
 use prost::Message;
@@ -94,8 +95,8 @@
 const MAX_SENDERS: usize = 16_384;
 /// Pace of the member list.
 const TICK: Duration = Duration::from_millis(100);
-/// Longest control datagram.
-const MAX_DATAGRAM_LEN: usize = 2_048;
+/// Room for one control datagram; a byte more than the longest, so that a longer one shows.
+const READ_LEN: usize = MAX_DATAGRAM_LEN + 1;
 /// Longest time that a planned stop waits for its announcement to be sent.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -280,7 +281,7 @@
     metrics: BalancerMetrics,
 ) {
     let mut opener = TunnelOpener::new(key, MAX_SENDERS);
-    let mut buffer = [0; MAX_DATAGRAM_LEN];
+    let mut buffer = [0; READ_LEN];
     loop {
         let (len, source) = match socket.recv_from(&mut buffer).await {
             Ok((len, std::net::SocketAddr::V4(source))) => (len, source),
--- /dev/null
+++ b/components/balancer/tests/common/fake_agent.rs
@@ -0,0 +1,264 @@
+//! An agent that announces itself, answers probes and speaks the tunnel.
+
+use std::{
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    sync::{
+        atomic::{
+            AtomicU16,
+            Ordering, //
+        },
+        Arc,
+    },
+    time::Duration,
+};
+
+use carobdrum_control::{
+    decode_peer,
+    encode_peer,
+    unix_millis, //
+};
+use carobdrum_core::process::{
+    GossipBody,
+    Heartbeat,
+    MemberRecord,
+    MemberRole,
+    PeerMessage,
+    ProbeBody,
+    FULL_WARMTH, //
+};
+use carobdrum_wire::{
+    control::ControlBody,
+    ControlMessage,
+    DatagramKind,
+    TunnelHeader,
+    TunnelKey,
+    TunnelOpener,
+    TunnelSealer, //
+};
+use prost::Message;
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc,
+    task::JoinHandle,
+    time::timeout, //
+};
+
+use super::{
+    KEY_SECRET,
+    PATIENCE, //
+};
+
+/// Pace of the heartbeats.
+const HEARTBEAT_PACE: Duration = Duration::from_millis(500);
+/// Room for one datagram.
+const BUFFER_LEN: usize = 65_536;
+
+/// A datagram that the agent read, and the balancer's socket that it came from.
+pub(crate) struct ReadDatagram {
+    pub(crate) source: SocketAddrV4,
+    pub(crate) header: TunnelHeader,
+    pub(crate) payload: Vec<u8>,
+}
+
+/// An agent that tests drive.
+pub(crate) struct FakeAgent {
+    pub(crate) address: SocketAddrV4,
+    socket: Arc<UdpSocket>,
+    sealer: TunnelSealer,
+    inbox: mpsc::UnboundedReceiver<ReadDatagram>,
+    /// Source port whose datagrams are dropped, or 0.
+    silent_port: Arc<AtomicU16>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for FakeAgent {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl FakeAgent {
+    /// Opens the agent, which announces itself to nobody.
+    pub(crate) async fn open(address: SocketAddrV4) -> FakeAgent {
+        let socket = Arc::new(UdpSocket::bind(address).await.unwrap());
+        let (read, inbox) = mpsc::unbounded_channel();
+        let silent_port = Arc::new(AtomicU16::new(0));
+        let reader = read_datagrams(
+            Arc::clone(&socket),
+            address,
+            Arc::clone(&silent_port),
+            read, //
+        );
+        FakeAgent {
+            address,
+            socket,
+            sealer: new_sealer(),
+            inbox,
+            silent_port,
+            tasks: vec![tokio::spawn(reader)],
+        }
+    }
+
+    /// Returns the agent's record as a warm server of the pool.
+    pub(crate) fn record(&self, name: &str) -> MemberRecord {
+        MemberRecord::builder(MemberRole::Agent, self.address, unix_millis())
+            .name(name)
+            .place("galway-a", "ie-west")
+            .sequence(1)
+            .slots(2, FULL_WARMTH)
+            .build()
+    }
+
+    /// Sends heartbeats to `balancers` until the agent is dropped.
+    pub(crate) fn announce(&mut self, name: &str, balancers: Vec<SocketAddrV4>) {
+        let beat = seal_heartbeats(self.record(name));
+        let socket = Arc::clone(&self.socket);
+        self.tasks
+            .push(tokio::spawn(beat_heart(socket, beat, balancers)));
+    }
+
+    /// Returns a sealed heartbeat of the agent under another name.
+    pub(crate) fn heartbeat(&self, name: &str) -> Vec<u8> {
+        seal_heartbeats(self.record(name))()
+    }
+
+    /// Drops what comes from `port` from now on.
+    pub(crate) fn silence(&self, port: u16) {
+        self.silent_port.store(port, Ordering::Relaxed);
+    }
+
+    /// Returns the next datagram of a flow or path, also one from the silent port.
+    pub(crate) async fn read(&mut self) -> ReadDatagram {
+        let next = timeout(PATIENCE, self.inbox.recv()).await;
+        next.expect("a datagram at the agent").unwrap()
+    }
+
+    /// Returns a datagram that was read already.
+    pub(crate) fn try_read(&mut self) -> Option<ReadDatagram> {
+        self.inbox.try_recv().ok()
+    }
+
+    /// Returns the sealed answer to `read` with `payload`.
+    pub(crate) fn answer_to(&mut self, read: &ReadDatagram, payload: &[u8]) -> Vec<u8> {
+        let header = TunnelHeader {
+            kind: DatagramKind::Answer,
+            control_port: self.address.port(),
+            second: None,
+            ..read.header
+        };
+        self.seal(&header, payload)
+    }
+
+    /// Returns a sealed datagram.
+    pub(crate) fn seal(&mut self, header: &TunnelHeader, payload: &[u8]) -> Vec<u8> {
+        let mut datagram = Vec::new();
+        self.sealer.seal(header, payload, &mut datagram);
+        datagram
+    }
+
+    /// Sends `datagram` as it is.
+    pub(crate) async fn send(&self, datagram: &[u8], to: SocketAddrV4) {
+        self.socket.send_to(datagram, to).await.unwrap();
+    }
+}
+
+fn new_sealer() -> TunnelSealer {
+    TunnelSealer::new(&TunnelKey::new(&KEY_SECRET), rand::random())
+}
+
+/// Returns a maker of sealed heartbeats of one member.
+fn seal_heartbeats(record: MemberRecord) -> impl FnMut() -> Vec<u8> {
+    let mut sealer = new_sealer();
+    move || {
+        let heartbeat = PeerMessage::Heartbeat(Heartbeat {
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+            member: Some(record.clone()),
+            plan: 0,
+            key_version: 0,
+        });
+        seal_control(&mut sealer, record.address.port(), heartbeat)
+    }
+}
+
+fn seal_control(sealer: &mut TunnelSealer, control_port: u16, message: PeerMessage) -> Vec<u8> {
+    let header = TunnelHeader {
+        control_port,
+        ..TunnelHeader::new(DatagramKind::Control)
+    };
+    let payload = ControlMessage::new(encode_peer(message)).encode_to_vec();
+    let mut datagram = Vec::new();
+    sealer.seal(&header, &payload, &mut datagram);
+    datagram
+}
+
+async fn beat_heart(
+    socket: Arc<UdpSocket>,
+    mut beat: impl FnMut() -> Vec<u8>,
+    balancers: Vec<SocketAddrV4>,
+) {
+    loop {
+        for balancer in &balancers {
+            // A balancer that isn't up yet gets the next heartbeat.
+            let _ = socket.send_to(&beat(), balancer).await;
+        }
+        tokio::time::sleep(HEARTBEAT_PACE).await;
+    }
+}
+
+async fn read_datagrams(
+    socket: Arc<UdpSocket>,
+    address: SocketAddrV4,
+    silent_port: Arc<AtomicU16>,
+    read: mpsc::UnboundedSender<ReadDatagram>,
+) {
+    let mut opener = TunnelOpener::new(TunnelKey::new(&KEY_SECRET), 64);
+    let mut sealer = new_sealer();
+    let mut buffer = vec![0; BUFFER_LEN];
+    loop {
+        let Ok((len, SocketAddr::V4(source))) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let (header, payload) = opener.open(&buffer[..len]).expect("a sealed datagram");
+        if header.kind == DatagramKind::Control {
+            let message = ControlMessage::decode(payload).unwrap();
+            let ack = message.body.and_then(probe_ack);
+            let to = SocketAddrV4::new(*source.ip(), header.control_port);
+            if let Some(ack) = ack {
+                let ack = seal_control(&mut sealer, address.port(), ack);
+                let _ = socket.send_to(&ack, to).await;
+            }
+            continue;
+        }
+        if header.kind == DatagramKind::Ping && source.port() != silent_port.load(Ordering::Relaxed)
+        {
+            let pong = TunnelHeader::new(DatagramKind::Pong);
+            let mut datagram = Vec::new();
+            sealer.seal(&pong, &[], &mut datagram);
+            let _ = socket.send_to(&datagram, source).await;
+        }
+        let payload = payload.to_vec();
+        let datagram = ReadDatagram {
+            source,
+            header,
+            payload,
+        };
+        if read.send(datagram).is_err() {
+            return;
+        }
+    }
+}
+
+fn probe_ack(body: ControlBody) -> Option<PeerMessage> {
+    let PeerMessage::Probe(probe) = decode_peer(body)? else {
+        return None;
+    };
+    Some(PeerMessage::ProbeAck(ProbeBody {
+        number: probe.number,
+        gossip: GossipBody::default(),
+        member: None,
+    }))
+}
--- /dev/null
+++ b/components/balancer/tests/data_plane.rs
@@ -0,0 +1,278 @@
+//! The data plane of a real balancer, between fake callers and fake agents.
+
+mod common;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use carobdrum_core::{
+    connection::FlowId,
+    version::CentreState, //
+};
+use carobdrum_standins::PortMode;
+use carobdrum_wire::{
+    DatagramKind,
+    TunnelHeader,
+    HEADER_LEN, //
+};
+use common::{
+    initial_packet,
+    short_packet,
+    FakeAgent,
+    FakeCaller,
+    TestBalancer,
+    TestStand, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use rstest::rstest;
+use tokio::time::sleep;
+
+/// Time in which a silent path must be left: 250 ms of silence, two pings of 250 ms, and a margin
+/// for a busy machine.
+const LONGEST_SILENCE: Duration = Duration::from_secs(3);
+/// Pause between the packets of a caller.
+const PACKET_PACE: Duration = Duration::from_millis(10);
+/// Service port of the first service.
+const PORT: u16 = 4433;
+
+/// A stand with one balancer, one agent and one caller.
+async fn start(number: u8) -> (TestStand, TestBalancer, FakeAgent, FakeCaller) {
+    let stand = TestStand::start(number).await;
+    let balancer = stand.balancer(1).await;
+    let agent = FakeAgent::open(stand.address(21, 7500)).await;
+    let caller = FakeCaller::open(&balancer, PORT).await;
+    (stand, balancer, agent, caller)
+}
+
+/// Guards against a flow that stays on a path that a device has silently forgotten.
+#[tokio::test]
+async fn silent_path_is_pinged_and_left() {
+    let (stand, balancer, mut agent, caller) = start(1).await;
+    let packet = short_packet(&stand.flow(&balancer.keys, "placename-api", agent.address));
+    caller.send(&packet).await;
+    let first = agent.read().await;
+    let answer = agent.answer_to(&first, b"before");
+    agent.send(&answer, first.source).await;
+    assert_eq!(caller.read().await, b"before");
+    agent.silence(first.source.port());
+    let start = Instant::now();
+    let mut pings = 0;
+    let moved = loop {
+        caller.send(&packet).await;
+        sleep(PACKET_PACE).await;
+        let read = agent.read().await;
+        match read.header.kind {
+            DatagramKind::Ping => pings += 1,
+            _ if read.source.port() != first.source.port() => break read,
+            _ => {}
+        }
+        assert!(
+            start.elapsed() < LONGEST_SILENCE,
+            "{pings} pings, not moved"
+        );
+    };
+    assert_eq!(pings, 2);
+    assert_eq!(balancer.metric("path_pings_total").await, 2);
+    assert_eq!(balancer.metric("moved_paths_total").await, 1);
+    let answer = agent.answer_to(&moved, b"after");
+    agent.send(&answer, moved.source).await;
+    assert_eq!(caller.read().await, b"after");
+}
+
+/// Arranges one named case per way to spoil a sealed datagram.
+macro_rules! spoiled {
+    ($($name:ident: $number:expr, $spoil:expr => $reason:expr;)*) => {
+        /// Guards against datagrams of strangers that reach callers or the member list, and against
+        /// drops that operators can't tell apart.
+        #[rstest]
+        $(#[case::$name($number, $spoil, $reason)])*
+        #[tokio::test]
+        async fn spoiled_datagram_changes_nothing(
+            #[case] number: u8,
+            #[case] spoil: fn(&mut Vec<u8>),
+            #[case] reason: &str,
+        ) {
+            check_spoiled(number, spoil, reason).await;
+        }
+    };
+}
+
+spoiled! {
+    forged_header: 2, |datagram: &mut Vec<u8>| datagram[4] ^= 1 => "Forged";
+    forged_payload: 3, |datagram: &mut Vec<u8>| datagram[HEADER_LEN] ^= 1 => "Forged";
+    forged_tag: 4, |datagram: &mut Vec<u8>| *datagram.last_mut().unwrap() ^= 1 => "Forged";
+    truncated: 5, |datagram: &mut Vec<u8>| datagram.truncate(HEADER_LEN) => "Truncated";
+    oversized: 6, |datagram: &mut Vec<u8>| datagram.resize(3_000, 0) => "Oversized";
+    unknown_format: 7, |datagram: &mut Vec<u8>| datagram[0] = 0 => "UnknownFormat";
+    unknown_kind: 8, |datagram: &mut Vec<u8>| datagram[1] = 99 => "UnknownKind";
+}
+
+/// Sends a spoiled answer to the tunnel port and a spoiled heartbeat to the control port.
+async fn check_spoiled(number: u8, spoil: fn(&mut Vec<u8>), reason: &str) {
+    let (stand, balancer, mut agent, caller) = start(number).await;
+    let packet = short_packet(&stand.flow(&balancer.keys, "placename-api", agent.address));
+    caller.send(&packet).await;
+    let read = agent.read().await;
+    let mut answer = agent.answer_to(&read, &[7; 100]);
+    spoil(&mut answer);
+    agent.send(&answer, read.source).await;
+    let mut heartbeat = agent.heartbeat("placename-1");
+    spoil(&mut heartbeat);
+    agent.send(&heartbeat, balancer.address).await;
+    balancer.wait_dropped(reason, 2).await;
+    assert_eq!(balancer.metric("answered_datagrams_total").await, 0);
+    assert_eq!(balancer.metric("targets").await, 0);
+    assert!(!caller.has_packet());
+    let answer = agent.answer_to(&read, b"sound");
+    agent.send(&answer, read.source).await;
+    assert_eq!(caller.read().await, b"sound");
+}
+
+/// Guards against an answer that a caller gets twice because someone repeats the datagram.
+#[tokio::test]
+async fn replayed_datagram_is_dropped() {
+    let (stand, balancer, mut agent, caller) = start(9).await;
+    let packet = short_packet(&stand.flow(&balancer.keys, "placename-api", agent.address));
+    caller.send(&packet).await;
+    let read = agent.read().await;
+    let answer = agent.answer_to(&read, b"once");
+    agent.send(&answer, read.source).await;
+    agent.send(&answer, read.source).await;
+    balancer.wait_dropped("Replayed", 1).await;
+    assert_eq!(caller.read().await, b"once");
+    assert_eq!(balancer.metric("answered_datagrams_total").await, 1);
+    assert!(!caller.has_packet());
+}
+
+/// Guards against a balancer that takes an agent's part in the tunnel.
+#[tokio::test]
+async fn forward_to_a_balancer_is_dropped() {
+    let (stand, balancer, mut agent, caller) = start(10).await;
+    let packet = short_packet(&stand.flow(&balancer.keys, "placename-api", agent.address));
+    caller.send(&packet).await;
+    let read = agent.read().await;
+    let forward = agent.seal(&read.header, &packet);
+    agent.send(&forward, read.source).await;
+    agent.send(&forward, balancer.address).await;
+    let ping = agent.seal(&TunnelHeader::new(DatagramKind::Ping), &[]);
+    agent.send(&ping, read.source).await;
+    balancer.wait_dropped("UnexpectedKind", 3).await;
+    assert!(!caller.has_packet());
+}
+
+/// Guards against packets that reach another service or a guessed agent.
+#[tokio::test]
+async fn foreign_and_forged_flows_are_dropped() {
+    let (stand, balancer, agent, caller) = start(11).await;
+    let foreign = stand.flow(&balancer.keys, "sheet-store", agent.address);
+    caller.send(&short_packet(&foreign)).await;
+    balancer.wait_dropped("ForeignService", 1).await;
+    let mut broken = stand.flow(&balancer.keys, "placename-api", agent.address);
+    broken.0[19] ^= 1;
+    caller.send(&short_packet(&broken)).await;
+    let mut random = SmallRng::seed_from_u64(11);
+    for _ in 0..100 {
+        caller.send(&short_packet(&FlowId(random.random()))).await;
+    }
+    let unowned = async || balancer.dropped("Unowned").await == 101;
+    common::wait_for("101 datagrams dropped as Unowned", unowned).await;
+    assert_eq!(balancer.all_dropped().await, 102);
+    assert_eq!(balancer.metric("forwarded_datagrams_total").await, 0);
+}
+
+/// Guards against traffic to a taken-out data centre, and against callers that wait for their idle
+/// timeout because the reset isn't the one that they were told.
+#[tokio::test]
+async fn flow_of_a_taken_out_centre_is_reset() {
+    let (mut stand, balancer, agent, caller) = start(12).await;
+    let flow = stand.flow(&balancer.keys, "placename-api", agent.address);
+    stand.apply(CentreState::Out).await;
+    let packet = short_packet(&flow);
+    let mut sent = 0;
+    common::wait_for("first reset", async || {
+        caller.send(&packet).await;
+        sent += 1;
+        sleep(PACKET_PACE).await;
+        caller.has_packet()
+    })
+    .await;
+    // Packets are handled in order, so that none is forwarded after the first reset.
+    let forwarded = balancer.metric("forwarded_datagrams_total").await;
+    let token = balancer.keys.reset_token(&flow).unwrap();
+    for _ in 0..10 {
+        caller.send(&packet).await;
+        sent += 1;
+        let reset = caller.read().await;
+        assert!(reset.ends_with(&token));
+        assert_eq!(reset[0] >> 6, 1, "the form of a short packet");
+        assert!((21..packet.len()).contains(&reset.len()), "{}", reset.len());
+    }
+    balancer.wait_dropped("TakenOut", sent - forwarded).await;
+    let resets = balancer.metric("stateless_resets_total").await;
+    assert_eq!(resets, sent - forwarded);
+}
+
+/// Guards against established flows that need the store or the member list.
+#[tokio::test]
+async fn established_flow_needs_neither_store_nor_members() {
+    let (stand, balancer, mut agent, caller) = start(13).await;
+    stand.store.set_mode(PortMode::Refusing).await;
+    assert_eq!(balancer.metric("targets").await, 0);
+    let packet = short_packet(&stand.flow(&balancer.keys, "placename-api", agent.address));
+    caller.send(&packet).await;
+    let read = agent.read().await;
+    assert_eq!(read.header.kind, DatagramKind::Forward);
+    assert_eq!(read.payload, packet);
+    assert_eq!(read.header.service_address, stand.address(10, PORT));
+}
+
+/// Guards against a handshake that two balancers spread over two agents.
+#[tokio::test]
+async fn two_balancers_place_alike() {
+    const FLOWS: u8 = 40;
+    let stand = TestStand::start(14).await;
+    let balancers = [stand.balancer(1).await, stand.balancer(2).await];
+    let addresses = balancers.each_ref().map(|balancer| balancer.address);
+    let mut agents = Vec::new();
+    for host in 21..24 {
+        let mut agent = FakeAgent::open(stand.address(host, 7500)).await;
+        agent.announce(&format!("placename-{host}"), addresses.to_vec());
+        agents.push(agent);
+    }
+    for balancer in &balancers {
+        balancer.wait_metric("targets", 3).await;
+        let caller = FakeCaller::open(balancer, PORT).await;
+        for id in 0..FLOWS {
+            caller.send(&initial_packet(&[id; 8])).await;
+        }
+        balancer
+            .wait_metric("placed_first_packets_total", FLOWS.into())
+            .await;
+    }
+    let mut placed = Vec::new();
+    common::wait_for("first packets of both balancers", async || {
+        for agent in &mut agents {
+            while let Some(read) = agent.try_read() {
+                placed.push((read.payload[6], agent.address, read.header.second));
+            }
+        }
+        placed.len() >= 2 * usize::from(FLOWS)
+    })
+    .await;
+    placed.sort_unstable_by_key(|&(id, agent, _)| (id, agent));
+    for (index, pair) in placed.chunks(2).enumerate() {
+        assert_eq!(usize::from(pair[0].0), index);
+        assert_eq!(pair[0], pair[1]);
+    }
+    let first = placed[0].1;
+    assert!(
+        placed.iter().any(|placed| placed.1 != first),
+        "all at one agent"
+    );
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -28,6 +28,7 @@
     SecondCandidate,
     TunnelHeader,
     HEADER_LEN,
+    MAX_DATAGRAM_LEN,
     OVERHEAD_LEN,
     TAG_LEN, //
 };
--- a/components/wire/src/tunnel_header.rs
+++ b/components/wire/src/tunnel_header.rs
@@ -18,6 +18,10 @@
 /// Bytes that the tunnel adds to a payload.
 pub const OVERHEAD_LEN: usize = HEADER_LEN + TAG_LEN;
 
+/// Longest datagram between processes, in bytes; packets to and from callers are capped well below
+/// it, and control messages are shorter still.
+pub const MAX_DATAGRAM_LEN: usize = 2_048;
+
 /// Bytes of a QUIC packet that the tag covers; the first byte, the connection IDs' lengths and the
 /// destination connection ID lie within.
 const COVERED_PAYLOAD_LEN: usize = 32;
@@ -34,6 +38,12 @@
         /// Length of the datagram.
         len: usize,
     },
+    /// The datagram is longer than any that a process sends.
+    #[snafu(display("datagram of {len} bytes is longer than {MAX_DATAGRAM_LEN}"))]
+    Oversized {
+        /// Length of the datagram, or of the part that was read.
+        len: usize,
+    },
     /// The first byte isn't that of this format.
     #[snafu(display("unknown format byte {found:#04x}"))]
     UnknownFormat {
@@ -188,10 +198,11 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`HeaderError`] if the datagram is too short or of another format.
+    /// Returns a [`HeaderError`] if the datagram is too short, too long or of another format.
     pub fn decode(datagram: &[u8]) -> Result<TunnelHeader, HeaderError> {
         let len = datagram.len();
         ensure!(len >= OVERHEAD_LEN, TruncatedSnafu { len });
+        ensure!(len <= MAX_DATAGRAM_LEN, OversizedSnafu { len });
         let found = datagram[0];
         ensure!(found == MAGIC, UnknownFormatSnafu { found });
         let found = datagram[1];
