Test sealing, frames, keys and the control server; fix two faults

Fault 1: the replay window accepted repeated datagrams and dropped fresh ones. It is 1,024 counters wide and was kept in 16 words of 64 bits. A window that doesn't start at the border of a word touches 17 words, so its oldest and newest counters shared a word: with counter 1,024 the word of counters 1 to 63 was cleared, and these were accepted again. The window now has 17 words, 8 bytes more for each sender. The sum of counter and width, which could overflow for a counter near the end of its range, is gone. The effect on the forwarding rate was not measured.

Fault 2: a peer of the deployment that asks and then doesn't read, such as a stopped process, held one of the 64 control connections for ever, because only reading had a time limit. Sending an answer now has 5 s, as reading a request has.

Ruled out: a panic or an answer on random bytes and frames, forged or foreign frames, a table of senders that grows, a rotation that loses the previous key, and an older version or key ring that comes into force.

--- a/components/control/src/connection/control_server.rs
+++ b/components/control/src/connection/control_server.rs
@@ -33,6 +33,8 @@
 const MAX_CONNECTIONS: usize = 64;
 /// Longest time between two requests on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that a peer may take to read an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, so that a lack of file descriptors doesn't spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -82,7 +84,8 @@
     let mut framed = Framed::new(stream, codec);
     while let Ok(Some(request)) = timeout(IDLE_TIMEOUT, framed.next()).await {
         let reply = answer(request?).await;
-        framed.send(reply).await?;
+        let sent = timeout(ANSWER_TIMEOUT, framed.send(reply)).await;
+        sent.map_err(std::io::Error::from)??;
     }
     Ok(())
 }
--- /dev/null
+++ b/components/control/tests/config_actor.rs
@@ -0,0 +1,125 @@
+//! The actor that owns the version in force.
+
+use carobdrum_control::{
+    spawn_config,
+    ConfigArguments,
+    ConfigMessage,
+    KeyVault,
+    PublishedState, //
+};
+use carobdrum_core::version::ConfigVersion;
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        FetchKeys,
+        FetchVersion, //
+    },
+    ControlMessage,
+};
+use ractor::{
+    rpc::CallResult,
+    ActorRef, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use tokio::sync::watch;
+
+const VERSIONS: u32 = 40;
+const OFFERS: usize = 400;
+
+async fn start() -> (ActorRef<ConfigMessage>, watch::Receiver<PublishedState>) {
+    let (published, state) = watch::channel(PublishedState::default());
+    let vault = KeyVault::new(&[3; 32]);
+    let actor = spawn_config(ConfigArguments { vault, published }).await;
+    (actor.unwrap(), state)
+}
+
+/// Asks the actor, which thereby has handled everything sent before.
+async fn ask(actor: &ActorRef<ConfigMessage>, body: ControlBody) -> Option<ControlBody> {
+    let request = ControlMessage::new(body);
+    let answer = actor
+        .call(|reply| ConfigMessage::Serve(request, reply), None)
+        .await;
+    match answer.unwrap() {
+        CallResult::Success(answer) => answer.body,
+        _ => panic!("no answer from the actor"),
+    }
+}
+
+fn version(number: u32, edit_id: &str) -> Box<ConfigVersion> {
+    Box::new(ConfigVersion {
+        number,
+        edit_id: edit_id.into(),
+        ..ConfigVersion::default()
+    })
+}
+
+/// Guards against a process that returns to an older configuration because a late or slow peer
+/// offers it.
+#[tokio::test]
+async fn version_never_goes_back() {
+    let (actor, state) = start().await;
+    let mut random = SmallRng::seed_from_u64(41);
+    let mut highest = 0;
+    for _ in 0..OFFERS {
+        let number = random.random_range(1..=VERSIONS.min(highest + 5));
+        let offer = ConfigMessage::OfferVersion(version(number, "edit"));
+        actor.cast(offer).unwrap();
+        highest = highest.max(number);
+        let fetch = ControlBody::FetchVersion(FetchVersion { have: highest - 1 });
+        let Some(ControlBody::Version(found)) = ask(&actor, fetch).await else {
+            panic!("version {highest} not given");
+        };
+        assert_eq!(state.borrow().number(), highest);
+        assert_eq!(found.number, highest);
+        let document: ConfigVersion = serde_json::from_slice(&found.document).unwrap();
+        assert_eq!(document.number, highest);
+    }
+    assert_eq!(highest, VERSIONS);
+    let fetch = ControlBody::FetchVersion(FetchVersion { have: VERSIONS });
+    let answer = ask(&actor, fetch).await;
+    assert!(matches!(answer, Some(ControlBody::Nothing(_))));
+}
+
+/// Guards against two edits with one number that replace each other for ever.
+#[tokio::test]
+async fn first_edit_of_a_number_stays() {
+    let (actor, state) = start().await;
+    for edit in ["first", "second"] {
+        let offer = ConfigMessage::OfferVersion(version(1, edit));
+        actor.cast(offer).unwrap();
+    }
+    ask(&actor, ControlBody::FetchKeys(FetchKeys { have: 0 })).await;
+    let config = state.borrow().config.clone().unwrap();
+    assert_eq!(config.edit_id, "first");
+}
+
+/// Guards against keys that return to an older ring, or are taken from a stranger.
+#[tokio::test]
+async fn keys_never_go_back() {
+    let (actor, state) = start().await;
+    let mut random = SmallRng::seed_from_u64(42);
+    let vault = KeyVault::new(&[3; 32]);
+    let first = vault.first_ring(&mut random);
+    let second = vault.rotated(&first, &mut random);
+    let third = vault.rotated(&second, &mut random);
+    let foreign = KeyVault::new(&[4; 32]).wrap(&third, &mut random);
+    let offers = [
+        vault.wrap(&second, &mut random),
+        vault.wrap(&first, &mut random),
+        foreign,
+    ];
+    for offer in offers {
+        actor.cast(ConfigMessage::OfferKeys(offer)).unwrap();
+        let answer = ask(&actor, ControlBody::FetchKeys(FetchKeys { have: 1 })).await;
+        let Some(ControlBody::Keys(found)) = answer else {
+            panic!("no keys given");
+        };
+        assert_eq!(found.version, 2);
+        assert_eq!(vault.unwrap(&found.document).unwrap().version(), 2);
+        assert_eq!(state.borrow().key_version(), 2);
+    }
+}
--- /dev/null
+++ b/components/control/tests/peer_codec.rs
@@ -0,0 +1,127 @@
+//! Conversion of messages between members.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_control::{
+    decode_peer,
+    encode_peer, //
+};
+use carobdrum_core::process::{
+    GossipBody,
+    Heartbeat,
+    HeartbeatAck,
+    MemberRecord,
+    MemberRole,
+    MemberState,
+    PeerMessage,
+    ProbeBody, //
+};
+use carobdrum_wire::ControlMessage;
+use prost::Message;
+use rand::{
+    rngs::SmallRng,
+    seq::IndexedRandom,
+    Rng,
+    SeedableRng, //
+};
+
+/// Messages to try.
+const MESSAGES: u64 = 5_000;
+
+fn address(random: &mut SmallRng) -> SocketAddrV4 {
+    let ip: u32 = random.random();
+    SocketAddrV4::new(ip.into(), random.random_range(1..=u16::MAX))
+}
+
+/// Returns numbers of all magnitudes, as their encoded length depends on it.
+fn number(random: &mut SmallRng) -> u64 {
+    random.random::<u64>() >> random.random_range(0..64)
+}
+
+fn text(random: &mut SmallRng) -> String {
+    let len = random.random_range(0..30);
+    (0..len).map(|_| random.random_range('a'..='z')).collect()
+}
+
+fn record(random: &mut SmallRng) -> MemberRecord {
+    let roles = [MemberRole::Balancer, MemberRole::Agent];
+    let states = [
+        MemberState::Cold,
+        MemberState::Warm,
+        MemberState::Draining,
+        MemberState::Suspect,
+        MemberState::Dead,
+    ];
+    let role = *roles.choose(random).unwrap();
+    MemberRecord::builder(role, address(random), number(random))
+        .name(text(random))
+        .place(text(random), text(random))
+        .sequence(number(random) as u32)
+        .state(*states.choose(random).unwrap())
+        .slots(number(random) as u32, random.random())
+        .build()
+}
+
+fn some_record(random: &mut SmallRng) -> Option<MemberRecord> {
+    random.random::<bool>().then(|| record(random))
+}
+
+fn gossip(random: &mut SmallRng) -> GossipBody {
+    let count = random.random_range(0..4);
+    GossipBody {
+        members: (0..count).map(|_| record(random)).collect(),
+        digest: random.random(),
+        key_version: number(random) as u32,
+    }
+}
+
+fn probe(random: &mut SmallRng) -> ProbeBody {
+    ProbeBody {
+        number: number(random) as u32,
+        gossip: gossip(random),
+        member: some_record(random),
+    }
+}
+
+fn message(random: &mut SmallRng) -> PeerMessage {
+    match random.random_range(0..6) {
+        0 => PeerMessage::Heartbeat(Heartbeat {
+            member: some_record(random),
+            incarnation: number(random),
+            sequence: number(random) as u32,
+            plan: random.random(),
+            key_version: number(random) as u32,
+        }),
+        1 => PeerMessage::HeartbeatAck(HeartbeatAck {
+            key_version: number(random) as u32,
+            sequence: number(random) as u32,
+            balancers: (0..2).map(|_| address(random)).collect(),
+            belief: some_record(random),
+        }),
+        2 => PeerMessage::Gossip(gossip(random)),
+        3 => PeerMessage::Probe(probe(random)),
+        4 => PeerMessage::ProbeAck(probe(random)),
+        _ => PeerMessage::ProbeRequest {
+            number: number(random) as u32,
+            target: address(random),
+        },
+    }
+}
+
+/// Guards against a member that understands something else than its peer said, and against control
+/// traffic that is longer than the byte budget counts.
+#[test]
+fn messages_arrive_as_sent() {
+    for seed in 0..MESSAGES {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let sent = message(&mut random);
+        let bytes = ControlMessage::new(encode_peer(sent.clone())).encode_to_vec();
+        assert!(
+            bytes.len() <= sent.wire_len(),
+            "seed {seed}: {}",
+            bytes.len()
+        );
+        let body = ControlMessage::decode(&*bytes).unwrap().body.unwrap();
+        assert_eq!(decode_peer(body), Some(sent), "seed {seed}");
+    }
+}
--- a/components/core/src/connection/replay_window.rs
+++ b/components/core/src/connection/replay_window.rs
@@ -1,10 +1,11 @@
 //! Detection of repeated datagrams of one sender.
 
 const WORD_BITS: u64 = 64;
-const WORDS: usize = 16;
-
 /// Width of the window, in datagrams.
-const WINDOW: u64 = WORD_BITS * WORDS as u64;
+const WINDOW: u64 = 1_024;
+/// One word more than the window fills, because a window that doesn't start at the border of a word
+/// touches one more; its oldest and newest counters would share a word otherwise.
+const WORDS: usize = (WINDOW / WORD_BITS) as usize + 1;
 
 /// A sliding window over the counters of one sender.
 #[derive(Clone, Debug, Default)]
@@ -19,7 +20,7 @@
     /// Counters start at 1. One that has left the window counts as repeated, because the window
     /// can't tell any more.
     pub fn accept(&mut self, counter: u64) -> bool {
-        if counter == 0 || counter + WINDOW <= self.highest {
+        if counter <= self.highest.saturating_sub(WINDOW) {
             return false;
         }
         if counter > self.highest {
