--- /dev/null
+++ b/components/wire/tests/random_input.rs
@@ -0,0 +1,128 @@
+//! Parsers of the wire format, fed with random and with slightly damaged input.
+
+mod common;
+
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        Gossip,
+        MemberInfo, //
+    },
+    ControlMessage,
+    DatagramKind,
+    PacketHead,
+    TunnelHeader,
+    HEADER_LEN,
+    MAX_DATAGRAM_LEN,
+    OVERHEAD_LEN, //
+};
+use common::seeded;
+use proptest::prelude::*;
+use prost::Message;
+
+fn bytes(longest: usize) -> impl Strategy<Value = Vec<u8>> {
+    prop::collection::vec(any::<u8>(), 0..=longest)
+}
+
+proptest! {
+    #![proptest_config(seeded(20_000))]
+
+    /// Guards against a panic on a stranger's datagram, and a header that changes when it is sent
+    /// on.
+    #[test]
+    fn header_decodes_or_is_refused(mut datagram in bytes(200), kind in 0..9_u8) {
+        if let [format, found, ..] = &mut datagram[..] {
+            (*format, *found) = (0xc1, kind);
+        }
+        let decoded = TunnelHeader::decode(&datagram);
+        let is_sound = datagram.len() >= OVERHEAD_LEN && (1..=6).contains(&kind);
+        prop_assert_eq!(decoded.is_ok(), is_sound);
+        if let Ok(header) = decoded {
+            let mut encoded = vec![0; OVERHEAD_LEN];
+            header.encode(encoded.first_chunk_mut::<HEADER_LEN>().unwrap());
+            prop_assert_eq!(TunnelHeader::decode(&encoded), Ok(header));
+        }
+    }
+
+    /// Guards against a panic on any bytes.
+    #[test]
+    fn random_header_is_refused(datagram in bytes(100)) {
+        let is_format = datagram.first() == Some(&0xc1);
+        prop_assert!(is_format || TunnelHeader::decode(&datagram).is_err());
+    }
+
+    /// Guards against a panic on a caller's packet, and an ID that isn't in the packet.
+    #[test]
+    fn packet_head_lies_within_the_packet(
+        mut packet in bytes(1_300),
+        first in any::<u8>(),
+        version in 0..3_u8,
+        id_len in 0..24_u8,
+    ) {
+        if packet.len() > 5 {
+            packet[..6].copy_from_slice(&[first, 0, 0, 0, version, id_len]);
+        }
+        let Some(head) = PacketHead::parse(&packet) else {
+            return Ok(());
+        };
+        let len = head.id().len();
+        match head {
+            PacketHead::Short(_) => prop_assert_eq!(head.id(), &packet[1..21]),
+            PacketHead::Long(_) => prop_assert!(len <= 20),
+            PacketHead::Initial(_) => {
+                prop_assert!((8..=20).contains(&len));
+                prop_assert!(packet.len() >= 1_200);
+            }
+        }
+        prop_assert!(matches!(head, PacketHead::Short(_)) || head.id() == &packet[6..6 + len]);
+    }
+
+    /// Guards against a panic on a control message that a faulty peer has sealed.
+    #[test]
+    fn random_control_message_is_decoded_or_refused(payload in bytes(300)) {
+        if let Ok(message) = ControlMessage::decode(&*payload) {
+            let encoded = message.encode_to_vec();
+            prop_assert_eq!(ControlMessage::decode(&*encoded), Ok(message));
+        }
+    }
+
+    /// Guards against a panic on a control message that was damaged after it was written.
+    #[test]
+    fn damaged_control_message_is_decoded_or_refused(
+        names in prop::collection::vec("[a-z]{0,12}", 0..4),
+        place in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let member = |name| MemberInfo { name, port: 7_500, ..MemberInfo::default() };
+        let gossip = Gossip {
+            members: names.into_iter().map(member).collect(),
+            digest: 1,
+            key_version: 1,
+        };
+        let mut payload = ControlMessage::new(ControlBody::Gossip(gossip)).encode_to_vec();
+        let place = place.index(payload.len());
+        payload[place] = byte;
+        payload.truncate(cut.index(payload.len() + 1));
+        if let Ok(message) = ControlMessage::decode(&*payload) {
+            let encoded = message.encode_to_vec();
+            prop_assert_eq!(ControlMessage::decode(&*encoded), Ok(message));
+        }
+    }
+}
+
+/// Guards against a length that is refused although processes send it, and the reverse.
+#[test]
+fn lengths_are_bounded() {
+    for (len, is_sound) in [
+        (OVERHEAD_LEN - 1, false),
+        (OVERHEAD_LEN, true),
+        (MAX_DATAGRAM_LEN, true),
+        (MAX_DATAGRAM_LEN + 1, false),
+    ] {
+        let mut datagram = vec![0; len];
+        let header = TunnelHeader::new(DatagramKind::Control);
+        header.encode(datagram.first_chunk_mut::<HEADER_LEN>().unwrap());
+        assert_eq!(TunnelHeader::decode(&datagram).is_ok(), is_sound, "{len}");
+    }
+}
