Remove the unchecked reader of settings

Cause: daemons and commands read settings by `read_agent` and `read_balancer`, which check them; the reader without checks had no user left. Conclusion: settings can't be read unchecked.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -18,7 +18,6 @@
 };
 pub use settings_error::{
     read_secret,
-    read_settings,
     SettingsError, //
 };
 pub use settings_text::{
--- a/components/settings/src/settings_error.rs
+++ b/components/settings/src/settings_error.rs
@@ -1,4 +1,4 @@
-//! Reading of settings files.
+//! Failures of settings files, and reading of the bootstrap secret.
 
 use std::path::{
     Path,
@@ -6,11 +6,7 @@
 };
 
 use carobdrum_core::FileFault;
-use serde::de::DeserializeOwned;
-use snafu::{
-    ResultExt,
-    Snafu, //
-};
+use snafu::Snafu;
 
 use crate::file_check::read_bounded;
 
@@ -32,14 +28,6 @@
         /// The cause.
         source: std::io::Error,
     },
-    /// A file isn't TOML of the right shape.
-    #[snafu(display("{}: {source}", path.display()))]
-    Syntax {
-        /// The file.
-        path: PathBuf,
-        /// What the parser reports, with the line.
-        source: Box<toml::de::Error>,
-    },
     /// The secret isn't 64 hexadecimal digits.
     #[snafu(display(
         "{}: found {found} bytes; allowed: 64 hexadecimal digits", path.display()
@@ -66,18 +54,6 @@
     },
 }
 
-/// Reads settings from a TOML file, without the checks of [`crate::read_balancer`] and
-/// [`crate::read_agent`].
-///
-/// # Errors
-///
-/// Returns [`SettingsError::Unreadable`] or [`SettingsError::Syntax`].
-pub fn read_settings<S: DeserializeOwned>(path: &Path) -> Result<S, SettingsError> {
-    let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
-    let parsed = toml::from_str(&text).map_err(Box::new);
-    parsed.context(SyntaxSnafu { path })
-}
-
 /// Reads the bootstrap secret.
 ///
 /// # Errors
