--- a/components/balancer/src/process/traffic_thread.rs
+++ b/components/balancer/src/process/traffic_thread.rs
@@ -8,12 +8,23 @@
         SocketAddrV4, //
     },
     rc::Rc,
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+    },
+    time::Duration,
 };
 
 use carobdrum_core::version::ServiceId;
+use carobdrum_wire::TunnelKey;
 use tokio::{
-    sync::watch,
+    sync::{
+        mpsc,
+        watch, //
+    },
     task::{
         spawn_local,
         AbortHandle, //
@@ -172,6 +183,15 @@
         batch.clear();
     }
 
+    /// Sends the datagrams of `batch` to agents.
+    async fn send_tunnel(&self, batch: &mut SendBatch) {
+        for (port, agent, bytes, segment_len) in batch.groups() {
+            self.send(&self.tunnels[usize::from(port)], agent, bytes, segment_len)
+                .await;
+        }
+        batch.clear();
+    }
+
     async fn send(
         &self,
         socket: &BatchSocket,
@@ -200,19 +220,22 @@
             Some(buffer) => buffer,
             None => continue,
         };
-        {
-            let mut state = shared.state.borrow_mut();
-            for (caller, packet) in buffer.datagrams() {
-                state.handle_caller(address, service, caller, packet, &mut tunnel, &mut resets);
+        for (caller, packet) in buffer.datagrams() {
+            shared.state.borrow_mut().handle_caller(
+                address,
+                service,
+                caller,
+                packet,
+                &mut tunnel,
+                &mut resets,
+            );
+            if tunnel.is_full() {
+                shared.send_tunnel(&mut tunnel).await;
             }
         }
         buffer.clear();
         shared.buffers.borrow_mut().push(buffer);
-        for (port, agent, bytes, segment_len) in tunnel.groups() {
-            let socket = &shared.tunnels[usize::from(port)];
-            shared.send(socket, agent, bytes, segment_len).await;
-        }
-        tunnel.clear();
+        shared.send_tunnel(&mut tunnel).await;
         for (_, caller, bytes, segment_len) in resets.groups() {
             shared.send(&socket, caller, bytes, segment_len).await;
         }
@@ -228,10 +251,13 @@
             Some(buffer) => buffer,
             None => continue,
         };
-        {
-            let mut state = shared.state.borrow_mut();
-            for (source, datagram) in buffer.datagrams() {
-                state.handle_tunnel(port, source, datagram, &mut answers);
+        for (source, datagram) in buffer.datagrams() {
+            shared
+                .state
+                .borrow_mut()
+                .handle_tunnel(port, source, datagram, &mut answers);
+            if answers.is_full() {
+                shared.send_answers(&mut answers).await;
             }
         }
         buffer.clear();
@@ -246,6 +272,7 @@
         warn!(%error, "socket can't be read");
         return None;
     }
+    shared.state.borrow_mut().set_time();
     let mut buffer = shared.take_buffer();
     if let Err(error) = socket.read(&mut buffer) {
         // An unreachable peer shows as an error on the next read; the socket itself is sound.
@@ -253,3 +280,43 @@
     }
     Some(buffer)
 }
+
+/// Forwards by one plan on the calling thread until `stop` is set, for benchmarks.
+///
+/// # Errors
+///
+/// Returns the error of a socket that can't be opened.
+#[doc(hidden)]
+pub fn forward_for_benchmark(
+    plan: ForwardPlan,
+    tunnel_ip: Ipv4Addr,
+    stop: &AtomicBool,
+) -> io::Result<()> {
+    const STOP_PACE: Duration = Duration::from_millis(20);
+    let (news, _heard) = mpsc::channel(1);
+    let metrics = BalancerMetrics::default();
+    let key = TunnelKey::new(&[0; 32]);
+    let state = TrafficState::new(&key, 1, metrics.clone(), news);
+    let (plans, watched) = watch::channel(Arc::new(plan));
+    let addresses = TrafficAddresses {
+        tunnel_ip,
+        listen_ip: None,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let watch_stop = async {
+        while !stop.load(Ordering::Relaxed) {
+            tokio::time::sleep(STOP_PACE).await;
+        }
+    };
+    let work = async {
+        tokio::select! {
+            ended = run_traffic(state, addresses, metrics, watched) => ended,
+            () = watch_stop => Ok(()),
+        }
+    };
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, work);
+    drop(plans);
+    ended
+}
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -19,7 +19,7 @@
 ///
 /// # Errors
 ///
-/// Returns faults of the settings, and why the agent ended.
+/// Returns faults of the settings, and why the agent can't start.
 pub(crate) fn run(args: &DaemonArgs) -> Result<(), CommandError> {
     let settings = read_agent(&args.settings).context(SettingsSnafu)?;
     start_logs(&settings.log, args.log.as_deref())?;
