--- a/tests/process_faults/main.rs
+++ b/tests/process_faults/main.rs
@@ -1,6 +1,7 @@
 //! Faults of daemons that run as processes of their own, on loopback.
 
 mod child_process;
+mod load_commands;
 mod process_site;
 
 use std::time::Duration;
--- a/tests/process_faults/process_site.rs
+++ b/tests/process_faults/process_site.rs
@@ -231,11 +231,16 @@
 
     /// Returns a client that trusts the site's certificate.
     pub(crate) fn client(&self) -> ClientBuilder {
-        let pem = std::fs::read(self.file("certificate.pem")).expect("a certificate");
+        let pem = std::fs::read(self.certificate_file()).expect("a certificate");
         let client = CallerClient::builder(SERVER_NAME).root_pem(pem);
         client.expect("a client")
     }
 
+    /// Returns the file with the site's certificate.
+    pub(crate) fn certificate_file(&self) -> PathBuf {
+        self.file("certificate.pem")
+    }
+
     /// Returns the address of the service.
     pub(crate) fn service(&self) -> SocketAddr {
         service_address(self.number).into()
