Leave the entry point at a planned stop, and keep a drained flow until its answers are acknowledged

Cause 1: a balancer that stopped kept its entry point for the 15 s of the lease, and a balancer without peers read the entry points again only after 15 to 45 s, so the last of three replaced balancers knew no target for 20 s. Cause 2: after GOAWAY, HTTP/3 reports the end of requests as soon as the agent has handed over the last answer. Unfinished handshakes also held the drain for their whole timeout of 10 s.

--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -79,8 +79,9 @@
 const MAX_UNPROVEN: usize = 64;
 /// Longest time for a handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time that a drained connection stays open for acknowledgements, unless the caller closes it.
-const LINGER: Duration = Duration::from_secs(1);
+/// Time that a connection stays open for acknowledgements, unless the caller closes it: several
+/// retransmits at the round trips of one region.
+const LINGER: Duration = Duration::from_secs(2);
 /// Pace at which certificate files are looked at.
 const CERTIFICATE_PACE: Duration = Duration::from_secs(5);
 /// Pace at which the load is stated anew; it is a mean over about a second.
@@ -353,7 +354,13 @@
         self.metrics
             .connections
             .set(i64::from(self.shared.connections()));
-        if let Some(connection) = accept(incoming).await {
+        let mut stopped = self.stopped.clone();
+        let accepted = tokio::select! {
+            accepted = accept(incoming) => accepted,
+            // No request has come yet, so the caller can go elsewhere without harm.
+            _ = stopped.wait_for(|stop| *stop) => None,
+        };
+        if let Some(connection) = accepted {
             drop(handshake);
             self.serve_requests(connection, trace).await;
         }
@@ -382,6 +389,7 @@
             let resolver = tokio::select! {
                 accepted = http.accept() => match accepted {
                     Ok(Some(resolver)) => resolver,
+                    // After GOAWAY, once the last request has ended here.
                     Ok(None) => break,
                     Err(error) => {
                         debug!(%error, "flow ended");
@@ -401,7 +409,7 @@
                     break;
                 }
                 Some(_) = requests.join_next() => continue,
-                () = linger(), if draining && requests.is_empty() => break,
+                () = sleep(LINGER), if draining && requests.is_empty() => break,
             };
             let path = Rc::clone(&self.path);
             let closed = connection.clone();
@@ -420,13 +428,12 @@
             });
         }
         while requests.join_next().await.is_some() {}
+        // Closing would drop what the caller hasn't acknowledged. A caller that has all its answers
+        // closes the flow itself after GOAWAY.
+        let _ = timeout(LINGER, connection.closed()).await;
     }
 }
 
-async fn linger() {
-    sleep(LINGER).await;
-}
-
 async fn accept(incoming: Incoming) -> Option<quinn::Connection> {
     let connecting = match incoming.accept() {
         Ok(connecting) => connecting,
--- a/components/balancer/src/process/control_thread.rs
+++ b/components/balancer/src/process/control_thread.rs
@@ -160,7 +160,9 @@
             let _ = returned.send(event);
         }),
     );
+    let (lonely, alone) = watch::channel(true);
     let arguments = MemberArguments {
+        lonely,
         protocol: member_protocol(&settings.process),
         runner,
         clock: ProcessClock::start(),
@@ -179,8 +181,12 @@
     tokio::spawn(pass_state(state.clone(), members.clone()));
     tokio::spawn(pass_news(heard, events, found, members.clone()));
     tokio::spawn(tick(members.clone()));
-    let duty = StoreDuty::Watch { entries };
-    spawn_store(
+    let duty = StoreDuty::Watch {
+        entries,
+        alone,
+        stopped: stopped.clone(),
+    };
+    let store = spawn_store(
         &settings.store,
         &settings.process,
         vault,
@@ -194,6 +200,7 @@
     let _ = stopped.wait_for(|stop| *stop).await;
     let _ = members.cast(MemberMessage::Leave);
     let _ = members.drain_and_wait(Some(LEAVE_TIMEOUT)).await;
+    let _ = tokio::time::timeout(LEAVE_TIMEOUT, store).await;
     Ok(())
 }
 
--- a/components/balancer/src/process/member_actor.rs
+++ b/components/balancer/src/process/member_actor.rs
@@ -88,6 +88,8 @@
     pub(crate) clock: ProcessClock,
     pub(crate) plans: watch::Sender<Arc<ForwardPlan>>,
     pub(crate) metrics: BalancerMetrics,
+    /// Says whether the balancer knows no other.
+    pub(crate) lonely: watch::Sender<bool>,
 }
 
 pub(crate) struct ActorState {
@@ -146,6 +148,9 @@
             MemberMessage::Leave => state.leave(),
             MemberMessage::Tick => {
                 state.handle_event(MemberEvent::Tick);
+                let others = state.arguments.protocol.list().balancers().len();
+                // The list holds the balancer itself, too.
+                state.arguments.lonely.send_replace(others <= 1);
                 if state.is_stale {
                     state.publish_plan();
                 }
--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -32,7 +32,11 @@
         watch,
         Notify, //
     },
-    time::sleep, //
+    task::JoinHandle,
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 use tracing::{
     debug,
@@ -59,6 +63,9 @@
 /// Pace at which a balancer looks for a vacant entry point, with jitter. At 530 balancers this
 /// makes 18 reads a second.
 const VACANCY_PACE: Duration = Duration::from_secs(30);
+/// The same pace while the balancer knows no other, which may be because the entry points that it
+/// read were those of balancers that have gone.
+const LONELY_PACE: Duration = Duration::from_secs(1);
 /// Longest wait of one blocking query.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 const FIRST_RETRY: Duration = Duration::from_millis(100);
@@ -74,6 +81,10 @@
     Watch {
         /// Where the entry points are published.
         entries: watch::Sender<Vec<SocketAddrV4>>,
+        /// Whether the balancer knows no other.
+        alone: watch::Receiver<bool>,
+        /// Becomes true at the planned stop.
+        stopped: watch::Receiver<bool>,
     },
     /// Reads the entry points, and again when asked to.
     Read {
@@ -84,7 +95,8 @@
     },
 }
 
-/// Starts the store task on the current runtime.
+/// Starts the store task on the current runtime. A balancer's ends soon after its planned stop, when
+/// the entry point is vacant.
 pub fn spawn_store(
     store: &StoreSettings,
     process: &ProcessSettings,
@@ -92,7 +104,7 @@
     config: ActorRef<ConfigMessage>,
     state: watch::Receiver<PublishedState>,
     duty: StoreDuty,
-) {
+) -> JoinHandle<()> {
     let task = StoreTask {
         client: StoreClient::new(store.address, store.deployment.clone()),
         process: process.clone(),
@@ -101,7 +113,7 @@
         state,
         random: StdRng::from_os_rng(),
     };
-    tokio::spawn(task.run(duty));
+    tokio::spawn(task.run(duty))
 }
 
 #[derive(Clone)]
@@ -118,9 +130,16 @@
     async fn run(mut self, duty: StoreDuty) {
         sleep(RetryPlan::initial_delay(START_SPREAD, &mut self.random)).await;
         match duty {
-            StoreDuty::Watch { entries } => {
-                self.start(&entries, false).await;
-                self.hold_entry(entries).await;
+            StoreDuty::Watch {
+                entries,
+                alone,
+                mut stopped,
+            } => {
+                tokio::select! {
+                    () = self.start(&entries, false) => {}
+                    _ = stopped.wait_for(|stop| *stop) => return,
+                }
+                self.hold_entry(entries, alone, stopped).await;
             }
             StoreDuty::Read { entries, wanted } => loop {
                 self.start(&entries, true).await;
@@ -185,17 +204,30 @@
     }
 
     /// Becomes an entry point whenever one is vacant in this data centre.
-    async fn hold_entry(mut self, entries: watch::Sender<Vec<SocketAddrV4>>) {
+    async fn hold_entry(
+        mut self,
+        entries: watch::Sender<Vec<SocketAddrV4>>,
+        alone: watch::Receiver<bool>,
+        mut stopped: watch::Receiver<bool>,
+    ) {
         let mut plan = RetryPlan::new(FIRST_RETRY, LONGEST_RETRY);
-        loop {
-            match self.try_entry(&entries).await {
+        while !*stopped.borrow() {
+            let wait = match self.try_entry(&entries, &mut stopped).await {
                 Ok(()) => {
                     plan.reset();
-                    let pace = VACANCY_PACE.mul_f64(self.random.random_range(0.5..1.5));
-                    sleep(pace).await;
+                    let pace = if *alone.borrow() {
+                        LONELY_PACE
+                    } else {
+                        VACANCY_PACE
+                    };
+                    pace.mul_f64(self.random.random_range(0.5..1.5))
                 }
-                Err(error) => self.pause(&mut plan, &error).await,
-            }
+                Err(error) => {
+                    debug!(%error, "the store is asked again later");
+                    plan.next_delay(&mut self.random).unwrap_or(LONGEST_RETRY)
+                }
+            };
+            let _ = timeout(wait, stopped.wait_for(|stop| *stop)).await;
         }
     }
 
@@ -203,6 +235,7 @@
     async fn try_entry(
         &mut self,
         entries: &watch::Sender<Vec<SocketAddrV4>>,
+        stopped: &mut watch::Receiver<bool>,
     ) -> Result<(), StoreError> {
         let prefix = format_compact!("{ENTRIES}{}/", self.process.data_centre);
         let found = self.read_entries(entries).await?;
@@ -221,7 +254,11 @@
             if self.client.acquire_key(&key, value, &session).await? {
                 info!(%key, "entry point taken");
                 self.read_entries(entries).await?;
-                return self.serve_entry(&session).await;
+                tokio::select! {
+                    ended = self.serve_entry(&session) => return ended,
+                    _ = stopped.wait_for(|stop| *stop) => {}
+                }
+                break;
             }
         }
         self.client.destroy_session(&session).await
