Count a flow that was reset before its first answer as given up

Cause: taken_out_centre_gets_nothing failed in 2 of 16 runs with one broken flow whose target is empty. Its trace: a stateless reset within 2 ms of those of the taken-out data centre's flows, before the flow had any answer that names its target. No agent restarts in this test, so only balancers send resets, and only for that data centre. Ruled out: a reset of a flow elsewhere; none with a known target was seen. The check of flows with a known target is as strict as before.

--- a/tests/process_faults/main.rs
+++ b/tests/process_faults/main.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use carobdrum_caller::{
+    BrokenFlow,
     CallerRequest,
     LoadBuilder,
     LoadReport,
@@ -198,8 +199,13 @@
     assert_eq!(late, 0, "requests reached {} while it was out", CENTRES[1]);
     assert_eq!(report.wrong_answers, 0, "{:?}", report.wrong_examples);
     let out = [1, 3].map(server_name);
-    let elsewhere = report.broken_flows.iter();
-    let elsewhere = elsewhere.filter(|flow| !out.iter().any(|name| *name == flow.target));
+    // A flow that was reset before its first answer has no known target. No agent restarts here, so
+    // only balancers send resets, and only for flows of the data centre that is out.
+    let given_up = |flow: &BrokenFlow| {
+        let is_unplaced = flow.target.is_empty() && flow.cause == "stateless reset";
+        is_unplaced || out.iter().any(|name| *name == flow.target)
+    };
+    let elsewhere = report.broken_flows.iter().filter(|flow| !given_up(flow));
     assert_eq!(elsewhere.count(), 0, "{:?}", report.broken_flows);
     assert_eq!(
         report.failed, report.unknown,
