--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,10 @@
         Ipv4Addr,
         SocketAddrV4, //
     },
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     time::{
         Duration,
         Instant, //
@@ -69,11 +72,7 @@
     /// Starts store, fabric and backend servers at addresses below 127.`net`.
     pub(crate) async fn start(net: u8, servers: usize) -> TestSite {
         let files = tempfile::tempdir().expect("a temporary directory");
-        let certified =
-            rcgen::generate_simple_self_signed([SERVER_NAME.to_owned()]).expect("a certificate");
-        std::fs::write(files.path().join("cert.pem"), certified.cert.pem()).expect("a file");
-        let key = certified.signing_key.serialize_pem();
-        std::fs::write(files.path().join("key.pem"), key).expect("a file");
+        write_certificate(files.path());
         std::fs::write(files.path().join("secret.hex"), "5a".repeat(32)).expect("a file");
         let store_address = SocketAddrV4::new(Ipv4Addr::new(127, net, 0, 2), 8500);
         let store = StoreServer::start(store_address.into())
@@ -103,6 +102,11 @@
         }
     }
 
+    /// Replaces the certificate files by new ones.
+    pub(crate) fn renew_certificate(&self) {
+        write_certificate(self.files.path());
+    }
+
     /// Returns the address that callers use.
     pub(crate) fn service(&self) -> SocketAddrV4 {
         service_address(self.net)
@@ -269,6 +273,14 @@
 name = 'galway-b'
 ";
 
+fn write_certificate(folder: &Path) {
+    let names = [SERVER_NAME.to_owned()];
+    let certified = rcgen::generate_simple_self_signed(names).expect("a certificate");
+    std::fs::write(folder.join("cert.pem"), certified.cert.pem()).expect("a file");
+    let key = certified.signing_key.serialize_pem();
+    std::fs::write(folder.join("key.pem"), key).expect("a file");
+}
+
 async fn scrape_version(address: SocketAddrV4) -> u32 {
     use tokio::io::{
         AsyncReadExt,
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -11,11 +11,16 @@
     CallerRequest,
     LostCause, //
 };
+use carobdrum_control::KeyVault;
 use carobdrum_standins::PortMode;
 use common::{
     TestSite,
     POOLS, //
 };
+use rand::{
+    rngs::StdRng,
+    SeedableRng, //
+};
 
 /// Time within which an accepted edit must be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(3);
@@ -170,3 +175,54 @@
         }
     }
 }
+
+/// Guards against flows that break, and balancers that drop, when the fleet key is rotated.
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_survive_key_rotations() {
+    const KEYS: &str = "carobdrum/test/keys";
+    let site = two_centres(66).await;
+    let old = site.connect().await;
+    let vault = KeyVault::new(&[0x5a; 32]);
+    let mut random = StdRng::seed_from_u64(66);
+    for _ in 0..2 {
+        let wrapped = site.store.value(KEYS).expect("a key ring");
+        let ring = vault.unwrap(&wrapped).expect("the site's key ring");
+        let rotated = vault.rotated(&ring, &mut random);
+        site.store
+            .set_value(KEYS, vault.wrap(&rotated, &mut random));
+        tokio::time::sleep(IN_FORCE).await;
+        let request = || CallerRequest::get("/bytes/200000?seed=6").timeout(IN_FORCE);
+        // The first key is still in the ring after one rotation, and has left it after two; by then
+        // the flow must have got connection IDs under a newer one.
+        if rotated.key(0).is_some() {
+            old.request(request())
+                .await
+                .expect("an answer on the old flow");
+        }
+        let fresh = site.connect().await;
+        fresh
+            .request(request())
+            .await
+            .expect("an answer on a new flow");
+    }
+}
+
+/// Guards against an agent that needs a restart for a renewed certificate.
+#[tokio::test(flavor = "multi_thread")]
+async fn renewed_certificate_is_taken_without_a_restart() {
+    let site = two_centres(67).await;
+    let old = site.connect().await;
+    site.renew_certificate();
+    let deadline = Instant::now() + Duration::from_secs(15);
+    // Only callers that trust the new certificate get through from now on.
+    while site.caller().connect(site.service().into()).await.is_err() {
+        assert!(
+            Instant::now() < deadline,
+            "the new certificate isn't in use within 15 s"
+        );
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    old.request(CallerRequest::get("/whoami"))
+        .await
+        .expect("an answer on the old flow");
+}
