--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -12,7 +12,10 @@
     LostCause, //
 };
 use carobdrum_control::KeyVault;
-use carobdrum_standins::PortMode;
+use carobdrum_standins::{
+    PortMode,
+    ServiceTime, //
+};
 use common::{
     TestSite,
     POOLS, //
@@ -226,3 +229,31 @@
         .await
         .expect("an answer on the old flow");
 }
+
+/// Guards against new work for a server that leaves, and against callers that are turned away because
+/// balancers still place flows on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_gets_no_new_work() {
+    let mut site = two_centres(68).await;
+    let flow = site.connect_when(|name| name.ends_with('1')).await;
+    site.servers[1].set_service_time(ServiceTime::Fixed(Duration::from_secs(3)));
+    let running = tokio::spawn(async move { flow.request(CallerRequest::get("/whoami")).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let leaving = site.agents[1].take().expect("an agent");
+    let leaving = tokio::task::spawn_blocking(move || leaving.stop());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for _ in 0..20 {
+        let flow = site
+            .caller()
+            .connect(site.service().into())
+            .await
+            .expect("a flow");
+        let answer = flow
+            .request(CallerRequest::get("/whoami"))
+            .await
+            .expect("an answer");
+        assert_eq!(answer.target(), Some("placename-api-0"));
+    }
+    running.await.expect("a task").expect("the whole answer");
+    leaving.await.expect("an ended agent");
+}
