--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -235,10 +235,18 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_server_gets_no_new_work() {
     let mut site = two_centres(68).await;
+    let staying = site.connect_when(|name| name.ends_with('0')).await;
     let flow = site.connect_when(|name| name.ends_with('1')).await;
-    site.servers[1].set_service_time(ServiceTime::Fixed(Duration::from_secs(3)));
+    // Both servers get the same load, so that it isn't the load that keeps flows away.
+    for server in &site.servers {
+        server.set_service_time(ServiceTime::Fixed(Duration::from_secs(3)));
+    }
+    let other = tokio::spawn(async move { staying.request(CallerRequest::get("/whoami")).await });
     let running = tokio::spawn(async move { flow.request(CallerRequest::get("/whoami")).await });
     tokio::time::sleep(Duration::from_millis(300)).await;
+    for server in &site.servers {
+        server.set_service_time(ServiceTime::Fixed(Duration::ZERO));
+    }
     let leaving = site.agents[1].take().expect("an agent");
     let leaving = tokio::task::spawn_blocking(move || leaving.stop());
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -255,5 +263,6 @@
         assert_eq!(answer.target(), Some("placename-api-0"));
     }
     running.await.expect("a task").expect("the whole answer");
+    other.await.expect("a task").expect("the whole answer");
     leaving.await.expect("an ended agent");
 }
