Share the threads and feeds of both daemons, and log outages of the store

Cause: both daemons had their own copies of the thread start and of the tasks that feed their actors; an outage of the store showed at debug level only. Ruled out: one actor for both daemons, because their states have little in common.

--- a/components/agent/src/process/agent_handle.rs
+++ b/components/agent/src/process/agent_handle.rs
@@ -1,13 +1,13 @@
 //! Starting and stopping of an agent.
 
 use std::{
-    future::Future,
     net::SocketAddrV4,
     sync::Arc,
     thread::JoinHandle, //
 };
 
 use carobdrum_control::{
+    spawn_thread,
     unix_millis,
     wait_for_stop,
     ProcessClock,
@@ -35,18 +35,12 @@
     Socket,
     Type, //
 };
-use tokio::{
-    sync::{
-        mpsc,
-        oneshot,
-        watch, //
-    },
-    task::LocalSet,
-};
-use tracing::{
-    error,
-    info, //
+use tokio::sync::{
+    mpsc,
+    oneshot,
+    watch, //
 };
+use tracing::info;
 
 use super::{
     agent_error::{
@@ -138,14 +132,16 @@
             ended,
             ready,
         };
-        let mut threads = vec![spawn_thread("control", move || run_control(control))?];
+        let thread = spawn_thread("control", move || run_control(control));
+        let mut threads = vec![thread.context(ThreadFailedSnafu)?];
         started.recv().ok().context(ControlEndedSnafu)??;
-        threads.push(spawn_thread("traffic", move || async move {
+        let thread = spawn_thread("traffic", move || async move {
             let result = run_traffic(traffic).await;
             // The control thread announces the drain until the last flow has ended.
             let _ = end.send(());
             result
-        })?);
+        });
+        threads.push(thread.context(ThreadFailedSnafu)?);
         Ok(AgentHandle {
             stop,
             shared,
@@ -191,24 +187,3 @@
     socket.bind(&address.into())?;
     Ok(socket.into())
 }
-
-/// Starts a thread with a runtime of its own.
-fn spawn_thread<W, F>(name: &'static str, work: W) -> Result<JoinHandle<()>, AgentError>
-where
-    W: FnOnce() -> F + Send + 'static,
-    F: Future<Output = Result<(), AgentError>>,
-{
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(ThreadFailedSnafu)?;
-    std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(move || {
-            let local = LocalSet::new();
-            if let Err(error) = local.block_on(&runtime, work()) {
-                error!(thread = name, %error, "thread ended");
-            }
-        })
-        .context(ThreadFailedSnafu)
-}
--- a/components/agent/src/process/control_thread.rs
+++ b/components/agent/src/process/control_thread.rs
@@ -1,10 +1,7 @@
 //! The control thread of an agent.
 
 use std::{
-    net::{
-        SocketAddr,
-        SocketAddrV4, //
-    },
+    net::SocketAddr,
     sync::{
         mpsc::SyncSender,
         Arc, //
@@ -13,6 +10,9 @@
 };
 
 use carobdrum_control::{
+    feed_news,
+    feed_state,
+    feed_ticks,
     serve_control,
     spawn_config,
     spawn_store,
@@ -21,12 +21,12 @@
     ConfigMessage,
     ControlSender,
     KeyVault,
+    NewsItem,
     PublishedState,
     StoreDuty, //
 };
 use carobdrum_core::process::{
     AgentAnnouncer,
-    MemberEvent,
     MemberRecord,
     MemberRole,
     MemberState, //
@@ -194,9 +194,21 @@
         ledger,
         shared,
     ));
-    tokio::spawn(pass_state(state, announcer.clone()));
-    tokio::spawn(pass_news(datagrams, events, found, announcer.clone()));
-    tokio::spawn(tick(announcer.clone()));
+    tokio::spawn(feed_state(
+        state,
+        announcer.clone(),
+        AnnounceMessage::StateChanged,
+    ));
+    tokio::spawn(feed_news(
+        datagrams,
+        events,
+        found,
+        announcer.clone(),
+        news_message,
+    ));
+    tokio::spawn(feed_ticks(TICK, announcer.clone(), || {
+        AnnounceMessage::Tick
+    }));
     info!(%address, "agent ready");
     let _ = ready.send(Ok(()));
     let _ = ended.await;
@@ -248,53 +260,6 @@
     .await;
 }
 
-async fn pass_state(
-    mut state: watch::Receiver<PublishedState>,
-    announcer: ActorRef<AnnounceMessage>,
-) {
-    while state.changed().await.is_ok() {
-        let published = state.borrow_and_update().clone();
-        if announcer
-            .cast(AnnounceMessage::StateChanged(published))
-            .is_err()
-        {
-            return;
-        }
-    }
-}
-
-/// Passes on what other tasks and threads have found out.
-async fn pass_news(
-    mut datagrams: mpsc::Receiver<ControlDatagram>,
-    mut events: mpsc::UnboundedReceiver<MemberEvent>,
-    mut entries: watch::Receiver<Vec<SocketAddrV4>>,
-    announcer: ActorRef<AnnounceMessage>,
-) {
-    loop {
-        let message = tokio::select! {
-            Some(datagram) = datagrams.recv() => AnnounceMessage::Datagram(datagram),
-            Some(event) = events.recv() => AnnounceMessage::Event(event),
-            Ok(()) = entries.changed() => {
-                AnnounceMessage::Bootstrap(entries.borrow_and_update().clone())
-            }
-            else => return,
-        };
-        if announcer.cast(message).is_err() {
-            return;
-        }
-    }
-}
-
-async fn tick(announcer: ActorRef<AnnounceMessage>) {
-    let mut pace = tokio::time::interval(TICK);
-    loop {
-        pace.tick().await;
-        if announcer.cast(AnnounceMessage::Tick).is_err() {
-            return;
-        }
-    }
-}
-
 fn agent_announcer(settings: &ProcessSettings, incarnation: u64) -> AgentAnnouncer {
     let own = MemberRecord::builder(MemberRole::Agent, settings.address, incarnation)
         .name(settings.name.clone())
@@ -305,3 +270,11 @@
     let bootstrap = settings.bootstrap.iter().copied();
     AgentAnnouncer::new(own, SmallRng::from_os_rng(), bootstrap)
 }
+
+fn news_message(item: NewsItem<ControlDatagram>) -> AnnounceMessage {
+    match item {
+        NewsItem::Traffic(news) => AnnounceMessage::Datagram(news),
+        NewsItem::Event(event) => AnnounceMessage::Event(event),
+        NewsItem::Entries(entries) => AnnounceMessage::Bootstrap(entries),
+    }
+}
--- a/components/balancer/src/process/balancer_handle.rs
+++ b/components/balancer/src/process/balancer_handle.rs
@@ -1,11 +1,11 @@
 //! Starting and stopping of a balancer.
 
 use std::{
-    future::Future,
     sync::Arc,
     thread::JoinHandle, //
 };
 
+use carobdrum_control::spawn_thread;
 use carobdrum_settings::{
     read_secret,
     BalancerSettings, //
@@ -15,17 +15,11 @@
     OptionExt,
     ResultExt, //
 };
-use tokio::{
-    sync::{
-        mpsc,
-        watch, //
-    },
-    task::LocalSet,
-};
-use tracing::{
-    error,
-    info, //
+use tokio::sync::{
+    mpsc,
+    watch, //
 };
+use tracing::info;
 
 use super::{
     balancer_error::{
@@ -83,7 +77,8 @@
             };
             let (metrics, plan) = (metrics.clone(), plan.clone());
             let traffic = move || run_traffic(state, addresses, metrics, plan);
-            threads.push(spawn_thread(format!("traffic-{index}"), traffic)?);
+            let thread = spawn_thread(format!("traffic-{index}"), traffic);
+            threads.push(thread.context(ThreadFailedSnafu)?);
         }
         // The start may be called on a runtime, whose channels refuse to block.
         let (ready, started) = std::sync::mpsc::sync_channel(1);
@@ -96,9 +91,8 @@
             stopped,
             ready,
         };
-        threads.push(spawn_thread("control".to_owned(), move || {
-            run_control(parts)
-        })?);
+        let thread = spawn_thread("control", move || run_control(parts));
+        threads.push(thread.context(ThreadFailedSnafu)?);
         started.recv().ok().context(ControlEndedSnafu)??;
         Ok(BalancerHandle { stop, threads })
     }
@@ -125,26 +119,3 @@
     handle.stop();
     Ok(())
 }
-
-/// Starts a thread with a runtime of its own.
-fn spawn_thread<W, F, E>(name: String, work: W) -> Result<JoinHandle<()>, BalancerError>
-where
-    W: FnOnce() -> F + Send + 'static,
-    F: Future<Output = Result<(), E>>,
-    E: std::fmt::Display,
-{
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(ThreadFailedSnafu)?;
-    let thread_name = name.clone();
-    std::thread::Builder::new()
-        .name(name)
-        .spawn(move || {
-            let local = LocalSet::new();
-            if let Err(error) = local.block_on(&runtime, work()) {
-                error!(thread = %thread_name, %error, "thread ended");
-            }
-        })
-        .context(ThreadFailedSnafu)
-}
--- a/components/balancer/src/process/control_thread.rs
+++ b/components/balancer/src/process/control_thread.rs
@@ -13,6 +13,9 @@
 };
 
 use carobdrum_control::{
+    feed_news,
+    feed_state,
+    feed_ticks,
     serve_control,
     spawn_config,
     spawn_store,
@@ -22,12 +25,12 @@
     ConfigMessage,
     ControlSender,
     KeyVault,
+    NewsItem,
     ProcessClock,
     PublishedState,
     StoreDuty, //
 };
 use carobdrum_core::process::{
-    MemberEvent,
     MemberProtocol,
     MemberRecord,
     MemberRole, //
@@ -178,9 +181,19 @@
         members.clone(),
     ));
     tokio::spawn(read_datagrams(udp, key, members.clone(), metrics));
-    tokio::spawn(pass_state(state.clone(), members.clone()));
-    tokio::spawn(pass_news(heard, events, found, members.clone()));
-    tokio::spawn(tick(members.clone()));
+    tokio::spawn(feed_state(
+        state.clone(),
+        members.clone(),
+        MemberMessage::StateChanged,
+    ));
+    tokio::spawn(feed_news(
+        heard,
+        events,
+        found,
+        members.clone(),
+        news_message,
+    ));
+    tokio::spawn(feed_ticks(TICK, members.clone(), || MemberMessage::Tick));
     let duty = StoreDuty::Watch {
         entries,
         alone,
@@ -326,46 +339,10 @@
     }
 }
 
-async fn pass_state(mut state: watch::Receiver<PublishedState>, members: ActorRef<MemberMessage>) {
-    while state.changed().await.is_ok() {
-        let published = state.borrow_and_update().clone();
-        if members
-            .cast(MemberMessage::StateChanged(published))
-            .is_err()
-        {
-            return;
-        }
-    }
-}
-
-/// Passes on what other tasks and threads have found out.
-async fn pass_news(
-    mut heard: mpsc::Receiver<NumberSeen>,
-    mut events: mpsc::UnboundedReceiver<MemberEvent>,
-    mut entries: watch::Receiver<Vec<SocketAddrV4>>,
-    members: ActorRef<MemberMessage>,
-) {
-    loop {
-        let message = tokio::select! {
-            Some(seen) = heard.recv() => MemberMessage::NumberSeen(seen),
-            Some(event) = events.recv() => MemberMessage::Event(event),
-            Ok(()) = entries.changed() => {
-                MemberMessage::Bootstrap(entries.borrow_and_update().clone())
-            }
-            else => return,
-        };
-        if members.cast(message).is_err() {
-            return;
-        }
-    }
-}
-
-async fn tick(members: ActorRef<MemberMessage>) {
-    let mut pace = tokio::time::interval(TICK);
-    loop {
-        pace.tick().await;
-        if members.cast(MemberMessage::Tick).is_err() {
-            return;
-        }
+fn news_message(item: NewsItem<NumberSeen>) -> MemberMessage {
+    match item {
+        NewsItem::Traffic(news) => MemberMessage::NumberSeen(news),
+        NewsItem::Event(event) => MemberMessage::Event(event),
+        NewsItem::Entries(entries) => MemberMessage::Bootstrap(entries),
     }
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -18,8 +18,12 @@
     CallError, //
 };
 pub use process::{
+    feed_news,
+    feed_state,
+    feed_ticks,
     spawn_config,
     spawn_store,
+    spawn_thread,
     unix_millis,
     wait_for_stop,
     ActionRunner,
@@ -28,6 +32,7 @@
     ConfigMessage,
     ControlSender,
     EventReturn,
+    NewsItem,
     ProcessClock,
     StoreDuty, //
 };
--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -40,7 +40,8 @@
 };
 use tracing::{
     debug,
-    info, //
+    info,
+    warn, //
 };
 
 use crate::{
@@ -112,6 +113,7 @@
         config,
         state,
         random: StdRng::from_os_rng(),
+        is_down: false,
     };
     tokio::spawn(task.run(duty))
 }
@@ -124,6 +126,8 @@
     config: ActorRef<ConfigMessage>,
     state: watch::Receiver<PublishedState>,
     random: StdRng,
+    /// Whether the last call failed, so that an outage is logged once.
+    is_down: bool,
 }
 
 impl StoreTask {
@@ -153,7 +157,10 @@
         let mut plan = RetryPlan::new(FIRST_RETRY, LONGEST_RETRY);
         loop {
             match self.read_once(entries).await {
-                Ok(found) if found || !needs_entries => return,
+                Ok(found) if found || !needs_entries => {
+                    self.note_answer();
+                    return;
+                }
                 Ok(_) => self.pause(&mut plan, "no entry point yet").await,
                 Err(error) => self.pause(&mut plan, &error).await,
             }
@@ -305,6 +312,7 @@
             match self.client.watch_version(index, WATCH_WAIT).await {
                 Ok(watch) => {
                     plan.reset();
+                    self.note_answer();
                     index = next_index(index, watch.index);
                     if let Some(version) = watch.version {
                         let version = Box::new(version);
@@ -323,6 +331,7 @@
             match self.client.watch_key(KEYS, index, WATCH_WAIT).await {
                 Ok(watch) => {
                     plan.reset();
+                    self.note_answer();
                     index = next_index(index, watch.index);
                     if let Some(entry) = watch.entry {
                         let _ = self
@@ -368,8 +377,18 @@
         Ok(())
     }
 
+    fn note_answer(&mut self) {
+        if self.is_down {
+            info!("the store serves again");
+            self.is_down = false;
+        }
+    }
+
     async fn pause(&mut self, plan: &mut RetryPlan, reason: impl std::fmt::Display) {
-        debug!(%reason, "the store is asked again later");
+        if !self.is_down {
+            warn!(%reason, "the store doesn't serve; it is asked again until it does");
+            self.is_down = true;
+        }
         let delay = plan.next_delay(&mut self.random).unwrap_or(LONGEST_RETRY);
         sleep(delay).await;
     }
