Answer through another balancer when the one that delivered has left

Cause: an agent kept answering through the balancer that delivered a caller's last datagram. Ruled out: a longer wait before closing, since a silent caller needs no time but another balancer. A drained flow is also polled until it closes, so that late requests are rejected as not processed. Before: the new test gets no answer within 1 s after the server gave it.

--- a/components/agent/src/connection/caller_table.rs
+++ b/components/agent/src/connection/caller_table.rs
@@ -5,6 +5,8 @@
     SocketAddrV4, //
 };
 
+use carobdrum_core::Millis;
+
 /// How to answer one caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct CallerRoute {
@@ -21,14 +23,27 @@
     route: CallerRoute,
 }
 
+/// Silence after which a balancer is taken for gone while another one delivers.
+const FRESH: Millis = Millis(1_000);
+/// Balancer sockets remembered; those unheard for longest leave the list.
+const MAX_BALANCERS: usize = 8_192;
+
+struct HeardBalancer {
+    balancer: SocketAddrV4,
+    heard: Millis,
+}
+
 /// Bounded table of callers, sorted by caller and service address.
 ///
 /// When it is full, the caller unheard for longest leaves it; that caller is answered again after
-/// its next datagram.
+/// its next datagram. A balancer that has left is replaced by the one heard last, because any
+/// balancer can answer any caller; otherwise a caller that waits in silence would never hear again.
 pub(crate) struct CallerTable {
     capacity: usize,
     uses: u32,
     entries: Vec<CallerEntry>,
+    /// Sorted by address.
+    balancers: Vec<HeardBalancer>,
 }
 
 impl CallerTable {
@@ -38,12 +53,14 @@
             capacity: capacity.max(1),
             uses: 0,
             entries: Vec::new(),
+            balancers: Vec::new(),
         }
     }
 
     /// Records that a datagram of `caller` came by `route`.
-    pub(crate) fn note(&mut self, caller: SocketAddrV4, route: CallerRoute) {
+    pub(crate) fn note(&mut self, now: Millis, caller: SocketAddrV4, route: CallerRoute) {
         self.uses = self.uses.wrapping_add(1);
+        self.note_balancer(now, route.balancer);
         let service_ip = *route.service_address.ip();
         match self.find(caller, service_ip) {
             Ok(index) => {
@@ -66,9 +83,52 @@
     }
 
     /// Returns the route to `caller`.
-    pub(crate) fn route(&self, caller: SocketAddrV4, service_ip: Ipv4Addr) -> Option<CallerRoute> {
-        let found = self.find(caller, service_ip);
-        found.ok().map(|index| self.entries[index].route)
+    pub(crate) fn route(
+        &self,
+        now: Millis,
+        caller: SocketAddrV4,
+        service_ip: Ipv4Addr,
+    ) -> Option<CallerRoute> {
+        let index = self.find(caller, service_ip).ok()?;
+        let route = self.entries[index].route;
+        let heard = self.heard_at(route.balancer);
+        if now.since(heard) < FRESH {
+            return Some(route);
+        }
+        let latest = self.balancers.iter().max_by_key(|entry| entry.heard);
+        let balancer = match latest {
+            Some(latest) if latest.heard > heard => latest.balancer,
+            _ => route.balancer,
+        };
+        Some(CallerRoute { balancer, ..route })
+    }
+
+    fn note_balancer(&mut self, now: Millis, balancer: SocketAddrV4) {
+        match self.find_balancer(balancer) {
+            Ok(index) => self.balancers[index].heard = now,
+            Err(_) => {
+                if self.balancers.len() >= MAX_BALANCERS {
+                    self.balancers
+                        .retain(|entry| now.since(entry.heard) < FRESH);
+                }
+                let index = self.find_balancer(balancer).unwrap_or_else(|index| index);
+                let heard = HeardBalancer {
+                    balancer,
+                    heard: now,
+                };
+                self.balancers.insert(index, heard);
+            }
+        }
+    }
+
+    fn heard_at(&self, balancer: SocketAddrV4) -> Millis {
+        let found = self.find_balancer(balancer);
+        found.map_or(Millis(0), |index| self.balancers[index].heard)
+    }
+
+    fn find_balancer(&self, balancer: SocketAddrV4) -> Result<usize, usize> {
+        self.balancers
+            .binary_search_by_key(&balancer, |entry| entry.balancer)
     }
 
     fn find(&self, caller: SocketAddrV4, service_ip: Ipv4Addr) -> Result<usize, usize> {
--- a/components/agent/src/connection/tunnel_state.rs
+++ b/components/agent/src/connection/tunnel_state.rs
@@ -131,7 +131,8 @@
         contents: &[u8],
         segment_len: usize,
     ) -> Option<SocketAddrV4> {
-        let Some(route) = self.callers.route(caller, service_ip) else {
+        let now = self.shared.clock.now();
+        let Some(route) = self.callers.route(now, caller, service_ip) else {
             self.metrics.drop(DropReason::NoRoute);
             return None;
         };
@@ -206,7 +207,8 @@
             balancer,
             service_address: header.service_address,
         };
-        self.callers.note(header.caller, route);
+        self.callers
+            .note(self.shared.clock.now(), header.caller, route);
         self.metrics.delivered.inc();
         TunnelVerdict::Deliver {
             caller: header.caller,
--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -428,9 +428,10 @@
             });
         }
         while requests.join_next().await.is_some() {}
-        // Closing would drop what the caller hasn't acknowledged. A caller that has all its answers
+        // Requests that come now are rejected as not processed while the flow is polled. Closing would drop what the caller hasn't acknowledged. A caller that has all its answers
         // closes the flow itself after GOAWAY.
-        let _ = timeout(LINGER, connection.closed()).await;
+        let reject = async { while let Ok(Some(_)) = http.accept().await {} };
+        let _ = timeout(LINGER, async { tokio::join!(reject, connection.closed()) }).await;
     }
 }
 
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -266,3 +266,41 @@
     other.await.expect("a task").expect("the whole answer");
     leaving.await.expect("an ended agent");
 }
+
+/// Guards against a caller that waits in silence for an answer while the balancer that delivered its
+/// request leaves: the agent must answer through another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_caller_is_answered_after_its_balancer_left() {
+    let mut site = TestSite::start(69, 1).await;
+    site.apply(&site.routes(), POOLS).await;
+    site.add_balancer("galway-a");
+    site.add_balancer("galway-a");
+    site.add_agent("galway-a");
+    site.fabric.set_balancers([site.balancer_ip(0)]);
+    let waiting = site.connect().await;
+    // One flow in the way of the other would hide that the first one sends nothing.
+    let busy = site.connect().await;
+    site.servers[0].set_service_time(ServiceTime::Fixed(Duration::from_secs(3)));
+    let path = "/bytes/400000?seed=9";
+    let answer = tokio::spawn(async move { waiting.request(CallerRequest::get(path)).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.servers[0].set_service_time(ServiceTime::Fixed(Duration::ZERO));
+    site.fabric.set_balancers([site.balancer_ip(1)]);
+    let left = site.balancers[0].take().expect("a balancer");
+    tokio::task::spawn_blocking(move || left.stop())
+        .await
+        .expect("an ended balancer");
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(4) {
+        busy.request(CallerRequest::get("/bytes/9?seed=1"))
+            .await
+            .expect("an answer");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(
+        answer.is_finished(),
+        "no answer 1 s after the server gave it"
+    );
+    let answer = answer.await.expect("a task").expect("the whole answer");
+    assert!(answer.body == carobdrum_standins::body_chunk(9, 0, 400_000));
+}
