Repeat a request on a flow that is still in use

Cause: stopped_agent_cuts_no_request failed once in 9 runs, with one request that was refused as going away. The load kept handing out the retired flow until its slot had noticed, so the request used up its repeats there. No request was cut. Ruled out: the agent; it refused the request truthfully.

--- a/components/caller/src/process/flow_slot.rs
+++ b/components/caller/src/process/flow_slot.rs
@@ -44,6 +44,7 @@
     pub(crate) flow: CallerFlow,
     log: Arc<FlowLog>,
     retired: Notify,
+    is_retired: AtomicBool,
     is_broken: AtomicBool,
     target: Mutex<CompactString>,
 }
@@ -51,9 +52,14 @@
 impl HeldFlow {
     /// Lets the slot open another flow for further requests.
     pub(crate) fn retire(&self) {
+        self.is_retired.store(true, Ordering::Relaxed);
         self.retired.notify_one();
     }
 
+    fn is_usable(&self) -> bool {
+        !self.is_retired.load(Ordering::Relaxed)
+    }
+
     /// Notes the backend server that gave the last answer.
     pub(crate) fn answered_by(&self, target: &str) {
         let mut last = self.target.lock().unwrap_or_else(PoisonError::into_inner);
@@ -98,9 +104,12 @@
     }
 
     /// Returns the open flow, waiting for it up to `limit`.
+    ///
+    /// A retired flow stays in its slot for a moment; a request that it refused must not use up its
+    /// repeats on it.
     pub(crate) async fn flow(&self, limit: Duration) -> Option<Arc<HeldFlow>> {
         let mut receiver = self.state.subscribe();
-        let waiting = receiver.wait_for(Option::is_some);
+        let waiting = receiver.wait_for(|held| held.as_ref().is_some_and(|held| held.is_usable()));
         let state = tokio::time::timeout(limit, waiting).await.ok()?.ok()?;
         state.clone()
     }
@@ -151,6 +160,7 @@
                 flow,
                 log: context.log.clone(),
                 retired: Notify::new(),
+                is_retired: AtomicBool::new(false),
                 is_broken: AtomicBool::new(false),
                 target: Mutex::default(),
             }))
