--- a/components/agent/src/request/request_path.rs
+++ b/components/agent/src/request/request_path.rs
@@ -97,6 +97,8 @@
     pub(super) offer: RequestOffer,
     pub(super) deadline: RequestDeadline,
     pub(super) trace: TraceContext,
+    /// Name of the service that the request belongs to.
+    pub(super) service: CompactString,
     /// Sequence of the idempotency key that this agent issued for the request.
     pub(super) sequence: Option<u64>,
 }
@@ -162,6 +164,7 @@
             offer,
             deadline,
             trace,
+            service: route.service,
             sequence,
         };
         self.run(terms, stream).await
--- a/components/agent/src/request/request_run.rs
+++ b/components/agent/src/request/request_run.rs
@@ -111,7 +111,12 @@
 impl RequestPath {
     /// Waits for a slot, runs the request and returns how it ended.
     pub(super) async fn run(&self, terms: RequestTerms, stream: RequestStream) -> RequestEnd {
-        let span = hop_span(HopKind::Agent, &terms.trace, "", &self.parts.name);
+        let span = hop_span(
+            HopKind::Agent,
+            &terms.trace,
+            &terms.service,
+            &self.parts.name,
+        );
         self.run_in_span(terms, stream).instrument(span).await
     }
 
@@ -173,7 +178,7 @@
         loop {
             tries += 1;
             let repeatable = is_idempotent(method) && !has_body;
-            let link = self.connect(terms, repeatable && tries == 1);
+            let link = self.connect(repeatable && tries == 1);
             let link = match self.until_deadline(terms, link).await {
                 Some(Ok(link)) => link,
                 Some(Err(error)) => {
@@ -207,11 +212,7 @@
 
     /// Returns a connection: any for a request that may be repeated, otherwise a fresh one, because
     /// the loss of a reused connection would leave the outcome unknown.
-    async fn connect(
-        &self,
-        _terms: &RequestTerms,
-        may_reuse: bool,
-    ) -> Result<ServerLink, ConnectError> {
+    async fn connect(&self, may_reuse: bool) -> Result<ServerLink, ConnectError> {
         if may_reuse {
             self.parts.pool.pooled().await
         } else {
@@ -226,7 +227,12 @@
         content: ServerBody,
     ) -> Result<ServerAnswer, RequestOutcome> {
         let request = self.server_request(terms, content);
-        let span = hop_span(HopKind::Server, &terms.trace, "", &self.parts.name);
+        let span = hop_span(
+            HopKind::Server,
+            &terms.trace,
+            &terms.service,
+            &self.parts.name,
+        );
         let sending = link.sender.send_request(request).instrument(span);
         match self.until_deadline(terms, sending).await {
             Some(Ok(answer)) => Ok(ServerAnswer { answer, link }),
--- a/components/balancer/src/process/traffic_state.rs
+++ b/components/balancer/src/process/traffic_state.rs
@@ -139,7 +139,7 @@
             }
             RouteVerdict::Placed { first, second } => {
                 self.metrics.placed.inc();
-                trace_placing(packet, first);
+                trace_placing(service, packet, first);
                 (first, second)
             }
             RouteVerdict::TakenOut(flow) => {
@@ -264,13 +264,15 @@
 
 /// Leaves a span for the hop of a flow's first packet, joined with the agent's by the trace that
 /// both derive from the packet's connection ID.
-fn trace_placing(packet: &[u8], agent: SocketAddrV4) {
+fn trace_placing(service: ServiceId, packet: &[u8], agent: SocketAddrV4) {
     if !tracing::enabled!(target: HOP_TARGET, tracing::Level::DEBUG) {
         return;
     }
     if let Some(head) = PacketHead::parse(packet) {
         let trace = TraceContext::from_flow(head.id());
         let target = agent.to_compact_string();
-        hop_span(HopKind::Balancer, &trace, "", &target).in_scope(|| {});
+        // Traffic threads know services by number only.
+        let service = service.0.to_compact_string();
+        hop_span(HopKind::Balancer, &trace, &service, &target).in_scope(|| {});
     }
 }
--- a/components/core/src/connection/path_health.rs
+++ b/components/core/src/connection/path_health.rs
@@ -54,7 +54,7 @@
         *self = PathHealth::default();
     }
 
-    /// Returns what to do now; called after sending, and every 250 ms on suspect paths.
+    /// Returns what to do now; called after sending.
     ///
     /// Without budget a Ping waits. Only Pings that were sent count as unanswered.
     pub fn check(&mut self, now: Millis, budget: &mut ProbeBudget) -> PathAction {
