--- /dev/null
+++ b/components/core/examples/embed.rs
@@ -0,0 +1,88 @@
+//! Embeds the decision logic in a program of one's own.
+//!
+//! Run it with `cargo run -p carobdrum-core --example embed`. It checks two tables, seals the owner of
+//! a flow into a connection ID and opens it again, and admits requests for a cold server.
+
+use carobdrum_core::{
+    connection::FlowOwner,
+    request::{
+        AdmissionGate,
+        AdmissionVerdict,
+        RequestOffer,
+        RequestOutcome,
+        RequestResult, //
+    },
+    version::{
+        CentreId,
+        ConfigVersion,
+        FleetKey,
+        KeyRing,
+        PriorityClass,
+        TableError, //
+    },
+    Millis,
+};
+
+const ROUTES: &str = "
+[[route]]
+name = 'lookup'
+service = 'placename-api'
+address = '10.0.0.1:443'
+priority = 'dispatch'
+";
+
+const POOLS: &str = "
+[[pool]]
+service = 'placename-api'
+servers = ['placename-api-*']
+slots = 2
+connections = 2000
+";
+
+fn main() -> Result<(), TableError> {
+    let routes = toml::from_str(ROUTES).expect("the routes above");
+    let pools = toml::from_str(POOLS).expect("the pools above");
+    let config = ConfigVersion::default().successor(routes, pools)?;
+    let service = config.service_id("placename-api").expect("a service");
+    println!(
+        "version {} gives the service number {}",
+        config.number, service.0
+    );
+
+    // A real key is random; see the control crate for its wrapping and rotation.
+    let ring = KeyRing::new(1, 0, [FleetKey::new(0, [7; 32])]);
+    let owner = FlowOwner {
+        agent: "10.0.1.1:7400".parse().expect("an address"),
+        service,
+        centre: CentreId(1),
+        incarnation: 1,
+    };
+    let id = ring.issuer().expect("a key").seal(&owner, 1, 0);
+    println!(
+        "any balancer with the key finds the owner: {:?}",
+        ring.open(&id)
+    );
+
+    let mut gate = AdmissionGate::builder(2).build();
+    let offer = RequestOffer {
+        class: PriorityClass::Dispatch,
+        deadline: Millis(1_000),
+    };
+    let first = gate.offer(Millis(0), offer);
+    println!(
+        "a cold server gets one request: {first:?}, then {:?}",
+        gate.offer(Millis(1), offer)
+    );
+    if let AdmissionVerdict::Run(ticket) = first {
+        let result = RequestResult {
+            latency: Millis(20),
+            outcome: RequestOutcome::Success,
+        };
+        gate.finish(Millis(21), ticket, result);
+    }
+    println!(
+        "and the next one after it: {:?}",
+        gate.start_next(Millis(21))
+    );
+    Ok(())
+}
--- a/components/telemetry/src/hop_span.rs
+++ b/components/telemetry/src/hop_span.rs
@@ -25,8 +25,7 @@
 ///
 /// Each hop has one span, named `hop.balancer`, `hop.agent` or `hop.server`, with the fields
 /// `trace_id`, `service` (its name; its number at a balancer) and `target` (the name of the backend
-/// server, or empty where the hop does
-/// not know it). The spans of one request are joined by the trace id:
+/// server; the agent's address at a balancer). The spans of one request are joined by the trace id:
 ///
 /// - The balancer sees only packets, so it derives the trace by [`TraceContext::from_flow`] from
 ///   the connection ID of the first packet. Established packets open no span.
