Use one piece for asking actors, offering to the configuration actor and pausing

Ruled out: one error type for both daemons, because their failures differ, and one for the two adaptive limits, whose shapes are alike and whose rules aren't.

--- a/components/agent/src/process/control_thread.rs
+++ b/components/agent/src/process/control_thread.rs
@@ -10,6 +10,7 @@
 };
 
 use carobdrum_control::{
+    ask_actor,
     feed_news,
     feed_state,
     feed_ticks,
@@ -38,15 +39,13 @@
 use carobdrum_telemetry::MetricsServer;
 use carobdrum_wire::{
     control::{
-        ControlBody,
-        Nothing, //
+        ControlBody, //
     },
     ControlMessage,
     TunnelKey, //
 };
 use prometheus_client::registry::Registry;
 use ractor::{
-    rpc::CallResult,
     Actor,
     ActorRef, //
 };
@@ -248,13 +247,7 @@
                 let reply = answer_query(&query.key, keys.as_deref(), &ledger, now);
                 return ControlMessage::new(ControlBody::Outcome(reply));
             }
-            let answer = config
-                .call(|reply| ConfigMessage::Serve(request, reply), None)
-                .await;
-            match answer {
-                Ok(CallResult::Success(answer)) => answer,
-                _ => ControlMessage::new(ControlBody::Nothing(Nothing {})),
-            }
+            ask_actor(&config, |reply| ConfigMessage::Serve(request, reply)).await
         }
     })
     .await;
--- a/components/balancer/src/process/control_thread.rs
+++ b/components/balancer/src/process/control_thread.rs
@@ -13,6 +13,7 @@
 };
 
 use carobdrum_control::{
+    ask_actor,
     feed_news,
     feed_state,
     feed_ticks,
@@ -54,7 +55,6 @@
 use prometheus_client::registry::Registry;
 use prost::Message;
 use ractor::{
-    rpc::CallResult,
     Actor,
     ActorRef, //
 };
@@ -263,37 +263,24 @@
         let config = config.clone();
         let members = members.clone();
         async move {
-            let answer = match request.body {
+            match request.body {
                 Some(ControlBody::SyncMembers(sync)) => {
-                    let ask = |reply| MemberMessage::AnswerSync(sync, reply);
-                    members.call(ask, None).await
+                    ask_actor(&members, |reply| MemberMessage::AnswerSync(sync, reply)).await
                 }
                 Some(ControlBody::Members(gossip)) => {
                     let _ = members.cast(MemberMessage::Pushed(gossip));
-                    return nothing();
+                    ControlMessage::new(ControlBody::Nothing(Nothing {}))
                 }
                 body => {
                     let request = ControlMessage { body };
-                    let ask = |reply| ConfigMessage::Serve(request, reply);
-                    config
-                        .call(ask, None)
-                        .await
-                        .map_err(|error| error.map(|_| MemberMessage::Tick))
+                    ask_actor(&config, |reply| ConfigMessage::Serve(request, reply)).await
                 }
-            };
-            match answer {
-                Ok(CallResult::Success(answer)) => answer,
-                _ => nothing(),
             }
         }
     })
     .await;
 }
 
-fn nothing() -> ControlMessage {
-    ControlMessage::new(ControlBody::Nothing(Nothing {}))
-}
-
 async fn read_datagrams(
     socket: Arc<UdpSocket>,
     key: TunnelKey,
--- a/components/control/src/connection/control_server.rs
+++ b/components/control/src/connection/control_server.rs
@@ -7,6 +7,10 @@
 };
 
 use carobdrum_wire::{
+    control::{
+        ControlBody,
+        Nothing, //
+    },
     ControlMessage,
     FrameCodec,
     FrameRole,
@@ -17,6 +21,12 @@
     SinkExt,
     StreamExt, //
 };
+use ractor::{
+    rpc::CallResult,
+    ActorRef,
+    Message,
+    RpcReplyPort, //
+};
 use tokio::{
     io::AsyncWriteExt,
     net::{
@@ -69,6 +79,17 @@
     }
 }
 
+/// Asks `actor` for the answer to a control request; an actor that can't give one has nothing.
+pub async fn ask_actor<M: Message>(
+    actor: &ActorRef<M>,
+    ask: impl FnOnce(RpcReplyPort<ControlMessage>) -> M,
+) -> ControlMessage {
+    match actor.call(ask, None).await {
+        Ok(CallResult::Success(answer)) => answer,
+        _ => ControlMessage::new(ControlBody::Nothing(Nothing {})),
+    }
+}
+
 async fn serve_connection<F, A>(
     mut stream: TcpStream,
     key: TunnelKey,
--- a/components/control/src/connection/mod.rs
+++ b/components/control/src/connection/mod.rs
@@ -8,7 +8,10 @@
     call_control,
     CallError, //
 };
-pub use control_server::serve_control;
+pub use control_server::{
+    ask_actor,
+    serve_control, //
+};
 pub use peer_codec::{
     decode_peer,
     decode_records,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod version;
 
 pub use connection::{
+    ask_actor,
     call_control,
     decode_peer,
     decode_records,
--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -6,6 +6,7 @@
     time::Duration, //
 };
 
+use carobdrum_core::version::ConfigVersion;
 use carobdrum_settings::{
     ProcessSettings,
     StoreSettings, //
@@ -140,45 +141,47 @@
                 mut stopped,
             } => {
                 tokio::select! {
-                    () = self.start(&entries, false) => {}
+                    () = self.start(None) => {}
                     _ = stopped.wait_for(|stop| *stop) => return,
                 }
                 self.hold_entry(entries, alone, stopped).await;
             }
             StoreDuty::Read { entries, wanted } => loop {
-                self.start(&entries, true).await;
+                self.start(Some(&entries)).await;
                 wanted.notified().await;
             },
         }
     }
 
-    /// Reads until the store has answered and, if `needs_entries`, has named an entry point.
-    async fn start(&mut self, entries: &watch::Sender<Vec<SocketAddrV4>>, needs_entries: bool) {
+    /// Reads until the store has answered and, if `entries` are wanted, has named one.
+    async fn start(&mut self, entries: Option<&watch::Sender<Vec<SocketAddrV4>>>) {
         let mut plan = RetryPlan::new(FIRST_RETRY, LONGEST_RETRY);
         loop {
             match self.read_once(entries).await {
-                Ok(found) if found || !needs_entries => {
+                Ok(true) => {
                     self.note_answer();
                     return;
                 }
-                Ok(_) => self.pause(&mut plan, "no entry point yet").await,
+                Ok(false) => self.pause(&mut plan, "no entry point yet").await,
                 Err(error) => self.pause(&mut plan, &error).await,
             }
         }
     }
 
-    /// Reads keys, version and entry points, and returns whether there are any of these.
+    /// Reads keys, version and, if wanted, the entry points; returns whether nothing is missing.
     async fn read_once(
         &mut self,
-        entries: &watch::Sender<Vec<SocketAddrV4>>,
+        entries: Option<&watch::Sender<Vec<SocketAddrV4>>>,
     ) -> Result<bool, StoreError> {
         self.read_keys().await?;
         if let Some(stored) = self.client.read_version().await? {
-            let version = Box::new(stored.version);
-            let _ = self.config.cast(ConfigMessage::OfferVersion(version));
+            self.offer_version(stored.version);
+        }
+        match entries {
+            Some(entries) => Ok(!self.read_entries(entries).await?.is_empty()),
+            // A balancer reads them next, when it looks for a vacant one.
+            None => Ok(true),
         }
-        let found = self.read_entries(entries).await?;
-        Ok(!found.is_empty())
     }
 
     async fn read_entries(
@@ -203,9 +206,7 @@
             entry = self.client.read_key(KEYS).await?;
         }
         if let Some(entry) = entry {
-            let _ = self
-                .config
-                .cast(ConfigMessage::OfferKeys(entry.value.to_vec()));
+            self.offer_keys(&entry);
         }
         Ok(())
     }
@@ -222,6 +223,7 @@
             let wait = match self.try_entry(&entries, &mut stopped).await {
                 Ok(()) => {
                     plan.reset();
+                    self.note_answer();
                     let pace = if *alone.borrow() {
                         LONELY_PACE
                     } else {
@@ -229,10 +231,7 @@
                     };
                     pace.mul_f64(self.random.random_range(0.5..1.5))
                 }
-                Err(error) => {
-                    debug!(%error, "the store is asked again later");
-                    plan.next_delay(&mut self.random).unwrap_or(LONGEST_RETRY)
-                }
+                Err(error) => self.note_failure(&mut plan, &error),
             };
             let _ = timeout(wait, stopped.wait_for(|stop| *stop)).await;
         }
@@ -315,8 +314,7 @@
                     self.note_answer();
                     index = next_index(index, watch.index);
                     if let Some(version) = watch.version {
-                        let version = Box::new(version);
-                        let _ = self.config.cast(ConfigMessage::OfferVersion(version));
+                        self.offer_version(version);
                     }
                 }
                 Err(error) => self.pause(&mut plan, &error).await,
@@ -334,9 +332,7 @@
                     self.note_answer();
                     index = next_index(index, watch.index);
                     if let Some(entry) = watch.entry {
-                        let _ = self
-                            .config
-                            .cast(ConfigMessage::OfferKeys(entry.value.to_vec()));
+                        self.offer_keys(&entry);
                     }
                 }
                 Err(error) => self.pause(&mut plan, &error).await,
@@ -377,6 +373,19 @@
         Ok(())
     }
 
+    fn offer_version(&self, version: ConfigVersion) {
+        // Without the actor the process is stopping, and nobody needs the version.
+        let _ = self
+            .config
+            .cast(ConfigMessage::OfferVersion(Box::new(version)));
+    }
+
+    fn offer_keys(&self, entry: &KeyEntry) {
+        let _ = self
+            .config
+            .cast(ConfigMessage::OfferKeys(entry.value.to_vec()));
+    }
+
     fn note_answer(&mut self) {
         if self.is_down {
             info!("the store serves again");
@@ -385,12 +394,16 @@
     }
 
     async fn pause(&mut self, plan: &mut RetryPlan, reason: impl std::fmt::Display) {
+        sleep(self.note_failure(plan, reason)).await;
+    }
+
+    /// Logs the begin of an outage and returns how long to wait.
+    fn note_failure(&mut self, plan: &mut RetryPlan, reason: impl std::fmt::Display) -> Duration {
         if !self.is_down {
             warn!(%reason, "the store doesn't serve; it is asked again until it does");
             self.is_down = true;
         }
-        let delay = plan.next_delay(&mut self.random).unwrap_or(LONGEST_RETRY);
-        sleep(delay).await;
+        plan.next_delay(&mut self.random).unwrap_or(LONGEST_RETRY)
     }
 }
 
