--- /dev/null
+++ b/components/flows/src/connection/keeper_action.rs
@@ -0,0 +1,59 @@
+//! What an agent does with a packet.
+
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+
+use crate::request::{
+    FlowKey,
+    ForwardHead, //
+};
+
+/// Why a packet doesn't stay at the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PassCause {
+    /// The server takes no new flows, or shows no sign of life.
+    Unavailable,
+    /// The data centre is taken out.
+    Closed,
+    /// The route of the packet doesn't lead to this service.
+    WrongService,
+    /// The server is cold and has had its share.
+    Cold,
+    /// All slots are in use.
+    Busy,
+    /// The process is about to stop.
+    Stopping,
+    /// The server doesn't hold the flow.
+    NotHeld,
+    /// The server didn't answer the opening packet.
+    NoAnswer,
+    /// The packet goes where the flow's opening packet went.
+    Followed,
+}
+
+/// What an agent does with a packet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeeperAction {
+    /// Give it to the backend server.
+    Deliver,
+    /// Send it to another agent.
+    PassOn {
+        /// The agent.
+        to: SocketAddrV4,
+        /// What accompanies the packet.
+        head: ForwardHead,
+        /// The packet, if it isn't the one at hand.
+        stored: Option<Bytes>,
+        /// Why.
+        cause: PassCause,
+    },
+    /// Send it to the caller.
+    ToCaller,
+    /// Reset a flow that no server was offered.
+    Refuse(FlowKey, PassCause),
+    /// Tell a balancer that this agent owns the flow.
+    Hint(SocketAddrV4, FlowKey),
+    /// Send nothing.
+    Drop(FlowKey, PassCause),
+}
--- /dev/null
+++ b/components/flows/src/connection/mod.rs
@@ -0,0 +1,20 @@
+//! What lives as long as a flow: the flows of a backend server, at the agent beside it.
+
+mod flow_entry;
+mod flow_keeper;
+mod keeper_action;
+mod load_estimate;
+
+pub use flow_entry::{
+    FlowEntry,
+    FlowStage, //
+};
+pub use flow_keeper::{
+    FlowKeeper,
+    KeeperSettings, //
+};
+pub use keeper_action::{
+    KeeperAction,
+    PassCause, //
+};
+pub use load_estimate::LoadEstimate;
--- /dev/null
+++ b/components/flows/src/process/agent_report.rs
@@ -0,0 +1,14 @@
+//! What an agent tells the balancers that send to it.
+
+/// State of an agent's backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AgentReport {
+    /// Whether the agent takes new flows.
+    pub accepts: bool,
+    /// Requests in progress at the server.
+    pub busy: u32,
+    /// Requests that the server works on at once.
+    pub slots: u32,
+    /// Version of the agent's configuration.
+    pub version: u64,
+}
--- /dev/null
+++ b/components/flows/src/process/agent_roster.rs
@@ -0,0 +1,212 @@
+//! The agents that a balancer knows.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+
+use super::{
+    mix,
+    name_hash,
+    AgentRecord,
+    AgentReport, //
+};
+
+/// Time without an answer after which an agent is suspect.
+const SUSPECT_TIME: Millis = Millis(250);
+
+/// Time without an answer after which an agent whose key has lapsed is removed.
+const LAPSE_TIME: Millis = Millis(2_000);
+
+/// An agent and what its packets showed.
+#[derive(Clone, Debug)]
+pub(crate) struct AgentSlot {
+    pub(crate) record: AgentRecord,
+    pub(crate) hash: u64,
+    pub(crate) service: u32,
+    pub(crate) centre: u32,
+    pub(crate) report: AgentReport,
+    /// Time of the first packet sent since the last answer.
+    unanswered: Option<Millis>,
+    heard: Option<Millis>,
+    lapsed: Option<Millis>,
+}
+
+impl AgentSlot {
+    fn new(record: AgentRecord) -> AgentSlot {
+        let address = record.address;
+        let number = u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port());
+        AgentSlot {
+            hash: mix(number),
+            service: name_hash(&record.service),
+            centre: name_hash(&record.centre),
+            record,
+            report: AgentReport {
+                accepts: true,
+                ..AgentReport::default()
+            },
+            unanswered: None,
+            heard: None,
+            lapsed: None,
+        }
+    }
+
+    pub(crate) fn is_suspect(&self, now: Millis) -> bool {
+        self.unanswered
+            .is_some_and(|since| now.since(since) >= SUSPECT_TIME)
+    }
+
+    fn is_gone(&self, now: Millis) -> bool {
+        let Some(lapsed) = self.lapsed else {
+            return false;
+        };
+        let last = self.heard.map_or(lapsed, |heard| heard.max(lapsed));
+        now.since(last) >= LAPSE_TIME
+    }
+}
+
+/// The agents that a balancer knows, sorted by address.
+#[derive(Debug, Default)]
+pub struct AgentRoster {
+    slots: Vec<AgentSlot>,
+    /// Agents of each service, as indices into `slots`, sorted by service.
+    services: Vec<(u32, Vec<u32>)>,
+    loaded: bool,
+}
+
+impl AgentRoster {
+    /// Replaces the list by what the store holds; an agent that is missing there counts as lapsed.
+    pub fn replace(&mut self, records: impl IntoIterator<Item = AgentRecord>, now: Millis) {
+        let mut records: Vec<AgentRecord> = records.into_iter().collect();
+        records.sort_by_key(|record| record.address);
+        for slot in &mut self.slots {
+            let found = records.binary_search_by_key(&slot.record.address, |record| record.address);
+            if found.is_err() {
+                slot.lapsed.get_or_insert(now);
+            }
+        }
+        for record in records {
+            self.put(record);
+        }
+        self.loaded = true;
+        self.index();
+    }
+
+    /// Adds an agent, or takes what its new record says.
+    pub fn insert(&mut self, record: AgentRecord) {
+        self.put(record);
+        self.index();
+    }
+
+    fn put(&mut self, record: AgentRecord) {
+        match self.find(record.address) {
+            Ok(index) => {
+                let slot = &mut self.slots[index];
+                slot.lapsed = None;
+                if slot.record != record {
+                    *slot = AgentSlot::new(record);
+                }
+            }
+            Err(index) => self.slots.insert(index, AgentSlot::new(record)),
+        }
+    }
+
+    /// Notes that the key of an agent is gone; the agent stays for as long as it answers.
+    pub fn lapse(&mut self, address: SocketAddrV4, now: Millis) {
+        if let Ok(index) = self.find(address) {
+            self.slots[index].lapsed.get_or_insert(now);
+        }
+    }
+
+    /// Removes the agents whose keys are gone and that don't answer; returns their addresses.
+    pub fn expire(&mut self, now: Millis) -> Vec<SocketAddrV4> {
+        let gone: Vec<SocketAddrV4> = self
+            .slots
+            .iter()
+            .filter(|slot| slot.is_gone(now))
+            .map(|slot| slot.record.address)
+            .collect();
+        if !gone.is_empty() {
+            self.slots.retain(|slot| !slot.is_gone(now));
+            self.index();
+        }
+        gone
+    }
+
+    /// Returns the agents that need a probe: those that are suspect or whose keys are gone.
+    pub fn probes(&self, now: Millis) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        self.slots
+            .iter()
+            .filter(move |slot| slot.is_suspect(now) || slot.lapsed.is_some())
+            .map(|slot| slot.record.address)
+    }
+
+    /// Notes a packet sent to an agent.
+    pub fn note_sent(&mut self, address: SocketAddrV4, now: Millis) {
+        if let Ok(index) = self.find(address) {
+            self.slots[index].unanswered.get_or_insert(now);
+        }
+    }
+
+    /// Takes a report; returns whether it changed what is believed of the agent.
+    pub fn take_report(
+        &mut self,
+        address: SocketAddrV4,
+        report: AgentReport,
+        now: Millis,
+    ) -> Option<bool> {
+        let index = self.find(address).ok()?;
+        let slot = &mut self.slots[index];
+        let changed = slot.is_suspect(now) || slot.report.accepts != report.accepts;
+        slot.report = report;
+        slot.unanswered = None;
+        slot.heard = Some(now);
+        Some(changed)
+    }
+
+    /// Returns whether a list was loaded.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Returns the number of agents.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether no agent is known.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns the agents of a service.
+    pub(crate) fn of_service(&self, service: u32) -> impl Iterator<Item = &AgentSlot> {
+        let found = self
+            .services
+            .binary_search_by_key(&service, |group| group.0);
+        let keys: &[u32] = match found {
+            Ok(index) => &self.services[index].1,
+            Err(_) => &[],
+        };
+        keys.iter().map(|key| &self.slots[*key as usize])
+    }
+
+    fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
+        self.slots
+            .binary_search_by_key(&address, |slot| slot.record.address)
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for (key, slot) in self.slots.iter().enumerate() {
+            let found = self
+                .services
+                .binary_search_by_key(&slot.service, |group| group.0);
+            match found {
+                Ok(index) => self.services[index].1.push(key as u32),
+                Err(index) => self
+                    .services
+                    .insert(index, (slot.service, vec![key as u32])),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/flows/src/process/flow_router.rs
@@ -0,0 +1,227 @@
+//! Where a balancer sends the packets of callers.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc, //
+};
+
+use carobdrum_core::Millis;
+
+use super::{
+    agent_roster::AgentSlot,
+    mix,
+    name_hash,
+    AgentRoster,
+    OwnerHints, //
+};
+use crate::{
+    request::{
+        FlowPacket,
+        ForwardHead,
+        PacketKind, //
+    },
+    version::SiteRules, //
+};
+
+/// Most candidates in the caller's data centre.
+const NEAR_CANDIDATES: usize = 4;
+
+/// Most candidates in each other data centre.
+const FAR_CANDIDATES: usize = 2;
+
+/// Most candidates of one packet.
+const MAX_CANDIDATES: usize = 12;
+
+/// Why a packet is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DropCause {
+    /// No configuration or no list of agents has been read yet.
+    NotReady,
+    /// No route has the address.
+    NoRoute,
+    /// No agent of the service is known.
+    NoAgent,
+    /// Callers don't send packets of this kind.
+    Forged,
+}
+
+/// What to do with a packet of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RouteAction {
+    /// Send it to an agent.
+    Forward {
+        /// The first candidate.
+        to: SocketAddrV4,
+        /// What accompanies the packet.
+        head: ForwardHead,
+    },
+    /// Reset the flow, which has not opened.
+    Refuse(DropCause),
+    /// Send nothing.
+    Drop(DropCause),
+}
+
+/// Routing state of a balancer.
+#[derive(Debug)]
+pub struct FlowRouter {
+    /// Configuration in force.
+    pub rules: Option<Arc<SiteRules>>,
+    /// Known agents.
+    pub roster: AgentRoster,
+    /// Owners that agents told of.
+    pub hints: OwnerHints,
+    address: SocketAddrV4,
+    centre: u32,
+    ranks: Vec<Candidate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    place: (bool, bool, u8),
+    score: u64,
+    centre: u32,
+    address: SocketAddrV4,
+}
+
+impl FlowRouter {
+    /// Creates the state of the balancer that agents answer at `address`.
+    pub fn new(address: SocketAddrV4, centre: &str) -> FlowRouter {
+        FlowRouter {
+            rules: None,
+            roster: AgentRoster::default(),
+            hints: OwnerHints::default(),
+            address,
+            centre: name_hash(centre),
+            ranks: Vec::new(),
+        }
+    }
+
+    /// Returns whether the balancer can route packets.
+    pub fn is_ready(&self) -> bool {
+        self.rules.is_some() && self.roster.is_loaded()
+    }
+
+    /// Decides what to do with a packet of a caller.
+    pub fn route(&mut self, packet: &FlowPacket, now: Millis) -> RouteAction {
+        let forged = packet.kind == PacketKind::Accept || packet.returned;
+        if forged {
+            return RouteAction::Drop(DropCause::Forged);
+        }
+        let Some(rules) = self.rules.clone() else {
+            return RouteAction::Drop(DropCause::NotReady);
+        };
+        if !self.roster.is_loaded() {
+            return RouteAction::Drop(DropCause::NotReady);
+        }
+        let Some(route) = rules.route(packet.key.service) else {
+            return refuse_first(packet, DropCause::NoRoute);
+        };
+        let hash = packet.key.hash();
+        let mut services = route.services(hash).map(|name| name_hash(name));
+        let Some(service) = services.next() else {
+            return refuse_first(packet, DropCause::NoRoute);
+        };
+        self.ranks.clear();
+        self.rank(service, 0, hash, packet.is_open(), now);
+        if !packet.is_open() {
+            for (index, other) in services.enumerate() {
+                self.rank(other, index as u8 + 1, hash, false, now);
+            }
+        }
+        let (list, near) = self.take_candidates();
+        self.forward(packet, list, near, service, rules.version, now)
+    }
+
+    fn rank(&mut self, service: u32, order: u8, hash: u64, opens: bool, now: Millis) {
+        let centre = self.centre;
+        let usable = |slot: &&AgentSlot| !opens || slot.report.accepts;
+        let candidates = self.roster.of_service(service).filter(usable);
+        self.ranks.extend(candidates.map(|slot| Candidate {
+            place: (slot.is_suspect(now), slot.centre != centre, order),
+            score: mix(slot.hash ^ hash),
+            centre: slot.centre,
+            address: slot.record.address,
+        }));
+    }
+
+    /// Returns the candidates in order, and how many of them are in the caller's data centre.
+    fn take_candidates(&mut self) -> (Vec<SocketAddrV4>, u8) {
+        self.ranks.sort_unstable_by(|left, right| {
+            let places = left.place.cmp(&right.place);
+            places.then(right.score.cmp(&left.score))
+        });
+        let mut list: Vec<SocketAddrV4> = Vec::with_capacity(MAX_CANDIDATES);
+        let mut near = 0;
+        for (index, candidate) in self.ranks.iter().enumerate() {
+            let before = &self.ranks[..index];
+            let same = before
+                .iter()
+                .filter(|other| other.centre == candidate.centre);
+            let is_near = candidate.centre == self.centre;
+            let most = if is_near {
+                NEAR_CANDIDATES
+            } else {
+                FAR_CANDIDATES
+            };
+            if list.len() == MAX_CANDIDATES || same.count() >= most {
+                continue;
+            }
+            list.push(candidate.address);
+            let suspect = candidate.place.0;
+            if is_near && !suspect {
+                near += 1;
+            }
+        }
+        (list, near)
+    }
+
+    fn forward(
+        &mut self,
+        packet: &FlowPacket,
+        mut list: Vec<SocketAddrV4>,
+        near: u8,
+        service: u32,
+        version: u64,
+        now: Millis,
+    ) -> RouteAction {
+        if list.is_empty() {
+            return refuse_first(packet, DropCause::NoAgent);
+        }
+        let mut near = near;
+        if let PacketKind::Open { copy } = packet.kind {
+            // Copies start at different candidates, in case one of them is dead.
+            if copy > 0 {
+                let shift = usize::from(copy) % list.len();
+                list.rotate_left(shift);
+                near = near.saturating_sub(copy);
+            }
+        } else if let Some(owner) = self.hints.owner(packet.key, now) {
+            list.retain(|candidate| *candidate != owner);
+            list.insert(0, owner);
+        }
+        let to = list.remove(0);
+        self.roster.note_sent(to, now);
+        let head = ForwardHead {
+            balancer: self.address,
+            centre: self.centre,
+            service,
+            version,
+            hops: 0,
+            rest: list,
+            near: near.saturating_sub(1),
+            best: None,
+            assigned: false,
+            delivered: false,
+        };
+        RouteAction::Forward { to, head }
+    }
+}
+
+/// Refuses the first copy of an opening packet. A later copy may belong to a flow that has opened.
+fn refuse_first(packet: &FlowPacket, cause: DropCause) -> RouteAction {
+    if packet.kind == (PacketKind::Open { copy: 0 }) {
+        RouteAction::Refuse(cause)
+    } else {
+        RouteAction::Drop(cause)
+    }
+}
--- /dev/null
+++ b/components/flows/src/request/flow_key.rs
@@ -0,0 +1,34 @@
+//! Identity of a flow.
+
+use std::{
+    fmt,
+    net::SocketAddrV4, //
+};
+
+use crate::process::mix;
+
+/// The two ends of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FlowKey {
+    /// Address of the caller.
+    pub caller: SocketAddrV4,
+    /// Address of the service that the caller opened the flow to.
+    pub service: SocketAddrV4,
+}
+
+impl FlowKey {
+    /// Returns a hash that is equal in every process.
+    pub fn hash(&self) -> u64 {
+        mix(address_number(self.caller) ^ mix(address_number(self.service)))
+    }
+}
+
+impl fmt::Display for FlowKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}>{}", self.caller, self.service)
+    }
+}
+
+fn address_number(address: SocketAddrV4) -> u64 {
+    u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port())
+}
--- /dev/null
+++ b/components/flows/src/version/flow_route.rs
@@ -0,0 +1,67 @@
+//! Where new flows to one address go.
+
+use std::net::SocketAddrV4;
+
+use compact_str::CompactString;
+
+use carobdrum_core::Millis;
+
+use crate::process::mix;
+
+/// A service and its share of the new flows of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceShare {
+    /// Name of the service.
+    pub service: CompactString,
+    /// Share relative to the other services of the route.
+    pub weight: u32,
+}
+
+/// Where new flows to one address go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FlowRoute {
+    /// Address that callers open flows to.
+    pub address: SocketAddrV4,
+    /// Services of the route, with their shares.
+    pub shares: Vec<ServiceShare>,
+    /// Class of the requests; zero is served first.
+    pub priority: u8,
+    /// Time within which callers want the answer.
+    pub objective: Millis,
+}
+
+impl FlowRoute {
+    /// Returns the services of the route, the one that this flow is for first.
+    ///
+    /// The choice depends on the flow and the shares alone, so every process makes the same one.
+    pub fn services(&self, flow_hash: u64) -> impl Iterator<Item = &CompactString> {
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
+        let mut point = mix(flow_hash ^ SHARE_SALT) % total.max(1);
+        let mut first = 0;
+        for (index, share) in self.shares.iter().enumerate() {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                first = index;
+                break;
+            }
+            point -= weight;
+        }
+        let ahead = self.shares.iter().skip(first);
+        let wrapped = self.shares.iter().take(first);
+        ahead.chain(wrapped).map(|share| &share.service)
+    }
+
+    /// Returns whether new flows may go to `service`.
+    pub fn allows(&self, service: &str) -> bool {
+        self.shares
+            .iter()
+            .any(|share| share.service == service && share.weight > 0)
+    }
+}
+
+/// Keeps the choice of the service independent of the order of the agents.
+const SHARE_SALT: u64 = 0x5eed_5a17;
--- /dev/null
+++ b/components/flows/src/version/site_rules.rs
@@ -0,0 +1,83 @@
+//! One version of the configuration.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+use compact_str::CompactString;
+
+use super::{
+    FlowRoute,
+    ServiceRules, //
+};
+
+/// One version of the configuration, with the data centres that are taken out.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SiteRules {
+    /// Version of the routes and services.
+    pub version: u64,
+    /// Routes, sorted by address.
+    routes: Vec<FlowRoute>,
+    /// Services, sorted by name.
+    services: Vec<ServiceRules>,
+    /// Time after which an idle flow may be forgotten.
+    pub idle_time: Millis,
+    /// Data centres that get no new flows, sorted.
+    closed_centres: Vec<CompactString>,
+}
+
+impl SiteRules {
+    /// Makes a version out of its routes and services.
+    pub fn new(
+        version: u64,
+        idle_time: Millis,
+        routes: impl IntoIterator<Item = FlowRoute>,
+        services: impl IntoIterator<Item = ServiceRules>,
+    ) -> SiteRules {
+        let mut routes: Vec<FlowRoute> = routes.into_iter().collect();
+        routes.sort_by_key(|route| route.address);
+        let mut services: Vec<ServiceRules> = services.into_iter().collect();
+        services.sort_by(|left, right| left.name.cmp(&right.name));
+        SiteRules {
+            version,
+            routes,
+            services,
+            idle_time,
+            closed_centres: Vec::new(),
+        }
+    }
+
+    /// Replaces the list of the data centres that get no new flows.
+    pub fn close_centres(&mut self, centres: impl IntoIterator<Item = CompactString>) {
+        self.closed_centres = centres.into_iter().collect();
+        self.closed_centres.sort();
+    }
+
+    /// Returns the route of an address.
+    pub fn route(&self, address: SocketAddrV4) -> Option<&FlowRoute> {
+        let found = self
+            .routes
+            .binary_search_by_key(&address, |route| route.address);
+        found.ok().map(|index| &self.routes[index])
+    }
+
+    /// Returns the rules of a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceRules> {
+        let found = self
+            .services
+            .binary_search_by(|rules| rules.name.as_str().cmp(name));
+        found.ok().map(|index| &self.services[index])
+    }
+
+    /// Returns whether a data centre is taken out.
+    pub fn is_closed(&self, centre: &str) -> bool {
+        let found = self
+            .closed_centres
+            .binary_search_by(|closed| closed.as_str().cmp(centre));
+        found.is_ok()
+    }
+
+    /// Returns the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.len()
+    }
+}
--- /dev/null
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -0,0 +1,364 @@
+//! The traffic thread of an agent.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    process::BackendBeat,
+    version::SiteRules,
+    FlowKeeper,
+    FlowKey,
+    KeeperAction,
+    KeeperSettings, //
+};
+use carobdrum_platform::{
+    clear_marks,
+    read_from_backend,
+    read_from_caller,
+    reset_packet, //
+};
+use carobdrum_wire::flow_datagram::{
+    address_number,
+    number_address,
+    FlowBody,
+    FlowDatagram,
+    FlowOwner,
+    ForwardedPacket,
+    ServerReport, //
+};
+use compact_str::CompactString;
+use prost::Message;
+use tokio::{
+    sync::{
+        mpsc::Receiver,
+        oneshot, //
+    },
+    time::{
+        interval,
+        sleep_until,
+        Instant,
+        MissedTickBehavior, //
+    },
+};
+use tracing::{
+    debug,
+    info, //
+};
+
+use super::{
+    head_codec::{
+        decode_head,
+        encode_forward, //
+    },
+    udp_port::UdpPort, //
+};
+use crate::process::{
+    BootClock,
+    NodeError, //
+};
+
+/// Datagrams read from one socket before the others get their turn.
+const BATCH: usize = 64;
+
+/// Shortest time between reports to one balancer.
+const REPORT_INTERVAL: Millis = Millis(100);
+
+/// Time without packets of a balancer after which it gets no reports.
+const REPORT_SPAN: Millis = Millis(5_000);
+
+/// Time between checks of what is out of date.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Wait for a timer that isn't set.
+const IDLE_WAIT: Duration = Duration::from_secs(3_600);
+
+/// What the control thread tells the traffic thread of an agent.
+#[derive(Debug)]
+pub(crate) enum AgentUpdate {
+    /// A version of the configuration.
+    Rules(Arc<SiteRules>),
+    /// A heartbeat; the answer is whether it is new.
+    Beat(BackendBeat, oneshot::Sender<bool>),
+    /// The backend server leaves.
+    Leave(CompactString, oneshot::Sender<bool>),
+    /// The process is about to stop; the answer comes when no flow is open.
+    Stop(oneshot::Sender<()>),
+}
+
+/// A balancer that sends to this agent.
+#[derive(Clone, Copy, Debug)]
+struct BalancerPeer {
+    address: SocketAddrV4,
+    heard: Millis,
+    reported: Option<Millis>,
+}
+
+/// Sockets and flows of an agent.
+#[derive(Debug)]
+pub(crate) struct AgentTraffic {
+    clock: BootClock,
+    keeper: FlowKeeper,
+    address: SocketAddrV4,
+    backend: SocketAddrV4,
+    packets: UdpPort,
+    outgoing: UdpPort,
+    peers: Vec<BalancerPeer>,
+    accepts: bool,
+    actions: Vec<KeeperAction>,
+    stopped: Option<oneshot::Sender<()>>,
+}
+
+impl AgentTraffic {
+    /// Opens the sockets: the agent's address for processes, `outgoing` for the backend server.
+    pub(crate) async fn open(
+        settings: KeeperSettings,
+        backend: SocketAddrV4,
+        outgoing: SocketAddrV4,
+        clock: BootClock,
+    ) -> Result<AgentTraffic, NodeError> {
+        let address = settings.address;
+        Ok(AgentTraffic {
+            keeper: FlowKeeper::new(settings, clock.now()),
+            clock,
+            address,
+            backend,
+            packets: UdpPort::open(address).await?,
+            outgoing: UdpPort::open(outgoing).await?,
+            peers: Vec::new(),
+            accepts: true,
+            actions: Vec::new(),
+            stopped: None,
+        })
+    }
+
+    /// Forwards packets until the control thread is gone.
+    pub(crate) async fn run(mut self, mut updates: Receiver<AgentUpdate>) -> Result<(), NodeError> {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let wait = self.offer_wait();
+            tokio::select! {
+                _ = self.packets.readable() => self.read_forwards(),
+                _ = self.outgoing.readable() => self.read_backend(),
+                update = updates.recv() => match update {
+                    Some(update) => self.apply(update),
+                    None => return Ok(()),
+                },
+                () = sleep_until(Instant::now() + wait) => self.check_offers(),
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn offer_wait(&self) -> Duration {
+        let now = self.clock.now();
+        self.keeper
+            .next_offer()
+            .map_or(IDLE_WAIT, |due| Duration::from_millis(due.since(now).0))
+    }
+
+    fn apply(&mut self, update: AgentUpdate) {
+        let now = self.clock.now();
+        match update {
+            AgentUpdate::Rules(rules) => self.keeper.set_rules(rules),
+            AgentUpdate::Beat(beat, answer) => {
+                let is_new = self.keeper.take_beat(beat, now);
+                // The caller may have given up waiting.
+                let _ = answer.send(is_new);
+            }
+            AgentUpdate::Leave(id, answer) => {
+                let _ = answer.send(self.keeper.leave(&id));
+            }
+            AgentUpdate::Stop(answer) => {
+                self.keeper.stop();
+                self.stopped = Some(answer);
+            }
+        }
+        self.report_change(now);
+    }
+
+    fn read_forwards(&mut self) {
+        let now = self.clock.now();
+        for _ in 0..BATCH {
+            let Some((bytes, from)) = self.packets.receive() else {
+                return;
+            };
+            let bytes = Bytes::copy_from_slice(bytes);
+            let body = FlowDatagram::decode(bytes).ok().and_then(|read| read.body);
+            match body {
+                Some(FlowBody::Forward(forwarded)) => self.take_forward(forwarded, now),
+                Some(FlowBody::Probe(probe)) => self.meet(number_address(probe.balancer), now),
+                _ => debug!(%from, "datagram dropped"),
+            }
+        }
+    }
+
+    fn take_forward(&mut self, forwarded: ForwardedPacket, now: Millis) {
+        let packet = match read_from_caller(&forwarded.packet) {
+            Ok(packet) => packet,
+            Err(error) => {
+                debug!(%error, "forwarded packet dropped");
+                return;
+            }
+        };
+        let head = decode_head(&forwarded);
+        self.meet(head.balancer, now);
+        let bytes = forwarded.packet;
+        let mut actions = std::mem::take(&mut self.actions);
+        self.keeper
+            .take_forward(&packet, &bytes, head, now, &mut actions);
+        self.act(&mut actions, &bytes);
+        self.actions = actions;
+    }
+
+    fn read_backend(&mut self) {
+        let now = self.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        for _ in 0..BATCH {
+            let Some((bytes, _)) = self.outgoing.receive() else {
+                break;
+            };
+            let packet = match read_from_backend(bytes) {
+                Ok(packet) => packet,
+                Err(error) => {
+                    debug!(%error, "packet of the backend server dropped");
+                    continue;
+                }
+            };
+            if packet.returned {
+                clear_marks(bytes);
+            }
+            self.keeper.take_backend(&packet, now, &mut actions);
+            if actions.as_slice() == [KeeperAction::ToCaller] {
+                let to = SocketAddrV4::new(*packet.key.caller.ip(), self.address.port());
+                self.packets.send(bytes, to);
+                actions.clear();
+                continue;
+            }
+            let bytes = Bytes::copy_from_slice(bytes);
+            self.act(&mut actions, &bytes);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, actions: &mut Vec<KeeperAction>, bytes: &Bytes) {
+        for action in actions.drain(..) {
+            match action {
+                KeeperAction::Deliver => self.outgoing.send(bytes, self.backend),
+                KeeperAction::PassOn {
+                    to,
+                    head,
+                    stored,
+                    cause,
+                } => {
+                    debug!(%to, ?cause, hops = head.hops, "packet passed on");
+                    let packet = stored.unwrap_or_else(|| bytes.clone());
+                    self.packets.send(&encode_forward(&head, packet), to);
+                }
+                KeeperAction::ToCaller => {}
+                KeeperAction::Refuse(key, cause) => {
+                    info!(flow = %key, ?cause, "flow refused");
+                    let to = self.caller_port(key);
+                    self.packets.send(&reset_packet(key, 0), to);
+                }
+                KeeperAction::Hint(balancer, key) => self.hint(balancer, key),
+                KeeperAction::Drop(key, cause) => {
+                    debug!(flow = %key, ?cause, "packet dropped");
+                }
+            }
+        }
+    }
+
+    fn caller_port(&self, key: FlowKey) -> SocketAddrV4 {
+        SocketAddrV4::new(*key.caller.ip(), self.address.port())
+    }
+
+    fn hint(&mut self, balancer: SocketAddrV4, key: FlowKey) {
+        let owner = FlowDatagram::encode_body(FlowBody::Owner(FlowOwner {
+            agent: address_number(self.address),
+            caller: address_number(key.caller),
+            service: address_number(key.service),
+        }));
+        self.packets.send(&owner, balancer);
+    }
+
+    fn check_offers(&mut self) {
+        let now = self.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.keeper.check_offers(now, &mut actions);
+        self.act(&mut actions, &Bytes::new());
+        self.actions = actions;
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        self.keeper.expire(now);
+        self.peers
+            .retain(|peer| now.since(peer.heard) < REPORT_SPAN);
+        self.report_change(now);
+        if self.stopped.is_some() && self.keeper.open_flows() == 0 {
+            if let Some(answer) = self.stopped.take() {
+                // The control thread may have stopped waiting.
+                let _ = answer.send(());
+            }
+        }
+    }
+
+    /// Notes that a balancer sends here, and answers with a report if the last one is old.
+    fn meet(&mut self, balancer: SocketAddrV4, now: Millis) {
+        let found = self
+            .peers
+            .binary_search_by_key(&balancer, |peer| peer.address);
+        let index = found.unwrap_or_else(|index| {
+            let peer = BalancerPeer {
+                address: balancer,
+                heard: now,
+                reported: None,
+            };
+            self.peers.insert(index, peer);
+            index
+        });
+        let peer = &mut self.peers[index];
+        peer.heard = now;
+        let due = peer
+            .reported
+            .is_none_or(|reported| now.since(reported) >= REPORT_INTERVAL);
+        if due {
+            peer.reported = Some(now);
+            let report = self.report(now);
+            self.packets.send(&report, balancer);
+        }
+    }
+
+    /// Tells all balancers when the server begins or ceases to take new flows.
+    fn report_change(&mut self, now: Millis) {
+        let accepts = self.keeper.report(now).accepts;
+        if accepts == self.accepts {
+            return;
+        }
+        self.accepts = accepts;
+        info!(accepts, "backend server changed");
+        let report = self.report(now);
+        for index in 0..self.peers.len() {
+            let address = self.peers[index].address;
+            self.peers[index].reported = Some(now);
+            self.packets.send(&report, address);
+        }
+    }
+
+    fn report(&self, now: Millis) -> Vec<u8> {
+        let report = self.keeper.report(now);
+        FlowDatagram::encode_body(FlowBody::Report(ServerReport {
+            agent: address_number(self.address),
+            accepts: report.accepts,
+            busy: report.busy,
+            slots: report.slots,
+            version: report.version,
+        }))
+    }
+}
--- /dev/null
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -0,0 +1,230 @@
+//! The traffic thread of a balancer.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    process::{
+        AgentRecord,
+        AgentReport,
+        DropCause, //
+    },
+    version::SiteRules,
+    FlowKey,
+    FlowRouter,
+    RouteAction, //
+};
+use carobdrum_platform::{
+    read_from_caller,
+    reset_packet, //
+};
+use carobdrum_wire::flow_datagram::{
+    address_number,
+    number_address,
+    FlowBody,
+    FlowDatagram,
+    ReportProbe, //
+};
+use prost::Message;
+use tokio::{
+    sync::mpsc::Receiver,
+    time::{
+        interval,
+        MissedTickBehavior, //
+    },
+};
+use tracing::{
+    debug,
+    info, //
+};
+
+use super::{
+    head_codec::encode_forward,
+    udp_port::UdpPort, //
+};
+use crate::process::{
+    BootClock,
+    NodeError, //
+};
+
+/// Datagrams read from one socket before the others get their turn.
+const BATCH: usize = 64;
+
+/// Time between probes of agents that don't answer.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What the control thread tells the traffic thread of a balancer.
+#[derive(Debug)]
+pub(crate) enum BalancerUpdate {
+    /// A version of the configuration.
+    Rules(Arc<SiteRules>),
+    /// All agents that the store lists.
+    Agents(Vec<AgentRecord>),
+    /// An agent wrote its key.
+    Agent(AgentRecord),
+    /// The key of an agent is gone.
+    Lapsed(SocketAddrV4),
+}
+
+/// Sockets and routing state of a balancer.
+#[derive(Debug)]
+pub(crate) struct BalancerTraffic {
+    clock: BootClock,
+    router: FlowRouter,
+    address: SocketAddrV4,
+    callers: UdpPort,
+    agents: UdpPort,
+}
+
+impl BalancerTraffic {
+    /// Opens the sockets: `packets` for callers, `address` for agents.
+    pub(crate) async fn open(
+        packets: SocketAddrV4,
+        address: SocketAddrV4,
+        centre: &str,
+        clock: BootClock,
+    ) -> Result<BalancerTraffic, NodeError> {
+        Ok(BalancerTraffic {
+            clock,
+            router: FlowRouter::new(address, centre),
+            address,
+            callers: UdpPort::open(packets).await?,
+            agents: UdpPort::open(address).await?,
+        })
+    }
+
+    /// Forwards packets until the control thread is gone.
+    pub(crate) async fn run(
+        mut self,
+        mut updates: Receiver<BalancerUpdate>,
+    ) -> Result<(), NodeError> {
+        let mut ticks = interval(PROBE_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = self.callers.readable() => self.read_callers(),
+                _ = self.agents.readable() => self.read_agents(),
+                update = updates.recv() => match update {
+                    Some(update) => self.apply(update),
+                    None => return Ok(()),
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn apply(&mut self, update: BalancerUpdate) {
+        let now = self.clock.now();
+        match update {
+            BalancerUpdate::Rules(rules) => self.router.rules = Some(rules),
+            BalancerUpdate::Agents(records) => self.router.roster.replace(records, now),
+            BalancerUpdate::Agent(record) => self.router.roster.insert(record),
+            BalancerUpdate::Lapsed(address) => self.router.roster.lapse(address, now),
+        }
+    }
+
+    fn read_callers(&mut self) {
+        let now = self.clock.now();
+        for _ in 0..BATCH {
+            let Some((bytes, from)) = self.callers.receive() else {
+                return;
+            };
+            let packet = match read_from_caller(bytes) {
+                Ok(packet) => packet,
+                Err(error) => {
+                    debug!(%error, %from, "datagram of a caller dropped");
+                    continue;
+                }
+            };
+            let bytes = Bytes::copy_from_slice(bytes);
+            let action = self.router.route(&packet, now);
+            self.act(action, packet.key, bytes);
+        }
+    }
+
+    fn act(&mut self, action: RouteAction, key: FlowKey, bytes: Bytes) {
+        match action {
+            RouteAction::Forward { to, head } => {
+                let datagram = encode_forward(&head, bytes);
+                self.agents.send(&datagram, to);
+            }
+            RouteAction::Refuse(cause) => {
+                info!(flow = %key, ?cause, "flow refused");
+                let port = self.caller_port();
+                let to = SocketAddrV4::new(*key.caller.ip(), port);
+                self.callers.send(&reset_packet(key, 0), to);
+            }
+            RouteAction::Drop(cause) => self.log_drop(key, cause),
+        }
+    }
+
+    fn log_drop(&self, key: FlowKey, cause: DropCause) {
+        debug!(flow = %key, ?cause, "packet dropped");
+    }
+
+    fn caller_port(&self) -> u16 {
+        self.callers.port()
+    }
+
+    fn read_agents(&mut self) {
+        let now = self.clock.now();
+        for _ in 0..BATCH {
+            let Some((bytes, from)) = self.agents.receive() else {
+                return;
+            };
+            let body = FlowDatagram::decode(&*bytes)
+                .ok()
+                .and_then(|read| read.body);
+            match body {
+                Some(FlowBody::Report(report)) => {
+                    let agent = number_address(report.agent);
+                    let state = AgentReport {
+                        accepts: report.accepts,
+                        busy: report.busy,
+                        slots: report.slots,
+                        version: report.version,
+                    };
+                    let changed = self.router.roster.take_report(agent, state, now);
+                    if changed == Some(true) {
+                        info!(%agent, accepts = report.accepts, busy = report.busy, "agent changed");
+                    }
+                }
+                Some(FlowBody::Owner(owner)) => {
+                    let key = FlowKey {
+                        caller: number_address(owner.caller),
+                        service: number_address(owner.service),
+                    };
+                    let agent = number_address(owner.agent);
+                    self.router.hints.insert(key, agent, now);
+                }
+                _ => debug!(%from, "datagram of an agent dropped"),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        let idle_time = self
+            .router
+            .rules
+            .as_ref()
+            .map_or(Millis(15_000), |rules| rules.idle_time);
+        self.router.hints.expire(now, idle_time);
+        for agent in self.router.roster.expire(now) {
+            info!(%agent, "agent removed: key gone and no answer");
+        }
+        let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
+            balancer: address_number(self.address),
+            version: self.router.rules.as_ref().map_or(0, |rules| rules.version),
+        }));
+        let probed: Vec<SocketAddrV4> = self.router.roster.probes(now).collect();
+        for agent in probed {
+            self.agents.send(&probe, agent);
+        }
+    }
+}
--- /dev/null
+++ b/components/forwarder/src/connection/mod.rs
@@ -0,0 +1,15 @@
+//! The traffic threads: packets in, decisions, packets out.
+
+mod agent_traffic;
+mod balancer_traffic;
+mod head_codec;
+mod udp_port;
+
+pub(crate) use agent_traffic::{
+    AgentTraffic,
+    AgentUpdate, //
+};
+pub(crate) use balancer_traffic::{
+    BalancerTraffic,
+    BalancerUpdate, //
+};
--- /dev/null
+++ b/components/forwarder/src/connection/udp_port.rs
@@ -0,0 +1,73 @@
+//! A UDP socket of a traffic thread.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+};
+
+use tokio::net::UdpSocket;
+
+use crate::process::{
+    node_error::BindSnafu,
+    NodeError, //
+};
+use snafu::ResultExt;
+
+/// Largest datagram that is read: a packet with what accompanies it.
+const MAX_DATAGRAM: usize = 2_048;
+
+/// A UDP socket that drops what it can't send at once.
+#[derive(Debug)]
+pub(crate) struct UdpPort {
+    socket: UdpSocket,
+    port: u16,
+    buffer: Box<[u8; MAX_DATAGRAM]>,
+    /// Datagrams that the system didn't take.
+    pub(crate) unsent: u64,
+}
+
+impl UdpPort {
+    /// Opens the socket.
+    pub(crate) async fn open(address: SocketAddrV4) -> Result<UdpPort, NodeError> {
+        let socket = UdpSocket::bind(address).await;
+        Ok(UdpPort {
+            socket: socket.context(BindSnafu { address })?,
+            port: address.port(),
+            buffer: Box::new([0; MAX_DATAGRAM]),
+            unsent: 0,
+        })
+    }
+
+    /// Returns the port of the socket's address.
+    pub(crate) fn port(&self) -> u16 {
+        self.port
+    }
+
+    /// Waits until a datagram can be read.
+    pub(crate) async fn readable(&self) -> io::Result<()> {
+        self.socket.readable().await
+    }
+
+    /// Reads a datagram, if there is one. A datagram that couldn't be delivered earlier is reported
+    /// by the system as an error of a later call, which says nothing about this one.
+    pub(crate) fn receive(&mut self) -> Option<(&mut [u8], SocketAddrV4)> {
+        loop {
+            match self.socket.try_recv_from(&mut self.buffer[..]) {
+                Ok((len, SocketAddr::V4(from))) => return Some((&mut self.buffer[..len], from)),
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Sends a datagram.
+    pub(crate) fn send(&mut self, bytes: &[u8], to: SocketAddrV4) {
+        if self.socket.try_send_to(bytes, to.into()).is_err() {
+            self.unsent += 1;
+        }
+    }
+}
--- /dev/null
+++ b/components/forwarder/src/lib.rs
@@ -0,0 +1,13 @@
+//! The daemons that forward opaque flows: a balancer on each entry VM, an agent beside each backend
+//! server.
+//!
+//! All decisions are in `carobdrum-flows`. Here are the sockets, threads and timers around them.
+
+mod connection;
+mod process;
+
+pub use process::{
+    run_agent,
+    run_balancer,
+    NodeError, //
+};
--- /dev/null
+++ b/components/forwarder/src/process/agent_node.rs
@@ -0,0 +1,244 @@
+//! The agent daemon.
+
+use std::{
+    net::SocketAddrV4,
+    time::Duration, //
+};
+
+use carobdrum_control::spawn_thread;
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    process::{
+        AgentRecord,
+        BackendBeat, //
+    },
+    KeeperSettings, //
+};
+use carobdrum_platform::{
+    CallFault,
+    NodeCall,
+    StoreClient,
+    OPERATOR_PREFIX, //
+};
+use carobdrum_settings::{
+    BackendSettings,
+    FlowSettings, //
+};
+use http::StatusCode;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+use tokio::{
+    signal::unix::{
+        signal,
+        SignalKind, //
+    },
+    sync::{
+        mpsc,
+        oneshot,
+        watch, //
+    },
+    task::LocalSet,
+    time::timeout, //
+};
+use tracing::{
+    debug,
+    info,
+    warn, //
+};
+
+use super::{
+    agent_lease::hold_key,
+    http_port::serve_calls,
+    node_error::{
+        NoBackendSnafu,
+        StartSnafu, //
+    },
+    rules_feed::RulesFeed,
+    store_watch::{
+        follow_keys,
+        CALL_TIMEOUT, //
+    },
+    BootClock,
+    NodeError, //
+};
+use crate::connection::{
+    AgentTraffic,
+    AgentUpdate, //
+};
+
+/// Updates that may wait for the traffic thread.
+const UPDATE_QUEUE: usize = 64;
+
+/// Part of the time to the reuse of an address that is left unused, for clocks and delays.
+const REUSE_MARGIN: Millis = Millis(100);
+
+/// Part of the grace period that is left unused.
+const GRACE_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Time for the end of the lease at a planned stop.
+const LEASE_END_TIME: Duration = Duration::from_millis(300);
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+///
+/// Returns why it can't run.
+pub fn run_agent(settings: &FlowSettings) -> Result<(), NodeError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(StartSnafu)?;
+    LocalSet::new().block_on(&runtime, control(settings))
+}
+
+async fn control(settings: &FlowSettings) -> Result<(), NodeError> {
+    let node = &settings.node;
+    let backend = settings.backend.as_ref().context(NoBackendSnafu)?;
+    info!(name = %node.name, centre = %node.data_centre, service = %backend.service, "agent starts");
+    let mut stop = signal(SignalKind::terminate()).context(StartSnafu)?;
+    let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
+    let keeper = keeper_settings(settings, backend);
+    let (server, outgoing) = (backend.address, backend.outgoing);
+    let traffic = spawn_thread("traffic", move || async move {
+        let traffic = AgentTraffic::open(keeper, server, outgoing, BootClock).await?;
+        traffic.run(receiver).await
+    });
+    traffic.context(StartSnafu)?;
+    let record = AgentRecord {
+        address: node.packets,
+        centre: node.data_centre.clone(),
+        service: backend.service.clone(),
+    };
+    let (record, held) = watch::channel(record);
+    serve_ready(node.ready).await?;
+    serve_backend(backend.heartbeats, updates.clone(), record.clone()).await?;
+    let store = settings.store.address;
+    tokio::task::spawn_local(follow_rules(store, updates.clone()));
+    let lease = tokio::task::spawn_local(hold_key(StoreClient::new(store, CALL_TIMEOUT), held));
+    stop.recv().await;
+    info!("agent leaves");
+    let (answer, flows_ended) = oneshot::channel();
+    if updates.send(AgentUpdate::Stop(answer)).await.is_ok() {
+        let grace = Duration::from_secs_f64(settings.node.grace_s).saturating_sub(GRACE_MARGIN);
+        let ended = timeout(grace, flows_ended).await.is_ok();
+        info!(ended, "flows ended, or their time is over");
+    }
+    lease.abort();
+    drop(record);
+    // The key lapses by itself if the store doesn't answer.
+    let _ = timeout(LEASE_END_TIME, lease).await;
+    info!("agent ends");
+    Ok(())
+}
+
+fn keeper_settings(settings: &FlowSettings, backend: &BackendSettings) -> KeeperSettings {
+    let reuse = Millis((backend.reuse_s * 1_000.0) as u64);
+    KeeperSettings {
+        address: settings.node.packets,
+        centre: settings.node.data_centre.clone(),
+        service: backend.service.clone(),
+        fence: reuse.since(REUSE_MARGIN),
+        cold_factor: backend.cold_factor,
+        cold_slack: backend.cold_slack,
+    }
+}
+
+async fn serve_ready(address: SocketAddrV4) -> Result<(), NodeError> {
+    serve_calls(address, |call| async move {
+        match call {
+            Ok(NodeCall::Ready) => StatusCode::OK,
+            _ => StatusCode::NOT_FOUND,
+        }
+    })
+    .await
+}
+
+async fn serve_backend(
+    address: SocketAddrV4,
+    updates: mpsc::Sender<AgentUpdate>,
+    record: watch::Sender<AgentRecord>,
+) -> Result<(), NodeError> {
+    serve_calls(address, move |call| {
+        let updates = updates.clone();
+        let record = record.clone();
+        async move { answer_backend(call, updates, record).await }
+    })
+    .await
+}
+
+async fn answer_backend(
+    call: Result<NodeCall, CallFault>,
+    updates: mpsc::Sender<AgentUpdate>,
+    record: watch::Sender<AgentRecord>,
+) -> StatusCode {
+    match call {
+        Ok(NodeCall::Beat(beat)) => take_beat(beat, updates, record).await,
+        Ok(NodeCall::Leave(id)) => {
+            info!(%id, "backend server leaves");
+            let (answer, outcome) = oneshot::channel();
+            let update = AgentUpdate::Leave(id, answer);
+            settle(updates, update, outcome).await
+        }
+        Ok(NodeCall::Ready) => StatusCode::OK,
+        Ok(NodeCall::Unknown) => StatusCode::NOT_FOUND,
+        Err(error) => {
+            warn!(%error, "call of a backend server can't be read");
+            StatusCode::BAD_REQUEST
+        }
+    }
+}
+
+async fn take_beat(
+    beat: BackendBeat,
+    updates: mpsc::Sender<AgentUpdate>,
+    record: watch::Sender<AgentRecord>,
+) -> StatusCode {
+    debug!(?beat, "heartbeat");
+    let service = beat.service.clone();
+    let (answer, outcome) = oneshot::channel();
+    let status = settle(updates, AgentUpdate::Beat(beat, answer), outcome).await;
+    if status == StatusCode::OK {
+        record.send_if_modified(|record| {
+            let changed = record.service != service;
+            if changed {
+                info!(before = %record.service, after = %service, "service changed");
+                record.service = service;
+            }
+            changed
+        });
+    }
+    status
+}
+
+async fn settle(
+    updates: mpsc::Sender<AgentUpdate>,
+    update: AgentUpdate,
+    outcome: oneshot::Receiver<bool>,
+) -> StatusCode {
+    if updates.send(update).await.is_err() {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    match outcome.await {
+        Ok(is_new) => {
+            if !is_new {
+                info!("outdated call of a backend server left out");
+            }
+            StatusCode::OK
+        }
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn follow_rules(store: SocketAddrV4, updates: mpsc::Sender<AgentUpdate>) {
+    let mut feed = RulesFeed::default();
+    let client = StoreClient::new(store, CALL_TIMEOUT);
+    follow_keys(client, OPERATOR_PREFIX, async |news| {
+        match feed.take(news) {
+            Some(rules) => updates.send(AgentUpdate::Rules(rules)).await.is_ok(),
+            None => true,
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/components/forwarder/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! What lives for the whole process: the daemons and their control tasks.
+
+mod agent_lease;
+mod agent_node;
+mod balancer_node;
+mod boot_clock;
+mod http_port;
+pub(crate) mod node_error;
+mod rules_feed;
+mod store_watch;
+
+pub use agent_node::run_agent;
+pub use balancer_node::run_balancer;
+pub(crate) use boot_clock::BootClock;
+pub use node_error::NodeError;
--- /dev/null
+++ b/components/forwarder/src/process/node_error.rs
@@ -0,0 +1,31 @@
+//! Why a daemon can't run.
+
+use std::{
+    io,
+    net::SocketAddrV4, //
+};
+
+use snafu::Snafu;
+
+/// Why a daemon can't run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum NodeError {
+    /// An address can't be opened.
+    #[snafu(display("{address}: can't be opened: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddrV4,
+        /// What the system reports.
+        source: io::Error,
+    },
+    /// A thread, a runtime or a signal handler can't be made.
+    #[snafu(display("can't start: {source}"))]
+    Start {
+        /// What the system reports.
+        source: io::Error,
+    },
+    /// The settings name no backend server.
+    #[snafu(display("settings: section `backend` is missing"))]
+    NoBackend,
+}
--- /dev/null
+++ b/components/settings/src/flow_settings.rs
@@ -0,0 +1,147 @@
+//! Settings of the roles that forward opaque flows.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::{
+    FieldKind,
+    FieldShape, //
+};
+use compact_str::CompactString;
+use serde::{
+    de::Error,
+    Deserialize,
+    Deserializer, //
+};
+
+/// Most milliseconds that a bound of the settings may have: an hour.
+const MAX_BOUND_MS: u32 = 3_600_000;
+
+const PORT: FieldKind = FieldKind::Number {
+    min: 1,
+    max: u16::MAX as u32,
+};
+const BOUND_MS: FieldKind = FieldKind::Number {
+    min: 1,
+    max: MAX_BOUND_MS,
+};
+
+const NODE_SHAPE: &[FieldShape] = &[
+    FieldShape::required("name", FieldKind::Text),
+    FieldShape::required("data_centre", FieldKind::Text),
+    FieldShape::required("ip", FieldKind::Ip4),
+    FieldShape::required("peer_port", PORT),
+    FieldShape::required("packets", FieldKind::Address4),
+    FieldShape::required("ready", FieldKind::Address4),
+    FieldShape::optional("grace_s", FieldKind::Text),
+    FieldShape::optional("peers", FieldKind::AddressList),
+];
+
+const BACKEND_SHAPE: &[FieldShape] = &[
+    FieldShape::required("address", FieldKind::Address4),
+    FieldShape::required("service", FieldKind::Text),
+    FieldShape::required("outgoing", FieldKind::Address4),
+    FieldShape::required("heartbeats", FieldKind::Address4),
+    FieldShape::optional("reuse_s", FieldKind::Text),
+    FieldShape::optional("cold_factor", FieldKind::Text),
+    FieldShape::optional("cold_slack", FieldKind::Text),
+];
+
+const STORE_SHAPE: &[FieldShape] = &[
+    FieldShape::required("address", FieldKind::Address4),
+    FieldShape::required("min_lease_ms", BOUND_MS),
+];
+
+/// Fields of the settings of a role that forwards opaque flows.
+pub(crate) const FLOW_SHAPE: &[FieldShape] = &[
+    FieldShape::required("node", FieldKind::Section(NODE_SHAPE)),
+    FieldShape::optional("backend", FieldKind::Section(BACKEND_SHAPE)),
+    FieldShape::required("store", FieldKind::Section(STORE_SHAPE)),
+];
+
+/// Settings of a process that forwards opaque flows.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FlowSettings {
+    /// Identity and addresses.
+    pub node: NodeSettings,
+    /// The backend server beside the process; only agents have one.
+    pub backend: Option<BackendSettings>,
+    /// The platform's store.
+    pub store: LeaseStoreSettings,
+}
+
+/// Identity and addresses of a process.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of the process in logs.
+    pub name: CompactString,
+    /// Data centre of the VM.
+    pub data_centre: CompactString,
+    /// Address of the VM.
+    pub ip: std::net::Ipv4Addr,
+    /// Port (UDP) for datagrams between processes.
+    pub peer_port: u16,
+    /// Address (UDP) at which packets of callers arrive; its port is also that of callers.
+    pub packets: SocketAddrV4,
+    /// Address (TCP) at which the platform asks whether the process is ready.
+    pub ready: SocketAddrV4,
+    /// Time from the signal of a planned stop to the kill, in seconds.
+    #[serde(default = "default_grace", deserialize_with = "decimal")]
+    pub grace_s: f64,
+    /// Control addresses of a few other processes.
+    #[serde(default)]
+    pub peers: Vec<SocketAddrV4>,
+}
+
+/// The backend server beside an agent.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendSettings {
+    /// Address (UDP) at which the server takes packets.
+    pub address: SocketAddrV4,
+    /// Service of the server.
+    pub service: CompactString,
+    /// Address (UDP) to which the server sends its packets.
+    pub outgoing: SocketAddrV4,
+    /// Address (TCP) to which the server sends its heartbeats.
+    pub heartbeats: SocketAddrV4,
+    /// Shortest time after which another service may use the address of a server that is gone, in
+    /// seconds.
+    #[serde(default = "default_reuse", deserialize_with = "decimal")]
+    pub reuse_s: f64,
+    /// Factor over the rate that a cold server states.
+    #[serde(default = "default_factor", deserialize_with = "decimal")]
+    pub cold_factor: f64,
+    /// Requests over the rate that a cold server states.
+    #[serde(default, deserialize_with = "decimal")]
+    pub cold_slack: f64,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseStoreSettings {
+    /// Address (TCP) of the store.
+    pub address: SocketAddrV4,
+    /// Shortest lease that the store grants, in milliseconds.
+    pub min_lease_ms: u64,
+}
+
+fn default_grace() -> f64 {
+    5.0
+}
+
+fn default_reuse() -> f64 {
+    2.0
+}
+
+fn default_factor() -> f64 {
+    1.0
+}
+
+/// Reads a decimal number that is written as a text.
+fn decimal<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+    let text = CompactString::deserialize(deserializer)?;
+    text.parse().map_err(D::Error::custom)
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -3,6 +3,7 @@
 mod agent_settings;
 mod balancer_settings;
 mod file_check;
+mod flow_settings;
 mod process_settings;
 mod settings_error;
 mod settings_text;
@@ -10,6 +11,12 @@
 pub use agent_settings::AgentSettings;
 pub use balancer_settings::BalancerSettings;
 pub use file_check::read_bounded;
+pub use flow_settings::{
+    BackendSettings,
+    FlowSettings,
+    LeaseStoreSettings,
+    NodeSettings, //
+};
 pub use process_settings::{
     LogFormat,
     LogSettings,
@@ -23,5 +30,6 @@
 pub use settings_text::{
     read_agent,
     read_balancer,
+    read_flow_settings,
     MAX_SETTINGS_BYTES, //
 };
--- a/components/settings/src/settings_text.rs
+++ b/components/settings/src/settings_text.rs
@@ -12,9 +12,11 @@
     agent_settings::AGENT_SHAPE,
     balancer_settings::BALANCER_SHAPE,
     file_check::read_bounded,
+    flow_settings::FLOW_SHAPE,
     settings_error::FaultySnafu,
     AgentSettings,
     BalancerSettings,
+    FlowSettings,
     SettingsError, //
 };
 
@@ -51,6 +53,15 @@
     read_checked(path, AGENT_SHAPE, check)
 }
 
+/// Reads and checks the settings of a role that forwards opaque flows.
+///
+/// # Errors
+///
+/// Returns [`SettingsError::Faulty`] with all faults, and other errors if `path` can't be read.
+pub fn read_flow_settings(path: &Path) -> Result<FlowSettings, SettingsError> {
+    read_checked(path, FLOW_SHAPE, |_: &mut FlowSettings, _, _| ())
+}
+
 fn read_checked<S: DeserializeOwned>(
     path: &Path,
     shape: &'static [FieldShape],
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! values in the payload of a datagram or of a sealed frame on a TCP connection.
 
 pub mod control;
+pub mod flow_datagram;
 
 mod frame_codec;
 mod packet_head;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -38,6 +38,9 @@
     Balancer(DaemonArgs),
     /// Runs an agent beside a backend server.
     Agent(DaemonArgs),
+    /// Runs a role on the users' platform, where flows come as packets.
+    #[command(subcommand)]
+    Platform(PlatformCommand),
     /// Checks settings and tables offline, and prints one line for each fault.
     ///
     /// The kind of a file is told by its name (routes*, pools*, agent*, balancer*), and else by
@@ -56,6 +59,15 @@
     Completions(CompletionsArgs),
 }
 
+/// The roles on the users' platform.
+#[derive(Debug, Subcommand)]
+pub(crate) enum PlatformCommand {
+    /// Runs a balancer.
+    Balancer(DaemonArgs),
+    /// Runs an agent beside a backend server.
+    Agent(DaemonArgs),
+}
+
 /// Arguments of a daemon.
 #[derive(Args, Debug)]
 pub(crate) struct DaemonArgs {
--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -19,6 +19,7 @@
     version::TableError,
     OneLine, //
 };
+use carobdrum_forwarder::NodeError;
 use carobdrum_settings::SettingsError;
 use carobdrum_store::{
     ConflictReport,
@@ -59,6 +60,12 @@
         /// The cause.
         source: AgentError,
     },
+    /// A role on the users' platform can't run.
+    #[snafu(display("{source}"))]
+    Node {
+        /// The cause.
+        source: NodeError,
+    },
     /// A process doesn't answer.
     #[snafu(display("{source}"))]
     Control {
@@ -247,6 +254,7 @@
             CommandError::Store { source } => code_of_store(source),
             CommandError::Balancer { .. }
             | CommandError::Agent { .. }
+            | CommandError::Node { .. }
             | CommandError::Control { .. }
             | CommandError::MalformedVersion { .. }
             | CommandError::LoadFailed { .. }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod file_kind;
 mod load;
+mod platform;
 mod status;
 mod tables;
 mod usage;
@@ -38,6 +39,7 @@
     match command {
         Command::Balancer(args) => balancer::run(&args),
         Command::Agent(args) => agent::run(&args),
+        Command::Platform(command) => platform::run(&command),
         Command::Check(args) => check::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Demo(args) => demo::run(&args),
--- /dev/null
+++ b/src/cmd/platform.rs
@@ -0,0 +1,43 @@
+//! The command `platform`.
+
+use carobdrum_forwarder::{
+    run_agent,
+    run_balancer, //
+};
+use carobdrum_settings::read_flow_settings;
+use carobdrum_telemetry::init_logs;
+use snafu::ResultExt;
+
+use crate::{
+    cli::{
+        DaemonArgs,
+        PlatformCommand, //
+    },
+    cmd::{
+        command_error::{
+            LogsSnafu,
+            NodeSnafu,
+            SettingsSnafu, //
+        },
+        CommandError, //
+    }, //
+};
+
+/// Log filter if the command line names none.
+const DEFAULT_FILTER: &str = "info";
+
+/// Runs a role on the users' platform until it is told to stop.
+///
+/// # Errors
+///
+/// Returns faults of the settings, and why the role can't start.
+pub(crate) fn run(command: &PlatformCommand) -> Result<(), CommandError> {
+    let (PlatformCommand::Balancer(args) | PlatformCommand::Agent(args)) = command;
+    let DaemonArgs { settings, log } = args;
+    init_logs(true, log.as_deref().unwrap_or(DEFAULT_FILTER)).context(LogsSnafu)?;
+    let settings = read_flow_settings(settings).context(SettingsSnafu)?;
+    match command {
+        PlatformCommand::Balancer(_) => run_balancer(&settings).context(NodeSnafu),
+        PlatformCommand::Agent(_) => run_agent(&settings).context(NodeSnafu),
+    }
+}
