Send reports that were held back, so that agents that answer aren't taken as suspect

Cause: an agent reports to a balancer at most every 100 ms, in answer to a packet. A packet within 100 ms of a report got none, and if it was the last for 250 ms the balancer took the agent as suspect and moved flows elsewhere. Conclusion: suspicion now means silence. The slow recovery after the closing fault has another cause.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -71,8 +71,8 @@
 /// Time without packets of a balancer after which it gets no reports.
 const REPORT_SPAN: Millis = Millis(5_000);
 
-/// Time between checks of what is out of date.
-const TICK: Duration = Duration::from_millis(250);
+/// Time between checks of what is out of date, and of reports that are owed.
+const TICK: Duration = Duration::from_millis(100);
 
 /// Wait for a timer that isn't set.
 const IDLE_WAIT: Duration = Duration::from_secs(3_600);
@@ -96,6 +96,15 @@
     address: SocketAddrV4,
     heard: Millis,
     reported: Option<Millis>,
+    /// Whether packets came since the last report.
+    owed: bool,
+}
+
+impl BalancerPeer {
+    fn is_due(&self, now: Millis) -> bool {
+        self.reported
+            .is_none_or(|reported| now.since(reported) >= REPORT_INTERVAL)
+    }
 }
 
 /// Sockets and flows of an agent.
@@ -301,6 +310,7 @@
         self.peers
             .retain(|peer| now.since(peer.heard) < REPORT_SPAN);
         self.report_change(now);
+        self.pay_reports(now);
         if self.stopped.is_some() && self.keeper.open_flows() == 0 {
             if let Some(answer) = self.stopped.take() {
                 // The control thread may have stopped waiting.
@@ -319,22 +329,37 @@
                 address: balancer,
                 heard: now,
                 reported: None,
+                owed: false,
             };
             self.peers.insert(index, peer);
             index
         });
         let peer = &mut self.peers[index];
         peer.heard = now;
-        let due = peer
-            .reported
-            .is_none_or(|reported| now.since(reported) >= REPORT_INTERVAL);
-        if due {
-            peer.reported = Some(now);
-            let report = self.report(now);
-            self.packets.send(&report, balancer);
+        peer.owed = true;
+        if peer.is_due(now) {
+            self.send_report(index, now);
         }
     }
 
+    /// Sends the reports that were held back. A balancer takes an agent that doesn't answer its
+    /// last packet as suspect.
+    fn pay_reports(&mut self, now: Millis) {
+        for index in 0..self.peers.len() {
+            if self.peers[index].owed && self.peers[index].is_due(now) {
+                self.send_report(index, now);
+            }
+        }
+    }
+
+    fn send_report(&mut self, index: usize, now: Millis) {
+        let report = self.report(now);
+        let peer = &mut self.peers[index];
+        peer.reported = Some(now);
+        peer.owed = false;
+        self.packets.send(&report, peer.address);
+    }
+
     /// Tells all balancers when the server begins or ceases to take new flows.
     fn report_change(&mut self, now: Millis) {
         let accepts = self.keeper.report(now).accepts;
@@ -343,11 +368,8 @@
         }
         self.accepts = accepts;
         info!(accepts, "backend server changed");
-        let report = self.report(now);
         for index in 0..self.peers.len() {
-            let address = self.peers[index].address;
-            self.peers[index].reported = Some(now);
-            self.packets.send(&report, address);
+            self.send_report(index, now);
         }
     }
 
