Count an offer that nobody takes up as load for 60 ms, and close flows that both ends finished

Cause: after an outage, opening packets reach agents whose callers have given up. Each counted as a request in progress for 1.6 s, so all slots looked busy while the servers were idle. Flows that had ended counted as open until they were idle for 15 s, so planned stops waited out the grace period ('3 processes were still there at the end of the grace time'). Ruled out: cold servers (the effect lasted until 43 s, servers are warm at 37 s). Tests in tests/keeping.rs failed before.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -36,6 +36,32 @@
     pub used: Millis,
     /// Head of the last packet of the caller, for a packet that the server returns.
     pub head: ForwardHead,
+    /// Whether the caller has finished.
+    pub caller_done: bool,
+    /// Whether the server has finished.
+    pub server_done: bool,
     /// The opening packet, until the server has answered it.
     pub opening: Option<Bytes>,
 }
+
+impl FlowEntry {
+    /// Starts with what the first packet tells.
+    pub fn new(stage: FlowStage, head: ForwardHead, now: Millis) -> FlowEntry {
+        FlowEntry {
+            stage,
+            request: None,
+            used: now,
+            head,
+            caller_done: false,
+            server_done: false,
+            opening: None,
+        }
+    }
+
+    /// Closes the flow if both ends have finished.
+    pub fn close_if_done(&mut self) {
+        if self.caller_done && self.server_done {
+            self.stage = FlowStage::Closed;
+        }
+    }
+}
--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -36,7 +36,8 @@
     version::SiteRules, //
 };
 
-/// Time that a server has for its answer to an opening packet.
+/// Time that a server has for its answer to an opening packet, and for which an offer that the
+/// caller doesn't take up counts as load.
 const ACCEPT_TIME: Millis = Millis(60);
 
 /// Time after which a caller has given up a flow that didn't open.
@@ -257,15 +258,12 @@
         if head.hops > 1 || head.delivered {
             actions.push(KeeperAction::Hint(head.balancer, key));
         }
-        let entry = FlowEntry {
-            stage: FlowStage::Offered {
-                server_sequence: None,
-            },
-            request: Some(now),
-            used: now,
-            head,
-            opening: Some(bytes.clone()),
+        let stage = FlowStage::Offered {
+            server_sequence: None,
         };
+        let mut entry = FlowEntry::new(stage, head, now);
+        entry.request = Some(now);
+        entry.opening = Some(bytes.clone());
         self.flows.insert(key, entry);
     }
 
@@ -305,13 +303,7 @@
             matches!(entry.stage, FlowStage::Offered { .. } | FlowStage::Open)
         });
         if !offered {
-            let entry = FlowEntry {
-                stage: FlowStage::Passed(to),
-                request: None,
-                used: now,
-                head: head.clone(),
-                opening: None,
-            };
+            let entry = FlowEntry::new(FlowStage::Passed(to), head.clone(), now);
             self.flows.insert(key, entry);
         }
         actions.push(KeeperAction::PassOn {
@@ -362,9 +354,14 @@
             if entry.request.take().is_some() {
                 self.load.end();
             }
-        } else if packet.data_len > 0 && entry.request.is_none() && entry.stage == FlowStage::Open {
-            entry.request = Some(now);
-            self.load.begin();
+        } else if packet.data_len > 0 && entry.stage == FlowStage::Open {
+            if entry.request.replace(now).is_none() {
+                self.load.begin();
+            }
+        }
+        if packet.kind == PacketKind::Finish {
+            entry.caller_done = true;
+            entry.close_if_done();
         }
         actions.push(KeeperAction::Deliver);
     }
@@ -378,13 +375,7 @@
         now: Millis,
         actions: &mut Vec<KeeperAction>,
     ) {
-        let entry = FlowEntry {
-            stage: FlowStage::Trial,
-            request: None,
-            used: now,
-            head,
-            opening: None,
-        };
+        let entry = FlowEntry::new(FlowStage::Trial, head, now);
         self.flows.insert(key, entry);
         actions.push(KeeperAction::Deliver);
     }
@@ -415,6 +406,10 @@
             (FlowStage::Trial, _) => entry.stage = FlowStage::Open,
             _ => {}
         }
+        if packet.kind == PacketKind::Finish {
+            entry.server_done = true;
+            entry.close_if_done();
+        }
         let answers = packet.data_len > 0 || packet.kind == PacketKind::Reset;
         if answers {
             if let Some(start) = entry.request.take() {
@@ -445,7 +440,8 @@
         }
     }
 
-    /// Passes on the opening packets that the server didn't answer in time.
+    /// Passes on the opening packets that the server didn't answer in time, and no longer counts the
+    /// offers that no caller took up as load.
     pub fn check_offers(&mut self, now: Millis, actions: &mut Vec<KeeperAction>) {
         while let Some((due, key)) = self.offers.front().copied() {
             if due > now {
@@ -455,6 +451,9 @@
             let Some(entry) = self.flows.get_mut(&key) else {
                 continue;
             };
+            if matches!(entry.stage, FlowStage::Offered { .. }) && entry.request.take().is_some() {
+                self.load.end();
+            }
             let Some(opening) = entry.opening.take() else {
                 continue;
             };
--- /dev/null
+++ b/components/flows/tests/keeping.rs
@@ -0,0 +1,198 @@
+//! What agents do with packets.
+
+mod support;
+
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    connection::PassCause,
+    process::BackendState,
+    FlowPacket,
+    KeeperAction,
+    PacketKind, //
+};
+use support::{
+    agent,
+    backend,
+    beat,
+    forward,
+    head,
+    keeper,
+    open_flow,
+    open_packet,
+    packet,
+    FENCE, //
+};
+
+/// Time within which the caller of an offered flow has sent its request, unless it has given up.
+const RESERVATION: Millis = Millis(60);
+
+fn data(caller: u16, kind: PacketKind) -> FlowPacket {
+    FlowPacket {
+        data_len: 100,
+        ..packet(caller, kind)
+    }
+}
+
+fn passed_to(actions: &[KeeperAction]) -> Option<std::net::SocketAddrV4> {
+    actions.iter().find_map(|action| match action {
+        KeeperAction::PassOn { to, .. } => Some(*to),
+        _ => None,
+    })
+}
+
+fn delivers(actions: &[KeeperAction]) -> bool {
+    actions.contains(&KeeperAction::Deliver)
+}
+
+/// Guards against flows that wait at a busy server while another is idle.
+#[test]
+fn passes_new_flows_on_when_all_slots_are_in_use() {
+    let mut keeper = keeper();
+    for caller in 0..2 {
+        assert!(delivers(&forward(
+            &mut keeper,
+            &open_packet(caller),
+            head(&[1]),
+            Millis(0)
+        )));
+    }
+    let actions = forward(&mut keeper, &open_packet(2), head(&[1]), Millis(0));
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+}
+
+/// Guards against load that callers cause which have long given up: after an outage, offers that
+/// nobody takes up filled all slots for seconds.
+#[test]
+fn counts_an_offer_as_load_for_a_short_time_only() {
+    let mut keeper = keeper();
+    for caller in 0..2 {
+        forward(&mut keeper, &open_packet(caller), head(&[1]), Millis(0));
+    }
+    keeper.check_offers(RESERVATION, &mut Vec::new());
+    let actions = forward(&mut keeper, &open_packet(2), head(&[1]), RESERVATION);
+    assert!(delivers(&actions));
+}
+
+/// Guards against load that is forgotten while the server works.
+#[test]
+fn counts_a_request_as_load_until_its_answer() {
+    let mut keeper = keeper();
+    for caller in 0..2 {
+        open_flow(&mut keeper, caller, Millis(0));
+        forward(
+            &mut keeper,
+            &data(caller, PacketKind::Middle),
+            head(&[]),
+            Millis(0),
+        );
+    }
+    keeper.check_offers(RESERVATION, &mut Vec::new());
+    assert_eq!(keeper.report(RESERVATION).busy, 2);
+    backend(&mut keeper, &data(0, PacketKind::Middle), Millis(70));
+    assert_eq!(keeper.report(Millis(70)).busy, 1);
+}
+
+/// Guards against a planned stop that waits for flows which have ended.
+#[test]
+fn counts_a_flow_that_both_ends_finished_as_closed() {
+    let mut keeper = keeper();
+    open_flow(&mut keeper, 0, Millis(0));
+    assert_eq!(keeper.open_flows(), 1);
+    backend(&mut keeper, &packet(0, PacketKind::Finish), Millis(1));
+    assert_eq!(keeper.open_flows(), 1);
+    forward(
+        &mut keeper,
+        &packet(0, PacketKind::Finish),
+        head(&[]),
+        Millis(2),
+    );
+    assert_eq!(keeper.open_flows(), 0);
+}
+
+/// Guards against new flows at a server that leaves.
+#[test]
+fn passes_new_flows_on_while_the_server_drains() {
+    let mut keeper = keeper();
+    open_flow(&mut keeper, 0, Millis(0));
+    keeper.take_beat(beat(2, BackendState::Draining), Millis(1));
+    let actions = forward(&mut keeper, &open_packet(1), head(&[1]), Millis(2));
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+    assert!(delivers(&forward(
+        &mut keeper,
+        &packet(0, PacketKind::Middle),
+        head(&[1]),
+        Millis(3)
+    )));
+}
+
+/// Guards against flows of one service at the server of another that has taken over the address.
+#[test]
+fn passes_new_flows_on_when_the_server_shows_no_sign_of_life() {
+    let mut keeper = keeper();
+    let actions = forward(&mut keeper, &open_packet(1), head(&[1]), FENCE);
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+    let returned = FlowPacket {
+        returned: true,
+        ..packet(7, PacketKind::Middle)
+    };
+    backend(&mut keeper, &returned, FENCE);
+    let actions = forward(&mut keeper, &open_packet(2), head(&[1]), FENCE);
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+}
+
+/// Guards against heartbeats that arrive late and bring back a state that is over.
+#[test]
+fn leaves_outdated_heartbeats_out() {
+    let mut keeper = keeper();
+    assert!(keeper.take_beat(beat(3, BackendState::Draining), Millis(1)));
+    assert!(!keeper.take_beat(beat(2, BackendState::Ready), Millis(2)));
+    assert!(!keeper.report(Millis(2)).accepts);
+}
+
+/// Guards against flows that end because an agent was restarted and has forgotten them.
+#[test]
+fn lets_the_server_tell_whether_it_holds_an_unknown_flow() {
+    let mut keeper = keeper();
+    let unknown = packet(3, PacketKind::Middle);
+    assert!(delivers(&forward(
+        &mut keeper,
+        &unknown,
+        head(&[1]),
+        Millis(0)
+    )));
+    let returned = FlowPacket {
+        returned: true,
+        ..unknown
+    };
+    let actions = backend(&mut keeper, &returned, Millis(1));
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+}
+
+/// Guards against flows that don't open because the server of their first candidate is dead.
+#[test]
+fn passes_an_opening_packet_on_when_the_server_does_not_answer() {
+    let mut keeper = keeper();
+    forward(&mut keeper, &open_packet(0), head(&[1]), Millis(0));
+    let mut actions = Vec::new();
+    keeper.check_offers(RESERVATION, &mut actions);
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+}
+
+/// Guards against a reset of a flow that a server may have accepted.
+#[test]
+fn refuses_only_what_no_server_was_offered() {
+    let mut keeper = keeper();
+    keeper.stop();
+    let refused = forward(&mut keeper, &open_packet(0), head(&[]), Millis(0));
+    assert!(matches!(
+        refused[..],
+        [KeeperAction::Refuse(_, PassCause::Stopping)]
+    ));
+    let mut delivered = head(&[]);
+    delivered.delivered = true;
+    let dropped = forward(&mut keeper, &open_packet(1), delivered, Millis(0));
+    assert!(matches!(
+        dropped[..],
+        [KeeperAction::Drop(_, PassCause::Stopping)]
+    ));
+}
