Read anew after a watch was cut, and notice versions that other processes have

Ruled out: the time limit of the call and the keep-alive (the connection was alive). A version that a balancer or agent shows in its datagrams also makes the others read anew when their watch lags by 300 ms.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -36,7 +36,8 @@
 use tokio::{
     sync::{
         mpsc::Receiver,
-        oneshot, //
+        oneshot,
+        watch, //
     },
     time::{
         interval,
@@ -55,7 +56,8 @@
         decode_head,
         encode_forward, //
     },
-    udp_port::UdpPort, //
+    udp_port::UdpPort,
+    version_sight::raise_version, //
 };
 use crate::process::{
     BootClock,
@@ -111,6 +113,8 @@
 #[derive(Debug)]
 pub(crate) struct AgentTraffic {
     clock: BootClock,
+    /// Highest version that other processes have shown.
+    seen: watch::Sender<u64>,
     keeper: FlowKeeper,
     address: SocketAddrV4,
     backend: SocketAddrV4,
@@ -128,12 +132,13 @@
         settings: KeeperSettings,
         backend: SocketAddrV4,
         outgoing: SocketAddrV4,
-        clock: BootClock,
+        seen: watch::Sender<u64>,
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
         Ok(AgentTraffic {
-            keeper: FlowKeeper::new(settings, clock.now()),
-            clock,
+            keeper: FlowKeeper::new(settings, BootClock.now()),
+            clock: BootClock,
+            seen,
             address,
             backend,
             packets: UdpPort::open(address).await?,
@@ -201,7 +206,10 @@
             let body = FlowDatagram::decode(bytes).ok().and_then(|read| read.body);
             match body {
                 Some(FlowBody::Forward(forwarded)) => self.take_forward(forwarded, now),
-                Some(FlowBody::Probe(probe)) => self.meet(number_address(probe.balancer), now),
+                Some(FlowBody::Probe(probe)) => {
+                    raise_version(&self.seen, probe.version);
+                    self.meet(number_address(probe.balancer), now);
+                }
                 _ => debug!(%from, "datagram dropped"),
             }
         }
@@ -216,6 +224,7 @@
             }
         };
         let head = decode_head(&forwarded);
+        raise_version(&self.seen, head.version);
         self.meet(head.balancer, now);
         let bytes = forwarded.packet;
         let mut actions = std::mem::take(&mut self.actions);
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -32,7 +32,10 @@
 };
 use prost::Message;
 use tokio::{
-    sync::mpsc::Receiver,
+    sync::{
+        mpsc::Receiver,
+        watch, //
+    },
     time::{
         interval,
         MissedTickBehavior, //
@@ -45,7 +48,8 @@
 
 use super::{
     head_codec::encode_forward,
-    udp_port::UdpPort, //
+    udp_port::UdpPort,
+    version_sight::raise_version, //
 };
 use crate::process::{
     BootClock,
@@ -75,6 +79,8 @@
 #[derive(Debug)]
 pub(crate) struct BalancerTraffic {
     clock: BootClock,
+    /// Highest version that other processes have shown.
+    seen: watch::Sender<u64>,
     router: FlowRouter,
     address: SocketAddrV4,
     callers: UdpPort,
@@ -87,10 +93,11 @@
         packets: SocketAddrV4,
         address: SocketAddrV4,
         centre: &str,
-        clock: BootClock,
+        seen: watch::Sender<u64>,
     ) -> Result<BalancerTraffic, NodeError> {
         Ok(BalancerTraffic {
-            clock,
+            clock: BootClock,
+            seen,
             router: FlowRouter::new(address, centre),
             address,
             callers: UdpPort::open(packets).await?,
@@ -186,6 +193,7 @@
             match body {
                 Some(FlowBody::Report(report)) => {
                     let agent = number_address(report.agent);
+                    raise_version(&self.seen, report.version);
                     let state = AgentReport {
                         accepts: report.accepts,
                         busy: report.busy,
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod balancer_traffic;
 mod head_codec;
 mod udp_port;
+mod version_sight;
 
 pub(crate) use agent_traffic::{
     AgentTraffic,
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -57,10 +57,9 @@
     },
     rules_feed::RulesFeed,
     store_watch::{
-        follow_keys,
+        KeyFollower,
         CALL_TIMEOUT, //
     },
-    BootClock,
     NodeError, //
 };
 use crate::connection::{
@@ -101,8 +100,9 @@
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let keeper = keeper_settings(settings, backend);
     let (server, outgoing) = (backend.address, backend.outgoing);
+    let (seen, versions) = watch::channel(0);
     let traffic = spawn_thread("traffic", move || async move {
-        let traffic = AgentTraffic::open(keeper, server, outgoing, BootClock).await?;
+        let traffic = AgentTraffic::open(keeper, server, outgoing, seen).await?;
         traffic.run(receiver).await
     });
     traffic.context(StartSnafu)?;
@@ -115,7 +115,8 @@
     serve_ready(node.ready).await?;
     serve_backend(backend.heartbeats, updates.clone(), record.clone()).await?;
     let store = settings.store.address;
-    tokio::task::spawn_local(follow_rules(store, updates.clone()));
+    let rules = KeyFollower::new(store, OPERATOR_PREFIX, versions);
+    tokio::task::spawn_local(follow_rules(rules, updates.clone()));
     let lease = tokio::task::spawn_local(hold_key(StoreClient::new(store, CALL_TIMEOUT), held));
     stop.recv().await;
     info!("agent leaves");
@@ -231,14 +232,13 @@
     }
 }
 
-async fn follow_rules(store: SocketAddrV4, updates: mpsc::Sender<AgentUpdate>) {
+async fn follow_rules(follower: KeyFollower, updates: mpsc::Sender<AgentUpdate>) {
     let mut feed = RulesFeed::default();
-    let client = StoreClient::new(store, CALL_TIMEOUT);
-    follow_keys(client, OPERATOR_PREFIX, async |news| {
-        match feed.take(news) {
-            Some(rules) => updates.send(AgentUpdate::Rules(rules)).await.is_ok(),
-            None => true,
+    let take = async |news| {
+        if let Some(rules) = feed.take(news) {
+            updates.send(AgentUpdate::Rules(rules)).await.ok()?;
         }
-    })
-    .await;
+        Some(feed.version())
+    };
+    follower.run(take).await;
 }
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -12,7 +12,6 @@
     read_agent,
     NodeCall,
     StoreChange,
-    StoreClient,
     AGENT_PREFIX,
     OPERATOR_PREFIX, //
 };
@@ -24,7 +23,10 @@
         signal,
         SignalKind, //
     },
-    sync::mpsc,
+    sync::{
+        mpsc,
+        watch, //
+    },
     task::LocalSet,
     time::sleep, //
 };
@@ -38,11 +40,9 @@
     node_error::StartSnafu,
     rules_feed::RulesFeed,
     store_watch::{
-        follow_keys,
-        KeyNews,
-        CALL_TIMEOUT, //
+        KeyFollower,
+        KeyNews, //
     },
-    BootClock,
     NodeError, //
 };
 use crate::connection::{
@@ -78,20 +78,26 @@
     let packets = node.packets;
     let address = SocketAddrV4::new(node.ip, node.peer_port);
     let centre = node.data_centre.clone();
+    let (seen, versions) = watch::channel(0);
     let traffic = spawn_thread("traffic", move || async move {
-        let traffic = BalancerTraffic::open(packets, address, &centre, BootClock).await?;
+        let traffic = BalancerTraffic::open(packets, address, &centre, seen).await?;
         traffic.run(receiver).await
     });
     traffic.context(StartSnafu)?;
     let ready = Rc::new(ReadyState::default());
     serve_ready(node.ready, ready.clone()).await?;
     let store = settings.store.address;
-    tokio::task::spawn_local(follow_rules(store, updates.clone(), ready.clone()));
-    tokio::task::spawn_local(follow_agents(store, updates, ready.clone()));
+    let rules = KeyFollower::new(store, OPERATOR_PREFIX, versions);
+    // Entries of agents have no version.
+    let (unversioned, none) = watch::channel(0);
+    let agents = KeyFollower::new(store, AGENT_PREFIX, none);
+    tokio::task::spawn_local(follow_rules(rules, updates.clone(), ready.clone()));
+    tokio::task::spawn_local(follow_agents(agents, updates, ready.clone()));
     stop.recv().await;
     info!("balancer leaves");
     ready.leaving.set(true);
     sleep(LEAVE_TIME).await;
+    drop(unversioned);
     info!("balancer ends");
     Ok(())
 }
@@ -125,38 +131,34 @@
 }
 
 async fn follow_rules(
-    store: SocketAddrV4,
+    follower: KeyFollower,
     updates: mpsc::Sender<BalancerUpdate>,
     ready: Rc<ReadyState>,
 ) {
     let mut feed = RulesFeed::default();
-    let client = StoreClient::new(store, CALL_TIMEOUT);
-    follow_keys(client, OPERATOR_PREFIX, async |news| {
-        let Some(rules) = feed.take(news) else {
-            return true;
-        };
-        ready.rules.set(true);
-        updates.send(BalancerUpdate::Rules(rules)).await.is_ok()
-    })
-    .await;
+    let take = async |news| {
+        if let Some(rules) = feed.take(news) {
+            ready.rules.set(true);
+            updates.send(BalancerUpdate::Rules(rules)).await.ok()?;
+        }
+        Some(feed.version())
+    };
+    follower.run(take).await;
 }
 
 async fn follow_agents(
-    store: SocketAddrV4,
+    follower: KeyFollower,
     updates: mpsc::Sender<BalancerUpdate>,
     ready: Rc<ReadyState>,
 ) {
-    let client = StoreClient::new(store, CALL_TIMEOUT);
-    follow_keys(client, AGENT_PREFIX, async |news| {
+    let take = async |news| {
         for update in agent_updates(news) {
-            if updates.send(update).await.is_err() {
-                return false;
-            }
+            updates.send(update).await.ok()?;
         }
         ready.agents.set(true);
-        true
-    })
-    .await;
+        Some(0)
+    };
+    follower.run(take).await;
 }
 
 fn agent_updates(news: KeyNews) -> Vec<BalancerUpdate> {
--- a/components/forwarder/src/process/rules_feed.rs
+++ b/components/forwarder/src/process/rules_feed.rs
@@ -52,6 +52,11 @@
         Some(Arc::new(rules.clone()))
     }
 
+    /// Returns the version of the configuration in force; zero if there is none.
+    pub(crate) fn version(&self) -> u64 {
+        self.rules.as_ref().map_or(0, |rules| rules.version)
+    }
+
     fn put(&mut self, item: StoreItem) {
         match read_operator(&item.key, &item.value) {
             Ok(OperatorEntry::Rules(rules)) => self.put_rules(rules, item.revision),
@@ -66,7 +71,7 @@
 
     /// Takes a configuration, unless it is older than the one in force.
     fn put_rules(&mut self, rules: SiteRules, revision: u64) {
-        let known = self.rules.as_ref().map_or(0, |known| known.version);
+        let known = self.version();
         if rules.version < known {
             warn!(
                 version = rules.version,
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -1,6 +1,9 @@
 //! Following keys of the store.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddrV4,
+    time::Duration, //
+};
 
 use carobdrum_platform::{
     StoreChange,
@@ -10,7 +13,10 @@
     StoreNews, //
 };
 use rand::Rng;
-use tokio::time::sleep;
+use tokio::{
+    sync::watch,
+    time::sleep, //
+};
 use tracing::{
     info,
     warn, //
@@ -23,6 +29,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Time for which the watch may lag behind other processes.
+const LAG_TIME: Duration = Duration::from_millis(300);
+
 /// Time limit of a call.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -35,57 +44,107 @@
     Changes(Vec<StoreChange>),
 }
 
-/// Reads the keys that begin with `prefix` and follows their changes, for as long as `take` returns
-/// true.
-pub(crate) async fn follow_keys(
-    mut client: StoreClient,
+/// Following the keys that begin alike.
+pub(crate) struct KeyFollower {
+    client: StoreClient,
     prefix: &'static str,
-    mut take: impl AsyncFnMut(KeyNews) -> bool,
-) {
-    let mut after = None;
-    let mut backoff = StoreBackoff::default();
-    loop {
-        let outcome = follow_once(&mut client, prefix, after).await;
-        match outcome {
-            Ok((news, revision)) => {
-                backoff.succeed(prefix);
-                after = revision;
-                if let Some(news) = news {
-                    if !take(news).await {
-                        return;
+    /// Highest version that other processes have shown; a follower that has an older one for
+    /// `LAG_TIME` reads anew.
+    seen: watch::Receiver<u64>,
+    version: u64,
+}
+
+impl KeyFollower {
+    /// Creates a follower; nothing is read yet.
+    pub(crate) fn new(
+        store: SocketAddrV4,
+        prefix: &'static str,
+        seen: watch::Receiver<u64>,
+    ) -> KeyFollower {
+        KeyFollower {
+            client: StoreClient::new(store, CALL_TIMEOUT),
+            prefix,
+            seen,
+            version: 0,
+        }
+    }
+
+    /// Reads the keys and follows their changes, for as long as `take` returns the version in
+    /// force.
+    pub(crate) async fn run(mut self, mut take: impl AsyncFnMut(KeyNews) -> Option<u64>) {
+        let mut after = None;
+        let mut backoff = StoreBackoff::default();
+        loop {
+            match self.call(after).await {
+                Ok((news, revision)) => {
+                    backoff.succeed(self.prefix);
+                    after = revision;
+                    let Some(news) = news else {
+                        continue;
+                    };
+                    match take(news).await {
+                        Some(version) => self.version = version,
+                        None => return,
                     }
                 }
+                Err(error) => {
+                    // A watch that was cut may have missed changes, and one that goes on from an
+                    // old revision may wait for the next change.
+                    after = None;
+                    backoff.fail(self.prefix, &error).await;
+                }
             }
-            Err(error) => backoff.fail(prefix, &error).await,
         }
     }
-}
 
-/// Makes one call; returns what it told, and the revision from which the next one goes on.
-async fn follow_once(
-    client: &mut StoreClient,
-    prefix: &str,
-    after: Option<u64>,
-) -> Result<(Option<KeyNews>, Option<u64>), StoreFault> {
-    let Some(after) = after else {
-        let listing = client.list(prefix).await?;
-        return Ok((Some(KeyNews::All(listing.items)), Some(listing.revision)));
-    };
-    match client.watch(prefix, after, WATCH_WAIT).await? {
-        StoreNews::Changes(changes, revision) => {
-            let news = (!changes.is_empty()).then_some(KeyNews::Changes(changes));
-            Ok((news, Some(revision.max(after))))
-        }
-        StoreNews::Forgotten => {
-            info!(
-                prefix,
-                after, "the store has forgotten its history; reading anew"
-            );
-            Ok((None, None))
+    /// Makes one call; returns what it told, and the revision from which the next one goes on.
+    async fn call(
+        &mut self,
+        after: Option<u64>,
+    ) -> Result<(Option<KeyNews>, Option<u64>), StoreFault> {
+        let Some(after) = after else {
+            let listing = self.client.list(self.prefix).await?;
+            return Ok((Some(KeyNews::All(listing.items)), Some(listing.revision)));
+        };
+        let watch = self.client.watch(self.prefix, after, WATCH_WAIT);
+        let news = tokio::select! {
+            news = watch => news?,
+            seen = lag_behind(&mut self.seen, self.version) => {
+                let version = self.version;
+                info!(prefix = self.prefix, seen, version, "another process has a newer version");
+                return Ok((None, None));
+            }
+        };
+        match news {
+            StoreNews::Changes(changes, revision) => {
+                let news = (!changes.is_empty()).then_some(KeyNews::Changes(changes));
+                Ok((news, Some(revision.max(after))))
+            }
+            StoreNews::Forgotten => {
+                info!(
+                    prefix = self.prefix,
+                    after, "store has forgotten its history; reading anew"
+                );
+                Ok((None, None))
+            }
         }
     }
 }
 
+/// Waits until a version newer than `version` has been seen for `LAG_TIME`; returns it.
+async fn lag_behind(seen: &mut watch::Receiver<u64>, version: u64) -> u64 {
+    let newer = seen
+        .wait_for(|seen| *seen > version)
+        .await
+        .map(|seen| *seen);
+    let Ok(newer) = newer else {
+        // The traffic thread is gone; the process is about to end.
+        return std::future::pending().await;
+    };
+    sleep(LAG_TIME).await;
+    newer
+}
+
 /// Pauses between failed calls, and the log of an outage's begin and end.
 #[derive(Debug, Default)]
 pub(crate) struct StoreBackoff {
