Test the follower of the store's keys against a stand-in of the platform's store

Ruled out: the stand-in of Consul's API, which has no leases of this kind and no dropped history. Conclusion: the stand-in speaks the platform's names and so lives in platform/standins.

--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -12,6 +12,7 @@
 use hashbrown::HashMap;
 
 use super::{
+    wait_limit_us,
     FlowEntry,
     FlowStage,
     KeeperAction,
@@ -212,11 +213,14 @@
             return;
         }
         let wait_us = self.load.wait_us();
-        if wait_us == 0 || head.assigned {
+        let bearable = wait_us <= self.wait_limit_us(packet);
+        if wait_us == 0 || (head.assigned && bearable) {
             self.accept(key, bytes, head, now, actions);
             return;
         }
-        self.offer_load(&mut head, wait_us);
+        if bearable {
+            self.offer_load(&mut head, wait_us);
+        }
         let near_done = head.near == 0 && head.best.is_some_and(|best| best.wait_us <= DISTANCE_US);
         let last = head.rest.is_empty() || near_done;
         match head.best {
@@ -227,6 +231,14 @@
         }
     }
 
+    fn wait_limit_us(&self, packet: &FlowPacket) -> u32 {
+        let route = self
+            .rules
+            .as_ref()
+            .and_then(|rules| rules.route(packet.key.service));
+        route.map_or(u32::MAX, wait_limit_us)
+    }
+
     fn offer_load(&self, head: &mut ForwardHead, wait_us: u32) {
         let distance_us = if head.centre == self.centre {
             0
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod flow_keeper;
 mod keeper_action;
 mod load_estimate;
+mod wait_limit;
 
 pub use flow_entry::{
     FlowEntry,
@@ -18,3 +19,4 @@
     PassCause, //
 };
 pub use load_estimate::LoadEstimate;
+pub use wait_limit::wait_limit_us;
--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -9,5 +9,7 @@
 pub use process::{
     run_agent,
     run_balancer,
+    KeyFollower,
+    KeyNews,
     NodeError, //
 };
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -13,3 +13,7 @@
 pub use balancer_node::run_balancer;
 pub(crate) use boot_clock::BootClock;
 pub use node_error::NodeError;
+pub use store_watch::{
+    KeyFollower,
+    KeyNews, //
+};
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -37,7 +37,7 @@
 
 /// What a watch tells.
 #[derive(Debug)]
-pub(crate) enum KeyNews {
+pub enum KeyNews {
     /// All keys, at the start and whenever changes may have been missed.
     All(Vec<StoreItem>),
     /// Changes since the last news.
@@ -45,7 +45,8 @@
 }
 
 /// Following the keys that begin alike.
-pub(crate) struct KeyFollower {
+#[derive(Debug)]
+pub struct KeyFollower {
     client: StoreClient,
     prefix: &'static str,
     /// Highest version that other processes have shown; a follower that has an older one for
@@ -56,7 +57,7 @@
 
 impl KeyFollower {
     /// Creates a follower; nothing is read yet.
-    pub(crate) fn new(
+    pub fn new(
         store: SocketAddrV4,
         prefix: &'static str,
         seen: watch::Receiver<u64>,
@@ -71,7 +72,7 @@
 
     /// Reads the keys and follows their changes, for as long as `take` returns the version in
     /// force.
-    pub(crate) async fn run(mut self, mut take: impl AsyncFnMut(KeyNews) -> Option<u64>) {
+    pub async fn run(mut self, mut take: impl AsyncFnMut(KeyNews) -> Option<u64>) {
         let mut after = None;
         let mut backoff = StoreBackoff::default();
         loop {
--- /dev/null
+++ b/components/forwarder/tests/key_follower.rs
@@ -0,0 +1,145 @@
+//! Following keys of the store through its faults.
+
+use std::{
+    net::Ipv4Addr,
+    time::Duration, //
+};
+
+use carobdrum_forwarder::{
+    KeyFollower,
+    KeyNews, //
+};
+use carobdrum_platform::StoreChange;
+use carobdrum_platform_standins::{
+    LeaseServer,
+    StoreMode, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+const PREFIX: &str = "op/";
+const KEY: &str = "op/config";
+
+/// Time within which a change must be in force.
+const BOUND: Duration = Duration::from_secs(3);
+
+/// Time for a call to reach the store.
+const SETTLE: Duration = Duration::from_millis(200);
+
+/// A follower in a task, and what it reads of `KEY`.
+struct Followed {
+    store: LeaseServer,
+    seen: watch::Sender<u64>,
+    values: mpsc::UnboundedReceiver<String>,
+}
+
+async fn follow() -> Followed {
+    let store = LeaseServer::start(Ipv4Addr::LOCALHOST).await.unwrap();
+    store.put(KEY, "1");
+    let (seen, versions) = watch::channel(0);
+    let follower = KeyFollower::new(store.address(), PREFIX, versions);
+    let (values, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(follower.run(async move |news| {
+        let mut version = 0;
+        for value in values_of(news) {
+            version = value.parse().ok()?;
+            values.send(value).ok()?;
+        }
+        Some(version)
+    }));
+    Followed {
+        store,
+        seen,
+        values: receiver,
+    }
+}
+
+fn values_of(news: KeyNews) -> Vec<String> {
+    let items = match news {
+        KeyNews::All(items) => items,
+        KeyNews::Changes(changes) => changes
+            .into_iter()
+            .filter_map(|change| match change {
+                StoreChange::Put(item) => Some(item),
+                StoreChange::Gone(..) => None,
+            })
+            .collect(),
+    };
+    let text = |value: Vec<u8>| String::from_utf8(value).unwrap();
+    items.into_iter().map(|item| text(item.value)).collect()
+}
+
+impl Followed {
+    async fn expect(&mut self, value: &str) {
+        let wait = async {
+            while let Some(read) = self.values.recv().await {
+                if read == value {
+                    return;
+                }
+            }
+        };
+        timeout(BOUND, wait)
+            .await
+            .expect("the value is read in time");
+    }
+}
+
+/// Guards against a configuration that is missed because a watch was cut and opened again before
+/// the store dropped its history, so that it waited for the next change.
+#[tokio::test]
+async fn reads_what_a_cut_watch_has_missed() {
+    let mut followed = follow().await;
+    followed.expect("1").await;
+    sleep(SETTLE).await;
+    followed.store.set_deaf(true);
+    followed.store.put(KEY, "2");
+    sleep(SETTLE).await;
+    followed.store.cut();
+    followed.expect("2").await;
+}
+
+/// Guards against a watch that never hears of a change that other processes have.
+#[tokio::test]
+async fn reads_anew_when_another_process_has_a_newer_version() {
+    let mut followed = follow().await;
+    followed.expect("1").await;
+    sleep(SETTLE).await;
+    followed.store.set_deaf(true);
+    followed.store.put(KEY, "2");
+    followed.seen.send_replace(2);
+    followed.expect("2").await;
+}
+
+/// Guards against a follower that stays behind after an outage.
+#[tokio::test]
+async fn goes_on_after_an_outage() {
+    let mut followed = follow().await;
+    followed.expect("1").await;
+    followed.store.set_mode(StoreMode::Busy);
+    followed.store.cut();
+    followed.store.put(KEY, "2");
+    sleep(SETTLE).await;
+    followed.store.set_mode(StoreMode::Open);
+    followed.expect("2").await;
+}
+
+/// Guards against a follower that takes a dropped history for no changes.
+#[tokio::test]
+async fn reads_anew_when_the_history_is_gone() {
+    let mut followed = follow().await;
+    followed.expect("1").await;
+    sleep(SETTLE).await;
+    followed.store.set_deaf(true);
+    followed.store.put(KEY, "2");
+    followed.store.forget();
+    followed.store.set_deaf(false);
+    followed.expect("2").await;
+}
