--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -116,6 +116,16 @@
         self.rules = Some(rules);
     }
 
+    /// Takes changed settings. The service that the server itself named goes before theirs.
+    pub fn set_settings(&mut self, settings: KeeperSettings) {
+        if self.life.service().is_none() {
+            self.service = settings.service.clone();
+        }
+        self.centre = name_hash(&settings.centre);
+        self.life.set_fence(settings.fence);
+        self.settings = settings;
+    }
+
     /// Takes a heartbeat of the server; returns false for an outdated one.
     pub fn take_beat(&mut self, beat: BackendBeat, now: Millis) -> bool {
         let cold_until = now.plus(beat.cold_left);
--- a/components/flows/src/process/backend_life.rs
+++ b/components/flows/src/process/backend_life.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Changes the time after which a server without a sign of life gets no new flows.
+    pub fn set_fence(&mut self, fence: Millis) {
+        self.fence = fence;
+    }
+
     /// Takes a heartbeat; returns false for one that is older than what is known.
     pub fn take_beat(&mut self, beat: BackendBeat, now: Millis) -> bool {
         if let Some(known) = &self.beat {
@@ -99,14 +104,4 @@
     pub fn service(&self) -> Option<&CompactString> {
         self.beat.as_ref().map(|beat| &beat.service)
     }
-
-    /// Returns the slots that the last heartbeat named.
-    pub fn slots(&self) -> Option<u32> {
-        self.beat.as_ref().map(|beat| beat.slots)
-    }
-
-    /// Returns the time since the last sign of the server.
-    pub fn silence(&self, now: Millis) -> Millis {
-        now.since(self.sign)
-    }
 }
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -84,6 +84,8 @@
 pub(crate) enum AgentUpdate {
     /// A version of the configuration.
     Rules(Arc<SiteRules>),
+    /// Changed settings.
+    Settings(KeeperSettings),
     /// A heartbeat; the answer is whether it is new.
     Beat(BackendBeat, oneshot::Sender<bool>),
     /// The backend server leaves.
@@ -180,6 +182,7 @@
         let now = self.clock.now();
         match update {
             AgentUpdate::Rules(rules) => self.keeper.set_rules(rules),
+            AgentUpdate::Settings(settings) => self.keeper.set_settings(settings),
             AgentUpdate::Beat(beat, answer) => {
                 let is_new = self.keeper.take_beat(beat, now);
                 // The caller may have given up waiting.
--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -11,5 +11,6 @@
     run_balancer,
     KeyFollower,
     KeyNews,
-    NodeError, //
+    NodeError,
+    SettingsFile, //
 };
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -56,6 +56,7 @@
         StartSnafu, //
     },
     rules_feed::RulesFeed,
+    settings_file::SettingsFile,
     store_watch::{
         KeyFollower,
         CALL_TIMEOUT, //
@@ -84,7 +85,7 @@
 /// # Errors
 ///
 /// Returns why it can't run.
-pub fn run_agent(settings: &FlowSettings) -> Result<(), NodeError> {
+pub fn run_agent(settings: SettingsFile) -> Result<(), NodeError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -92,13 +93,15 @@
     LocalSet::new().block_on(&runtime, control(settings))
 }
 
-async fn control(settings: &FlowSettings) -> Result<(), NodeError> {
+async fn control(mut file: SettingsFile) -> Result<(), NodeError> {
+    let settings = file.current().clone();
     let node = &settings.node;
     let backend = settings.backend.as_ref().context(NoBackendSnafu)?;
     info!(name = %node.name, centre = %node.data_centre, service = %backend.service, "agent starts");
     let mut stop = signal(SignalKind::terminate()).context(StartSnafu)?;
+    let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
-    let keeper = keeper_settings(settings, backend);
+    let keeper = keeper_settings(&settings, backend);
     let (server, outgoing) = (backend.address, backend.outgoing);
     let (seen, versions) = watch::channel(0);
     let traffic = spawn_thread("traffic", move || async move {
@@ -118,7 +121,12 @@
     let rules = KeyFollower::new(store, OPERATOR_PREFIX, versions);
     tokio::task::spawn_local(follow_rules(rules, updates.clone()));
     let lease = tokio::task::spawn_local(hold_key(StoreClient::new(store, CALL_TIMEOUT), held));
-    stop.recv().await;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            changed = file.changed(&mut reload) => take_settings(&changed, &updates).await,
+        }
+    }
     info!("agent leaves");
     let (answer, flows_ended) = oneshot::channel();
     if updates.send(AgentUpdate::Stop(answer)).await.is_ok() {
@@ -134,6 +142,18 @@
     Ok(())
 }
 
+/// Passes changed settings to the traffic thread.
+async fn take_settings(settings: &FlowSettings, updates: &mpsc::Sender<AgentUpdate>) {
+    let Some(backend) = &settings.backend else {
+        warn!("new settings name no backend server");
+        return;
+    };
+    let keeper = keeper_settings(settings, backend);
+    if updates.send(AgentUpdate::Settings(keeper)).await.is_err() {
+        warn!("traffic thread is gone");
+    }
+}
+
 fn keeper_settings(settings: &FlowSettings, backend: &BackendSettings) -> KeeperSettings {
     let reuse = Millis((backend.reuse_s * 1_000.0) as u64);
     KeeperSettings {
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -15,7 +15,6 @@
     AGENT_PREFIX,
     OPERATOR_PREFIX, //
 };
-use carobdrum_settings::FlowSettings;
 use http::StatusCode;
 use snafu::ResultExt;
 use tokio::{
@@ -39,6 +38,7 @@
     http_port::serve_calls,
     node_error::StartSnafu,
     rules_feed::RulesFeed,
+    settings_file::SettingsFile,
     store_watch::{
         KeyFollower,
         KeyNews, //
@@ -62,7 +62,7 @@
 /// # Errors
 ///
 /// Returns why it can't run.
-pub fn run_balancer(settings: &FlowSettings) -> Result<(), NodeError> {
+pub fn run_balancer(settings: SettingsFile) -> Result<(), NodeError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -70,10 +70,12 @@
     LocalSet::new().block_on(&runtime, control(settings))
 }
 
-async fn control(settings: &FlowSettings) -> Result<(), NodeError> {
+async fn control(mut file: SettingsFile) -> Result<(), NodeError> {
+    let settings = file.current().clone();
     let node = &settings.node;
     info!(name = %node.name, centre = %node.data_centre, "balancer starts");
     let mut stop = signal(SignalKind::terminate()).context(StartSnafu)?;
+    let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let packets = node.packets;
     let address = SocketAddrV4::new(node.ip, node.peer_port);
@@ -93,7 +95,13 @@
     let agents = KeyFollower::new(store, AGENT_PREFIX, none);
     tokio::task::spawn_local(follow_rules(rules, updates.clone(), ready.clone()));
     tokio::task::spawn_local(follow_agents(agents, updates, ready.clone()));
-    stop.recv().await;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            // Addresses can't change while the process runs; the rest isn't used by balancers.
+            _ = file.changed(&mut reload) => {}
+        }
+    }
     info!("balancer leaves");
     ready.leaving.set(true);
     sleep(LEAVE_TIME).await;
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -7,12 +7,14 @@
 mod http_port;
 pub(crate) mod node_error;
 mod rules_feed;
+mod settings_file;
 mod store_watch;
 
 pub use agent_node::run_agent;
 pub use balancer_node::run_balancer;
 pub(crate) use boot_clock::BootClock;
 pub use node_error::NodeError;
+pub use settings_file::SettingsFile;
 pub use store_watch::{
     KeyFollower,
     KeyNews, //
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -2,9 +2,9 @@
 
 use carobdrum_forwarder::{
     run_agent,
-    run_balancer, //
+    run_balancer,
+    SettingsFile, //
 };
-use carobdrum_settings::read_flow_settings;
 use carobdrum_telemetry::init_logs;
 use snafu::ResultExt;
 
@@ -35,9 +35,9 @@
     let (PlatformCommand::Balancer(args) | PlatformCommand::Agent(args)) = command;
     let DaemonArgs { settings, log } = args;
     init_logs(true, log.as_deref().unwrap_or(DEFAULT_FILTER)).context(LogsSnafu)?;
-    let settings = read_flow_settings(settings).context(SettingsSnafu)?;
+    let file = SettingsFile::read(settings).context(SettingsSnafu)?;
     match command {
-        PlatformCommand::Balancer(_) => run_balancer(&settings).context(NodeSnafu),
-        PlatformCommand::Agent(_) => run_agent(&settings).context(NodeSnafu),
+        PlatformCommand::Balancer(_) => run_balancer(file).context(NodeSnafu),
+        PlatformCommand::Agent(_) => run_agent(file).context(NodeSnafu),
     }
 }
