--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -29,6 +29,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Pause after changes, so that a series of them costs few calls.
+const BATCH_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time for which the watch may lag behind other processes.
 const LAG_TIME: Duration = Duration::from_millis(300);
 
@@ -83,10 +86,14 @@
                     let Some(news) = news else {
                         continue;
                     };
+                    let changed = matches!(news, KeyNews::Changes(_));
                     match take(news).await {
                         Some(version) => self.version = version,
                         None => return,
                     }
+                    if changed {
+                        sleep(BATCH_PAUSE).await;
+                    }
                 }
                 Err(error) => {
                     // A watch that was cut may have missed changes, and one that goes on from an
