--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -163,10 +163,15 @@
             accepts: self.refusal(now).is_none(),
             busy: self.load.busy(),
             slots: self.load.slots(),
-            version: self.rules.as_ref().map_or(0, |rules| rules.version),
+            revision: self.rules.as_ref().map_or(0, |rules| rules.revision),
         }
     }
 
+    /// Returns the data centre of the agent.
+    pub fn centre(&self) -> &CompactString {
+        &self.settings.centre
+    }
+
     /// Returns the service of the server.
     pub fn service(&self) -> &CompactString {
         &self.service
@@ -555,7 +560,7 @@
             if !route.allows(&self.service) {
                 return Some(PassCause::WrongService);
             }
-        } else if rules.version >= head.version {
+        } else if rules.revision >= head.revision {
             return Some(PassCause::WrongService);
         }
         let room = self.cold_has_room(now);
--- a/components/flows/src/process/agent_report.rs
+++ b/components/flows/src/process/agent_report.rs
@@ -9,6 +9,6 @@
     pub busy: u32,
     /// Requests that the server works on at once.
     pub slots: u32,
-    /// Version of the agent's configuration.
-    pub version: u64,
+    /// Revision of the store that the agent's configuration has.
+    pub revision: u64,
 }
--- a/components/flows/src/process/agent_roster.rs
+++ b/components/flows/src/process/agent_roster.rs
@@ -130,6 +130,24 @@
         }
     }
 
+    /// Adds an agent that reported itself, if it isn't known. Without a key in the store it stays
+    /// for as long as it answers.
+    pub fn meet(&mut self, record: AgentRecord, now: Millis) -> bool {
+        let known = self.find(record.address).is_ok();
+        if !known {
+            let address = record.address;
+            self.insert(record);
+            self.lapse(address, now);
+            self.loaded = true;
+        }
+        !known
+    }
+
+    /// Returns the agents.
+    pub fn records(&self) -> impl Iterator<Item = &AgentRecord> {
+        self.slots.iter().map(|slot| &slot.record)
+    }
+
     /// Notes that the key of an agent is gone; the agent stays for as long as it answers.
     pub fn lapse(&mut self, address: SocketAddrV4, now: Millis) {
         if let Ok(index) = self.find(address) {
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -132,12 +132,18 @@
             self.leave_out_suspects();
         }
         let (list, near) = self.take_candidates();
-        self.forward(packet, list, near, service, rules.version, now)
+        self.forward(packet, list, near, service, rules.revision, now)
     }
 
     fn rank(&mut self, service: u32, order: u8, hash: u64, opens: bool, now: Millis) {
         let centre = self.centre;
-        let usable = |slot: &&AgentSlot| !opens || slot.report.accepts;
+        let rules = &self.rules;
+        let closed = |slot: &AgentSlot| {
+            rules
+                .as_ref()
+                .is_some_and(|rules| rules.is_closed(&slot.record.centre))
+        };
+        let usable = |slot: &&AgentSlot| !opens || (slot.report.accepts && !closed(slot));
         let candidates = self.roster.of_service(service).filter(usable);
         self.ranks.extend(candidates.map(|slot| Candidate {
             place: (slot.is_suspect(now), slot.centre != centre, order),
@@ -193,7 +199,7 @@
         mut list: Vec<SocketAddrV4>,
         near: u8,
         service: u32,
-        version: u64,
+        revision: u64,
         now: Millis,
     ) -> RouteAction {
         if list.is_empty() {
@@ -220,7 +226,7 @@
             balancer: self.address,
             centre: self.centre,
             service,
-            version,
+            revision,
             hops: 0,
             rest: list,
             near: near.saturating_sub(1),
--- a/components/flows/src/request/forward_head.rs
+++ b/components/flows/src/request/forward_head.rs
@@ -20,8 +20,8 @@
     pub centre: u32,
     /// Hash of the service that the balancer's configuration names.
     pub service: u32,
-    /// Version of the balancer's configuration.
-    pub version: u64,
+    /// Revision of the store that the balancer's configuration has.
+    pub revision: u64,
     /// Agents that have seen the packet.
     pub hops: u8,
     /// Candidates that are still to be asked, in order.
--- a/components/flows/src/version/site_rules.rs
+++ b/components/flows/src/version/site_rules.rs
@@ -15,6 +15,8 @@
 pub struct SiteRules {
     /// Version of the routes and services.
     pub version: u64,
+    /// Revision of the store of the last change of the configuration or of a data centre's state.
+    pub revision: u64,
     /// Routes, sorted by address.
     routes: Vec<FlowRoute>,
     /// Services, sorted by name.
@@ -39,6 +41,7 @@
         services.sort_by(|left, right| left.name.cmp(&right.name));
         SiteRules {
             version,
+            revision: 0,
             routes,
             services,
             idle_time,
@@ -76,8 +79,18 @@
         found.is_ok()
     }
 
-    /// Returns the number of routes.
-    pub fn route_count(&self) -> usize {
-        self.routes.len()
+    /// Returns the routes, sorted by address.
+    pub fn routes(&self) -> &[FlowRoute] {
+        &self.routes
+    }
+
+    /// Returns the services, sorted by name.
+    pub fn services(&self) -> &[ServiceRules] {
+        &self.services
+    }
+
+    /// Returns the data centres that get no new flows, sorted.
+    pub fn closed_centres(&self) -> &[CompactString] {
+        &self.closed_centres
     }
 }
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -56,8 +56,11 @@
         decode_head,
         encode_forward, //
     },
-    udp_port::UdpPort,
-    version_sight::raise_version, //
+    revision_sight::{
+        raise_revision,
+        RevisionSight, //
+    },
+    udp_port::UdpPort, //
 };
 use crate::process::{
     BootClock,
@@ -71,7 +74,15 @@
 const REPORT_INTERVAL: Millis = Millis(100);
 
 /// Time without packets of a balancer after which it gets no reports.
-const REPORT_SPAN: Millis = Millis(5_000);
+const REPORT_SPAN: Millis = Millis(15_000);
+
+/// Time between reports to a balancer that doesn't send. After a restart it learns of the agent by
+/// them, also while the store is away.
+const IDLE_INTERVAL: Millis = Millis(1_000);
+
+/// Most balancers that get reports without sending, so that their number doesn't grow with the
+/// fleet.
+const MAX_IDLE_PEERS: usize = 16;
 
 /// Time between checks of what is out of date, and of reports that are owed.
 const TICK: Duration = Duration::from_millis(100);
@@ -82,8 +93,6 @@
 /// What the control thread tells the traffic thread of an agent.
 #[derive(Debug)]
 pub(crate) enum AgentUpdate {
-    /// A version of the configuration.
-    Rules(Arc<SiteRules>),
     /// Changed settings.
     Settings(KeeperSettings),
     /// A heartbeat; the answer is whether it is new.
@@ -109,14 +118,19 @@
         self.reported
             .is_none_or(|reported| now.since(reported) >= REPORT_INTERVAL)
     }
+
+    fn is_quiet(&self, now: Millis) -> bool {
+        self.reported
+            .is_none_or(|reported| now.since(reported) >= IDLE_INTERVAL)
+    }
 }
 
 /// Sockets and flows of an agent.
 #[derive(Debug)]
 pub(crate) struct AgentTraffic {
     clock: BootClock,
-    /// Highest version that other processes have shown.
-    seen: watch::Sender<u64>,
+    /// Highest revision that other processes have shown.
+    seen: watch::Sender<RevisionSight>,
     keeper: FlowKeeper,
     address: SocketAddrV4,
     backend: SocketAddrV4,
@@ -134,7 +148,7 @@
         settings: KeeperSettings,
         backend: SocketAddrV4,
         outgoing: SocketAddrV4,
-        seen: watch::Sender<u64>,
+        seen: watch::Sender<RevisionSight>,
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
         Ok(AgentTraffic {
@@ -153,7 +167,11 @@
     }
 
     /// Forwards packets until the control thread is gone.
-    pub(crate) async fn run(mut self, mut updates: Receiver<AgentUpdate>) -> Result<(), NodeError> {
+    pub(crate) async fn run(
+        mut self,
+        mut updates: Receiver<AgentUpdate>,
+        mut rules: watch::Receiver<Option<Arc<SiteRules>>>,
+    ) -> Result<(), NodeError> {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -166,6 +184,10 @@
                     None => return Ok(()),
                 },
                 () = sleep_until(Instant::now() + wait) => self.check_offers(),
+                changed = rules.changed() => match changed {
+                    Ok(()) => self.take_rules(rules.borrow_and_update().clone()),
+                    Err(_) => return Ok(()),
+                },
                 _ = ticks.tick() => self.tick(),
             }
         }
@@ -181,7 +203,6 @@
     fn apply(&mut self, update: AgentUpdate) {
         let now = self.clock.now();
         match update {
-            AgentUpdate::Rules(rules) => self.keeper.set_rules(rules),
             AgentUpdate::Settings(settings) => self.keeper.set_settings(settings),
             AgentUpdate::Beat(beat, answer) => {
                 let is_new = self.keeper.take_beat(beat, now);
@@ -199,6 +220,13 @@
         self.report_change(now);
     }
 
+    fn take_rules(&mut self, rules: Option<Arc<SiteRules>>) {
+        if let Some(rules) = rules {
+            self.keeper.set_rules(rules);
+            self.report_change(self.clock.now());
+        }
+    }
+
     fn read_forwards(&mut self) {
         let now = self.clock.now();
         for _ in 0..BATCH {
@@ -210,8 +238,9 @@
             match body {
                 Some(FlowBody::Forward(forwarded)) => self.take_forward(forwarded, now),
                 Some(FlowBody::Probe(probe)) => {
-                    raise_version(&self.seen, probe.version);
-                    self.meet(number_address(probe.balancer), now);
+                    let balancer = number_address(probe.balancer);
+                    raise_revision(&self.seen, probe.revision, *balancer.ip());
+                    self.meet(balancer, now);
                 }
                 _ => debug!(%from, "datagram dropped"),
             }
@@ -227,7 +256,7 @@
             }
         };
         let head = decode_head(&forwarded);
-        raise_version(&self.seen, head.version);
+        raise_revision(&self.seen, head.revision, *head.balancer.ip());
         self.meet(head.balancer, now);
         let bytes = forwarded.packet;
         let mut actions = std::mem::take(&mut self.actions);
@@ -362,8 +391,14 @@
     /// Sends the reports that were held back. A balancer takes an agent that doesn't answer its
     /// last packet as suspect.
     fn pay_reports(&mut self, now: Millis) {
+        let mut idle_peers = 0;
         for index in 0..self.peers.len() {
-            if self.peers[index].owed && self.peers[index].is_due(now) {
+            let peer = self.peers[index];
+            let idle = !peer.owed && peer.is_quiet(now) && idle_peers < MAX_IDLE_PEERS;
+            if idle {
+                idle_peers += 1;
+            }
+            if idle || (peer.owed && peer.is_due(now)) {
                 self.send_report(index, now);
             }
         }
@@ -397,7 +432,9 @@
             accepts: report.accepts,
             busy: report.busy,
             slots: report.slots,
-            version: report.version,
+            revision: report.revision,
+            centre: self.keeper.centre().to_string(),
+            service: self.keeper.service().to_string(),
         }))
     }
 }
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -28,7 +28,8 @@
     number_address,
     FlowBody,
     FlowDatagram,
-    ReportProbe, //
+    ReportProbe,
+    ServerReport, //
 };
 use prost::Message;
 use tokio::{
@@ -48,8 +49,11 @@
 
 use super::{
     head_codec::encode_forward,
-    udp_port::UdpPort,
-    version_sight::raise_version, //
+    revision_sight::{
+        raise_revision,
+        RevisionSight, //
+    },
+    udp_port::UdpPort, //
 };
 use crate::process::{
     BootClock,
@@ -65,8 +69,6 @@
 /// What the control thread tells the traffic thread of a balancer.
 #[derive(Debug)]
 pub(crate) enum BalancerUpdate {
-    /// A version of the configuration.
-    Rules(Arc<SiteRules>),
     /// All agents that the store lists.
     Agents(Vec<AgentRecord>),
     /// An agent wrote its key.
@@ -79,8 +81,8 @@
 #[derive(Debug)]
 pub(crate) struct BalancerTraffic {
     clock: BootClock,
-    /// Highest version that other processes have shown.
-    seen: watch::Sender<u64>,
+    /// Highest revision that other processes have shown.
+    seen: watch::Sender<RevisionSight>,
     router: FlowRouter,
     address: SocketAddrV4,
     callers: UdpPort,
@@ -93,7 +95,7 @@
         packets: SocketAddrV4,
         address: SocketAddrV4,
         centre: &str,
-        seen: watch::Sender<u64>,
+        seen: watch::Sender<RevisionSight>,
     ) -> Result<BalancerTraffic, NodeError> {
         Ok(BalancerTraffic {
             clock: BootClock,
@@ -109,6 +111,7 @@
     pub(crate) async fn run(
         mut self,
         mut updates: Receiver<BalancerUpdate>,
+        mut rules: watch::Receiver<Option<Arc<SiteRules>>>,
     ) -> Result<(), NodeError> {
         let mut ticks = interval(PROBE_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -120,6 +123,10 @@
                     Some(update) => self.apply(update),
                     None => return Ok(()),
                 },
+                changed = rules.changed() => match changed {
+                    Ok(()) => self.router.rules = rules.borrow_and_update().clone(),
+                    Err(_) => return Ok(()),
+                },
                 _ = ticks.tick() => self.tick(),
             }
         }
@@ -128,7 +135,6 @@
     fn apply(&mut self, update: BalancerUpdate) {
         let now = self.clock.now();
         match update {
-            BalancerUpdate::Rules(rules) => self.router.rules = Some(rules),
             BalancerUpdate::Agents(records) => self.router.roster.replace(records, now),
             BalancerUpdate::Agent(record) => self.router.roster.insert(record),
             BalancerUpdate::Lapsed(address) => self.router.roster.lapse(address, now),
@@ -193,12 +199,13 @@
             match body {
                 Some(FlowBody::Report(report)) => {
                     let agent = number_address(report.agent);
-                    raise_version(&self.seen, report.version);
+                    raise_revision(&self.seen, report.revision, *from.ip());
+                    self.meet(agent, &report, now);
                     let state = AgentReport {
                         accepts: report.accepts,
                         busy: report.busy,
                         slots: report.slots,
-                        version: report.version,
+                        revision: report.revision,
                     };
                     let changed = self.router.roster.take_report(agent, state, now);
                     if changed == Some(true) {
@@ -218,6 +225,18 @@
         }
     }
 
+    /// Takes an agent that isn't known, as after a start without the store.
+    fn meet(&mut self, agent: SocketAddrV4, report: &ServerReport, now: Millis) {
+        let record = AgentRecord {
+            address: agent,
+            centre: report.centre.as_str().into(),
+            service: report.service.as_str().into(),
+        };
+        if self.router.roster.meet(record, now) {
+            info!(%agent, service = report.service, "agent met");
+        }
+    }
+
     fn tick(&mut self) {
         let now = self.clock.now();
         let idle_time = self
@@ -231,7 +250,7 @@
         }
         let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_number(self.address),
-            version: self.router.rules.as_ref().map_or(0, |rules| rules.version),
+            revision: self.router.rules.as_ref().map_or(0, |rules| rules.revision),
         }));
         for agent in self.router.roster.take_probes(now) {
             self.agents.send(&probe, agent);
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -3,8 +3,8 @@
 mod agent_traffic;
 mod balancer_traffic;
 mod head_codec;
+mod revision_sight;
 mod udp_port;
-mod version_sight;
 
 pub(crate) use agent_traffic::{
     AgentTraffic,
@@ -14,3 +14,4 @@
     BalancerTraffic,
     BalancerUpdate, //
 };
+pub use revision_sight::RevisionSight;
--- /dev/null
+++ b/components/forwarder/src/connection/revision_sight.rs
@@ -0,0 +1,34 @@
+//! Revisions of the configuration that other processes show.
+
+use std::net::Ipv4Addr;
+
+use tokio::sync::watch;
+
+/// The highest revision that another process has shown.
+#[derive(Clone, Copy, Debug)]
+pub struct RevisionSight {
+    /// The revision.
+    pub revision: u64,
+    /// VM of the process.
+    pub peer: Ipv4Addr,
+}
+
+impl Default for RevisionSight {
+    fn default() -> RevisionSight {
+        RevisionSight {
+            revision: 0,
+            peer: Ipv4Addr::UNSPECIFIED,
+        }
+    }
+}
+
+/// Notes a revision that another process has.
+pub(crate) fn raise_revision(seen: &watch::Sender<RevisionSight>, revision: u64, peer: Ipv4Addr) {
+    seen.send_if_modified(|highest| {
+        let newer = revision > highest.revision;
+        if newer {
+            *highest = RevisionSight { revision, peer };
+        }
+        newer
+    });
+}
--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod process;
 
+pub use connection::RevisionSight;
 pub use process::{
     run_agent,
     run_balancer,
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -55,8 +55,13 @@
         NoBackendSnafu,
         StartSnafu, //
     },
-    rules_feed::RulesFeed,
     settings_file::SettingsFile,
+    site_hub::{
+        follow_peers,
+        follow_rules,
+        SiteHub, //
+    },
+    snapshot_port::serve_snapshots,
     store_watch::{
         KeyFollower,
         CALL_TIMEOUT, //
@@ -65,7 +70,8 @@
 };
 use crate::connection::{
     AgentTraffic,
-    AgentUpdate, //
+    AgentUpdate,
+    RevisionSight, //
 };
 
 /// Updates that may wait for the traffic thread.
@@ -103,10 +109,13 @@
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let keeper = keeper_settings(&settings, backend);
     let (server, outgoing) = (backend.address, backend.outgoing);
-    let (seen, versions) = watch::channel(0);
+    let (seen, sights) = watch::channel(RevisionSight::default());
+    let (rules, in_force) = watch::channel(None);
+    let hub = SiteHub::new(rules);
+    serve_snapshots(SocketAddrV4::new(node.ip, node.peer_port), hub.clone()).await?;
     let traffic = spawn_thread("traffic", move || async move {
         let traffic = AgentTraffic::open(keeper, server, outgoing, seen).await?;
-        traffic.run(receiver).await
+        traffic.run(receiver, in_force).await
     });
     traffic.context(StartSnafu)?;
     let record = AgentRecord {
@@ -118,8 +127,9 @@
     serve_ready(node.ready).await?;
     serve_backend(backend.heartbeats, updates.clone(), record.clone()).await?;
     let store = settings.store.address;
-    let rules = KeyFollower::new(store, OPERATOR_PREFIX, versions);
-    tokio::task::spawn_local(follow_rules(rules, updates.clone()));
+    let follower = KeyFollower::new(store, OPERATOR_PREFIX, sights.clone());
+    tokio::task::spawn_local(follow_rules(hub.clone(), follower, sights.clone()));
+    tokio::task::spawn_local(follow_peers(hub, sights, node.peer_port));
     let lease = tokio::task::spawn_local(hold_key(StoreClient::new(store, CALL_TIMEOUT), held));
     loop {
         tokio::select! {
@@ -251,14 +261,3 @@
         Err(_) => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
-
-async fn follow_rules(follower: KeyFollower, updates: mpsc::Sender<AgentUpdate>) {
-    let mut feed = RulesFeed::default();
-    let take = async |news| {
-        if let Some(rules) = feed.take(news) {
-            updates.send(AgentUpdate::Rules(rules)).await.ok()?;
-        }
-        Some(feed.version())
-    };
-    follower.run(take).await;
-}
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -8,6 +8,7 @@
 };
 
 use carobdrum_control::spawn_thread;
+use carobdrum_flows::process::AgentRecord;
 use carobdrum_platform::{
     read_agent,
     NodeCall,
@@ -15,6 +16,7 @@
     AGENT_PREFIX,
     OPERATOR_PREFIX, //
 };
+use carobdrum_settings::NodeSettings;
 use http::StatusCode;
 use snafu::ResultExt;
 use tokio::{
@@ -37,8 +39,14 @@
 use super::{
     http_port::serve_calls,
     node_error::StartSnafu,
-    rules_feed::RulesFeed,
     settings_file::SettingsFile,
+    site_hub::{
+        ask_peers,
+        follow_peers,
+        follow_rules,
+        SiteHub, //
+    },
+    snapshot_port::serve_snapshots,
     store_watch::{
         KeyFollower,
         KeyNews, //
@@ -47,12 +55,16 @@
 };
 use crate::connection::{
     BalancerTraffic,
-    BalancerUpdate, //
+    BalancerUpdate,
+    RevisionSight, //
 };
 
 /// Updates that may wait for the traffic thread.
 const UPDATE_QUEUE: usize = 64;
 
+/// Time that the store has at the start before other processes are asked.
+const PEER_WAIT: Duration = Duration::from_millis(300);
+
 /// Time for which a balancer forwards after it reports that it is not ready. The platform asks
 /// twice a second and takes two answers to believe it.
 const LEAVE_TIME: Duration = Duration::from_millis(2_500);
@@ -80,21 +92,41 @@
     let packets = node.packets;
     let address = SocketAddrV4::new(node.ip, node.peer_port);
     let centre = node.data_centre.clone();
-    let (seen, versions) = watch::channel(0);
+    let (seen, sights) = watch::channel(RevisionSight::default());
+    let (rules, in_force) = watch::channel(None);
+    let hub = SiteHub::new(rules);
     let traffic = spawn_thread("traffic", move || async move {
         let traffic = BalancerTraffic::open(packets, address, &centre, seen).await?;
-        traffic.run(receiver).await
+        traffic.run(receiver, in_force).await
     });
     traffic.context(StartSnafu)?;
-    let ready = Rc::new(ReadyState::default());
+    serve_snapshots(address, hub.clone()).await?;
+    let ready = Rc::new(ReadyState {
+        hub: hub.clone(),
+        agents: Cell::default(),
+        leaving: Cell::default(),
+    });
     serve_ready(node.ready, ready.clone()).await?;
     let store = settings.store.address;
-    let rules = KeyFollower::new(store, OPERATOR_PREFIX, versions);
-    // Entries of agents have no version.
-    let (unversioned, none) = watch::channel(0);
+    let follower = KeyFollower::new(store, OPERATOR_PREFIX, sights.clone());
+    // Entries of agents have no revision in common.
+    let (unversioned, none) = watch::channel(RevisionSight::default());
     let agents = KeyFollower::new(store, AGENT_PREFIX, none);
-    tokio::task::spawn_local(follow_rules(rules, updates.clone(), ready.clone()));
-    tokio::task::spawn_local(follow_agents(agents, updates, ready.clone()));
+    tokio::task::spawn_local(follow_rules(hub.clone(), follower, sights.clone()));
+    tokio::task::spawn_local(follow_peers(hub.clone(), sights.clone(), node.peer_port));
+    tokio::task::spawn_local(follow_agents(
+        hub.clone(),
+        agents,
+        updates.clone(),
+        ready.clone(),
+    ));
+    tokio::task::spawn_local(start_from_peers(
+        hub,
+        node.clone(),
+        updates,
+        sights,
+        ready.clone(),
+    ));
     loop {
         tokio::select! {
             _ = stop.recv() => break,
@@ -111,16 +143,15 @@
 }
 
 /// What decides whether a balancer takes packets.
-#[derive(Debug, Default)]
 struct ReadyState {
-    rules: Cell<bool>,
+    hub: Rc<SiteHub>,
     agents: Cell<bool>,
     leaving: Cell<bool>,
 }
 
 impl ReadyState {
     fn is_ready(&self) -> bool {
-        self.rules.get() && self.agents.get() && !self.leaving.get()
+        self.hub.has_rules() && self.agents.get() && !self.leaving.get()
     }
 }
 
@@ -138,35 +169,59 @@
     .await
 }
 
-async fn follow_rules(
+/// Follows the keys of agents in the store.
+async fn follow_agents(
+    hub: Rc<SiteHub>,
     follower: KeyFollower,
     updates: mpsc::Sender<BalancerUpdate>,
     ready: Rc<ReadyState>,
 ) {
-    let mut feed = RulesFeed::default();
     let take = async |news| {
-        if let Some(rules) = feed.take(news) {
-            ready.rules.set(true);
-            updates.send(BalancerUpdate::Rules(rules)).await.ok()?;
+        for update in agent_updates(news) {
+            hub.set_agents(|agents| note_agent(agents, &update));
+            updates.send(update).await.ok()?;
         }
-        Some(feed.version())
+        ready.agents.set(true);
+        Some(0)
     };
     follower.run(take).await;
 }
 
-async fn follow_agents(
-    follower: KeyFollower,
+fn note_agent(agents: &mut Vec<AgentRecord>, update: &BalancerUpdate) {
+    match update {
+        BalancerUpdate::Agents(records) => agents.clone_from(records),
+        BalancerUpdate::Agent(record) => {
+            agents.retain(|known| known.address != record.address);
+            agents.push(record.clone());
+        }
+        BalancerUpdate::Lapsed(address) => agents.retain(|known| known.address != *address),
+    }
+}
+
+/// Starts without the store: asks other balancers, and takes agents that report themselves.
+async fn start_from_peers(
+    hub: Rc<SiteHub>,
+    node: NodeSettings,
     updates: mpsc::Sender<BalancerUpdate>,
+    sights: watch::Receiver<RevisionSight>,
     ready: Rc<ReadyState>,
 ) {
-    let take = async |news| {
-        for update in agent_updates(news) {
-            updates.send(update).await.ok()?;
+    loop {
+        sleep(PEER_WAIT).await;
+        if ready.agents.get() && hub.has_rules() {
+            return;
         }
-        ready.agents.set(true);
-        Some(0)
-    };
-    follower.run(take).await;
+        let agents = ask_peers(&hub, node.ip, &node.peers, node.peer_port).await;
+        if let Some(agents) = agents.filter(|_| !ready.agents.get()) {
+            if updates.send(BalancerUpdate::Agents(agents)).await.is_err() {
+                return;
+            }
+            ready.agents.set(true);
+        }
+        if sights.borrow().revision > 0 {
+            ready.agents.set(true);
+        }
+    }
 }
 
 fn agent_updates(news: KeyNews) -> Vec<BalancerUpdate> {
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -8,6 +8,9 @@
 pub(crate) mod node_error;
 mod rules_feed;
 mod settings_file;
+mod site_hub;
+mod snapshot_codec;
+mod snapshot_port;
 mod store_watch;
 
 pub use agent_node::run_agent;
--- /dev/null
+++ b/components/forwarder/src/process/snapshot_port.rs
@@ -0,0 +1,134 @@
+//! Snapshots between processes, for those that can't reach the store.
+
+use std::{
+    io,
+    net::SocketAddrV4,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use carobdrum_wire::snapshot::{
+    SiteSnapshot,
+    MAX_SNAPSHOT_LEN, //
+};
+use futures_util::{
+    SinkExt,
+    StreamExt, //
+};
+use prost::Message;
+use snafu::{
+    OptionExt,
+    ResultExt,
+    Snafu, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use tokio_util::codec::{
+    Framed,
+    LengthDelimitedCodec, //
+};
+use tracing::{
+    debug,
+    warn, //
+};
+
+use super::{
+    node_error::BindSnafu,
+    site_hub::SiteHub,
+    NodeError, //
+};
+
+/// Time limit of a transfer.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Pause after a failed accept, which otherwise repeats at once when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a snapshot couldn't be fetched.
+#[derive(Debug, Snafu)]
+pub(crate) enum FetchFault {
+    /// The connection failed.
+    #[snafu(display("no connection: {source}"))]
+    Transfer {
+        /// What the system reports.
+        source: io::Error,
+    },
+    /// The peer has nothing to tell.
+    #[snafu(display("the peer knows no configuration"))]
+    Empty,
+    /// The snapshot can't be decoded.
+    #[snafu(display("malformed snapshot: {source}"))]
+    Malformed {
+        /// What the decoder reports.
+        source: prost::DecodeError,
+    },
+    /// The peer didn't answer in time.
+    #[snafu(display("no answer within {TRANSFER_TIMEOUT:?}"))]
+    Late,
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(MAX_SNAPSHOT_LEN);
+    Framed::new(stream, codec)
+}
+
+/// Sends a snapshot to each process that connects to `address`.
+pub(crate) async fn serve_snapshots(
+    address: SocketAddrV4,
+    hub: Rc<SiteHub>,
+) -> Result<(), NodeError> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.context(BindSnafu { address })?;
+    tokio::task::spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, from)) => {
+                    let Some(snapshot) = hub.snapshot() else {
+                        continue;
+                    };
+                    debug!(%from, revision = snapshot.revision, "snapshot sent");
+                    tokio::task::spawn_local(send(stream, snapshot));
+                }
+                Err(error) => {
+                    warn!(%error, %address, "connection not accepted");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn send(stream: TcpStream, snapshot: SiteSnapshot) {
+    let bytes = Bytes::from(snapshot.encode_to_vec());
+    let mut stream = framed(stream);
+    match timeout(TRANSFER_TIMEOUT, stream.send(bytes)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => debug!(%error, "snapshot not sent"),
+        Err(_) => debug!("snapshot not sent in time"),
+    }
+}
+
+/// Fetches the snapshot of another process.
+pub(crate) async fn fetch_snapshot(peer: SocketAddrV4) -> Result<SiteSnapshot, FetchFault> {
+    let transfer = async {
+        let stream = TcpStream::connect(peer).await.context(TransferSnafu)?;
+        let frame = framed(stream).next().await;
+        let frame = frame.context(EmptySnafu)?.context(TransferSnafu)?;
+        SiteSnapshot::decode(frame).context(MalformedSnafu)
+    };
+    match timeout(TRANSFER_TIMEOUT, transfer).await {
+        Ok(outcome) => outcome,
+        Err(_) => LateSnafu.fail(),
+    }
+}
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -22,6 +22,8 @@
     warn, //
 };
 
+use crate::connection::RevisionSight;
+
 /// Longest wait of a watch; the connection's keep-alive finds a silent store sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
@@ -52,10 +54,10 @@
 pub struct KeyFollower {
     client: StoreClient,
     prefix: &'static str,
-    /// Highest version that other processes have shown; a follower that has an older one for
+    /// Highest revision that other processes have shown; a follower that has an older one for
     /// `LAG_TIME` reads anew.
-    seen: watch::Receiver<u64>,
-    version: u64,
+    seen: watch::Receiver<RevisionSight>,
+    revision: u64,
 }
 
 impl KeyFollower {
@@ -63,17 +65,17 @@
     pub fn new(
         store: SocketAddrV4,
         prefix: &'static str,
-        seen: watch::Receiver<u64>,
+        seen: watch::Receiver<RevisionSight>,
     ) -> KeyFollower {
         KeyFollower {
             client: StoreClient::new(store, CALL_TIMEOUT),
             prefix,
             seen,
-            version: 0,
+            revision: 0,
         }
     }
 
-    /// Reads the keys and follows their changes, for as long as `take` returns the version in
+    /// Reads the keys and follows their changes, for as long as `take` returns the revision in
     /// force.
     pub async fn run(mut self, mut take: impl AsyncFnMut(KeyNews) -> Option<u64>) {
         let mut after = None;
@@ -88,7 +90,7 @@
                     };
                     let changed = matches!(news, KeyNews::Changes(_));
                     match take(news).await {
-                        Some(version) => self.version = version,
+                        Some(revision) => self.revision = revision,
                         None => return,
                     }
                     if changed {
@@ -117,9 +119,9 @@
         let watch = self.client.watch(self.prefix, after, WATCH_WAIT);
         let news = tokio::select! {
             news = watch => news?,
-            seen = lag_behind(&mut self.seen, self.version) => {
-                let version = self.version;
-                info!(prefix = self.prefix, seen, version, "another process has a newer version");
+            seen = lag_behind(&mut self.seen, self.revision) => {
+                let revision = self.revision;
+                info!(prefix = self.prefix, seen, revision, "another process has a newer revision");
                 return Ok((None, None));
             }
         };
@@ -139,12 +141,12 @@
     }
 }
 
-/// Waits until a version newer than `version` has been seen for `LAG_TIME`; returns it.
-async fn lag_behind(seen: &mut watch::Receiver<u64>, version: u64) -> u64 {
+/// Waits until a revision newer than `revision` has been seen for `LAG_TIME`; returns it.
+async fn lag_behind(seen: &mut watch::Receiver<RevisionSight>, revision: u64) -> u64 {
     let newer = seen
-        .wait_for(|seen| *seen > version)
+        .wait_for(|seen| seen.revision > revision)
         .await
-        .map(|seen| *seen);
+        .map(|seen| seen.revision);
     let Ok(newer) = newer else {
         // The traffic thread is gone; the process is about to end.
         return std::future::pending().await;
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -57,9 +57,9 @@
     /// Hash of the service of the flow.
     #[prost(fixed32, tag = "3")]
     pub service: u32,
-    /// Version of the balancer's configuration.
+    /// Revision of the store that the balancer's configuration has.
     #[prost(uint64, tag = "4")]
-    pub version: u64,
+    pub revision: u64,
     /// Agents that have seen the packet.
     #[prost(uint32, tag = "5")]
     pub hops: u32,
@@ -87,7 +87,7 @@
 }
 
 /// State of a backend server.
-#[derive(Clone, Copy, PartialEq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub struct ServerReport {
     /// Address of the agent.
     #[prost(fixed64, tag = "1")]
@@ -101,9 +101,15 @@
     /// Requests that the server works on at once.
     #[prost(uint32, tag = "4")]
     pub slots: u32,
-    /// Version of the agent's configuration.
+    /// Revision of the store that the agent's configuration has.
     #[prost(uint64, tag = "5")]
-    pub version: u64,
+    pub revision: u64,
+    /// Data centre of the agent.
+    #[prost(string, tag = "6")]
+    pub centre: String,
+    /// Service of the backend server.
+    #[prost(string, tag = "7")]
+    pub service: String,
 }
 
 /// Owner of a flow.
@@ -126,9 +132,9 @@
     /// Balancer that asks.
     #[prost(fixed64, tag = "1")]
     pub balancer: u64,
-    /// Version of the balancer's configuration.
+    /// Revision of the store that the balancer's configuration has.
     #[prost(uint64, tag = "2")]
-    pub version: u64,
+    pub revision: u64,
 }
 
 /// Returns an address as a number: the IP, then the port.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod control;
 pub mod flow_datagram;
+pub mod snapshot;
 
 mod frame_codec;
 mod packet_head;
