Log each flow decision and each request's id, and serve metrics, on the users' platform

Cause: an engineer with only logs and metrics couldn't follow a request. Lines go to stdout as JSON, written by a thread of their own that drops lines rather than block; at most 200 lines per second and process, each saying how many were left out before it.

--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -440,7 +440,9 @@
         let answers = packet.data_len > 0 || packet.kind == PacketKind::Reset;
         if answers {
             if let Some(start) = entry.request.take() {
-                self.load.answer(now.since(start));
+                let time = now.since(start);
+                self.load.answer(time);
+                actions.push(KeeperAction::Answered(packet.key, time));
             }
         }
     }
--- a/components/flows/src/connection/keeper_action.rs
+++ b/components/flows/src/connection/keeper_action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 
 use bytes::Bytes;
+use carobdrum_core::Millis;
 
 use crate::request::{
     FlowKey,
@@ -32,6 +33,23 @@
     Followed,
 }
 
+impl PassCause {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            PassCause::Unavailable => "unavailable",
+            PassCause::Closed => "closed",
+            PassCause::WrongService => "wrong_service",
+            PassCause::Cold => "cold",
+            PassCause::Busy => "busy",
+            PassCause::Stopping => "stopping",
+            PassCause::NotHeld => "not_held",
+            PassCause::NoAnswer => "no_answer",
+            PassCause::Followed => "followed",
+        }
+    }
+}
+
 /// What an agent does with a packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KeeperAction {
@@ -56,6 +74,8 @@
     Refuse(FlowKey, PassCause),
     /// Tell a balancer that this agent owns the flow.
     Hint(SocketAddrV4, FlowKey),
+    /// Nothing; the server has begun to answer the request, after this time.
+    Answered(FlowKey, Millis),
     /// Send nothing.
     Drop(FlowKey, PassCause),
 }
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -45,6 +45,18 @@
     Forged,
 }
 
+impl DropCause {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            DropCause::NotReady => "not_ready",
+            DropCause::NoRoute => "no_route",
+            DropCause::NoAgent => "no_agent",
+            DropCause::Forged => "forged",
+        }
+    }
+}
+
 /// What to do with a packet of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RouteAction {
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -9,19 +9,24 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
+    connection::PassCause,
     process::BackendBeat,
+    request::ForwardHead,
     version::SiteRules,
     FlowKeeper,
     FlowKey,
+    FlowPacket,
     KeeperAction,
     KeeperSettings, //
 };
 use carobdrum_platform::{
     clear_marks,
+    read_attempt_id,
     read_from_backend,
     read_from_caller,
     reset_packet, //
 };
+use carobdrum_telemetry::LogBudget;
 use carobdrum_wire::flow_datagram::{
     address_number,
     number_address,
@@ -64,12 +69,16 @@
 };
 use crate::process::{
     BootClock,
-    NodeError, //
+    NodeError,
+    NodeMetrics, //
 };
 
 /// Datagrams read from one socket before the others get their turn.
 const BATCH: usize = 64;
 
+/// Most log lines about flows per second.
+const MAX_LINES: u32 = 200;
+
 /// Shortest time between reports to one balancer.
 const REPORT_INTERVAL: Millis = Millis(100);
 
@@ -140,6 +149,8 @@
     accepts: bool,
     actions: Vec<KeeperAction>,
     stopped: Option<oneshot::Sender<()>>,
+    metrics: NodeMetrics,
+    budget: LogBudget,
 }
 
 impl AgentTraffic {
@@ -149,6 +160,7 @@
         backend: SocketAddrV4,
         outgoing: SocketAddrV4,
         seen: watch::Sender<RevisionSight>,
+        metrics: NodeMetrics,
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
         Ok(AgentTraffic {
@@ -163,6 +175,8 @@
             accepts: true,
             actions: Vec::new(),
             stopped: None,
+            metrics,
+            budget: LogBudget::new(MAX_LINES),
         })
     }
 
@@ -251,25 +265,47 @@
         let packet = match read_from_caller(&forwarded.packet) {
             Ok(packet) => packet,
             Err(error) => {
-                debug!(%error, "forwarded packet dropped");
+                self.metrics.malformed.inc();
+                if let Some(left_out) = self.budget.admit() {
+                    info!(%error, left_out, "forwarded packet dropped");
+                }
                 return;
             }
         };
         let head = decode_head(&forwarded);
         raise_revision(&self.seen, head.revision, *head.balancer.ip());
         self.meet(head.balancer, now);
+        let hops = head.hops;
         let bytes = forwarded.packet;
+        self.log_request(&packet, &bytes);
         let mut actions = std::mem::take(&mut self.actions);
         self.keeper
             .take_forward(&packet, &bytes, head, now, &mut actions);
         if packet.is_open() && actions.contains(&KeeperAction::Deliver) {
             let report = self.keeper.report(now);
-            debug!(flow = %packet.key, busy = report.busy, slots = report.slots, "flow offered");
+            self.metrics.opened.inc();
+            if let Some(left_out) = self.budget.admit() {
+                let (busy, slots, revision) = (report.busy, report.slots, report.revision);
+                info!(flow = %packet.key, hops, busy, slots, revision, left_out, "flow offered");
+            }
         }
         self.act(&mut actions, &bytes);
         self.actions = actions;
     }
 
+    /// Writes the id of a request beside its flow, where the first packet of data shows it.
+    fn log_request(&mut self, packet: &FlowPacket, bytes: &Bytes) {
+        if packet.data_len == 0 {
+            return;
+        }
+        let Some(attempt) = read_attempt_id(bytes) else {
+            return;
+        };
+        if let Some(left_out) = self.budget.admit() {
+            info!(flow = %packet.key, %attempt, left_out, "request arrived");
+        }
+    }
+
     fn read_backend(&mut self) {
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
@@ -280,7 +316,10 @@
             let packet = match read_from_backend(bytes) {
                 Ok(packet) => packet,
                 Err(error) => {
-                    debug!(%error, "packet of the backend server dropped");
+                    self.metrics.malformed.inc();
+                    if let Some(left_out) = self.budget.admit() {
+                        info!(%error, left_out, "packet of the backend server dropped");
+                    }
                     continue;
                 }
             };
@@ -288,10 +327,11 @@
                 clear_marks(bytes);
             }
             self.keeper.take_backend(&packet, now, &mut actions);
-            if actions.as_slice() == [KeeperAction::ToCaller] {
+            if actions.first() == Some(&KeeperAction::ToCaller) {
                 let to = SocketAddrV4::new(*packet.key.caller.ip(), self.address.port());
                 self.packets.send(bytes, to);
-                actions.clear();
+                self.metrics.answered.inc();
+                self.act(&mut actions, &Bytes::new());
                 continue;
             }
             let bytes = Bytes::copy_from_slice(bytes);
@@ -303,7 +343,10 @@
     fn act(&mut self, actions: &mut Vec<KeeperAction>, bytes: &Bytes) {
         for action in actions.drain(..) {
             match action {
-                KeeperAction::Deliver => self.outgoing.send(bytes, self.backend),
+                KeeperAction::Deliver => {
+                    self.metrics.forwarded.inc();
+                    self.outgoing.send(bytes, self.backend);
+                }
                 KeeperAction::PassOn {
                     key,
                     to,
@@ -311,24 +354,57 @@
                     stored,
                     cause,
                 } => {
-                    debug!(flow = %key, %to, ?cause, hops = head.hops, "packet passed on");
+                    NodeMetrics::count(&self.metrics.passed, cause.name());
+                    self.log_pass(key, to, &head, cause);
                     let packet = stored.unwrap_or_else(|| bytes.clone());
                     self.packets.send(&encode_forward(&head, packet), to);
                 }
+                // The caller of this function has sent the packet.
                 KeeperAction::ToCaller => {}
+                KeeperAction::Answered(key, time) => {
+                    self.metrics.answer_time.observe(time.0 as f64 / 1_000.0);
+                    if let Some(left_out) = self.budget.admit() {
+                        info!(flow = %key, ms = time.0, left_out, "answer begins");
+                    }
+                }
                 KeeperAction::Refuse(key, cause) => {
-                    info!(flow = %key, ?cause, "flow refused");
+                    NodeMetrics::count(&self.metrics.refused, cause.name());
+                    self.log_flow(key, cause, "refused");
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, 0), to);
                 }
                 KeeperAction::Hint(balancer, key) => self.hint(balancer, key),
                 KeeperAction::Drop(key, cause) => {
-                    debug!(flow = %key, ?cause, "packet dropped");
+                    NodeMetrics::count(&self.metrics.dropped, cause.name());
+                    self.log_flow(key, cause, "dropped");
                 }
             }
         }
     }
 
+    fn log_flow(&mut self, key: FlowKey, cause: PassCause, outcome: &'static str) {
+        if let Some(left_out) = self.budget.admit() {
+            let report = self.keeper.report(self.clock.now());
+            info!(
+                flow = %key,
+                outcome,
+                cause = cause.name(),
+                busy = report.busy,
+                slots = report.slots,
+                revision = report.revision,
+                left_out,
+                "packet not delivered"
+            );
+        }
+    }
+
+    fn log_pass(&mut self, key: FlowKey, to: SocketAddrV4, head: &ForwardHead, cause: PassCause) {
+        if let Some(left_out) = self.budget.admit() {
+            let (hops, rest, cause) = (head.hops, head.rest.len(), cause.name());
+            info!(flow = %key, %to, cause, hops, rest, left_out, "packet passed on");
+        }
+    }
+
     fn caller_port(&self, key: FlowKey) -> SocketAddrV4 {
         SocketAddrV4::new(*key.caller.ip(), self.address.port())
     }
@@ -352,6 +428,15 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        let unsent = self.packets.unsent + self.outgoing.unsent;
+        self.metrics
+            .unsent
+            .set(i64::try_from(unsent).unwrap_or(i64::MAX));
+        let report = self.keeper.report(now);
+        self.metrics.busy.set(i64::from(report.busy));
+        self.metrics
+            .revision
+            .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
         self.keeper.expire(now);
         self.peers
             .retain(|peer| now.since(peer.heard) < REPORT_SPAN);
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -14,6 +14,7 @@
         AgentReport,
         DropCause, //
     },
+    request::ForwardHead,
     version::SiteRules,
     FlowKey,
     FlowRouter,
@@ -23,6 +24,7 @@
     read_from_caller,
     reset_packet, //
 };
+use carobdrum_telemetry::LogBudget;
 use carobdrum_wire::flow_datagram::{
     address_number,
     number_address,
@@ -57,12 +59,16 @@
 };
 use crate::process::{
     BootClock,
-    NodeError, //
+    NodeError,
+    NodeMetrics, //
 };
 
 /// Datagrams read from one socket before the others get their turn.
 const BATCH: usize = 64;
 
+/// Most log lines about flows per second.
+const MAX_LINES: u32 = 200;
+
 /// Time between probes of agents that don't answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -87,6 +93,8 @@
     address: SocketAddrV4,
     callers: UdpPort,
     agents: UdpPort,
+    metrics: NodeMetrics,
+    budget: LogBudget,
 }
 
 impl BalancerTraffic {
@@ -96,6 +104,7 @@
         address: SocketAddrV4,
         centre: &str,
         seen: watch::Sender<RevisionSight>,
+        metrics: NodeMetrics,
     ) -> Result<BalancerTraffic, NodeError> {
         Ok(BalancerTraffic {
             clock: BootClock,
@@ -104,6 +113,8 @@
             address,
             callers: UdpPort::open(packets).await?,
             agents: UdpPort::open(address).await?,
+            metrics,
+            budget: LogBudget::new(MAX_LINES),
         })
     }
 
@@ -150,7 +161,10 @@
             let packet = match read_from_caller(bytes) {
                 Ok(packet) => packet,
                 Err(error) => {
-                    debug!(%error, %from, "datagram of a caller dropped");
+                    self.metrics.malformed.inc();
+                    if let Some(left_out) = self.budget.admit() {
+                        info!(%error, %from, left_out, "datagram of a caller dropped");
+                    }
                     continue;
                 }
             };
@@ -164,13 +178,20 @@
         match action {
             RouteAction::Forward { to, head } => {
                 if opens {
-                    debug!(flow = %key, %to, rest = head.rest.len(), near = head.near, "flow forwarded");
+                    self.metrics.opened.inc();
+                    self.log_open(key, to, &head);
+                } else {
+                    self.metrics.forwarded.inc();
                 }
                 let datagram = encode_forward(&head, bytes);
                 self.agents.send(&datagram, to);
             }
             RouteAction::Refuse(cause) => {
-                info!(flow = %key, ?cause, "flow refused");
+                NodeMetrics::count(&self.metrics.refused, cause.name());
+                if let Some(left_out) = self.budget.admit() {
+                    let revision = self.revision();
+                    info!(flow = %key, cause = cause.name(), revision, left_out, "flow refused");
+                }
                 let port = self.caller_port();
                 let to = SocketAddrV4::new(*key.caller.ip(), port);
                 self.callers.send(&reset_packet(key, 0), to);
@@ -179,8 +200,23 @@
         }
     }
 
-    fn log_drop(&self, key: FlowKey, cause: DropCause) {
-        debug!(flow = %key, ?cause, "packet dropped");
+    fn log_open(&mut self, key: FlowKey, to: SocketAddrV4, head: &ForwardHead) {
+        if let Some(left_out) = self.budget.admit() {
+            let (rest, near, revision) = (head.rest.len(), head.near, head.revision);
+            info!(flow = %key, %to, rest, near, revision, left_out, "flow forwarded");
+        }
+    }
+
+    fn log_drop(&mut self, key: FlowKey, cause: DropCause) {
+        NodeMetrics::count(&self.metrics.dropped, cause.name());
+        if let Some(left_out) = self.budget.admit() {
+            let revision = self.revision();
+            info!(flow = %key, cause = cause.name(), revision, left_out, "packet dropped");
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        self.router.rules.as_ref().map_or(0, |rules| rules.revision)
     }
 
     fn caller_port(&self) -> u16 {
@@ -239,6 +275,17 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        let unsent = self.callers.unsent + self.agents.unsent;
+        self.metrics
+            .unsent
+            .set(i64::try_from(unsent).unwrap_or(i64::MAX));
+        self.metrics
+            .revision
+            .set(i64::try_from(self.revision()).unwrap_or(i64::MAX));
+        let agents = self.router.roster.len();
+        self.metrics
+            .agents
+            .set(i64::try_from(agents).unwrap_or(i64::MAX));
         let idle_time = self
             .router
             .rules
@@ -250,7 +297,7 @@
         }
         let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_number(self.address),
-            revision: self.router.rules.as_ref().map_or(0, |rules| rules.revision),
+            revision: self.revision(),
         }));
         for agent in self.router.roster.take_probes(now) {
             self.agents.send(&probe, agent);
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -25,6 +25,7 @@
     FlowSettings, //
 };
 use http::StatusCode;
+use prometheus_client::registry::Registry;
 use snafu::{
     OptionExt,
     ResultExt, //
@@ -55,6 +56,7 @@
         NoBackendSnafu,
         StartSnafu, //
     },
+    serve_metrics::serve_metrics,
     settings_file::SettingsFile,
     site_hub::{
         follow_peers,
@@ -66,7 +68,8 @@
         KeyFollower,
         CALL_TIMEOUT, //
     },
-    NodeError, //
+    NodeError,
+    NodeMetrics, //
 };
 use crate::connection::{
     AgentTraffic,
@@ -109,12 +112,15 @@
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let keeper = keeper_settings(&settings, backend);
     let (server, outgoing) = (backend.address, backend.outgoing);
+    let mut registry = Registry::default();
+    let metrics = NodeMetrics::register(&mut registry);
+    let _server = serve_metrics(node.metrics, registry)?;
     let (seen, sights) = watch::channel(RevisionSight::default());
     let (rules, in_force) = watch::channel(None);
     let hub = SiteHub::new(rules);
     serve_snapshots(SocketAddrV4::new(node.ip, node.peer_port), hub.clone()).await?;
     let traffic = spawn_thread("traffic", move || async move {
-        let traffic = AgentTraffic::open(keeper, server, outgoing, seen).await?;
+        let traffic = AgentTraffic::open(keeper, server, outgoing, seen, metrics).await?;
         traffic.run(receiver, in_force).await
     });
     traffic.context(StartSnafu)?;
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -18,6 +18,7 @@
 };
 use carobdrum_settings::NodeSettings;
 use http::StatusCode;
+use prometheus_client::registry::Registry;
 use snafu::ResultExt;
 use tokio::{
     signal::unix::{
@@ -39,6 +40,7 @@
 use super::{
     http_port::serve_calls,
     node_error::StartSnafu,
+    serve_metrics::serve_metrics,
     settings_file::SettingsFile,
     site_hub::{
         ask_peers,
@@ -51,7 +53,8 @@
         KeyFollower,
         KeyNews, //
     },
-    NodeError, //
+    NodeError,
+    NodeMetrics, //
 };
 use crate::connection::{
     BalancerTraffic,
@@ -92,11 +95,14 @@
     let packets = node.packets;
     let address = SocketAddrV4::new(node.ip, node.peer_port);
     let centre = node.data_centre.clone();
+    let mut registry = Registry::default();
+    let metrics = NodeMetrics::register(&mut registry);
+    let _server = serve_metrics(node.metrics, registry)?;
     let (seen, sights) = watch::channel(RevisionSight::default());
     let (rules, in_force) = watch::channel(None);
     let hub = SiteHub::new(rules);
     let traffic = spawn_thread("traffic", move || async move {
-        let traffic = BalancerTraffic::open(packets, address, &centre, seen).await?;
+        let traffic = BalancerTraffic::open(packets, address, &centre, seen, metrics).await?;
         traffic.run(receiver, in_force).await
     });
     traffic.context(StartSnafu)?;
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -6,7 +6,9 @@
 mod boot_clock;
 mod http_port;
 pub(crate) mod node_error;
+mod node_metrics;
 mod rules_feed;
+mod serve_metrics;
 mod settings_file;
 mod site_hub;
 mod snapshot_codec;
@@ -17,6 +19,7 @@
 pub use balancer_node::run_balancer;
 pub(crate) use boot_clock::BootClock;
 pub use node_error::NodeError;
+pub(crate) use node_metrics::NodeMetrics;
 pub use settings_file::SettingsFile;
 pub use store_watch::{
     KeyFollower,
--- a/components/forwarder/src/process/node_error.rs
+++ b/components/forwarder/src/process/node_error.rs
@@ -5,6 +5,7 @@
     net::SocketAddrV4, //
 };
 
+use carobdrum_telemetry::TelemetryError;
 use snafu::Snafu;
 
 /// Why a daemon can't run.
@@ -25,6 +26,12 @@
         /// What the system reports.
         source: io::Error,
     },
+    /// The metrics can't be served.
+    #[snafu(display("metrics: {source}"))]
+    Metrics {
+        /// The cause.
+        source: TelemetryError,
+    },
     /// The settings name no backend server.
     #[snafu(display("settings: section `backend` is missing"))]
     NoBackend,
--- /dev/null
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -0,0 +1,119 @@
+//! Counters and histograms of the daemons.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::Histogram, //
+    },
+    registry::{
+        Registry,
+        Unit, //
+    },
+};
+
+/// Upper bounds of the answer times, in seconds.
+const ANSWER_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// Label that names a cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabel {
+    pub(crate) cause: &'static str,
+}
+
+/// Counters that the threads of a daemon share.
+#[derive(Clone, Debug)]
+pub(crate) struct NodeMetrics {
+    /// Opening packets sent towards a server.
+    pub(crate) opened: Counter,
+    /// Packets of open flows sent towards a server.
+    pub(crate) forwarded: Counter,
+    /// Packets of servers sent to callers.
+    pub(crate) answered: Counter,
+    /// Flows refused, by cause.
+    pub(crate) refused: Family<CauseLabel, Counter>,
+    /// Packets passed on to another agent, by cause.
+    pub(crate) passed: Family<CauseLabel, Counter>,
+    /// Packets dropped, by cause.
+    pub(crate) dropped: Family<CauseLabel, Counter>,
+    /// Datagrams that can't be read.
+    pub(crate) malformed: Counter,
+    /// Datagrams that the system didn't take.
+    pub(crate) unsent: Gauge,
+    /// Requests in progress at the server.
+    pub(crate) busy: Gauge,
+    /// Revision of the configuration in force.
+    pub(crate) revision: Gauge,
+    /// Agents that are known.
+    pub(crate) agents: Gauge,
+    /// Time from the request to the first data of its answer.
+    pub(crate) answer_time: Histogram,
+}
+
+impl NodeMetrics {
+    /// Creates the counters and registers them.
+    pub(crate) fn register(registry: &mut Registry) -> NodeMetrics {
+        let metrics = NodeMetrics {
+            opened: Counter::default(),
+            forwarded: Counter::default(),
+            answered: Counter::default(),
+            refused: Family::default(),
+            passed: Family::default(),
+            dropped: Family::default(),
+            malformed: Counter::default(),
+            unsent: Gauge::default(),
+            busy: Gauge::default(),
+            revision: Gauge::default(),
+            agents: Gauge::default(),
+            answer_time: Histogram::new(ANSWER_BOUNDS),
+        };
+        let m = metrics.clone();
+        registry.register("opened_flows", "Opening packets sent to a server", m.opened);
+        registry.register(
+            "forwarded_packets",
+            "Packets of open flows sent on",
+            m.forwarded,
+        );
+        registry.register("answered_packets", "Packets sent to callers", m.answered);
+        registry.register("refused_flows", "Flows refused", m.refused);
+        registry.register(
+            "passed_packets",
+            "Packets passed on to another agent",
+            m.passed,
+        );
+        registry.register("dropped_packets", "Packets dropped", m.dropped);
+        registry.register(
+            "malformed_datagrams",
+            "Datagrams that can't be read",
+            m.malformed,
+        );
+        registry.register(
+            "unsent_datagrams",
+            "Datagrams that the system didn't take",
+            m.unsent,
+        );
+        registry.register(
+            "busy_requests",
+            "Requests in progress at the server",
+            m.busy,
+        );
+        registry.register(
+            "config_revision",
+            "Revision of the configuration",
+            m.revision,
+        );
+        registry.register("known_agents", "Agents that are known", m.agents);
+        let help = "Time from a request to the first data of its answer";
+        registry.register_with_unit("answer_time", help, Unit::Seconds, m.answer_time);
+        metrics
+    }
+
+    /// Counts a cause.
+    pub(crate) fn count(family: &Family<CauseLabel, Counter>, cause: &'static str) {
+        family.get_or_create(&CauseLabel { cause }).inc();
+    }
+}
--- a/components/settings/src/flow_settings.rs
+++ b/components/settings/src/flow_settings.rs
@@ -34,6 +34,7 @@
     FieldShape::required("ready", FieldKind::Address4),
     FieldShape::optional("grace_s", FieldKind::Text),
     FieldShape::optional("peers", FieldKind::AddressList),
+    FieldShape::optional("metrics", FieldKind::Address4),
 ];
 
 const BACKEND_SHAPE: &[FieldShape] = &[
@@ -89,6 +90,8 @@
     /// Time from the signal of a planned stop to the kill, in seconds.
     #[serde(default = "default_grace", deserialize_with = "decimal")]
     pub grace_s: f64,
+    /// Address (TCP) at which metrics are served; none are when absent.
+    pub metrics: Option<SocketAddrV4>,
     /// Control addresses of a few other processes.
     #[serde(default)]
     pub peers: Vec<SocketAddrV4>,
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -5,7 +5,7 @@
     run_balancer,
     SettingsFile, //
 };
-use carobdrum_telemetry::init_logs;
+use carobdrum_telemetry::init_stdout_logs;
 use snafu::ResultExt;
 
 use crate::{
@@ -34,7 +34,7 @@
 pub(crate) fn run(command: &PlatformCommand) -> Result<(), CommandError> {
     let (PlatformCommand::Balancer(args) | PlatformCommand::Agent(args)) = command;
     let DaemonArgs { settings, log } = args;
-    init_logs(true, log.as_deref().unwrap_or(DEFAULT_FILTER)).context(LogsSnafu)?;
+    let _guard = init_stdout_logs(log.as_deref().unwrap_or(DEFAULT_FILTER)).context(LogsSnafu)?;
     let file = SettingsFile::read(settings).context(SettingsSnafu)?;
     match command {
         PlatformCommand::Balancer(_) => run_balancer(file).context(NodeSnafu),
