Pause shortly between failed calls only where a balancer can't serve without them

Cause: after a closing fault during an outage of the store, balancers waited up to 0.8 s after its return before their next call, while 80 processes called a busy store for nothing.

--- a/components/forwarder/src/process/agent_lease.rs
+++ b/components/forwarder/src/process/agent_lease.rs
@@ -18,7 +18,10 @@
     info, //
 };
 
-use super::store_watch::StoreBackoff;
+use super::store_watch::{
+    StoreBackoff,
+    LONGEST_PAUSE, //
+};
 
 /// Time that a lease lasts without renewal.
 const LEASE_TIME: Duration = Duration::from_secs(6);
@@ -47,7 +50,7 @@
                 continue;
             }
             Err(error) => {
-                backoff.fail("lease", &error).await;
+                backoff.fail("lease", &error, LONGEST_PAUSE).await;
                 continue;
             }
         }
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -114,10 +114,10 @@
     });
     serve_ready(node.ready, ready.clone()).await?;
     let store = settings.store.address;
-    let follower = KeyFollower::new(store, OPERATOR_PREFIX, sights.clone());
+    let follower = KeyFollower::new(store, OPERATOR_PREFIX, sights.clone()).urgent();
     // Entries of agents have no revision in common.
     let (unversioned, none) = watch::channel(RevisionSight::default());
-    let agents = KeyFollower::new(store, AGENT_PREFIX, none);
+    let agents = KeyFollower::new(store, AGENT_PREFIX, none).urgent();
     tokio::task::spawn_local(follow_rules(hub.clone(), follower, sights.clone()));
     tokio::task::spawn_local(follow_peers(hub.clone(), sights.clone(), node.peer_port));
     tokio::task::spawn_local(follow_agents(
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -27,12 +27,17 @@
 /// Longest wait of a watch; the connection's keep-alive finds a silent store sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// First and longest pause before a failed call is repeated.
+/// First pause before a failed call is repeated.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Longest pause of a process that can't serve before the call succeeds. It adds to an outage.
+const URGENT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest pause of all others. Entries must be back within two seconds of the store's return.
+pub(crate) const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// Pause after changes, so that a series of them costs few calls.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+const BATCH_PAUSE: Duration = Duration::from_millis(700);
 
 /// Time for which the watch may lag behind other processes.
 const LAG_TIME: Duration = Duration::from_millis(300);
@@ -58,6 +63,8 @@
     /// `LAG_TIME` reads anew.
     seen: watch::Receiver<RevisionSight>,
     revision: u64,
+    /// Whether the process can't serve before the keys are read.
+    urgent: bool,
 }
 
 impl KeyFollower {
@@ -72,13 +79,21 @@
             prefix,
             seen,
             revision: 0,
+            urgent: false,
         }
     }
 
+    /// Sets that the process can't serve before the keys are read.
+    pub fn urgent(mut self) -> KeyFollower {
+        self.urgent = true;
+        self
+    }
+
     /// Reads the keys and follows their changes, for as long as `take` returns the revision in
     /// force.
     pub async fn run(mut self, mut take: impl AsyncFnMut(KeyNews) -> Option<u64>) {
         let mut after = None;
+        let mut urgent = self.urgent;
         let mut backoff = StoreBackoff::default();
         loop {
             match self.call(after).await {
@@ -88,6 +103,7 @@
                     let Some(news) = news else {
                         continue;
                     };
+                    urgent = false;
                     let changed = matches!(news, KeyNews::Changes(_));
                     match take(news).await {
                         Some(revision) => self.revision = revision,
@@ -101,7 +117,8 @@
                     // A watch that was cut may have missed changes, and one that goes on from an
                     // old revision may wait for the next change.
                     after = None;
-                    backoff.fail(self.prefix, &error).await;
+                    let longest = if urgent { URGENT_PAUSE } else { LONGEST_PAUSE };
+                    backoff.fail(self.prefix, &error, longest).await;
                 }
             }
         }
@@ -171,12 +188,12 @@
     }
 
     /// Notes a call that failed, and pauses.
-    pub(crate) async fn fail(&mut self, what: &str, error: &StoreFault) {
+    pub(crate) async fn fail(&mut self, what: &str, error: &StoreFault, longest: Duration) {
         if self.failures == 0 {
             warn!(what, %error, "store lost");
         }
         let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
-        let pause = pause.min(LONGEST_PAUSE);
+        let pause = pause.min(longest);
         self.failures += 1;
         let jitter = rand::rng().random_range(0.5..1.0);
         sleep(pause.mul_f64(jitter)).await;
