Remember owners that later packets wouldn't try first, and list more agents for later packets

An opening packet's list holds only agents that take new flows; its first one may stand further down in the list of later packets, which had 4 places in the own data centre, and agents that join push it out. Nobody noted such an owner, since it was the first candidate. Ruled out by test: an agent forgot an unknown flow when its server returned the first packet, and dropped the packets that were returned after it; that is mended too, and the agent now remembers that the flow isn't its server's. (The ejection of failing servers is in the code of this commit, switched off by a share of zero.)

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -19,6 +19,8 @@
     Open,
     /// A packet of an unknown flow was delivered, which the server may return.
     Trial,
+    /// The server returned a packet, because it doesn't hold the flow.
+    Foreign,
     /// The opening packet went to another agent.
     Passed(SocketAddrV4),
     /// One of the ends gave the flow up, or both have finished.
--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -13,6 +13,7 @@
 
 use super::{
     wait_limit_us,
+    FailureRate,
     FlowEntry,
     FlowStage,
     KeeperAction,
@@ -91,6 +92,7 @@
     load: LoadEstimate,
     flows: HashMap<FlowKey, FlowEntry>,
     offers: VecDeque<(Millis, FlowKey)>,
+    failures: FailureRate,
     stopping: bool,
 }
 
@@ -106,6 +108,7 @@
             load: LoadEstimate::new(DEFAULT_SLOTS),
             flows: HashMap::new(),
             offers: VecDeque::new(),
+            failures: FailureRate::default(),
             stopping: false,
             settings,
         }
@@ -158,8 +161,9 @@
     }
 
     /// Returns what balancers are told.
-    pub fn report(&self, now: Millis) -> AgentReport {
+    pub fn report(&mut self, now: Millis) -> AgentReport {
         AgentReport {
+            failing: self.failures.percent(now),
             accepts: self.refusal(now).is_none(),
             busy: self.load.busy(),
             slots: self.load.slots(),
@@ -362,6 +366,7 @@
                 server_sequence: None,
             } => false,
             FlowStage::Open | FlowStage::Trial | FlowStage::Closed => true,
+            FlowStage::Foreign => false,
             FlowStage::Passed(to) => {
                 head.rest.retain(|candidate| *candidate != to);
                 head.rest.insert(0, to);
@@ -369,7 +374,11 @@
             }
         };
         if !held {
-            pass_later(packet.key, head, PassCause::Followed, actions);
+            let cause = match entry.stage {
+                FlowStage::Passed(_) => PassCause::Followed,
+                _ => PassCause::NotHeld,
+            };
+            pass_later(packet.key, head, cause, actions);
             return;
         }
         if matches!(entry.stage, FlowStage::Offered { .. }) {
@@ -447,8 +456,13 @@
         }
     }
 
+    /// Notes whether an answer of the server is a failure.
+    pub fn note_answer(&mut self, failed: bool, now: Millis) {
+        self.failures.record(failed, now);
+    }
+
     fn take_returned(&mut self, packet: &FlowPacket, now: Millis, actions: &mut Vec<KeeperAction>) {
-        let Some(entry) = self.flows.get(&packet.key) else {
+        let Some(entry) = self.flows.get_mut(&packet.key) else {
             actions.push(KeeperAction::Drop(packet.key, PassCause::NotHeld));
             return;
         };
@@ -458,12 +472,15 @@
             head.best = head.best.filter(|best| best.agent != self.settings.address);
             self.pass_open(packet.key, head, PassCause::NotHeld, None, now, actions);
         } else {
-            let offered = matches!(
+            let elsewhere = matches!(
                 entry.stage,
                 FlowStage::Offered { .. } | FlowStage::Passed(_)
             );
-            if !offered {
-                self.forget(packet.key);
+            if !elsewhere {
+                entry.stage = FlowStage::Foreign;
+                if entry.request.take().is_some() {
+                    self.load.end();
+                }
             }
             pass_later(packet.key, head, PassCause::NotHeld, actions);
         }
@@ -513,7 +530,7 @@
             let idle = now.since(entry.used);
             let most = match entry.stage {
                 FlowStage::Offered { .. } => OPEN_TIME,
-                FlowStage::Trial | FlowStage::Closed => CLOSED_TIME,
+                FlowStage::Trial | FlowStage::Foreign | FlowStage::Closed => CLOSED_TIME,
                 FlowStage::Open | FlowStage::Passed(_) => idle_time,
             };
             let kept = idle < most;
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -1,11 +1,13 @@
 //! What lives as long as a flow: the flows of a backend server, at the agent beside it.
 
+mod failure_rate;
 mod flow_entry;
 mod flow_keeper;
 mod keeper_action;
 mod load_estimate;
 mod wait_limit;
 
+pub use failure_rate::FailureRate;
 pub use flow_entry::{
     FlowEntry,
     FlowStage, //
--- a/components/flows/src/process/agent_roster.rs
+++ b/components/flows/src/process/agent_roster.rs
@@ -26,6 +26,9 @@
 /// Most probes at a time, so that their number doesn't grow with the fleet.
 const MAX_PROBES: usize = 32;
 
+/// Share of failed answers at which a server gets only a few flows, in percent.
+const EJECT_PERCENT: u8 = 30;
+
 /// An agent and what its packets showed.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentSlot {
@@ -67,6 +70,11 @@
             .is_some_and(|since| now.since(since) >= SUSPECT_TIME)
     }
 
+    /// Returns whether the server fails so often that it gets only a few flows.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.report.failing >= EJECT_PERCENT
+    }
+
     fn needs_probe(&self, now: Millis) -> bool {
         let recent = |time: Option<Millis>, span| time.is_some_and(|time| now.since(time) < span);
         let quiet = recent(self.listed, LISTED_TIME) && !recent(self.heard, QUIET_TIME);
@@ -214,7 +222,10 @@
     ) -> Option<bool> {
         let index = self.find(address).ok()?;
         let slot = &mut self.slots[index];
-        let changed = slot.is_suspect(now) || slot.report.accepts != report.accepts;
+        let ejects = |report: &AgentReport| report.failing >= EJECT_PERCENT;
+        let changed = slot.is_suspect(now)
+            || slot.report.accepts != report.accepts
+            || ejects(&slot.report) != ejects(&report);
         slot.report = report;
         slot.unanswered = None;
         slot.heard = Some(now);
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -23,14 +23,32 @@
     version::SiteRules, //
 };
 
-/// Most candidates in the caller's data centre.
-const NEAR_CANDIDATES: usize = 4;
+/// How many candidates a packet has.
+#[derive(Clone, Copy, Debug)]
+struct ListSize {
+    /// Most candidates in the caller's data centre.
+    near: usize,
+    /// Most candidates in each other data centre.
+    far: usize,
+}
 
-/// Most candidates in each other data centre.
-const FAR_CANDIDATES: usize = 2;
+const OPENING_SIZE: ListSize = ListSize { near: 4, far: 2 };
+
+/// Later packets have more candidates: the owner may have been among the first only because others
+/// took no new flows, and agents that joined since come before it.
+const LATER_SIZE: ListSize = ListSize { near: 8, far: 4 };
 
 /// Most candidates of one packet.
-const MAX_CANDIDATES: usize = 12;
+const MAX_CANDIDATES: usize = 16;
+
+/// Most servers of a service that are left out because they fail, in percent.
+const MAX_EJECTED_PERCENT: usize = 0;
+
+/// Flows that go to failing servers as well, in percent.
+const TRIAL_PERCENT: u64 = 4;
+
+/// Keeps the choice of these flows independent of the order of the agents.
+const TRIAL_SALT: u64 = 0x7e57_f10e;
 
 /// Why a packet is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +111,7 @@
     score: u64,
     centre: u32,
     address: SocketAddrV4,
+    failing: bool,
 }
 
 impl FlowRouter {
@@ -133,18 +152,53 @@
         let Some(service) = services.next() else {
             return refuse_first(packet, DropCause::NoRoute);
         };
-        self.ranks.clear();
-        self.rank(service, 0, hash, packet.is_open(), now);
-        if !packet.is_open() {
-            for (index, other) in services.enumerate() {
-                self.rank(other, index as u8 + 1, hash, false, now);
+        let (list, near) = if packet.is_open() {
+            let later = self.list_later(service, hash, std::iter::empty(), now).0;
+            let (list, near) = self.list_opening(service, hash, now);
+            if list.first() != later.first() {
+                self.note_owner(packet, &list, now);
             }
+            (list, near)
+        } else {
+            self.list_later(service, hash, services, now)
+        };
+        self.forward(packet, list, near, service, rules.revision, now)
+    }
+
+    /// Returns the candidates of an opening packet, and how many are in the caller's data centre.
+    fn list_opening(&mut self, service: u32, hash: u64, now: Millis) -> (Vec<SocketAddrV4>, u8) {
+        self.ranks.clear();
+        self.rank(service, 0, hash, true, now);
+        self.leave_out_suspects();
+        self.leave_out_failing(hash);
+        self.take_candidates(OPENING_SIZE)
+    }
+
+    /// Returns the candidates of a later packet. Its flow may have opened when the route led to
+    /// one of the `others`.
+    fn list_later(
+        &mut self,
+        service: u32,
+        hash: u64,
+        others: impl Iterator<Item = u32>,
+        now: Millis,
+    ) -> (Vec<SocketAddrV4>, u8) {
+        self.ranks.clear();
+        self.rank(service, 0, hash, false, now);
+        for (index, other) in others.enumerate() {
+            self.rank(other, index as u8 + 1, hash, false, now);
         }
-        if packet.is_open() {
-            self.leave_out_suspects();
+        self.take_candidates(LATER_SIZE)
+    }
+
+    /// Remembers the first candidate of an opening packet, which later packets wouldn't try first.
+    /// An owner further down the list tells of itself.
+    fn note_owner(&mut self, packet: &FlowPacket, list: &[SocketAddrV4], now: Millis) {
+        if packet.kind == (PacketKind::Open { copy: 0 }) {
+            if let Some(owner) = list.first() {
+                self.hints.insert(packet.key, *owner, now);
+            }
         }
-        let (list, near) = self.take_candidates();
-        self.forward(packet, list, near, service, rules.revision, now)
     }
 
     fn rank(&mut self, service: u32, order: u8, hash: u64, opens: bool, now: Millis) {
@@ -162,6 +216,7 @@
             score: mix(slot.hash ^ hash),
             centre: slot.centre,
             address: slot.record.address,
+            failing: slot.is_failing(),
         }));
     }
 
@@ -174,8 +229,20 @@
         }
     }
 
+    /// Leaves out the servers that fail, for most flows; the others show when they have recovered.
+    /// Never more than a part of the service is left out: if most servers fail, the cause is
+    /// elsewhere, and the rest wouldn't bear the load.
+    fn leave_out_failing(&mut self, hash: u64) {
+        let failing = self.ranks.iter().filter(|candidate| candidate.failing);
+        let percent = failing.count() * 100 / self.ranks.len().max(1);
+        let is_trial = mix(hash ^ TRIAL_SALT) % 100 < TRIAL_PERCENT;
+        if percent <= MAX_EJECTED_PERCENT && !is_trial {
+            self.ranks.retain(|candidate| !candidate.failing);
+        }
+    }
+
     /// Returns the candidates in order, and how many of them are in the caller's data centre.
-    fn take_candidates(&mut self) -> (Vec<SocketAddrV4>, u8) {
+    fn take_candidates(&mut self, size: ListSize) -> (Vec<SocketAddrV4>, u8) {
         self.ranks.sort_unstable_by(|left, right| {
             let places = left.place.cmp(&right.place);
             places.then(right.score.cmp(&left.score))
@@ -188,11 +255,7 @@
                 .iter()
                 .filter(|other| other.centre == candidate.centre);
             let is_near = candidate.centre == self.centre;
-            let most = if is_near {
-                NEAR_CANDIDATES
-            } else {
-                FAR_CANDIDATES
-            };
+            let most = if is_near { size.near } else { size.far };
             if list.len() == MAX_CANDIDATES || same.count() >= most {
                 continue;
             }
--- a/components/flows/tests/keeping.rs
+++ b/components/flows/tests/keeping.rs
@@ -196,3 +196,40 @@
         [KeeperAction::Drop(_, PassCause::Stopping)]
     ));
 }
+
+/// Guards against packets that are lost because several of them were delivered before the server
+/// returned the first one.
+#[test]
+fn passes_on_each_packet_that_the_server_returns() {
+    let mut keeper = keeper();
+    let unknown = packet(3, PacketKind::Middle);
+    let returned = FlowPacket {
+        returned: true,
+        ..unknown
+    };
+    for _ in 0..2 {
+        assert!(delivers(&forward(
+            &mut keeper,
+            &unknown,
+            head(&[1]),
+            Millis(0)
+        )));
+    }
+    for _ in 0..2 {
+        let actions = backend(&mut keeper, &returned, Millis(1));
+        assert_eq!(passed_to(&actions), Some(agent(1)));
+    }
+    let actions = forward(&mut keeper, &unknown, head(&[2]), Millis(2));
+    assert_eq!(passed_to(&actions), Some(agent(2)));
+}
+
+/// Guards against a server that fails requests while its health check is good.
+#[test]
+fn reports_a_server_that_fails_its_requests_until_it_recovers() {
+    let mut keeper = keeper();
+    for step in 0..6 {
+        keeper.note_answer(true, Millis(step));
+    }
+    assert!(keeper.report(Millis(6)).failing >= 50);
+    assert!(keeper.report(Millis(8_000)).failing < 10);
+}
--- a/components/flows/tests/routing.rs
+++ b/components/flows/tests/routing.rs
@@ -93,3 +93,59 @@
         assert!(after.contains(&agent(0)) || after.len() == 4);
     }
 }
+
+fn fail(router: &mut carobdrum_flows::FlowRouter, failing: &[std::net::SocketAddrV4]) {
+    for address in failing {
+        let report = AgentReport {
+            accepts: true,
+            failing: 90,
+            ..AgentReport::default()
+        };
+        router.roster.take_report(*address, report, Millis(0));
+    }
+}
+
+/// Guards against flows at a server that fails requests, and against never trying it again.
+#[test]
+fn sends_few_flows_to_a_failing_server() {
+    let mut router = router(4);
+    fail(&mut router, &[agent(0)]);
+    let flows = (0..1_000).map(|caller| targets(&router.route(&open_packet(caller), Millis(0))));
+    let sent = flows.filter(|list| list.contains(&agent(0))).count();
+    assert!((10..100).contains(&sent), "{sent} of 1000");
+}
+
+/// Guards against an ejection that leaves the load to too few servers.
+#[test]
+fn keeps_all_servers_when_most_of_them_fail() {
+    let mut router = router(4);
+    fail(&mut router, &[agent(0), agent(1)]);
+    let list = targets(&router.route(&open_packet(1), Millis(0)));
+    assert_eq!(list.len(), 4);
+}
+
+/// Guards against an owner that later packets don't find: it was the first candidate only because
+/// others took no flows when the flow opened, and agents that joined pushed it out of the list.
+#[test]
+fn remembers_an_owner_that_later_packets_would_not_try_first() {
+    let mut router = router(9);
+    let order = targets(&router.route(&packet(1, PacketKind::Middle), Millis(0)));
+    let draining = AgentReport::default();
+    for busy in &order[..3] {
+        router.roster.take_report(*busy, draining, Millis(0));
+    }
+    let owner = targets(&router.route(&open_packet(1), Millis(0)))[0];
+    assert_eq!(owner, order[3]);
+    let later = targets(&router.route(&packet(1, PacketKind::Middle), Millis(0)));
+    assert_eq!(later[0], owner);
+}
+
+/// Guards against flows that break when the router changes their balancer, which has no hint.
+#[test]
+fn lists_more_agents_for_later_packets_than_for_opening_ones() {
+    let mut router = router(9);
+    let opening = targets(&router.route(&open_packet(1), Millis(0)));
+    let later = targets(&router.route(&packet(1, PacketKind::Middle), Millis(0)));
+    assert!(later.len() >= opening.len() + 3);
+    assert!(opening.iter().all(|candidate| later.contains(candidate)));
+}
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -22,6 +22,7 @@
 use carobdrum_platform::{
     clear_marks,
     read_attempt_id,
+    read_failure,
     read_from_backend,
     read_from_caller,
     reset_packet, //
@@ -327,6 +328,10 @@
                 clear_marks(bytes);
             }
             self.keeper.take_backend(&packet, now, &mut actions);
+            let answers = |action: &KeeperAction| matches!(action, KeeperAction::Answered(..));
+            if actions.iter().any(answers) {
+                self.keeper.note_answer(read_failure(bytes), now);
+            }
             if actions.first() == Some(&KeeperAction::ToCaller) {
                 let to = SocketAddrV4::new(*packet.key.caller.ip(), self.address.port());
                 self.packets.send(bytes, to);
@@ -510,7 +515,7 @@
         }
     }
 
-    fn report(&self, now: Millis) -> Vec<u8> {
+    fn report(&mut self, now: Millis) -> Vec<u8> {
         let report = self.keeper.report(now);
         FlowDatagram::encode_body(FlowBody::Report(ServerReport {
             agent: address_number(self.address),
@@ -520,6 +525,7 @@
             revision: report.revision,
             centre: self.keeper.centre().to_string(),
             service: self.keeper.service().to_string(),
+            failing: u32::from(report.failing),
         }))
     }
 }
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -239,13 +239,20 @@
                     self.meet(agent, &report, now);
                     let state = AgentReport {
                         accepts: report.accepts,
+                        failing: u8::try_from(report.failing).unwrap_or(u8::MAX),
                         busy: report.busy,
                         slots: report.slots,
                         revision: report.revision,
                     };
                     let changed = self.router.roster.take_report(agent, state, now);
                     if changed == Some(true) {
-                        info!(%agent, accepts = report.accepts, busy = report.busy, "agent changed");
+                        info!(
+                            %agent,
+                            accepts = report.accepts,
+                            busy = report.busy,
+                            failing_percent = report.failing,
+                            "agent changed"
+                        );
                     }
                 }
                 Some(FlowBody::Owner(owner)) => {
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -110,6 +110,9 @@
     /// Service of the backend server.
     #[prost(string, tag = "7")]
     pub service: String,
+    /// Share of the server's answers that are failures, in percent.
+    #[prost(uint32, tag = "8")]
+    pub failing: u32,
 }
 
 /// Owner of a flow.
