--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -42,7 +42,7 @@
 const MAX_CANDIDATES: usize = 16;
 
 /// Most servers of a service that are left out because they fail, in percent.
-const MAX_EJECTED_PERCENT: usize = 0;
+const MAX_EJECTED_PERCENT: usize = 34;
 
 /// Flows that go to failing servers as well, in percent.
 const TRIAL_PERCENT: u64 = 4;
