--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -107,7 +107,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
-    place: (bool, bool, u8),
+    /// Whether it doesn't answer, whether its data centre is taken out, whether that isn't the
+    /// caller's, and the place of its service in the route.
+    place: (bool, bool, bool, u8),
     score: u64,
     centre: u32,
     address: SocketAddrV4,
@@ -212,7 +214,12 @@
         let usable = |slot: &&AgentSlot| !opens || (slot.report.accepts && !closed(slot));
         let candidates = self.roster.of_service(service).filter(usable);
         self.ranks.extend(candidates.map(|slot| Candidate {
-            place: (slot.is_suspect(now), slot.centre != centre, order),
+            place: (
+                slot.is_suspect(now),
+                closed(slot),
+                slot.centre != centre,
+                order,
+            ),
             score: mix(slot.hash ^ hash),
             centre: slot.centre,
             address: slot.record.address,
--- a/components/flows/tests/routing.rs
+++ b/components/flows/tests/routing.rs
@@ -2,9 +2,14 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    process::AgentReport,
+    process::{
+        AgentRecord,
+        AgentReport, //
+    },
     PacketKind,
     RouteAction, //
 };
@@ -149,3 +154,25 @@
     assert!(later.len() >= opening.len() + 3);
     assert!(opening.iter().all(|candidate| later.contains(candidate)));
 }
+
+/// Guards against packets that each ask the agents of a data centre that is taken out first, where
+/// no flow has opened since.
+#[test]
+fn tries_agents_of_closed_centres_last() {
+    let mut router = router(3);
+    let mut rules = support::rules(2);
+    rules.close_centres([support::CENTRE.into()]);
+    router.rules = Some(Arc::new(rules));
+    router.roster.insert(AgentRecord {
+        address: agent(9),
+        centre: "south".into(),
+        service: support::SERVICE.into(),
+    });
+    for caller in 0..50 {
+        let later = targets(&router.route(&packet(caller, PacketKind::Middle), Millis(0)));
+        assert_eq!(later[0], agent(9));
+        assert_eq!(later.len(), 4);
+        let opening = targets(&router.route(&open_packet(caller), Millis(0)));
+        assert_eq!(opening, [agent(9)]);
+    }
+}
