--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -390,10 +390,10 @@
             if entry.request.take().is_some() {
                 self.load.end();
             }
-        } else if packet.data_len > 0 && entry.stage == FlowStage::Open {
-            if entry.request.replace(now).is_none() {
-                self.load.begin();
-            }
+        }
+        let asks = packet.data_len > 0 && entry.stage == FlowStage::Open;
+        if asks && entry.request.replace(now).is_none() {
+            self.load.begin();
         }
         if packet.kind == PacketKind::Finish {
             entry.caller_done = true;
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -35,17 +35,17 @@
     PacketKind, //
 };
 
-pub const CENTRE: &str = "north";
-pub const SERVICE: &str = "lookup";
-pub const FENCE: Millis = Millis(1_900);
-pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
-pub const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 7_000);
+pub(crate) const CENTRE: &str = "north";
+pub(crate) const SERVICE: &str = "lookup";
+pub(crate) const FENCE: Millis = Millis(1_900);
+pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+pub(crate) const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 7_000);
 
-pub fn agent(number: u8) -> SocketAddrV4 {
+pub(crate) fn agent(number: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, number), 8_000)
 }
 
-pub fn rules(version: u64) -> SiteRules {
+pub(crate) fn rules(version: u64) -> SiteRules {
     let route = FlowRoute {
         address: ROUTE,
         shares: vec![ServiceShare {
@@ -64,7 +64,7 @@
 }
 
 /// Returns a balancer that knows `agents` agents in its data centre.
-pub fn router(agents: u8) -> FlowRouter {
+pub(crate) fn router(agents: u8) -> FlowRouter {
     let mut router = FlowRouter::new(BALANCER, CENTRE);
     router.rules = Some(Arc::new(rules(1)));
     let records = (0..agents).map(|number| AgentRecord {
@@ -76,7 +76,7 @@
     router
 }
 
-pub fn beat(sequence: u64, state: BackendState) -> BackendBeat {
+pub(crate) fn beat(sequence: u64, state: BackendState) -> BackendBeat {
     BackendBeat {
         id: "i-1".into(),
         born_ms: 1,
@@ -89,7 +89,7 @@
 }
 
 /// Returns the agent with number 0, whose server is ready and has two slots.
-pub fn keeper() -> FlowKeeper {
+pub(crate) fn keeper() -> FlowKeeper {
     let settings = KeeperSettings {
         address: agent(0),
         centre: CENTRE.into(),
@@ -104,14 +104,14 @@
     keeper
 }
 
-pub fn key(caller: u16) -> FlowKey {
+pub(crate) fn key(caller: u16) -> FlowKey {
     FlowKey {
         caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 1_024 + caller),
         service: ROUTE,
     }
 }
 
-pub fn packet(caller: u16, kind: PacketKind) -> FlowPacket {
+pub(crate) fn packet(caller: u16, kind: PacketKind) -> FlowPacket {
     FlowPacket {
         key: key(caller),
         kind,
@@ -122,12 +122,12 @@
     }
 }
 
-pub fn open_packet(caller: u16) -> FlowPacket {
+pub(crate) fn open_packet(caller: u16) -> FlowPacket {
     packet(caller, PacketKind::Open { copy: 0 })
 }
 
 /// Returns a head with the agents of these numbers as the further candidates.
-pub fn head(rest: &[u8]) -> ForwardHead {
+pub(crate) fn head(rest: &[u8]) -> ForwardHead {
     ForwardHead {
         balancer: BALANCER,
         centre: name_hash(CENTRE),
@@ -142,7 +142,7 @@
     }
 }
 
-pub fn forward(
+pub(crate) fn forward(
     keeper: &mut FlowKeeper,
     packet: &FlowPacket,
     head: ForwardHead,
@@ -159,14 +159,18 @@
     actions
 }
 
-pub fn backend(keeper: &mut FlowKeeper, packet: &FlowPacket, now: Millis) -> Vec<KeeperAction> {
+pub(crate) fn backend(
+    keeper: &mut FlowKeeper,
+    packet: &FlowPacket,
+    now: Millis,
+) -> Vec<KeeperAction> {
     let mut actions = Vec::new();
     keeper.take_backend(packet, now, &mut actions);
     actions
 }
 
 /// Opens a flow at the server; the next packet of the caller may carry its request.
-pub fn open_flow(keeper: &mut FlowKeeper, caller: u16, now: Millis) {
+pub(crate) fn open_flow(keeper: &mut FlowKeeper, caller: u16, now: Millis) {
     forward(keeper, &open_packet(caller), head(&[]), now);
     backend(keeper, &packet(caller, PacketKind::Accept), now);
     forward(keeper, &packet(caller, PacketKind::Middle), head(&[]), now);
--- a/components/model/src/event_queue.rs
+++ b/components/model/src/event_queue.rs
@@ -35,3 +35,9 @@
         (at < end).then_some((at, event))
     }
 }
+
+impl<E: Ord> Default for EventQueue<E> {
+    fn default() -> EventQueue<E> {
+        EventQueue::new()
+    }
+}
