--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -1,7 +1,9 @@
 //! The agent daemon.
 
 use std::{
+    cell::RefCell,
     net::SocketAddrV4,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -17,15 +19,16 @@
 use carobdrum_platform::{
     CallFault,
     NodeCall,
-    StoreClient,
     OPERATOR_PREFIX, //
 };
 use carobdrum_settings::{
     BackendSettings,
     FlowSettings, //
 };
+use compact_str::CompactString;
 use http::StatusCode;
 use prometheus_client::registry::Registry;
+use ractor::ActorRef;
 use snafu::{
     OptionExt,
     ResultExt, //
@@ -50,9 +53,14 @@
 };
 
 use super::{
-    agent_lease::hold_key,
     http_port::serve_calls,
+    lease_actor::{
+        spawn_lease,
+        LeaseArguments,
+        LeaseMessage, //
+    },
     node_error::{
+        ActorSnafu,
         NoBackendSnafu,
         StartSnafu, //
     },
@@ -64,10 +72,7 @@
         SiteHub, //
     },
     snapshot_port::serve_snapshots,
-    store_watch::{
-        KeyFollower,
-        CALL_TIMEOUT, //
-    },
+    store_watch::KeyFollower,
     NodeError,
     NodeMetrics, //
 };
@@ -129,14 +134,21 @@
         centre: node.data_centre.clone(),
         service: backend.service.clone(),
     };
-    let (record, held) = watch::channel(record);
-    serve_ready(node.ready).await?;
-    serve_backend(backend.heartbeats, updates.clone(), record.clone()).await?;
     let store = settings.store.address;
+    let arguments = LeaseArguments {
+        store,
+        record: record.clone(),
+    };
+    let lease = spawn_lease(arguments).await.context(ActorSnafu)?;
+    let key = KeyWriter {
+        lease: lease.clone(),
+        record: Rc::new(RefCell::new(record)),
+    };
+    serve_ready(node.ready).await?;
+    serve_backend(backend.heartbeats, updates.clone(), key).await?;
     let follower = KeyFollower::new(store, OPERATOR_PREFIX, sights.clone());
     tokio::task::spawn_local(follow_rules(hub.clone(), follower, sights.clone()));
     tokio::task::spawn_local(follow_peers(hub, sights, node.peer_port));
-    let lease = tokio::task::spawn_local(hold_key(StoreClient::new(store, CALL_TIMEOUT), held));
     loop {
         tokio::select! {
             _ = stop.recv() => break,
@@ -150,10 +162,14 @@
         let ended = timeout(grace, flows_ended).await.is_ok();
         info!(ended, "flows ended, or their time is over");
     }
-    lease.abort();
-    drop(record);
     // The key lapses by itself if the store doesn't answer.
-    let _ = timeout(LEASE_END_TIME, lease).await;
+    if lease
+        .stop_and_wait(None, Some(LEASE_END_TIME))
+        .await
+        .is_err()
+    {
+        info!("lease left to lapse");
+    }
     info!("agent ends");
     Ok(())
 }
@@ -192,15 +208,37 @@
     .await
 }
 
+/// Writes the agent's key anew when the server names another service.
+#[derive(Clone)]
+struct KeyWriter {
+    lease: ActorRef<LeaseMessage>,
+    record: Rc<RefCell<AgentRecord>>,
+}
+
+impl KeyWriter {
+    fn set_service(&self, service: CompactString) {
+        let mut record = self.record.borrow_mut();
+        if record.service == service {
+            return;
+        }
+        info!(before = %record.service, after = %service, "service changed");
+        record.service = service;
+        let message = LeaseMessage::Write(record.clone());
+        if self.lease.send_message(message).is_err() {
+            warn!("key not written: its actor is gone");
+        }
+    }
+}
+
 async fn serve_backend(
     address: SocketAddrV4,
     updates: mpsc::Sender<AgentUpdate>,
-    record: watch::Sender<AgentRecord>,
+    key: KeyWriter,
 ) -> Result<(), NodeError> {
     serve_calls(address, move |call| {
         let updates = updates.clone();
-        let record = record.clone();
-        async move { answer_backend(call, updates, record).await }
+        let key = key.clone();
+        async move { answer_backend(call, updates, key).await }
     })
     .await
 }
@@ -208,10 +246,10 @@
 async fn answer_backend(
     call: Result<NodeCall, CallFault>,
     updates: mpsc::Sender<AgentUpdate>,
-    record: watch::Sender<AgentRecord>,
+    key: KeyWriter,
 ) -> StatusCode {
     match call {
-        Ok(NodeCall::Beat(beat)) => take_beat(beat, updates, record).await,
+        Ok(NodeCall::Beat(beat)) => take_beat(beat, updates, key).await,
         Ok(NodeCall::Leave(id)) => {
             info!(%id, "backend server leaves");
             let (answer, outcome) = oneshot::channel();
@@ -230,21 +268,14 @@
 async fn take_beat(
     beat: BackendBeat,
     updates: mpsc::Sender<AgentUpdate>,
-    record: watch::Sender<AgentRecord>,
+    key: KeyWriter,
 ) -> StatusCode {
     debug!(?beat, "heartbeat");
     let service = beat.service.clone();
     let (answer, outcome) = oneshot::channel();
     let status = settle(updates, AgentUpdate::Beat(beat, answer), outcome).await;
     if status == StatusCode::OK {
-        record.send_if_modified(|record| {
-            let changed = record.service != service;
-            if changed {
-                info!(before = %record.service, after = %service, "service changed");
-                record.service = service;
-            }
-            changed
-        });
+        key.set_service(service);
     }
     status
 }
--- /dev/null
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -0,0 +1,166 @@
+//! The actor that holds the key of an agent in the store.
+
+use std::{
+    net::SocketAddrV4,
+    time::Duration, //
+};
+
+use carobdrum_flows::process::AgentRecord;
+use carobdrum_platform::{
+    agent_key,
+    write_agent,
+    StoreClient,
+    StoreFault, //
+};
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef,
+    SpawnErr, //
+};
+use tracing::{
+    error,
+    info, //
+};
+
+use super::store_watch::{
+    StoreBackoff,
+    CALL_TIMEOUT,
+    LONGEST_PAUSE, //
+};
+
+/// Time that a lease lasts without renewal.
+const LEASE_TIME: Duration = Duration::from_secs(6);
+
+/// Time between renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Messages to the [`LeaseActor`].
+pub(crate) enum LeaseMessage {
+    /// The agent's entry has changed.
+    Write(AgentRecord),
+    /// The lease is due for renewal, or a call for its repetition.
+    Renew,
+}
+
+/// What the [`LeaseActor`] starts with.
+pub(crate) struct LeaseArguments {
+    pub(crate) store: SocketAddrV4,
+    pub(crate) record: AgentRecord,
+}
+
+/// State of the [`LeaseActor`].
+pub(crate) struct LeaseState {
+    client: StoreClient,
+    record: AgentRecord,
+    lease: Option<u64>,
+    backoff: StoreBackoff,
+}
+
+/// Holds the key of an agent under a lease, and ends the lease when it is stopped.
+pub(crate) struct LeaseActor;
+
+/// Starts the actor on the current runtime.
+///
+/// # Errors
+///
+/// Returns [`SpawnErr`] if the actor can't start.
+pub(crate) async fn spawn_lease(
+    arguments: LeaseArguments,
+) -> Result<ActorRef<LeaseMessage>, SpawnErr> {
+    let (actor, _) = Actor::spawn(None, LeaseActor, arguments).await?;
+    Ok(actor)
+}
+
+impl Actor for LeaseActor {
+    type Msg = LeaseMessage;
+    type State = LeaseState;
+    type Arguments = LeaseArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<LeaseMessage>,
+        arguments: LeaseArguments,
+    ) -> Result<LeaseState, ActorProcessingErr> {
+        myself.send_message(LeaseMessage::Renew)?;
+        Ok(LeaseState {
+            client: StoreClient::new(arguments.store, CALL_TIMEOUT),
+            record: arguments.record,
+            lease: None,
+            backoff: StoreBackoff::default(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<LeaseMessage>,
+        message: LeaseMessage,
+        state: &mut LeaseState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            LeaseMessage::Write(record) => {
+                // The key goes over to a new lease; the old one lapses without it.
+                state.record = record;
+                state.lease = None;
+                state.hold().await;
+            }
+            LeaseMessage::Renew => {
+                let pause = state.hold().await;
+                myself.send_after(pause, || LeaseMessage::Renew);
+            }
+        }
+        Ok(())
+    }
+
+    async fn post_stop(
+        &self,
+        _myself: ActorRef<LeaseMessage>,
+        state: &mut LeaseState,
+    ) -> Result<(), ActorProcessingErr> {
+        if let Some(lease) = state.lease.take() {
+            if let Err(error) = state.client.end(lease).await {
+                info!(%error, "lease left to lapse");
+            }
+        }
+        Ok(())
+    }
+}
+
+impl LeaseState {
+    /// Renews the lease, or writes the key under a new one; returns the time until the next call.
+    async fn hold(&mut self) -> Duration {
+        let outcome = match self.lease {
+            Some(lease) => self.client.renew(lease).await.map(|()| lease),
+            None => self.write().await,
+        };
+        match outcome {
+            Ok(lease) => {
+                self.backoff.succeed("lease");
+                self.lease = Some(lease);
+                RENEW_INTERVAL
+            }
+            Err(StoreFault::LeaseEnded) => {
+                info!("lease ended; writing the key again");
+                self.lease = None;
+                Duration::ZERO
+            }
+            Err(error) => self.backoff.fail("lease", &error, LONGEST_PAUSE),
+        }
+    }
+
+    async fn write(&mut self) -> Result<u64, StoreFault> {
+        let record = &self.record;
+        let value = match write_agent(record) {
+            Ok(value) => value,
+            Err(error) => {
+                error!(%error, "entry of the agent can't be encoded");
+                Vec::new()
+            }
+        };
+        let lease = self.client.grant(LEASE_TIME).await?;
+        let key = agent_key(record.address);
+        self.client.put(&key, &value, lease).await?;
+        info!(agent = %record.address, service = %record.service, lease, "key written");
+        Ok(lease)
+    }
+}
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -1,10 +1,10 @@
 //! What lives for the whole process: the daemons and their control tasks.
 
-mod agent_lease;
 mod agent_node;
 mod balancer_node;
 mod boot_clock;
 mod http_port;
+mod lease_actor;
 pub(crate) mod node_error;
 mod node_metrics;
 mod rules_feed;
--- a/components/forwarder/src/process/node_error.rs
+++ b/components/forwarder/src/process/node_error.rs
@@ -6,6 +6,7 @@
 };
 
 use carobdrum_telemetry::TelemetryError;
+use ractor::SpawnErr;
 use snafu::Snafu;
 
 /// Why a daemon can't run.
@@ -32,6 +33,12 @@
         /// The cause.
         source: TelemetryError,
     },
+    /// An actor can't start.
+    #[snafu(display("can't start: {source}"))]
+    Actor {
+        /// The cause.
+        source: SpawnErr,
+    },
     /// The settings name no backend server.
     #[snafu(display("settings: section `backend` is missing"))]
     NoBackend,
--- a/components/forwarder/src/process/site_hub.rs
+++ b/components/forwarder/src/process/site_hub.rs
@@ -40,8 +40,9 @@
 };
 use crate::connection::RevisionSight;
 
-/// Time that the store has to tell of a change before another process is asked.
-const LAG_TIME: Duration = Duration::from_millis(400);
+/// Time that the store has to tell of a change before another process is asked. It is longer than
+/// the pause between two watches, in which every process lags behind for a moment.
+const LAG_TIME: Duration = Duration::from_millis(1_000);
 
 /// The configuration as the traffic thread gets it.
 pub(crate) type RulesSender = watch::Sender<Option<Arc<SiteRules>>>;
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -118,7 +118,7 @@
                     // old revision may wait for the next change.
                     after = None;
                     let longest = if urgent { URGENT_PAUSE } else { LONGEST_PAUSE };
-                    backoff.fail(self.prefix, &error, longest).await;
+                    sleep(backoff.fail(self.prefix, &error, longest)).await;
                 }
             }
         }
@@ -187,8 +187,8 @@
         self.failures = 0;
     }
 
-    /// Notes a call that failed, and pauses.
-    pub(crate) async fn fail(&mut self, what: &str, error: &StoreFault, longest: Duration) {
+    /// Notes a call that failed; returns the pause before it is repeated.
+    pub(crate) fn fail(&mut self, what: &str, error: &StoreFault, longest: Duration) -> Duration {
         if self.failures == 0 {
             warn!(what, %error, "store lost");
         }
@@ -196,6 +196,6 @@
         let pause = pause.min(longest);
         self.failures += 1;
         let jitter = rand::rng().random_range(0.5..1.0);
-        sleep(pause.mul_f64(jitter)).await;
+        pause.mul_f64(jitter)
     }
 }
--- a/components/forwarder/tests/key_follower.rs
+++ b/components/forwarder/tests/key_follower.rs
@@ -147,3 +147,15 @@
     followed.store.set_deaf(false);
     followed.expect("2").await;
 }
+
+/// Guards against versions of a quick series that are lost in the pause between two watches.
+#[tokio::test]
+async fn reads_the_last_of_a_series_of_changes() {
+    let mut followed = follow().await;
+    followed.expect("1").await;
+    for version in 2..12 {
+        followed.store.put(KEY, &version.to_string());
+        sleep(SETTLE / 10).await;
+    }
+    followed.expect("11").await;
+}
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -1,5 +1,9 @@
 //! The world of the model.
 
+mod callers;
+mod faults;
+mod network;
+
 use std::{
     net::{
         Ipv4Addr,
@@ -8,7 +12,6 @@
     sync::Arc,
 };
 
-use bytes::Bytes;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
     process::{
@@ -16,21 +19,13 @@
         BackendBeat,
         BackendState, //
     },
-    request::ForwardHead,
     version::{
         FlowRoute,
         ServiceRules,
         ServiceShare,
         SiteRules, //
     },
-    FlowKeeper,
-    FlowKey,
-    FlowPacket,
-    FlowRouter,
-    KeeperAction,
-    KeeperSettings,
-    PacketKind,
-    RouteAction, //
+    FlowKeeper, FlowKey, FlowPacket, FlowRouter, KeeperAction, KeeperSettings, PacketKind,
 };
 use compact_str::{
     format_compact,
@@ -39,29 +34,18 @@
 use hashbrown::HashMap;
 use rand::{
     rngs::SmallRng,
-    Rng,
     SeedableRng, //
 };
 
 use crate::{
-    model_caller::{
-        CallerRequest,
-        COPY_TIMES_MS,
-        FIRST_RESEND,
-        MAX_ATTEMPTS,
-        OPEN_TIMEOUT, //
-    },
+    model_caller::CallerRequest,
     model_event::{
         ModelDatagram,
         ModelEvent, //
     },
-    model_server::{
-        ModelServer,
-        ServerAction, //
-    },
+    model_server::ModelServer,
     EventQueue,
     Experiment,
-    FaultKind,
     ModelTally, //
 };
 
@@ -257,370 +241,6 @@
         router
     }
 
-    fn arrive(&mut self) {
-        let rate = self.experiment.rate * self.load_factor;
-        self.next_arrival_ms += -(1.0 - self.random.random::<f64>()).ln() * 1_000.0 / rate;
-        let next = Millis(self.next_arrival_ms as u64);
-        if next.0 < self.experiment.length_ms {
-            self.queue.add(next, ModelEvent::Arrival);
-        }
-        let centre = self.random.random_range(0..self.experiment.centres);
-        let key = self.new_key(centre);
-        let request = self.requests.len() as u32;
-        self.requests.push(CallerRequest {
-            centre,
-            began: self.now,
-            attempt: 0,
-            key,
-            server: None,
-            done: false,
-        });
-        self.tally.second(self.now.0).asked += 1;
-        self.begin_attempt(request);
-    }
-
-    fn new_key(&mut self, centre: u8) -> FlowKey {
-        self.next_port += 1;
-        let host = (self.next_port >> 15) as u8;
-        let port = 1_024 + (self.next_port & 0x7fff) as u16;
-        FlowKey {
-            caller: SocketAddrV4::new(Ipv4Addr::new(100, 64 + centre, 0, host), port),
-            service: ROUTE,
-        }
-    }
-
-    fn begin_attempt(&mut self, request: u32) {
-        let entry = &self.requests[request as usize];
-        let (attempt, key) = (entry.attempt, entry.key);
-        self.by_key.insert(key, request);
-        self.send_from_caller(request, PacketKind::Open { copy: 0 }, 0);
-        let first = self.now.plus(Millis(COPY_TIMES_MS[0]));
-        let step = 0;
-        let event = ModelEvent::Attempt {
-            request,
-            attempt,
-            step,
-        };
-        self.queue.add(first, event);
-    }
-
-    /// Sends what is due in an attempt, or gives it up.
-    fn look_at(&mut self, request: u32, attempt: u8, step: u8) {
-        let entry = &self.requests[request as usize];
-        let age = self.now.since(entry.began);
-        let over = age.0 >= self.experiment.deadline_ms;
-        if entry.done || entry.attempt != attempt || over {
-            return;
-        }
-        let pause = if entry.server.is_some() {
-            self.send_from_caller(request, PacketKind::Middle, 100);
-            Millis(FIRST_RESEND.0 << step.min(3))
-        } else if let Some(copy) = [1u8, 2].get(usize::from(step)) {
-            self.send_from_caller(request, PacketKind::Open { copy: *copy }, 0);
-            let next = COPY_TIMES_MS.get(usize::from(*copy)).copied();
-            Millis(next.unwrap_or(OPEN_TIMEOUT.0) - COPY_TIMES_MS[usize::from(step)])
-        } else {
-            self.retry(request);
-            return;
-        };
-        let step = step.saturating_add(1);
-        let event = ModelEvent::Attempt {
-            request,
-            attempt,
-            step,
-        };
-        self.queue.add(self.now.plus(pause), event);
-    }
-
-    fn retry(&mut self, request: u32) {
-        let entry = &self.requests[request as usize];
-        let over = self.now.since(entry.began).0 >= self.experiment.deadline_ms;
-        if entry.done || over || entry.attempt + 1 >= MAX_ATTEMPTS {
-            return;
-        }
-        let key = self.new_key(entry.centre);
-        let entry = &mut self.requests[request as usize];
-        entry.attempt += 1;
-        entry.key = key;
-        entry.server = None;
-        self.begin_attempt(request);
-    }
-
-    fn send_from_caller(&mut self, request: u32, kind: PacketKind, data_len: u16) {
-        let entry = &self.requests[request as usize];
-        let packet = FlowPacket {
-            key: entry.key,
-            kind,
-            returned: false,
-            sequence: 0,
-            acknowledged: entry.server.unwrap_or(0),
-            data_len,
-        };
-        let Some(balancer) = self.pick_balancer(entry.centre, entry.key) else {
-            return;
-        };
-        let datagram = ModelDatagram::ToBalancer { balancer, packet };
-        self.post(datagram, CALLER_DELAY);
-    }
-
-    /// Picks as the routers do: by a hash over the balancers in rotation.
-    fn pick_balancer(&self, centre: u8, key: FlowKey) -> Option<u16> {
-        let in_rotation = |balancer: &ModelBalancer| {
-            balancer.resting <= self.now && balancer.down.since(self.now) <= ROTATION_LAG
-        };
-        let all = || self.balancers.iter().enumerate();
-        let local =
-            all().filter(|(_, balancer)| balancer.centre == centre && in_rotation(balancer));
-        let mut picks: Vec<usize> = local.map(|(index, _)| index).collect();
-        if picks.is_empty() {
-            let others = all().filter(|(_, balancer)| in_rotation(balancer));
-            picks = others.map(|(index, _)| index).collect();
-        }
-        let count = picks.len() as u64;
-        (count > 0).then(|| picks[(key.hash() % count) as usize] as u16)
-    }
-
-    fn post(&mut self, datagram: ModelDatagram, delay: Millis) {
-        if self.random.random::<f64>() < self.experiment.loss {
-            return;
-        }
-        let key = self.datagrams.len() as u32;
-        self.datagrams.push(Some(datagram));
-        self.queue
-            .add(self.now.plus(delay), ModelEvent::Datagram(key));
-    }
-
-    fn receive(&mut self, datagram: ModelDatagram) {
-        match datagram {
-            ModelDatagram::ToBalancer { balancer, packet } => self.route(balancer, packet),
-            ModelDatagram::ToAgent { to, head, packet } => self.forward(to, head, packet),
-            ModelDatagram::ToCaller { packet } => self.take_answer(packet),
-            ModelDatagram::Report {
-                balancer,
-                agent,
-                report,
-            } => {
-                let now = self.now;
-                if let Some(found) = self.find_balancer(balancer) {
-                    found.router.roster.take_report(agent, report, now);
-                }
-            }
-            ModelDatagram::Owner {
-                balancer,
-                agent,
-                key,
-            } => {
-                let now = self.now;
-                if let Some(found) = self.find_balancer(balancer) {
-                    found.router.hints.insert(key, agent, now);
-                }
-            }
-            ModelDatagram::Probe { balancer, agent } => {
-                if let Some(index) = self.find_agent(agent) {
-                    self.send_report(index, balancer);
-                }
-            }
-        }
-    }
-
-    /// Returns the balancer at an address, if it runs.
-    fn find_balancer(&mut self, address: SocketAddrV4) -> Option<&mut ModelBalancer> {
-        let centre = address.ip().octets()[1] - 1;
-        let number = address.ip().octets()[3];
-        let per_centre = usize::from(self.experiment.balancers);
-        let index = usize::from(centre) * per_centre + usize::from(number);
-        let now = self.now;
-        let found = self.balancers.get_mut(index);
-        found.filter(|balancer| balancer.down <= now)
-    }
-
-    /// Returns the index of the agent at an address, if it runs.
-    fn find_agent(&self, address: SocketAddrV4) -> Option<usize> {
-        let index = self
-            .agents
-            .iter()
-            .position(|agent| agent.address == address)?;
-        (self.agents[index].down <= self.now).then_some(index)
-    }
-
-    fn route(&mut self, balancer: u16, packet: FlowPacket) {
-        let now = self.now;
-        let entry = &mut self.balancers[usize::from(balancer)];
-        if entry.down > now {
-            return;
-        }
-        let centre = entry.centre;
-        match entry.router.route(&packet, now) {
-            RouteAction::Forward { to, head } => self.send_to_agent(centre, to, head, packet),
-            RouteAction::Refuse(_) => self.refuse(packet.key),
-            RouteAction::Drop(_) => {}
-        }
-    }
-
-    fn send_to_agent(&mut self, from: u8, to: SocketAddrV4, head: ForwardHead, packet: FlowPacket) {
-        let delay = delay_between(from, to.ip().octets()[1] - 1);
-        self.post(ModelDatagram::ToAgent { to, head, packet }, delay);
-    }
-
-    fn refuse(&mut self, key: FlowKey) {
-        let packet = FlowPacket {
-            key,
-            kind: PacketKind::Reset,
-            returned: false,
-            sequence: 0,
-            acknowledged: 0,
-            data_len: 0,
-        };
-        if self.agents.iter().any(|agent| agent.server.holds(key)) {
-            self.tally.wrong_resets += 1;
-        }
-        self.post(ModelDatagram::ToCaller { packet }, CALLER_DELAY);
-    }
-
-    fn forward(&mut self, to: SocketAddrV4, head: ForwardHead, packet: FlowPacket) {
-        let Some(index) = self.find_agent(to) else {
-            return;
-        };
-        let balancer = head.balancer;
-        let mut actions = Vec::new();
-        let now = self.now;
-        let keeper = &mut self.agents[index].keeper;
-        keeper.take_forward(&packet, &Bytes::new(), head, now, &mut actions);
-        self.act(index, actions, packet);
-        self.send_report(index, balancer);
-    }
-
-    fn send_report(&mut self, index: usize, balancer: SocketAddrV4) {
-        let now = self.now;
-        let agent = &mut self.agents[index];
-        let report = agent.keeper.report(now);
-        let delay = delay_between(agent.centre, balancer.ip().octets()[1] - 1);
-        let agent = agent.address;
-        let datagram = ModelDatagram::Report {
-            balancer,
-            agent,
-            report,
-        };
-        self.post(datagram, delay);
-    }
-
-    fn act(&mut self, index: usize, actions: Vec<KeeperAction>, packet: FlowPacket) {
-        let (centre, address) = (self.agents[index].centre, self.agents[index].address);
-        for action in actions {
-            match action {
-                KeeperAction::Deliver => self.deliver(index, packet),
-                KeeperAction::PassOn { key, to, head, .. } => {
-                    let passed = FlowPacket {
-                        returned: false,
-                        key,
-                        ..packet
-                    };
-                    self.send_to_agent(centre, to, head, passed);
-                }
-                KeeperAction::ToCaller => {
-                    let delay = CALLER_DELAY;
-                    self.post(ModelDatagram::ToCaller { packet }, delay);
-                }
-                KeeperAction::Refuse(key, _) => self.refuse(key),
-                KeeperAction::Hint(balancer, key) => {
-                    let delay = delay_between(centre, balancer.ip().octets()[1] - 1);
-                    let datagram = ModelDatagram::Owner {
-                        balancer,
-                        agent: address,
-                        key,
-                    };
-                    self.post(datagram, delay);
-                }
-                KeeperAction::Answered(..) => {
-                    let failed = self.agents[index].server.failing;
-                    let now = self.now;
-                    self.agents[index].keeper.note_answer(failed, now);
-                    self.tally.failed_answers += u32::from(failed);
-                }
-                KeeperAction::Drop(..) => {}
-            }
-        }
-    }
-
-    fn deliver(&mut self, index: usize, packet: FlowPacket) {
-        if !packet.is_open() {
-            let key = packet.key;
-            let held = self.agents[index].server.holds(key);
-            let elsewhere = self.agents.iter().any(|agent| agent.server.holds(key));
-            self.tally.delivered += u32::from(held);
-            self.tally.strayed += u32::from(!held && elsewhere);
-        }
-        let actions = self.agents[index].server.take(&packet);
-        self.serve(index, actions);
-    }
-
-    fn serve(&mut self, index: usize, actions: Vec<ServerAction>) {
-        for action in actions {
-            match action {
-                ServerAction::Begin(key) => {
-                    let spread = -(1.0 - self.random.random::<f64>()).ln();
-                    let work_ms = self.experiment.work_ms * (0.5 + 0.5 * spread);
-                    let done = self.now.plus(Millis(work_ms.round() as u64));
-                    let (agent, life) = (index as u16, self.agents[index].life);
-                    self.queue
-                        .add(done, ModelEvent::WorkDone { agent, life, key });
-                }
-                ServerAction::Send(packet) => {
-                    let mut actions = Vec::new();
-                    let now = self.now;
-                    let agent = &mut self.agents[index];
-                    if agent.down <= now {
-                        agent.keeper.take_backend(&packet, now, &mut actions);
-                        self.act(index, actions, packet);
-                    }
-                }
-            }
-        }
-    }
-
-    fn work_done(&mut self, agent: u16, life: u16, key: FlowKey) {
-        let index = usize::from(agent);
-        if self.agents[index].life != life {
-            return;
-        }
-        let actions = self.agents[index].server.finish(key);
-        self.serve(index, actions);
-    }
-
-    fn take_answer(&mut self, packet: FlowPacket) {
-        let Some(request) = self.by_key.get(&packet.key).copied() else {
-            return;
-        };
-        let entry = &mut self.requests[request as usize];
-        if entry.done || entry.key != packet.key {
-            return;
-        }
-        match packet.kind {
-            PacketKind::Reset => self.retry(request),
-            PacketKind::Accept if entry.server.is_none() => {
-                entry.server = Some(packet.sequence);
-                self.send_from_caller(request, PacketKind::Middle, 100);
-            }
-            _ if packet.data_len > 0 => self.finish(request),
-            _ => {}
-        }
-    }
-
-    fn finish(&mut self, request: u32) {
-        let entry = &mut self.requests[request as usize];
-        entry.done = true;
-        let began = entry.began;
-        let time = self.now.since(began).0;
-        let objective_ms = self.experiment.objective_ms;
-        let second = self.tally.second(began.0);
-        if time <= objective_ms {
-            second.in_time += 1;
-        } else {
-            second.late += 1;
-        }
-        self.send_from_caller(request, PacketKind::Finish, 0);
-    }
-
     fn tick(&mut self) {
         self.ticks += 1;
         self.queue.add(self.now.plus(TICK), ModelEvent::Tick);
@@ -692,88 +312,6 @@
             }
         }
     }
-
-    fn begin_fault(&mut self, key: u16) {
-        let fault = self.experiment.faults[usize::from(key)];
-        let count = usize::from(fault.count);
-        let end = self.now.plus(Millis(fault.for_ms));
-        match fault.kind {
-            FaultKind::Balancers => self.end_balancers(count, end),
-            FaultKind::Rotation => {
-                for balancer in self.balancers.iter_mut().take(count) {
-                    balancer.resting = end;
-                }
-            }
-            FaultKind::Agents => self.end_agents(count, end, false),
-            FaultKind::Servers => self.end_agents(count, end, true),
-            FaultKind::All => {
-                self.end_balancers(usize::MAX, end);
-                self.end_agents(usize::MAX, end, true);
-            }
-            FaultKind::Close => self.set_closed([centre_name(0)]),
-            FaultKind::Failing => {
-                for agent in self.agents.iter_mut().take(count) {
-                    agent.server.failing = true;
-                }
-            }
-            FaultKind::Burst => self.load_factor = f64::from(fault.count),
-        }
-    }
-
-    fn end_fault(&mut self, key: u16) {
-        let fault = self.experiment.faults[usize::from(key)];
-        match fault.kind {
-            FaultKind::Close => self.set_closed([]),
-            FaultKind::Failing => {
-                for agent in &mut self.agents {
-                    agent.server.failing = false;
-                }
-            }
-            FaultKind::Burst => self.load_factor = 1.0,
-            _ => {}
-        }
-    }
-
-    fn end_balancers(&mut self, count: usize, end: Millis) {
-        for index in 0..self.balancers.len().min(count) {
-            let centre = self.balancers[index].centre;
-            let number = (index % usize::from(self.experiment.balancers)) as u8;
-            let router = self.new_router(centre, balancer_address(centre, number));
-            self.balancers[index].router = router;
-            self.balancers[index].down = end;
-        }
-    }
-
-    fn end_agents(&mut self, count: usize, end: Millis, servers: bool) {
-        for index in 0..self.agents.len().min(count) {
-            let (centre, address) = (self.agents[index].centre, self.agents[index].address);
-            let started = self.now;
-            self.now = end;
-            let keeper = self.new_keeper(centre, address);
-            self.now = started;
-            let agent = &mut self.agents[index];
-            agent.keeper = keeper;
-            agent.down = end;
-            if servers {
-                agent.life += 1;
-                agent.server =
-                    ModelServer::new(index as u16, self.experiment.slots, self.experiment.queue);
-            }
-        }
-    }
-
-    fn set_closed(&mut self, centres: impl IntoIterator<Item = CompactString>) {
-        let revision = self.rules.revision + 1;
-        let mut rules = site_rules(&self.experiment, revision);
-        rules.close_centres(centres);
-        self.rules = Arc::new(rules);
-        for agent in &mut self.agents {
-            agent.keeper.set_rules(self.rules.clone());
-        }
-        for balancer in &mut self.balancers {
-            balancer.router.rules = Some(self.rules.clone());
-        }
-    }
 }
 
 fn site_rules(experiment: &Experiment, revision: u64) -> SiteRules {
--- /dev/null
+++ b/components/model/src/flow_model/callers.rs
@@ -0,0 +1,194 @@
+//! What callers do.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    FlowKey,
+    FlowPacket,
+    PacketKind, //
+};
+use rand::Rng;
+
+use super::{
+    FlowModel,
+    ModelBalancer,
+    CALLER_DELAY,
+    ROTATION_LAG,
+    ROUTE, //
+};
+use crate::{
+    model_caller::{
+        CallerRequest,
+        COPY_TIMES_MS,
+        FIRST_RESEND,
+        MAX_ATTEMPTS,
+        OPEN_TIMEOUT, //
+    },
+    model_event::{
+        ModelDatagram,
+        ModelEvent, //
+    },
+};
+
+impl FlowModel {
+    pub(super) fn arrive(&mut self) {
+        let rate = self.experiment.rate * self.load_factor;
+        self.next_arrival_ms += -(1.0 - self.random.random::<f64>()).ln() * 1_000.0 / rate;
+        let next = Millis(self.next_arrival_ms as u64);
+        if next.0 < self.experiment.length_ms {
+            self.queue.add(next, ModelEvent::Arrival);
+        }
+        let centre = self.random.random_range(0..self.experiment.centres);
+        let key = self.new_key(centre);
+        let request = self.requests.len() as u32;
+        self.requests.push(CallerRequest {
+            centre,
+            began: self.now,
+            attempt: 0,
+            key,
+            server: None,
+            done: false,
+        });
+        self.tally.second(self.now.0).asked += 1;
+        self.begin_attempt(request);
+    }
+
+    pub(super) fn new_key(&mut self, centre: u8) -> FlowKey {
+        self.next_port += 1;
+        let host = (self.next_port >> 15) as u8;
+        let port = 1_024 + (self.next_port & 0x7fff) as u16;
+        FlowKey {
+            caller: SocketAddrV4::new(Ipv4Addr::new(100, 64 + centre, 0, host), port),
+            service: ROUTE,
+        }
+    }
+
+    pub(super) fn begin_attempt(&mut self, request: u32) {
+        let entry = &self.requests[request as usize];
+        let (attempt, key) = (entry.attempt, entry.key);
+        self.by_key.insert(key, request);
+        self.send_from_caller(request, PacketKind::Open { copy: 0 }, 0);
+        let first = self.now.plus(Millis(COPY_TIMES_MS[0]));
+        let step = 0;
+        let event = ModelEvent::Attempt {
+            request,
+            attempt,
+            step,
+        };
+        self.queue.add(first, event);
+    }
+
+    /// Sends what is due in an attempt, or gives it up.
+    pub(super) fn look_at(&mut self, request: u32, attempt: u8, step: u8) {
+        let entry = &self.requests[request as usize];
+        let age = self.now.since(entry.began);
+        let over = age.0 >= self.experiment.deadline_ms;
+        if entry.done || entry.attempt != attempt || over {
+            return;
+        }
+        let pause = if entry.server.is_some() {
+            self.send_from_caller(request, PacketKind::Middle, 100);
+            Millis(FIRST_RESEND.0 << step.min(3))
+        } else if let Some(copy) = [1u8, 2].get(usize::from(step)) {
+            self.send_from_caller(request, PacketKind::Open { copy: *copy }, 0);
+            let next = COPY_TIMES_MS.get(usize::from(*copy)).copied();
+            Millis(next.unwrap_or(OPEN_TIMEOUT.0) - COPY_TIMES_MS[usize::from(step)])
+        } else {
+            self.retry(request);
+            return;
+        };
+        let step = step.saturating_add(1);
+        let event = ModelEvent::Attempt {
+            request,
+            attempt,
+            step,
+        };
+        self.queue.add(self.now.plus(pause), event);
+    }
+
+    pub(super) fn retry(&mut self, request: u32) {
+        let entry = &self.requests[request as usize];
+        let over = self.now.since(entry.began).0 >= self.experiment.deadline_ms;
+        if entry.done || over || entry.attempt + 1 >= MAX_ATTEMPTS {
+            return;
+        }
+        let key = self.new_key(entry.centre);
+        let entry = &mut self.requests[request as usize];
+        entry.attempt += 1;
+        entry.key = key;
+        entry.server = None;
+        self.begin_attempt(request);
+    }
+
+    pub(super) fn send_from_caller(&mut self, request: u32, kind: PacketKind, data_len: u16) {
+        let entry = &self.requests[request as usize];
+        let packet = FlowPacket {
+            key: entry.key,
+            kind,
+            returned: false,
+            sequence: 0,
+            acknowledged: entry.server.unwrap_or(0),
+            data_len,
+        };
+        let Some(balancer) = self.pick_balancer(entry.centre, entry.key) else {
+            return;
+        };
+        let datagram = ModelDatagram::ToBalancer { balancer, packet };
+        self.post(datagram, CALLER_DELAY);
+    }
+
+    /// Picks as the routers do: by a hash over the balancers in rotation.
+    pub(super) fn pick_balancer(&self, centre: u8, key: FlowKey) -> Option<u16> {
+        let in_rotation = |balancer: &ModelBalancer| {
+            balancer.resting <= self.now && balancer.down.since(self.now) <= ROTATION_LAG
+        };
+        let all = || self.balancers.iter().enumerate();
+        let local =
+            all().filter(|(_, balancer)| balancer.centre == centre && in_rotation(balancer));
+        let mut picks: Vec<usize> = local.map(|(index, _)| index).collect();
+        if picks.is_empty() {
+            let others = all().filter(|(_, balancer)| in_rotation(balancer));
+            picks = others.map(|(index, _)| index).collect();
+        }
+        let count = picks.len() as u64;
+        (count > 0).then(|| picks[(key.hash() % count) as usize] as u16)
+    }
+
+    pub(super) fn take_answer(&mut self, packet: FlowPacket) {
+        let Some(request) = self.by_key.get(&packet.key).copied() else {
+            return;
+        };
+        let entry = &mut self.requests[request as usize];
+        if entry.done || entry.key != packet.key {
+            return;
+        }
+        match packet.kind {
+            PacketKind::Reset => self.retry(request),
+            PacketKind::Accept if entry.server.is_none() => {
+                entry.server = Some(packet.sequence);
+                self.send_from_caller(request, PacketKind::Middle, 100);
+            }
+            _ if packet.data_len > 0 => self.finish(request),
+            _ => {}
+        }
+    }
+
+    pub(super) fn finish(&mut self, request: u32) {
+        let entry = &mut self.requests[request as usize];
+        entry.done = true;
+        let began = entry.began;
+        let time = self.now.since(began).0;
+        let objective_ms = self.experiment.objective_ms;
+        let second = self.tally.second(began.0);
+        if time <= objective_ms {
+            second.in_time += 1;
+        } else {
+            second.late += 1;
+        }
+        self.send_from_caller(request, PacketKind::Finish, 0);
+    }
+}
--- /dev/null
+++ b/components/model/src/flow_model/faults.rs
@@ -0,0 +1,98 @@
+//! Faults and their ends.
+
+use std::sync::Arc;
+
+use carobdrum_core::Millis;
+use compact_str::CompactString;
+
+use super::{
+    balancer_address,
+    centre_name,
+    site_rules, //
+    FlowModel,
+};
+use crate::{model_server::ModelServer, FaultKind};
+
+impl FlowModel {
+    pub(super) fn begin_fault(&mut self, key: u16) {
+        let fault = self.experiment.faults[usize::from(key)];
+        let count = usize::from(fault.count);
+        let end = self.now.plus(Millis(fault.for_ms));
+        match fault.kind {
+            FaultKind::Balancers => self.end_balancers(count, end),
+            FaultKind::Rotation => {
+                for balancer in self.balancers.iter_mut().take(count) {
+                    balancer.resting = end;
+                }
+            }
+            FaultKind::Agents => self.end_agents(count, end, false),
+            FaultKind::Servers => self.end_agents(count, end, true),
+            FaultKind::All => {
+                self.end_balancers(usize::MAX, end);
+                self.end_agents(usize::MAX, end, true);
+            }
+            FaultKind::Close => self.set_closed([centre_name(0)]),
+            FaultKind::Failing => {
+                for agent in self.agents.iter_mut().take(count) {
+                    agent.server.failing = true;
+                }
+            }
+            FaultKind::Burst => self.load_factor = f64::from(fault.count),
+        }
+    }
+
+    pub(super) fn end_fault(&mut self, key: u16) {
+        let fault = self.experiment.faults[usize::from(key)];
+        match fault.kind {
+            FaultKind::Close => self.set_closed([]),
+            FaultKind::Failing => {
+                for agent in &mut self.agents {
+                    agent.server.failing = false;
+                }
+            }
+            FaultKind::Burst => self.load_factor = 1.0,
+            _ => {}
+        }
+    }
+
+    pub(super) fn end_balancers(&mut self, count: usize, end: Millis) {
+        for index in 0..self.balancers.len().min(count) {
+            let centre = self.balancers[index].centre;
+            let number = (index % usize::from(self.experiment.balancers)) as u8;
+            let router = self.new_router(centre, balancer_address(centre, number));
+            self.balancers[index].router = router;
+            self.balancers[index].down = end;
+        }
+    }
+
+    pub(super) fn end_agents(&mut self, count: usize, end: Millis, servers: bool) {
+        for index in 0..self.agents.len().min(count) {
+            let (centre, address) = (self.agents[index].centre, self.agents[index].address);
+            let started = self.now;
+            self.now = end;
+            let keeper = self.new_keeper(centre, address);
+            self.now = started;
+            let agent = &mut self.agents[index];
+            agent.keeper = keeper;
+            agent.down = end;
+            if servers {
+                agent.life += 1;
+                agent.server =
+                    ModelServer::new(index as u16, self.experiment.slots, self.experiment.queue);
+            }
+        }
+    }
+
+    pub(super) fn set_closed(&mut self, centres: impl IntoIterator<Item = CompactString>) {
+        let revision = self.rules.revision + 1;
+        let mut rules = site_rules(&self.experiment, revision);
+        rules.close_centres(centres);
+        self.rules = Arc::new(rules);
+        for agent in &mut self.agents {
+            agent.keeper.set_rules(self.rules.clone());
+        }
+        for balancer in &mut self.balancers {
+            balancer.router.rules = Some(self.rules.clone());
+        }
+    }
+}
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -7,6 +7,7 @@
         SocketAddrV4,
         TcpListener, //
     },
+    path::Path,
     process::{
         Child,
         Command, //
@@ -34,12 +35,15 @@
 /// Time for a process to start, to stop, or to read its settings.
 const BOUND: Duration = Duration::from_secs(6);
 
+/// Name of a settings file.
+const SETTINGS: &str = "settings.toml";
+
 const PAUSE: Duration = Duration::from_millis(50);
 
 const CONFIG: &str = r#"{"Version":1,"Routes":[],"Services":[],"Limits":{}}"#;
 
-/// A balancer as a process; it is killed when it is dropped.
-struct Balancer {
+/// A role as a process; it is killed when it is dropped.
+struct Role {
     child: Child,
     ip: Ipv4Addr,
     ready: SocketAddrV4,
@@ -47,7 +51,7 @@
     _folder: TempDir,
 }
 
-impl Drop for Balancer {
+impl Drop for Role {
     fn drop(&mut self) {
         // The process may have ended by itself.
         let _ = self.child.kill();
@@ -66,14 +70,13 @@
     store
 }
 
-fn start_balancer(store: &LeaseServer) -> Balancer {
+fn start_balancer(store: &LeaseServer) -> Role {
     start_at(store, Ipv4Addr::LOCALHOST, free_port(), None)
 }
 
 /// Starts a balancer that may ask another one.
-fn start_at(store: &LeaseServer, ip: Ipv4Addr, peer_port: u16, peer: Option<Ipv4Addr>) -> Balancer {
+fn start_at(store: &LeaseServer, ip: Ipv4Addr, peer_port: u16, peer: Option<Ipv4Addr>) -> Role {
     let folder = TempDir::new().unwrap();
-    let path = folder.path().join("settings.toml");
     let ready = SocketAddrV4::new(ip, free_port());
     let peers = peer.map_or(String::new(), |peer| format!("'{peer}:1'"));
     let settings = format!(
@@ -83,14 +86,36 @@
         free_port(),
         store.address(),
     );
-    fs::write(&path, settings).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_carobdrum"))
-        .args(["platform", "balancer", "--settings"])
-        .arg(&path)
-        .spawn()
-        .unwrap();
-    Balancer {
-        child,
+    fs::write(folder.path().join(SETTINGS), settings).unwrap();
+    Role {
+        child: spawn("balancer", folder.path()),
+        ip,
+        ready,
+        peer_port,
+        _folder: folder,
+    }
+}
+
+fn start_agent(store: &LeaseServer) -> Role {
+    let folder = TempDir::new().unwrap();
+    let ip = Ipv4Addr::LOCALHOST;
+    let ready = SocketAddrV4::new(ip, free_port());
+    let peer_port = free_port();
+    let settings = format!(
+        "[node]\nname = 'a'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
+         packets = '{ip}:{}'\nready = '{ready}'\ngrace_s = '6'\n\
+         [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
+         [backend]\naddress = '{ip}:{}'\nservice = 's'\noutgoing = '{ip}:{}'\n\
+         heartbeats = '{ip}:{}'\nreuse_s = '2'\n",
+        free_port(),
+        store.address(),
+        free_port(),
+        free_port(),
+        free_port(),
+    );
+    fs::write(folder.path().join(SETTINGS), settings).unwrap();
+    Role {
+        child: spawn("agent", folder.path()),
         ip,
         ready,
         peer_port,
@@ -98,7 +123,15 @@
     }
 }
 
-impl Balancer {
+fn spawn(role: &str, folder: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_carobdrum"))
+        .args(["platform", role, "--settings"])
+        .arg(folder.join(SETTINGS))
+        .spawn()
+        .unwrap()
+}
+
+impl Role {
     /// Returns the status of the answer to a question whether the balancer is ready.
     async fn status(&self) -> Option<u16> {
         let mut stream = TcpStream::connect(self.ready).await.ok()?;
@@ -170,3 +203,23 @@
     let second = start_at(&store, ip, first.peer_port, Some(first.ip));
     second.expect_status(200).await;
 }
+
+/// Guards against an agent that no balancer finds, or that balancers still find after it has left.
+#[tokio::test]
+async fn holds_a_key_from_its_start_to_its_planned_stop() {
+    let store = start_store().await;
+    let mut agent = start_agent(&store);
+    let count = |keys: usize| {
+        let store = &store;
+        let wait = async move {
+            while store.keys("agents/").len() != keys {
+                sleep(PAUSE).await;
+            }
+        };
+        timeout(BOUND, wait)
+    };
+    count(1).await.expect("the key is written");
+    agent.signal(libc::SIGTERM);
+    count(0).await.expect("the key is gone");
+    agent.expect_end().await;
+}
