Soak the platform roles: real processes, faults from outside them

Eight callers and four servers speak in packets over loopback; routers ask the balancers whether they are ready. Faults by signals (end, kill, pause, reload) and by the store (busy, silent, lost answers, cut, dropped history, evacuations, versions) come in series and overlap. Checked: no altered packet, no answer of another request, no reset of an open flow, no request run twice, at least half served under faults, and all served 4 s after them.

--- /dev/null
+++ b/tests/platform_soak/soak_site.rs
@@ -0,0 +1,233 @@
+//! The processes, servers and the store of a soak.
+
+use std::{
+    fs::{
+        self,
+        File, //
+    },
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+};
+
+use carobdrum_platform_standins::{
+    FlowServer,
+    FlowServerSettings,
+    LeaseServer,
+    RunLedger,
+    StoreMode, //
+};
+use tempfile::TempDir;
+
+pub(crate) const PACKETS_PORT: u16 = 8_172;
+pub(crate) const READY_PORT: u16 = 8_167;
+const PEER_PORT: u16 = 7_720;
+const OUTGOING_PORT: u16 = 8_162;
+const SERVER_PORT: u16 = 8_165;
+const HEARTBEAT_PORT: u16 = 8_166;
+
+pub(crate) const SERVICE: &str = "lookup";
+pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+pub(crate) const BALANCERS: u8 = 3;
+const AGENTS: u8 = 4;
+
+/// Third octets of the addresses of balancers and agents.
+pub(crate) const BALANCER_NET: u8 = 1;
+const AGENT_NET: u8 = 2;
+
+/// Returns the second octet of all addresses of a run, so that runs don't meet.
+pub(crate) fn base_octet(seed: u64) -> u8 {
+    20 + (seed % 200) as u8
+}
+
+/// A role as a process.
+pub(crate) struct SoakProcess {
+    role: &'static str,
+    settings: String,
+    child: Option<Child>,
+}
+
+/// All processes, servers and the store.
+pub(crate) struct SoakSite {
+    pub(crate) store: LeaseServer,
+    pub(crate) processes: Vec<SoakProcess>,
+    version: u64,
+    ledger: RunLedger,
+    _servers: Vec<FlowServer>,
+    folder: TempDir,
+}
+
+impl SoakProcess {
+    /// Starts the process, if it doesn't run. Its log is kept in `folder`.
+    fn start(&mut self, folder: &TempDir, index: usize) {
+        if self.child.is_some() {
+            return;
+        }
+        let path = folder.path().join(format!("{index}.toml"));
+        fs::write(&path, &self.settings).unwrap();
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(folder.path().join(format!("{index}.log")))
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_carobdrum"))
+            .args(["platform", self.role, "--settings"])
+            .arg(&path)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            let pid = i32::try_from(child.id()).unwrap();
+            // SAFETY: the process is a child that has not been waited for.
+            unsafe { libc::kill(pid, signal) };
+        }
+    }
+
+    /// Waits for the end of a process that has got a signal to end.
+    fn wait(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // The process is a child, so waiting can't fail but for signals.
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for SoakProcess {
+    fn drop(&mut self) {
+        self.signal(libc::SIGKILL);
+        self.wait();
+    }
+}
+
+impl SoakSite {
+    /// Starts all processes.
+    pub(crate) async fn start(seed: u64) -> SoakSite {
+        let base = base_octet(seed);
+        let store = LeaseServer::start(Ipv4Addr::LOCALHOST).await.unwrap();
+        let ledger = RunLedger::default();
+        let mut site = SoakSite {
+            processes: Vec::new(),
+            version: 0,
+            ledger: ledger.clone(),
+            _servers: Vec::new(),
+            folder: TempDir::new().unwrap(),
+            store,
+        };
+        site.change_config();
+        for number in 1..=BALANCERS {
+            let ip = Ipv4Addr::new(127, base, BALANCER_NET, number);
+            let settings = site.node_settings(ip, number, "balancer");
+            site.add("balancer", settings);
+        }
+        for number in 1..=AGENTS {
+            let ip = Ipv4Addr::new(127, base, AGENT_NET, number);
+            let address = |port| SocketAddrV4::new(ip, port);
+            let server = FlowServerSettings {
+                address: address(SERVER_PORT),
+                outgoing: address(OUTGOING_PORT),
+                heartbeats: address(HEARTBEAT_PORT),
+                service: SERVICE.into(),
+                number: u32::from(number),
+            };
+            let backend = format!(
+                "[backend]\naddress = '{}'\nservice = '{SERVICE}'\noutgoing = '{}'\n\
+                 heartbeats = '{}'\nreuse_s = '2'\n",
+                server.address, server.outgoing, server.heartbeats
+            );
+            let server = FlowServer::start(server, ledger.clone()).await.unwrap();
+            site._servers.push(server);
+            let settings = site.node_settings(ip, number, "agent") + &backend;
+            site.add("agent", settings);
+        }
+        site
+    }
+
+    fn add(&mut self, role: &'static str, settings: String) {
+        self.processes.push(SoakProcess {
+            role,
+            settings,
+            child: None,
+        });
+        self.start_all();
+    }
+
+    fn node_settings(&self, ip: Ipv4Addr, number: u8, role: &str) -> String {
+        let centre = ["north", "south"][usize::from(number) % 2];
+        let base = ip.octets()[1];
+        let peer = Ipv4Addr::new(127, base, BALANCER_NET, number % BALANCERS + 1);
+        format!(
+            "[node]\nname = '{role}-{number}'\ndata_centre = '{centre}'\nip = '{ip}'\n\
+             peer_port = {PEER_PORT}\npackets = '{ip}:{PACKETS_PORT}'\n\
+             ready = '{ip}:{READY_PORT}'\ngrace_s = '4'\npeers = ['{peer}:1']\n\
+             [store]\naddress = '{}'\nmin_lease_ms = 1000\n",
+            self.store.address()
+        )
+    }
+
+    /// Starts the processes that don't run.
+    pub(crate) fn start_all(&mut self) {
+        for (index, process) in self.processes.iter_mut().enumerate() {
+            process.start(&self.folder, index);
+        }
+    }
+
+    /// Ends a process and waits for its end.
+    pub(crate) async fn end(&mut self, index: usize, signal: i32) {
+        self.processes[index].signal(signal);
+        // A process that is paused takes its signal only when it goes on.
+        self.processes[index].signal(libc::SIGCONT);
+        let mut child = self.processes[index].child.take();
+        let ended = tokio::task::spawn_blocking(move || {
+            if let Some(child) = &mut child {
+                // The process is a child, so waiting can't fail but for signals.
+                let _ = child.wait();
+            }
+        });
+        ended.await.unwrap();
+    }
+
+    /// Writes the next version of the configuration.
+    pub(crate) fn change_config(&mut self) {
+        self.version += 1;
+        let (ip, port) = (ROUTE.ip(), ROUTE.port());
+        let config = format!(
+            "{{\"Version\":{},\"Routes\":[{{\"Name\":\"r\",\"Host\":\"{ip}\",\"Prefix\":\"/{port}/\",\
+             \"Service\":\"{SERVICE}\",\"Priority\":1,\"LatencyObjectiveMs\":500}}],\
+             \"Services\":[{{\"Name\":\"{SERVICE}\"}}],\"Limits\":{{}}}}",
+            self.version
+        );
+        self.store.put("op/config", &config);
+    }
+
+    /// Ends all faults.
+    pub(crate) async fn heal(&mut self) {
+        self.store.set_mode(StoreMode::Open);
+        self.store.set_deaf(false);
+        self.store.remove("op/evacuate/north");
+        for process in &self.processes {
+            process.signal(libc::SIGCONT);
+        }
+        self.start_all();
+    }
+
+    /// Returns the requests that servers ran more than once.
+    pub(crate) fn repeated_runs(&self) -> Vec<String> {
+        let mut runs = self.ledger.lock().unwrap().clone();
+        runs.sort();
+        let repeated = runs.windows(2).filter(|pair| pair[0] == pair[1]);
+        repeated
+            .map(|pair| String::from_utf8_lossy(&pair[0]).into_owned())
+            .collect()
+    }
+}
