--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -116,11 +116,24 @@
     ranks: Vec<Candidate>,
 }
 
+/// What comes before the hash in the order of candidates; false comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CandidatePlace {
+    /// Whether the agent doesn't answer.
+    suspect: bool,
+    /// Whether its data centre is taken out.
+    closed: bool,
+    /// Whether its data centre isn't the caller's.
+    far: bool,
+    /// Place of its service in the route.
+    service: u8,
+    /// Whether it reported no free slot.
+    busy: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
-    /// Whether it doesn't answer, whether its data centre is taken out, whether that isn't the
-    /// caller's, the place of its service in the route, and whether it reported no free slot.
-    place: (bool, bool, bool, u8, bool),
+    place: CandidatePlace,
     score: u64,
     centre: u32,
     address: SocketAddrV4,
@@ -225,13 +238,13 @@
         let usable = |slot: &&AgentSlot| !opens || (slot.report.accepts && !closed(slot));
         let candidates = self.roster.of_service(service).filter(usable);
         self.ranks.extend(candidates.map(|slot| Candidate {
-            place: (
-                slot.is_suspect(now),
-                closed(slot),
-                slot.centre != centre,
-                order,
-                opens && slot.is_busy(now),
-            ),
+            place: CandidatePlace {
+                suspect: slot.is_suspect(now),
+                closed: closed(slot),
+                far: slot.centre != centre,
+                service: order,
+                busy: opens && slot.is_busy(now),
+            },
             score: mix(slot.hash ^ hash),
             centre: slot.centre,
             address: slot.record.address,
@@ -242,7 +255,7 @@
     /// Leaves out the agents that don't answer, unless no other agent is left. An opening packet
     /// that is passed to one of them is lost, with all its later candidates.
     fn leave_out_suspects(&mut self) {
-        let is_suspect = |candidate: &Candidate| candidate.place.0;
+        let is_suspect = |candidate: &Candidate| candidate.place.suspect;
         if !self.ranks.iter().all(is_suspect) {
             self.ranks.retain(|candidate| !is_suspect(candidate));
         }
@@ -283,7 +296,7 @@
             list.push(candidate.address);
             if !is_near {
                 far += 1;
-            } else if !candidate.place.0 {
+            } else if !candidate.place.suspect {
                 near += 1;
             }
         }
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod flow_router;
 mod name_hash;
 mod owner_hints;
+mod report_schedule;
 
 pub use agent_record::AgentRecord;
 pub use agent_report::AgentReport;
@@ -28,3 +29,4 @@
     name_hash, //
 };
 pub use owner_hints::OwnerHints;
+pub use report_schedule::ReportSchedule;
--- /dev/null
+++ b/components/flows/tests/reporting.rs
@@ -0,0 +1,30 @@
+//! When agents report to balancers.
+
+mod support;
+
+use carobdrum_core::Millis;
+use carobdrum_flows::process::ReportSchedule;
+use support::BALANCER;
+
+/// Guards against a balancer that takes an agent as suspect because its last packet got no report.
+#[test]
+fn owes_a_report_for_a_packet_soon_after_one() {
+    let mut schedule = ReportSchedule::default();
+    assert!(schedule.note_packet(BALANCER, Millis(0)));
+    assert!(!schedule.note_packet(BALANCER, Millis(50)));
+    assert!(schedule.take_due(Millis(90)).is_empty());
+    assert_eq!(schedule.take_due(Millis(100)), [BALANCER]);
+    assert!(schedule.take_due(Millis(200)).is_empty());
+}
+
+/// Guards against a restarted balancer that doesn't learn of the agents it had while the store is
+/// away, and against reports for ever.
+#[test]
+fn reports_to_a_silent_balancer_for_some_time() {
+    let mut schedule = ReportSchedule::default();
+    schedule.note_packet(BALANCER, Millis(0));
+    assert_eq!(schedule.take_due(Millis(1_000)), [BALANCER]);
+    assert!(schedule.take_due(Millis(1_900)).is_empty());
+    assert_eq!(schedule.take_due(Millis(14_000)), [BALANCER]);
+    assert!(schedule.take_due(Millis(15_000)).is_empty());
+}
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -9,13 +9,13 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    connection::PassCause,
-    process::BackendBeat,
-    request::ForwardHead,
+    process::{
+        BackendBeat,
+        ReportSchedule, //
+    },
     version::SiteRules,
     FlowKeeper,
     FlowKey,
-    FlowPacket,
     KeeperAction,
     KeeperSettings, //
 };
@@ -27,7 +27,6 @@
     read_from_caller,
     reset_packet, //
 };
-use carobdrum_telemetry::LogBudget;
 use carobdrum_wire::flow_datagram::{
     address_number,
     number_address,
@@ -58,6 +57,7 @@
 };
 
 use super::{
+    flow_log::FlowLog,
     head_codec::{
         decode_head,
         encode_forward, //
@@ -77,23 +77,6 @@
 /// Datagrams read from one socket before the others get their turn.
 const BATCH: usize = 64;
 
-/// Most log lines about flows per second.
-const MAX_LINES: u32 = 200;
-
-/// Shortest time between reports to one balancer.
-const REPORT_INTERVAL: Millis = Millis(100);
-
-/// Time without packets of a balancer after which it gets no reports.
-const REPORT_SPAN: Millis = Millis(15_000);
-
-/// Time between reports to a balancer that doesn't send. After a restart it learns of the agent by
-/// them, also while the store is away.
-const IDLE_INTERVAL: Millis = Millis(1_000);
-
-/// Most balancers that get reports without sending, so that their number doesn't grow with the
-/// fleet.
-const MAX_IDLE_PEERS: usize = 16;
-
 /// Time between checks of what is out of date, and of reports that are owed.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -113,28 +96,6 @@
     Stop(oneshot::Sender<()>),
 }
 
-/// A balancer that sends to this agent.
-#[derive(Clone, Copy, Debug)]
-struct BalancerPeer {
-    address: SocketAddrV4,
-    heard: Millis,
-    reported: Option<Millis>,
-    /// Whether packets came since the last report.
-    owed: bool,
-}
-
-impl BalancerPeer {
-    fn is_due(&self, now: Millis) -> bool {
-        self.reported
-            .is_none_or(|reported| now.since(reported) >= REPORT_INTERVAL)
-    }
-
-    fn is_quiet(&self, now: Millis) -> bool {
-        self.reported
-            .is_none_or(|reported| now.since(reported) >= IDLE_INTERVAL)
-    }
-}
-
 /// Sockets and flows of an agent.
 #[derive(Debug)]
 pub(crate) struct AgentTraffic {
@@ -146,12 +107,12 @@
     backend: SocketAddrV4,
     packets: UdpPort,
     outgoing: UdpPort,
-    peers: Vec<BalancerPeer>,
+    reports: ReportSchedule,
     accepts: bool,
     actions: Vec<KeeperAction>,
     stopped: Option<oneshot::Sender<()>>,
     metrics: NodeMetrics,
-    budget: LogBudget,
+    log: FlowLog,
 }
 
 impl AgentTraffic {
@@ -172,12 +133,12 @@
             backend,
             packets: UdpPort::open(address).await?,
             outgoing: UdpPort::open(outgoing).await?,
-            peers: Vec::new(),
+            reports: ReportSchedule::default(),
             accepts: true,
             actions: Vec::new(),
             stopped: None,
             metrics,
-            budget: LogBudget::new(MAX_LINES),
+            log: FlowLog::new(),
         })
     }
 
@@ -267,9 +228,8 @@
             Ok(packet) => packet,
             Err(error) => {
                 self.metrics.malformed.inc();
-                if let Some(left_out) = self.budget.admit() {
-                    info!(%error, left_out, "forwarded packet dropped");
-                }
+                self.log
+                    .malformed(error, number_address(forwarded.balancer));
                 return;
             }
         };
@@ -278,35 +238,22 @@
         self.meet(head.balancer, now);
         let hops = head.hops;
         let bytes = forwarded.packet;
-        self.log_request(&packet, &bytes);
+        let attempt = (packet.data_len > 0).then(|| read_attempt_id(&bytes));
+        if let Some(attempt) = attempt.flatten() {
+            self.log.arrived(packet.key, &attempt);
+        }
         let mut actions = std::mem::take(&mut self.actions);
         self.keeper
             .take_forward(&packet, &bytes, head, now, &mut actions);
         if packet.is_open() && actions.contains(&KeeperAction::Deliver) {
             let report = self.keeper.report(now);
             self.metrics.opened.inc();
-            if let Some(left_out) = self.budget.admit() {
-                let (busy, slots, revision) = (report.busy, report.slots, report.revision);
-                info!(flow = %packet.key, hops, busy, slots, revision, left_out, "flow offered");
-            }
+            self.log.offered(packet.key, hops, report);
         }
         self.act(&mut actions, &bytes);
         self.actions = actions;
     }
 
-    /// Writes the id of a request beside its flow, where the first packet of data shows it.
-    fn log_request(&mut self, packet: &FlowPacket, bytes: &Bytes) {
-        if packet.data_len == 0 {
-            return;
-        }
-        let Some(attempt) = read_attempt_id(bytes) else {
-            return;
-        };
-        if let Some(left_out) = self.budget.admit() {
-            info!(flow = %packet.key, %attempt, left_out, "request arrived");
-        }
-    }
-
     fn read_backend(&mut self) {
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
@@ -318,9 +265,7 @@
                 Ok(packet) => packet,
                 Err(error) => {
                     self.metrics.malformed.inc();
-                    if let Some(left_out) = self.budget.admit() {
-                        info!(%error, left_out, "packet of the backend server dropped");
-                    }
+                    self.log.malformed(error, self.backend);
                     continue;
                 }
             };
@@ -360,7 +305,7 @@
                     cause,
                 } => {
                     NodeMetrics::count(&self.metrics.passed, cause.name());
-                    self.log_pass(key, to, &head, cause);
+                    self.log.passed(key, to, &head, cause);
                     let packet = stored.unwrap_or_else(|| bytes.clone());
                     self.packets.send(&encode_forward(&head, packet), to);
                 }
@@ -368,48 +313,25 @@
                 KeeperAction::ToCaller => {}
                 KeeperAction::Answered(key, time) => {
                     self.metrics.answer_time.observe(time.0 as f64 / 1_000.0);
-                    if let Some(left_out) = self.budget.admit() {
-                        info!(flow = %key, ms = time.0, left_out, "answer begins");
-                    }
+                    self.log.answered(key, time);
                 }
                 KeeperAction::Refuse(key, cause) => {
                     NodeMetrics::count(&self.metrics.refused, cause.name());
-                    self.log_flow(key, cause, "refused");
+                    let report = self.keeper.report(self.clock.now());
+                    self.log.not_delivered(key, cause, "refused", report);
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, 0), to);
                 }
                 KeeperAction::Hint(balancer, key) => self.hint(balancer, key),
                 KeeperAction::Drop(key, cause) => {
                     NodeMetrics::count(&self.metrics.dropped, cause.name());
-                    self.log_flow(key, cause, "dropped");
+                    let report = self.keeper.report(self.clock.now());
+                    self.log.not_delivered(key, cause, "dropped", report);
                 }
             }
         }
     }
 
-    fn log_flow(&mut self, key: FlowKey, cause: PassCause, outcome: &'static str) {
-        if let Some(left_out) = self.budget.admit() {
-            let report = self.keeper.report(self.clock.now());
-            info!(
-                flow = %key,
-                outcome,
-                cause = cause.name(),
-                busy = report.busy,
-                slots = report.slots,
-                revision = report.revision,
-                left_out,
-                "packet not delivered"
-            );
-        }
-    }
-
-    fn log_pass(&mut self, key: FlowKey, to: SocketAddrV4, head: &ForwardHead, cause: PassCause) {
-        if let Some(left_out) = self.budget.admit() {
-            let (hops, rest, cause) = (head.hops, head.rest.len(), cause.name());
-            info!(flow = %key, %to, cause, hops, rest, left_out, "packet passed on");
-        }
-    }
-
     fn caller_port(&self, key: FlowKey) -> SocketAddrV4 {
         SocketAddrV4::new(*key.caller.ip(), self.address.port())
     }
@@ -443,10 +365,11 @@
             .revision
             .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
         self.keeper.expire(now);
-        self.peers
-            .retain(|peer| now.since(peer.heard) < REPORT_SPAN);
         self.report_change(now);
-        self.pay_reports(now);
+        let due = self.reports.take_due(now);
+        if !due.is_empty() {
+            self.send_reports(due, now);
+        }
         if self.stopped.is_some() && self.keeper.open_flows() == 0 {
             if let Some(answer) = self.stopped.take() {
                 // The control thread may have stopped waiting.
@@ -455,51 +378,18 @@
         }
     }
 
-    /// Notes that a balancer sends here, and answers with a report if the last one is old.
+    /// Notes that a balancer sends here, and answers with a report if one is due.
     fn meet(&mut self, balancer: SocketAddrV4, now: Millis) {
-        let found = self
-            .peers
-            .binary_search_by_key(&balancer, |peer| peer.address);
-        let index = found.unwrap_or_else(|index| {
-            let peer = BalancerPeer {
-                address: balancer,
-                heard: now,
-                reported: None,
-                owed: false,
-            };
-            self.peers.insert(index, peer);
-            index
-        });
-        let peer = &mut self.peers[index];
-        peer.heard = now;
-        peer.owed = true;
-        if peer.is_due(now) {
-            self.send_report(index, now);
+        if self.reports.note_packet(balancer, now) {
+            self.send_reports([balancer], now);
         }
     }
 
-    /// Sends the reports that were held back. A balancer takes an agent that doesn't answer its
-    /// last packet as suspect.
-    fn pay_reports(&mut self, now: Millis) {
-        let mut idle_peers = 0;
-        for index in 0..self.peers.len() {
-            let peer = self.peers[index];
-            let idle = !peer.owed && peer.is_quiet(now) && idle_peers < MAX_IDLE_PEERS;
-            if idle {
-                idle_peers += 1;
-            }
-            if idle || (peer.owed && peer.is_due(now)) {
-                self.send_report(index, now);
-            }
-        }
-    }
-
-    fn send_report(&mut self, index: usize, now: Millis) {
+    fn send_reports(&mut self, balancers: impl IntoIterator<Item = SocketAddrV4>, now: Millis) {
         let report = self.report(now);
-        let peer = &mut self.peers[index];
-        peer.reported = Some(now);
-        peer.owed = false;
-        self.packets.send(&report, peer.address);
+        for balancer in balancers {
+            self.packets.send(&report, balancer);
+        }
     }
 
     /// Tells all balancers when the server begins or ceases to take new flows.
@@ -510,9 +400,8 @@
         }
         self.accepts = accepts;
         info!(accepts, "backend server changed");
-        for index in 0..self.peers.len() {
-            self.send_report(index, now);
-        }
+        let balancers = self.reports.take_all(now);
+        self.send_reports(balancers, now);
     }
 
     fn report(&mut self, now: Millis) -> Vec<u8> {
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -11,10 +11,8 @@
 use carobdrum_flows::{
     process::{
         AgentRecord,
-        AgentReport,
-        DropCause, //
+        AgentReport, //
     },
-    request::ForwardHead,
     version::SiteRules,
     FlowKey,
     FlowRouter,
@@ -24,7 +22,6 @@
     read_from_caller,
     reset_packet, //
 };
-use carobdrum_telemetry::LogBudget;
 use carobdrum_wire::flow_datagram::{
     address_number,
     number_address,
@@ -50,6 +47,7 @@
 };
 
 use super::{
+    flow_log::FlowLog,
     head_codec::encode_forward,
     revision_sight::{
         raise_revision,
@@ -66,9 +64,6 @@
 /// Datagrams read from one socket before the others get their turn.
 const BATCH: usize = 64;
 
-/// Most log lines about flows per second.
-const MAX_LINES: u32 = 200;
-
 /// Time between probes of agents that don't answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -94,7 +89,7 @@
     callers: UdpPort,
     agents: UdpPort,
     metrics: NodeMetrics,
-    budget: LogBudget,
+    log: FlowLog,
 }
 
 impl BalancerTraffic {
@@ -114,7 +109,7 @@
             callers: UdpPort::open(packets).await?,
             agents: UdpPort::open(address).await?,
             metrics,
-            budget: LogBudget::new(MAX_LINES),
+            log: FlowLog::new(),
         })
     }
 
@@ -162,9 +157,7 @@
                 Ok(packet) => packet,
                 Err(error) => {
                     self.metrics.malformed.inc();
-                    if let Some(left_out) = self.budget.admit() {
-                        info!(%error, %from, left_out, "datagram of a caller dropped");
-                    }
+                    self.log.malformed(error, from);
                     continue;
                 }
             };
@@ -179,7 +172,7 @@
             RouteAction::Forward { to, head } => {
                 if opens {
                     self.metrics.opened.inc();
-                    self.log_open(key, to, &head);
+                    self.log.forwarded(key, to, &head);
                 } else {
                     self.metrics.forwarded.inc();
                 }
@@ -188,30 +181,15 @@
             }
             RouteAction::Refuse(cause) => {
                 NodeMetrics::count(&self.metrics.refused, cause.name());
-                if let Some(left_out) = self.budget.admit() {
-                    let revision = self.revision();
-                    info!(flow = %key, cause = cause.name(), revision, left_out, "flow refused");
-                }
+                self.log.refused(key, cause, self.revision());
                 let port = self.caller_port();
                 let to = SocketAddrV4::new(*key.caller.ip(), port);
                 self.callers.send(&reset_packet(key, 0), to);
             }
-            RouteAction::Drop(cause) => self.log_drop(key, cause),
-        }
-    }
-
-    fn log_open(&mut self, key: FlowKey, to: SocketAddrV4, head: &ForwardHead) {
-        if let Some(left_out) = self.budget.admit() {
-            let (rest, near, revision) = (head.rest.len(), head.near, head.revision);
-            info!(flow = %key, %to, rest, near, revision, left_out, "flow forwarded");
-        }
-    }
-
-    fn log_drop(&mut self, key: FlowKey, cause: DropCause) {
-        NodeMetrics::count(&self.metrics.dropped, cause.name());
-        if let Some(left_out) = self.budget.admit() {
-            let revision = self.revision();
-            info!(flow = %key, cause = cause.name(), revision, left_out, "packet dropped");
+            RouteAction::Drop(cause) => {
+                NodeMetrics::count(&self.metrics.dropped, cause.name());
+                self.log.dropped(key, cause, self.revision());
+            }
         }
     }
 
--- /dev/null
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -0,0 +1,116 @@
+//! Log lines about flows, bounded in number.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    connection::PassCause,
+    process::{
+        AgentReport,
+        DropCause, //
+    },
+    request::ForwardHead,
+    FlowKey, //
+};
+use carobdrum_platform::PacketFault;
+use carobdrum_telemetry::LogBudget;
+use tracing::info;
+
+/// Most log lines about flows per second.
+const MAX_LINES: u32 = 200;
+
+/// Writes one line for each decision about a flow, as long as there are not too many.
+#[derive(Debug)]
+pub(crate) struct FlowLog {
+    budget: LogBudget,
+}
+
+impl FlowLog {
+    pub(crate) fn new() -> FlowLog {
+        FlowLog {
+            budget: LogBudget::new(MAX_LINES),
+        }
+    }
+
+    pub(crate) fn forwarded(&mut self, key: FlowKey, to: SocketAddrV4, head: &ForwardHead) {
+        if let Some(left_out) = self.budget.admit() {
+            let (rest, near, revision) = (head.rest.len(), head.near, head.revision);
+            info!(flow = %key, %to, rest, near, revision, left_out, "flow forwarded");
+        }
+    }
+
+    pub(crate) fn refused(&mut self, key: FlowKey, cause: DropCause, revision: u64) {
+        if let Some(left_out) = self.budget.admit() {
+            let cause = cause.name();
+            info!(flow = %key, cause, revision, left_out, "flow refused");
+        }
+    }
+
+    pub(crate) fn dropped(&mut self, key: FlowKey, cause: DropCause, revision: u64) {
+        if let Some(left_out) = self.budget.admit() {
+            let cause = cause.name();
+            info!(flow = %key, cause, revision, left_out, "packet dropped");
+        }
+    }
+
+    pub(crate) fn malformed(&mut self, error: PacketFault, from: SocketAddrV4) {
+        if let Some(left_out) = self.budget.admit() {
+            info!(%error, %from, left_out, "datagram dropped");
+        }
+    }
+
+    pub(crate) fn offered(&mut self, key: FlowKey, hops: u8, report: AgentReport) {
+        if let Some(left_out) = self.budget.admit() {
+            let (busy, slots, revision) = (report.busy, report.slots, report.revision);
+            info!(flow = %key, hops, busy, slots, revision, left_out, "flow offered");
+        }
+    }
+
+    pub(crate) fn arrived(&mut self, key: FlowKey, attempt: &str) {
+        if let Some(left_out) = self.budget.admit() {
+            info!(flow = %key, attempt, left_out, "request arrived");
+        }
+    }
+
+    pub(crate) fn answered(&mut self, key: FlowKey, time: Millis) {
+        if let Some(left_out) = self.budget.admit() {
+            info!(flow = %key, ms = time.0, left_out, "answer begins");
+        }
+    }
+
+    pub(crate) fn passed(
+        &mut self,
+        key: FlowKey,
+        to: SocketAddrV4,
+        head: &ForwardHead,
+        cause: PassCause,
+    ) {
+        if let Some(left_out) = self.budget.admit() {
+            let (hops, rest, cause) = (head.hops, head.rest.len(), cause.name());
+            info!(flow = %key, %to, cause, hops, rest, left_out, "packet passed on");
+        }
+    }
+
+    pub(crate) fn not_delivered(
+        &mut self,
+        key: FlowKey,
+        cause: PassCause,
+        outcome: &'static str,
+        report: AgentReport,
+    ) {
+        if let Some(left_out) = self.budget.admit() {
+            let (busy, slots, revision) = (report.busy, report.slots, report.revision);
+            let cause = cause.name();
+            info!(
+                flow = %key,
+                outcome,
+                cause,
+                busy,
+                slots,
+                revision,
+                left_out,
+                "packet not delivered"
+            );
+        }
+    }
+}
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent_traffic;
 mod balancer_traffic;
+mod flow_log;
 mod head_codec;
 mod revision_sight;
 mod udp_port;
