Count a server as cold until it has told, and after it has forgotten its flows

Cause: found by reading: after a restart of the agent, or of the server under its old identity, the agent didn't know for up to a heartbeat that the server was cold, and gave it all flows.

--- a/components/flows/src/connection/flow_keeper/later.rs
+++ b/components/flows/src/connection/flow_keeper/later.rs
@@ -158,6 +158,10 @@
                 FlowStage::Offered { .. } | FlowStage::Passed(_)
             );
             if !elsewhere {
+                if entry.stage == FlowStage::Open {
+                    // The server held the flow and has forgotten it.
+                    self.cold.suspect_restart();
+                }
                 entry.stage = FlowStage::Foreign;
                 if entry.request.take().is_some() {
                     self.load.end();
--- a/components/flows/src/process/cold_budget.rs
+++ b/components/flows/src/process/cold_budget.rs
@@ -8,14 +8,32 @@
 /// packets which wait on the way to the server can't fall into one second.
 const WINDOW: Millis = Millis(1_100);
 
+/// End of the cold time of a server that hasn't told.
+const UNTIL_TOLD: Millis = Millis(u64::MAX);
+
 /// Limits the new flows of a cold server in each sliding window.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ColdBudget {
     cold_until: Millis,
     taken: VecDeque<Millis>,
 }
 
+impl Default for ColdBudget {
+    /// Starts with a server that may be cold, as it hasn't told.
+    fn default() -> ColdBudget {
+        ColdBudget {
+            cold_until: UNTIL_TOLD,
+            taken: VecDeque::new(),
+        }
+    }
+}
+
 impl ColdBudget {
+    /// Notes that the server may have started anew; it counts as cold until it tells.
+    pub fn suspect_restart(&mut self) {
+        self.cold_until = UNTIL_TOLD;
+    }
+
     /// Notes that the server stays cold until `until`.
     pub fn set_cold(&mut self, until: Millis) {
         self.cold_until = until;
--- a/components/flows/tests/keeping.rs
+++ b/components/flows/tests/keeping.rs
@@ -233,3 +233,37 @@
     assert!(keeper.report(Millis(6)).failing >= 50);
     assert!(keeper.report(Millis(8_000)).failing < 10);
 }
+
+/// Guards against more flows than a cold server bears, also before the server has told that it is
+/// cold: after a restart of the agent, and when the server was restarted under its old identity.
+#[test]
+fn limits_new_flows_of_a_server_that_may_be_cold() {
+    let rate = 10.0;
+    let limit = 19;
+    let offered = |keeper: &mut carobdrum_flows::FlowKeeper, first: u16, now: Millis| {
+        let flows = first..first + 100;
+        flows
+            .filter(|caller| {
+                let mut assigned = head(&[]);
+                assigned.assigned = true;
+                let actions = forward(keeper, &open_packet(*caller), assigned, now);
+                let passed = delivers(&actions);
+                keeper.check_offers(now.plus(RESERVATION), &mut Vec::new());
+                passed
+            })
+            .count()
+    };
+    let mut restarted = support::new_keeper(rate);
+    assert_eq!(offered(&mut restarted, 0, Millis(0)), limit);
+
+    let mut keeper = support::new_keeper(rate);
+    keeper.take_beat(beat(1, BackendState::Ready), Millis(0));
+    open_flow(&mut keeper, 1_000, Millis(0));
+    let returned = FlowPacket {
+        returned: true,
+        ..packet(1_000, PacketKind::Middle)
+    };
+    backend(&mut keeper, &returned, Millis(1));
+    assert!(offered(&mut keeper, 0, Millis(2)) <= limit);
+    assert_eq!(offered(&mut keeper, 200, Millis(200)), 0);
+}
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -46,6 +46,10 @@
 }
 
 pub(crate) fn rules(version: u64) -> SiteRules {
+    rules_with(version, None)
+}
+
+fn rules_with(version: u64, cold_rate: Option<f64>) -> SiteRules {
     let route = FlowRoute {
         address: ROUTE,
         shares: vec![ServiceShare {
@@ -58,7 +62,7 @@
     let service = ServiceRules {
         name: SERVICE.into(),
         cold_time: Millis(2_000),
-        cold_rate: None,
+        cold_rate,
     };
     SiteRules::new(version, Millis(15_000), [route], [service])
 }
@@ -90,6 +94,20 @@
 
 /// Returns the agent with number 0, whose server is ready and has two slots.
 pub(crate) fn keeper() -> FlowKeeper {
+    let mut keeper = start_keeper();
+    keeper.set_rules(Arc::new(rules(1)));
+    assert!(keeper.take_beat(beat(1, BackendState::Ready), Millis(0)));
+    keeper
+}
+
+/// Returns an agent that has not heard of its server, whose service states a rate for cold servers.
+pub(crate) fn new_keeper(cold_rate: f64) -> FlowKeeper {
+    let mut keeper = start_keeper();
+    keeper.set_rules(Arc::new(rules_with(1, Some(cold_rate))));
+    keeper
+}
+
+fn start_keeper() -> FlowKeeper {
     let settings = KeeperSettings {
         address: agent(0),
         centre: CENTRE.into(),
@@ -98,10 +116,7 @@
         cold_factor: 1.5,
         cold_slack: 5.0,
     };
-    let mut keeper = FlowKeeper::new(settings, Millis(0));
-    keeper.set_rules(Arc::new(rules(1)));
-    assert!(keeper.take_beat(beat(1, BackendState::Ready), Millis(0)));
-    keeper
+    FlowKeeper::new(settings, Millis(0))
 }
 
 pub(crate) fn key(caller: u16) -> FlowKey {
