--- a/components/core/src/process/mod.rs
+++ b/components/core/src/process/mod.rs
@@ -74,4 +74,8 @@
     ProbeBody,
     MAX_MESSAGE_LEN, //
 };
+pub use stable_hash::{
+    address_number,
+    mix, //
+};
 pub use version_pull::VersionPull;
--- a/components/core/src/process/stable_hash.rs
+++ b/components/core/src/process/stable_hash.rs
@@ -4,8 +4,8 @@
 
 use super::MemberRecord;
 
-/// The finalizer of SplitMix64.
-pub(super) fn mix(value: u64) -> u64 {
+/// Mixes the bits of a number; the finalizer of SplitMix64.
+pub fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -13,7 +13,7 @@
 }
 
 /// Returns an address as a number that sorts like the address.
-pub(super) fn address_number(address: SocketAddrV4) -> u64 {
+pub fn address_number(address: SocketAddrV4) -> u64 {
     u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port())
 }
 
--- a/components/flows/src/process/agent_roster.rs
+++ b/components/flows/src/process/agent_roster.rs
@@ -2,10 +2,15 @@
 
 use std::net::SocketAddrV4;
 
-use carobdrum_core::Millis;
+use carobdrum_core::{
+    process::{
+        address_number,
+        mix, //
+    },
+    Millis,
+};
 
 use super::{
-    mix,
     name_hash,
     AgentRecord,
     AgentReport, //
@@ -51,9 +56,8 @@
 impl AgentSlot {
     fn new(record: AgentRecord) -> AgentSlot {
         let address = record.address;
-        let number = u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port());
         AgentSlot {
-            hash: mix(number),
+            hash: mix(address_number(address)),
             service: name_hash(&record.service),
             centre: name_hash(&record.centre),
             record,
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -5,11 +5,13 @@
     sync::Arc, //
 };
 
-use carobdrum_core::Millis;
+use carobdrum_core::{
+    process::mix,
+    Millis, //
+};
 
 use super::{
     agent_roster::AgentSlot,
-    mix,
     name_hash,
     AgentRoster,
     OwnerHints, //
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -24,9 +24,6 @@
     FlowRouter,
     RouteAction, //
 };
-pub use name_hash::{
-    mix,
-    name_hash, //
-};
+pub use name_hash::name_hash;
 pub use owner_hints::OwnerHints;
 pub use report_schedule::ReportSchedule;
--- a/components/flows/src/request/flow_key.rs
+++ b/components/flows/src/request/flow_key.rs
@@ -5,7 +5,10 @@
     net::SocketAddrV4, //
 };
 
-use crate::process::mix;
+use carobdrum_core::process::{
+    address_number,
+    mix, //
+};
 
 /// The two ends of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -28,7 +31,3 @@
         write!(formatter, "{}>{}", self.caller, self.service)
     }
 }
-
-fn address_number(address: SocketAddrV4) -> u64 {
-    u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port())
-}
--- a/components/flows/src/version/flow_route.rs
+++ b/components/flows/src/version/flow_route.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddrV4;
 
+use carobdrum_core::{
+    process::mix,
+    Millis, //
+};
 use compact_str::CompactString;
 
-use carobdrum_core::Millis;
-
-use crate::process::mix;
-
 /// A service and its share of the new flows of a route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceShare {
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+pub use carobdrum_core::process::address_number;
 use prost::{
     Message,
     Oneof, //
@@ -140,11 +141,6 @@
     pub revision: u64,
 }
 
-/// Returns an address as a number: the IP, then the port.
-pub fn address_number(address: SocketAddrV4) -> u64 {
-    u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port())
-}
-
 /// Returns the address of a number.
 pub fn number_address(number: u64) -> SocketAddrV4 {
     let ip = Ipv4Addr::from((number >> 16) as u32);
