--- a/components/flows/src/process/agent_roster.rs
+++ b/components/flows/src/process/agent_roster.rs
@@ -164,11 +164,6 @@
         !known
     }
 
-    /// Returns the agents.
-    pub fn records(&self) -> impl Iterator<Item = &AgentRecord> {
-        self.slots.iter().map(|slot| &slot.record)
-    }
-
     /// Notes that the key of an agent is gone; the agent stays for as long as it answers.
     pub fn lapse(&mut self, address: SocketAddrV4, now: Millis) {
         if let Ok(index) = self.find(address) {
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -155,11 +155,6 @@
         }
     }
 
-    /// Returns whether the balancer can route packets.
-    pub fn is_ready(&self) -> bool {
-        self.rules.is_some() && self.roster.is_loaded()
-    }
-
     /// Decides what to do with a packet of a caller.
     pub fn route(&mut self, packet: &FlowPacket, now: Millis) -> RouteAction {
         let forged = packet.kind == PacketKind::Accept || packet.returned;
--- a/components/flows/src/process/owner_hints.rs
+++ b/components/flows/src/process/owner_hints.rs
@@ -36,14 +36,4 @@
         self.hints
             .retain(|_, (_, used)| now.since(*used) < idle_time);
     }
-
-    /// Returns the number of hints.
-    pub fn len(&self) -> usize {
-        self.hints.len()
-    }
-
-    /// Returns whether there is no hint.
-    pub fn is_empty(&self) -> bool {
-        self.hints.is_empty()
-    }
 }
--- a/components/forwarder/src/connection/udp_port.rs
+++ b/components/forwarder/src/connection/udp_port.rs
@@ -9,6 +9,7 @@
 };
 
 use tokio::net::UdpSocket;
+use tracing::debug;
 
 use crate::process::{
     node_error::BindSnafu,
@@ -59,7 +60,11 @@
                 Ok((len, SocketAddr::V4(from))) => return Some((&mut self.buffer[..len], from)),
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
-                Err(_) => return None,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
+                Err(error) => {
+                    debug!(%error, port = self.port, "datagram not read");
+                    return None;
+                }
             }
         }
     }
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -137,6 +137,7 @@
     let store = settings.store.address;
     let arguments = LeaseArguments {
         store,
+        min_lease: Duration::from_millis(settings.store.min_lease_ms),
         record: record.clone(),
     };
     let lease = spawn_lease(arguments).await.context(ActorSnafu)?;
--- a/components/forwarder/src/process/boot_clock.rs
+++ b/components/forwarder/src/process/boot_clock.rs
@@ -1,5 +1,7 @@
 //! The clock of the traffic threads.
 
+use std::time::Duration;
+
 use carobdrum_core::Millis;
 
 /// Time since the VM started, including the time for which it was suspended.
@@ -10,6 +12,10 @@
 
 impl BootClock {
     /// Returns the current time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system has no such clock, as no Linux since 2.6.39.
     pub(crate) fn now(self) -> Millis {
         let mut time = libc::timespec {
             tv_sec: 0,
@@ -17,11 +23,14 @@
         };
         // SAFETY: `time` is a valid place for the result.
         let status = unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &raw mut time) };
-        if status != 0 {
-            return Millis(0);
-        }
-        let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-        let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or(0);
-        Millis(seconds * 1_000 + nanoseconds / 1_000_000)
+        assert_eq!(
+            status, 0,
+            "the system has no clock of the time since its start"
+        );
+        let time = Duration::new(
+            time.tv_sec.unsigned_abs(),
+            time.tv_nsec.unsigned_abs() as u32,
+        );
+        Millis(time.as_millis() as u64)
     }
 }
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -18,10 +18,7 @@
     ActorRef,
     SpawnErr, //
 };
-use tracing::{
-    error,
-    info, //
-};
+use tracing::info;
 
 use super::store_watch::{
     StoreBackoff,
@@ -29,7 +26,7 @@
     LONGEST_PAUSE, //
 };
 
-/// Time that a lease lasts without renewal.
+/// Time that a lease lasts without renewal, if the store grants so short ones.
 const LEASE_TIME: Duration = Duration::from_secs(6);
 
 /// Time between renewals.
@@ -46,6 +43,8 @@
 /// What the [`LeaseActor`] starts with.
 pub(crate) struct LeaseArguments {
     pub(crate) store: SocketAddrV4,
+    /// Shortest lease that the store grants.
+    pub(crate) min_lease: Duration,
     pub(crate) record: AgentRecord,
 }
 
@@ -53,6 +52,7 @@
 pub(crate) struct LeaseState {
     client: StoreClient,
     record: AgentRecord,
+    lease_time: Duration,
     lease: Option<u64>,
     backoff: StoreBackoff,
 }
@@ -86,6 +86,7 @@
         Ok(LeaseState {
             client: StoreClient::new(arguments.store, CALL_TIMEOUT),
             record: arguments.record,
+            lease_time: LEASE_TIME.max(arguments.min_lease),
             lease: None,
             backoff: StoreBackoff::default(),
         })
@@ -150,14 +151,8 @@
 
     async fn write(&mut self) -> Result<u64, StoreFault> {
         let record = &self.record;
-        let value = match write_agent(record) {
-            Ok(value) => value,
-            Err(error) => {
-                error!(%error, "entry of the agent can't be encoded");
-                Vec::new()
-            }
-        };
-        let lease = self.client.grant(LEASE_TIME).await?;
+        let value = write_agent(record)?;
+        let lease = self.client.grant(self.lease_time).await?;
         let key = agent_key(record.address);
         self.client.put(&key, &value, lease).await?;
         info!(agent = %record.address, service = %record.service, lease, "key written");
