End the process when its traffic thread has ended

Cause: found by reading: if the traffic thread couldn't open its address or failed, the process went on and a balancer reported that it was ready. Ruled out: a restart of the thread alone (what failed it is unknown; the platform starts the process again).

--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -62,7 +62,8 @@
     node_error::{
         ActorSnafu,
         NoBackendSnafu,
-        StartSnafu, //
+        StartSnafu,
+        TrafficEndedSnafu, //
     },
     serve_metrics::serve_metrics,
     settings_file::SettingsFile,
@@ -153,6 +154,7 @@
     loop {
         tokio::select! {
             _ = stop.recv() => break,
+            () = updates.closed() => return TrafficEndedSnafu.fail(),
             changed = file.changed(&mut reload) => take_settings(&changed, &updates).await,
         }
     }
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -39,7 +39,10 @@
 
 use super::{
     http_port::serve_calls,
-    node_error::StartSnafu,
+    node_error::{
+        StartSnafu,
+        TrafficEndedSnafu, //
+    },
     serve_metrics::serve_metrics,
     settings_file::SettingsFile,
     site_hub::{
@@ -92,6 +95,7 @@
     let mut stop = signal(SignalKind::terminate()).context(StartSnafu)?;
     let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
+    let traffic_gone = updates.clone();
     let packets = node.packets;
     let address = SocketAddrV4::new(node.ip, node.peer_port);
     let centre = node.data_centre.clone();
@@ -136,6 +140,7 @@
     loop {
         tokio::select! {
             _ = stop.recv() => break,
+            () = traffic_gone.closed() => return TrafficEndedSnafu.fail(),
             // Addresses can't change while the process runs; the rest isn't used by balancers.
             _ = file.changed(&mut reload) => {}
         }
--- a/components/forwarder/src/process/node_error.rs
+++ b/components/forwarder/src/process/node_error.rs
@@ -39,6 +39,9 @@
         /// The cause.
         source: SpawnErr,
     },
+    /// The traffic thread has ended; its error is in the log.
+    #[snafu(display("the traffic thread has ended"))]
+    TrafficEnded,
     /// The settings name no backend server.
     #[snafu(display("settings: section `backend` is missing"))]
     NoBackend,
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -48,7 +48,7 @@
     ip: Ipv4Addr,
     ready: SocketAddrV4,
     peer_port: u16,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl Drop for Role {
@@ -92,7 +92,7 @@
         ip,
         ready,
         peer_port,
-        _folder: folder,
+        folder,
     }
 }
 
@@ -119,7 +119,32 @@
         ip,
         ready,
         peer_port,
-        _folder: folder,
+        folder,
+    }
+}
+
+/// Starts an agent with the packet addresses of another one, and other addresses for calls.
+fn start_again(other: &Role) -> Role {
+    let folder = TempDir::new().unwrap();
+    let ready = SocketAddrV4::new(other.ip, free_port());
+    let peer_port = free_port();
+    let text = fs::read_to_string(other.folder.path().join(SETTINGS)).unwrap();
+    let text = text
+        .replace(&other.ready.to_string(), &ready.to_string())
+        .replace(&format!("= {}", other.peer_port), &format!("= {peer_port}"));
+    let heartbeats = format!("heartbeats = '{}:{}'", other.ip, free_port());
+    let lines = text.lines().map(|line| match line {
+        line if line.starts_with("heartbeats") => heartbeats.as_str(),
+        line => line,
+    });
+    let text = lines.collect::<Vec<_>>().join("\n");
+    fs::write(folder.path().join(SETTINGS), text).unwrap();
+    Role {
+        child: spawn("agent", folder.path()),
+        ip: other.ip,
+        ready,
+        peer_port,
+        folder,
     }
 }
 
@@ -223,3 +248,13 @@
     count(0).await.expect("the key is gone");
     agent.expect_end().await;
 }
+
+/// Guards against a process that stays ready without a traffic thread, here since another process
+/// holds its address.
+#[tokio::test]
+async fn ends_when_its_traffic_thread_can_not_run() {
+    let store = start_store().await;
+    let first = start_agent(&store);
+    let mut second = start_again(&first);
+    second.expect_end().await;
+}
