End the request of a flow that both ends have finished

Cause: a flow whose caller gave up before the answer was closed by the two FINs, but its request stayed in the load of the agent for 3 s, until it expired.

Ruled out: offers that nobody takes up (they end after 60 ms), requests whose data was lost, servers that answer slowly (answers begin within 30 to 200 ms).

Test: counts_no_load_for_a_flow_that_both_ends_finished failed first.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -60,10 +60,12 @@
         }
     }
 
-    /// Closes the flow if both ends have finished.
-    pub fn close_if_done(&mut self) {
-        if self.caller_done && self.server_done {
+    /// Closes the flow if both ends have finished; returns whether they have.
+    pub fn close_if_done(&mut self) -> bool {
+        let done = self.caller_done && self.server_done;
+        if done {
             self.stage = FlowStage::Closed;
         }
+        done
     }
 }
--- a/components/flows/src/connection/flow_keeper/later.rs
+++ b/components/flows/src/connection/flow_keeper/later.rs
@@ -61,19 +61,23 @@
             entry.stage = FlowStage::Open;
         }
         entry.head = head;
-        if packet.kind == PacketKind::Reset {
-            entry.stage = FlowStage::Closed;
-            if entry.request.take().is_some() {
-                self.load.end();
-            }
-        }
         let asks = packet.data_len > 0 && entry.stage == FlowStage::Open;
         if asks && entry.request.replace(now).is_none() {
             self.load.begin();
         }
-        if packet.kind == PacketKind::Finish {
-            entry.caller_done = true;
-            entry.close_if_done();
+        let closes = match packet.kind {
+            PacketKind::Reset => {
+                entry.stage = FlowStage::Closed;
+                true
+            }
+            PacketKind::Finish => {
+                entry.caller_done = true;
+                entry.close_if_done()
+            }
+            _ => false,
+        };
+        if closes && entry.request.take().is_some() {
+            self.load.end();
         }
         actions.push(KeeperAction::Deliver);
     }
@@ -118,10 +122,6 @@
             (FlowStage::Trial, _) => entry.stage = FlowStage::Open,
             _ => {}
         }
-        if packet.kind == PacketKind::Finish {
-            entry.server_done = true;
-            entry.close_if_done();
-        }
         let answers = packet.data_len > 0 || packet.kind == PacketKind::Reset;
         if answers {
             if let Some(start) = entry.request.take() {
@@ -130,6 +130,12 @@
                 actions.push(KeeperAction::Answered(packet.key, time));
             }
         }
+        if packet.kind == PacketKind::Finish {
+            entry.server_done = true;
+            if entry.close_if_done() && entry.request.take().is_some() {
+                self.load.end();
+            }
+        }
     }
 
     /// Notes whether an answer of the server is a failure.
--- a/components/flows/tests/keeping.rs
+++ b/components/flows/tests/keeping.rs
@@ -92,6 +92,29 @@
     assert_eq!(keeper.report(Millis(70)).busy, 1);
 }
 
+/// Guards against load of requests whose callers have given up: after an outage such requests filled
+/// all slots for seconds, while the servers were idle.
+#[test]
+fn counts_no_load_for_a_flow_that_both_ends_finished() {
+    let mut keeper = keeper();
+    open_flow(&mut keeper, 0, Millis(0));
+    forward(
+        &mut keeper,
+        &data(0, PacketKind::Middle),
+        head(&[]),
+        Millis(1),
+    );
+    assert_eq!(keeper.report(Millis(1)).busy, 1);
+    forward(
+        &mut keeper,
+        &packet(0, PacketKind::Finish),
+        head(&[]),
+        Millis(2),
+    );
+    backend(&mut keeper, &packet(0, PacketKind::Finish), Millis(3));
+    assert_eq!(keeper.report(Millis(3)).busy, 0);
+}
+
 /// Guards against a planned stop that waits for flows which have ended.
 #[test]
 fn counts_a_flow_that_both_ends_finished_as_closed() {
