Pause new flows at a server that returns opening packets

Cause: an agent whose server is gone, as after a release that a power loss overtook, takes its server to live for 1.9 s after a start. The server returns each opening packet, so its slots are always free, and balancers prefer it.

Now a server that returned an opening packet gets no new flow for 100 ms, then for twice as long up to 800 ms, until it accepts one or a new run of it reports.

Ruled out: taking no flows before the first heartbeat (an agent that restarts beside a live server would be idle for up to 1.2 s).

Tests: takes_no_new_flows_for_a_while_after_the_server_returned_one failed first; takes_new_flows_when_the_server_was_started_anew.

--- a/components/flows/src/connection/flow_keeper.rs
+++ b/components/flows/src/connection/flow_keeper.rs
@@ -20,7 +20,8 @@
     FlowStage,
     KeeperAction,
     LoadEstimate,
-    PassCause, //
+    PassCause,
+    ReturnPause, //
 };
 use crate::{
     process::{
@@ -89,6 +90,7 @@
     flows: HashMap<FlowKey, FlowEntry>,
     offers: VecDeque<(Millis, FlowKey)>,
     failures: FailureRate,
+    returns: ReturnPause,
     stopping: bool,
 }
 
@@ -105,6 +107,7 @@
             flows: HashMap::new(),
             offers: VecDeque::new(),
             failures: FailureRate::default(),
+            returns: ReturnPause::default(),
             stopping: false,
             settings,
         }
@@ -130,9 +133,13 @@
         let cold_until = now.plus(beat.cold_left);
         let slots = beat.slots;
         let service = beat.service.clone();
+        let restarted = self.life.is_other_run(&beat);
         if !self.life.take_beat(beat, now) {
             return false;
         }
+        if restarted {
+            self.returns.clear();
+        }
         self.cold.set_cold(cold_until);
         self.load.set_slots(slots);
         self.service = service;
--- a/components/flows/src/connection/flow_keeper/later.rs
+++ b/components/flows/src/connection/flow_keeper/later.rs
@@ -117,6 +117,7 @@
         match (&mut entry.stage, packet.kind) {
             (FlowStage::Offered { server_sequence }, PacketKind::Accept) => {
                 *server_sequence = Some(packet.sequence);
+                self.returns.clear();
             }
             (_, PacketKind::Reset) => entry.stage = FlowStage::Closed,
             (FlowStage::Trial, _) => entry.stage = FlowStage::Open,
@@ -155,6 +156,7 @@
         };
         let mut head = entry.head.clone();
         if packet.is_open() {
+            self.returns.note_return(now);
             self.forget(packet.key);
             head.best = head.best.filter(|best| best.agent != self.settings.address);
             self.pass_open(packet.key, head, PassCause::NotHeld, None, now, actions);
--- a/components/flows/src/connection/flow_keeper/opening.rs
+++ b/components/flows/src/connection/flow_keeper/opening.rs
@@ -211,6 +211,9 @@
         if !self.life.takes_flows(now) {
             return Some(PassCause::Unavailable);
         }
+        if self.returns.is_paused(now) {
+            return Some(PassCause::Returning);
+        }
         let rules = self.rules.as_ref()?;
         if rules.is_closed(&self.settings.centre) {
             return Some(PassCause::Closed);
--- a/components/flows/src/connection/keeper_action.rs
+++ b/components/flows/src/connection/keeper_action.rs
@@ -15,6 +15,8 @@
 pub enum PassCause {
     /// The server takes no new flows, or shows no sign of life.
     Unavailable,
+    /// The server has returned an opening packet a short time ago.
+    Returning,
     /// The data centre is taken out.
     Closed,
     /// The route of the packet doesn't lead to this service.
@@ -38,6 +40,7 @@
     pub fn name(self) -> &'static str {
         match self {
             PassCause::Unavailable => "unavailable",
+            PassCause::Returning => "returning",
             PassCause::Closed => "closed",
             PassCause::WrongService => "wrong_service",
             PassCause::Cold => "cold",
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod flow_keeper;
 mod keeper_action;
 mod load_estimate;
+mod return_pause;
 mod wait_limit;
 
 pub use failure_rate::FailureRate;
@@ -21,4 +22,5 @@
     PassCause, //
 };
 pub use load_estimate::LoadEstimate;
+pub use return_pause::ReturnPause;
 pub use wait_limit::wait_limit_us;
--- a/components/flows/src/process/backend_life.rs
+++ b/components/flows/src/process/backend_life.rs
@@ -31,6 +31,12 @@
     pub cold_left: Millis,
 }
 
+impl BackendBeat {
+    fn is_same_run(&self, other: &BackendBeat) -> bool {
+        self.id == other.id && self.born_ms == other.born_ms
+    }
+}
+
 /// Life of the backend server beside an agent.
 #[derive(Debug)]
 pub struct BackendLife {
@@ -59,10 +65,17 @@
         self.fence = fence;
     }
 
+    /// Returns whether a heartbeat comes from another run of the server than the last one.
+    pub fn is_other_run(&self, beat: &BackendBeat) -> bool {
+        self.beat
+            .as_ref()
+            .is_none_or(|known| !known.is_same_run(beat))
+    }
+
     /// Takes a heartbeat; returns false for one that is older than what is known.
     pub fn take_beat(&mut self, beat: BackendBeat, now: Millis) -> bool {
         if let Some(known) = &self.beat {
-            let same = known.id == beat.id && known.born_ms == beat.born_ms;
+            let same = known.is_same_run(&beat);
             let repeated = same && (self.gone || beat.sequence <= known.sequence);
             let late = repeated || beat.born_ms < known.born_ms;
             if late {
--- a/components/flows/tests/keeping.rs
+++ b/components/flows/tests/keeping.rs
@@ -201,6 +201,49 @@
     assert_eq!(passed_to(&actions), Some(agent(1)));
 }
 
+/// Guards against an agent that draws all new flows because its server returns each of them: after an
+/// outage, the agent of a server that is gone got most of them, each with a detour.
+#[test]
+fn takes_no_new_flows_for_a_while_after_the_server_returned_one() {
+    let mut keeper = keeper();
+    let returned = FlowPacket {
+        returned: true,
+        ..open_packet(0)
+    };
+    forward(&mut keeper, &open_packet(0), head(&[1]), Millis(0));
+    let actions = backend(&mut keeper, &returned, Millis(1));
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+    assert!(!keeper.report(Millis(1)).accepts);
+    let actions = forward(&mut keeper, &open_packet(1), head(&[1]), Millis(2));
+    assert_eq!(passed_to(&actions), Some(agent(1)));
+
+    let trial = Millis(200);
+    assert!(delivers(&forward(
+        &mut keeper,
+        &open_packet(2),
+        head(&[1]),
+        trial
+    )));
+    backend(&mut keeper, &packet(2, PacketKind::Accept), trial);
+    assert!(keeper.report(trial).accepts);
+}
+
+/// Guards against a server that is left idle after a restart because its earlier run returned flows.
+#[test]
+fn takes_new_flows_when_the_server_was_started_anew() {
+    let mut keeper = keeper();
+    let returned = FlowPacket {
+        returned: true,
+        ..open_packet(0)
+    };
+    forward(&mut keeper, &open_packet(0), head(&[1]), Millis(0));
+    backend(&mut keeper, &returned, Millis(1));
+    let mut started = beat(1, BackendState::Ready);
+    started.born_ms += 1;
+    assert!(keeper.take_beat(started, Millis(2)));
+    assert!(keeper.report(Millis(2)).accepts);
+}
+
 /// Guards against a reset of a flow that a server may have accepted.
 #[test]
 fn refuses_only_what_no_server_was_offered() {
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -288,6 +288,7 @@
             self.act(&mut actions, &bytes);
         }
         self.actions = actions;
+        self.report_change(now);
     }
 
     fn act(&mut self, actions: &mut Vec<KeeperAction>, bytes: &Bytes) {
