Give flows of a closed data centre as many candidates as others

Cause: with its own data centre taken out, a balancer listed two agents for an opening packet, one in each of two others.

Now such a flow gets another data centre by hash, and is placed as if it were the caller's. The order of candidates has its own file.

Tests: lists_as_many_agents_when_the_data_centre_of_the_caller_is_out failed first (2 of 5 candidates).

--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -12,6 +12,13 @@
 
 use super::{
     agent_roster::AgentSlot,
+    candidate_ranks::{
+        Candidate,
+        CandidateList,
+        CandidatePlace,
+        CandidateRanks,
+        ListSize, //
+    },
     name_hash,
     AgentRoster,
     OwnerHints, //
@@ -25,17 +32,6 @@
     version::SiteRules, //
 };
 
-/// How many candidates a packet has.
-#[derive(Clone, Copy, Debug)]
-struct ListSize {
-    /// Most candidates in the caller's data centre.
-    near: usize,
-    /// Most candidates in each other data centre.
-    far: usize,
-    /// Most candidates in all other data centres.
-    all_far: usize,
-}
-
 /// Each candidate in another data centre costs the way there while all are busy.
 const OPENING_SIZE: ListSize = ListSize {
     near: 4,
@@ -51,17 +47,13 @@
     all_far: 12,
 };
 
-/// Most candidates of one packet.
-const MAX_CANDIDATES: usize = 16;
-
-/// Most servers of a service that are left out because they fail, in percent.
-const MAX_EJECTED_PERCENT: usize = 34;
-
-/// Flows that go to failing servers as well, in percent.
-const TRIAL_PERCENT: u64 = 4;
-
-/// Keeps the choice of these flows independent of the order of the agents.
-const TRIAL_SALT: u64 = 0x7e57_f10e;
+/// The same for flows that go to another data centre than the caller's. Those that opened before
+/// the caller's was taken out are still there.
+const LATER_AWAY_SIZE: ListSize = ListSize {
+    near: 4,
+    far: 4,
+    all_far: 8,
+};
 
 /// Why a packet is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,31 +107,7 @@
     pub hints: OwnerHints,
     address: SocketAddrV4,
     centre: u32,
-    ranks: Vec<Candidate>,
-}
-
-/// What comes before the hash in the order of candidates; false comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct CandidatePlace {
-    /// Whether the agent doesn't answer.
-    suspect: bool,
-    /// Whether its data centre is taken out.
-    closed: bool,
-    /// Whether its data centre isn't the caller's.
-    far: bool,
-    /// Place of its service in the route.
-    service: u8,
-    /// Whether it reported no free slot.
-    busy: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    place: CandidatePlace,
-    score: u64,
-    centre: u32,
-    address: SocketAddrV4,
-    failing: bool,
+    ranks: CandidateRanks,
 }
 
 impl FlowRouter {
@@ -151,7 +119,7 @@
             hints: OwnerHints::default(),
             address,
             centre: name_hash(centre),
-            ranks: Vec::new(),
+            ranks: CandidateRanks::default(),
         }
     }
 
@@ -175,26 +143,27 @@
         let Some(service) = services.next() else {
             return refuse_first(packet, DropCause::NoRoute);
         };
-        let (list, near) = if packet.is_open() {
-            let later = self.list_later(service, hash, std::iter::empty(), now).0;
-            let (list, near) = self.list_opening(service, hash, now);
-            if list.first() != later.first() {
-                self.note_owner(packet, &list, now);
+        let list = if packet.is_open() {
+            let later = self.list_later(service, hash, std::iter::empty(), now);
+            let list = self.list_opening(service, hash, now);
+            if list.agents.first() != later.agents.first() {
+                self.note_owner(packet, &list.agents, now);
             }
-            (list, near)
+            list
         } else {
             self.list_later(service, hash, services, now)
         };
-        self.forward(packet, list, near, service, rules.revision, now)
+        self.forward(packet, list, service, rules.revision, now)
     }
 
-    /// Returns the candidates of an opening packet, and how many are in the caller's data centre.
-    fn list_opening(&mut self, service: u32, hash: u64, now: Millis) -> (Vec<SocketAddrV4>, u8) {
+    /// Returns the candidates of an opening packet.
+    fn list_opening(&mut self, service: u32, hash: u64, now: Millis) -> CandidateList {
         self.ranks.clear();
         self.rank(service, 0, hash, true, now);
-        self.leave_out_suspects();
-        self.leave_out_failing(hash);
-        self.take_candidates(OPENING_SIZE)
+        self.ranks.leave_out_suspects();
+        self.ranks.leave_out_failing(hash);
+        let home = self.ranks.set_home(self.centre, hash);
+        self.ranks.take(self.centre, home, OPENING_SIZE)
     }
 
     /// Returns the candidates of a later packet. Its flow may have opened when the route led to
@@ -205,13 +174,19 @@
         hash: u64,
         others: impl Iterator<Item = u32>,
         now: Millis,
-    ) -> (Vec<SocketAddrV4>, u8) {
+    ) -> CandidateList {
         self.ranks.clear();
         self.rank(service, 0, hash, false, now);
         for (index, other) in others.enumerate() {
             self.rank(other, index as u8 + 1, hash, false, now);
         }
-        self.take_candidates(LATER_SIZE)
+        let home = self.ranks.set_home(self.centre, hash);
+        let size = if home == self.centre {
+            LATER_SIZE
+        } else {
+            LATER_AWAY_SIZE
+        };
+        self.ranks.take(self.centre, home, size)
     }
 
     /// Remembers the first candidate of an opening packet, which later packets wouldn't try first.
@@ -225,7 +200,6 @@
     }
 
     fn rank(&mut self, service: u32, order: u8, hash: u64, opens: bool, now: Millis) {
-        let centre = self.centre;
         let rules = &self.rules;
         let closed = |slot: &AgentSlot| {
             rules
@@ -238,7 +212,7 @@
             place: CandidatePlace {
                 suspect: slot.is_suspect(now),
                 closed: closed(slot),
-                far: slot.centre != centre,
+                far: false,
                 service: order,
                 busy: opens && slot.is_busy(now),
             },
@@ -249,73 +223,25 @@
         }));
     }
 
-    /// Leaves out the agents that don't answer, unless no other agent is left. An opening packet
-    /// that is passed to one of them is lost, with all its later candidates.
-    fn leave_out_suspects(&mut self) {
-        let is_suspect = |candidate: &Candidate| candidate.place.suspect;
-        if !self.ranks.iter().all(is_suspect) {
-            self.ranks.retain(|candidate| !is_suspect(candidate));
-        }
-    }
-
-    /// Leaves out the servers that fail, for most flows; the others show when they have recovered.
-    /// Never more than a part of the service is left out: if most servers fail, the cause is
-    /// elsewhere, and the rest wouldn't bear the load.
-    fn leave_out_failing(&mut self, hash: u64) {
-        let failing = self.ranks.iter().filter(|candidate| candidate.failing);
-        let percent = failing.count() * 100 / self.ranks.len().max(1);
-        let is_trial = mix(hash ^ TRIAL_SALT) % 100 < TRIAL_PERCENT;
-        if percent <= MAX_EJECTED_PERCENT && !is_trial {
-            self.ranks.retain(|candidate| !candidate.failing);
-        }
-    }
-
-    /// Returns the candidates in order, and how many of them are in the caller's data centre.
-    fn take_candidates(&mut self, size: ListSize) -> (Vec<SocketAddrV4>, u8) {
-        self.ranks.sort_unstable_by(|left, right| {
-            let places = left.place.cmp(&right.place);
-            places.then(right.score.cmp(&left.score))
-        });
-        let mut list: Vec<SocketAddrV4> = Vec::with_capacity(MAX_CANDIDATES);
-        let mut near = 0;
-        let mut far = 0;
-        for (index, candidate) in self.ranks.iter().enumerate() {
-            let before = &self.ranks[..index];
-            let same = before
-                .iter()
-                .filter(|other| other.centre == candidate.centre);
-            let is_near = candidate.centre == self.centre;
-            let most = if is_near { size.near } else { size.far };
-            let too_far = !is_near && far == size.all_far;
-            if list.len() == MAX_CANDIDATES || same.count() >= most || too_far {
-                continue;
-            }
-            list.push(candidate.address);
-            if !is_near {
-                far += 1;
-            } else if !candidate.place.suspect {
-                near += 1;
-            }
-        }
-        (list, near)
-    }
-
     fn forward(
         &mut self,
         packet: &FlowPacket,
-        mut list: Vec<SocketAddrV4>,
-        near: u8,
+        candidates: CandidateList,
         service: u32,
         revision: u64,
         now: Millis,
     ) -> RouteAction {
+        let CandidateList {
+            agents: mut list,
+            mut near,
+            centre,
+        } = candidates;
         if list.is_empty() {
             return refuse_first(packet, DropCause::NoAgent);
         }
         for candidate in &list {
             self.roster.note_listed(*candidate, now);
         }
-        let mut near = near;
         if let PacketKind::Open { copy } = packet.kind {
             // Copies start at different candidates, in case one of them is dead.
             if copy > 0 {
@@ -331,7 +257,7 @@
         self.roster.note_sent(to, now);
         let head = ForwardHead {
             balancer: self.address,
-            centre: self.centre,
+            centre,
             service,
             revision,
             hops: 0,
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod agent_report;
 mod agent_roster;
 mod backend_life;
+mod candidate_ranks;
 mod cold_budget;
 mod flow_router;
 mod name_hash;
--- a/components/flows/tests/routing.rs
+++ b/components/flows/tests/routing.rs
@@ -176,3 +176,60 @@
         assert_eq!(opening, [agent(9)]);
     }
 }
+
+/// Guards against flows that are refused because their data centre is taken out: with two candidates
+/// in all other data centres, most of them found no free slot after an outage.
+#[test]
+fn lists_as_many_agents_when_the_data_centre_of_the_caller_is_out() {
+    let mut router = router(3);
+    let mut rules = support::rules(2);
+    rules.close_centres([support::CENTRE.into()]);
+    router.rules = Some(Arc::new(rules));
+    for number in 10..30 {
+        router.roster.insert(AgentRecord {
+            address: agent(number),
+            centre: if number < 20 { "south" } else { "east" }.into(),
+            service: support::SERVICE.into(),
+        });
+    }
+    let south: Vec<_> = (10..20).map(agent).collect();
+    let mut in_south = 0;
+    for caller in 0..100 {
+        let opening = targets(&router.route(&open_packet(caller), Millis(0)));
+        assert_eq!(opening.len(), 5);
+        let same =
+            |found: &std::net::SocketAddrV4| south.contains(found) == south.contains(&opening[0]);
+        assert!(opening[..4].iter().all(same));
+        in_south += usize::from(south.contains(&opening[0]));
+        let later = targets(&router.route(&packet(caller, PacketKind::Middle), Millis(0)));
+        assert_eq!(later[0], opening[0]);
+    }
+    assert!((25..75).contains(&in_south), "{in_south} of 100");
+}
+
+/// Guards against flows that opened in a data centre before it was taken out, and whose owner is no
+/// longer among the candidates because the other data centres fill the list.
+#[test]
+fn lists_agents_of_a_centre_that_was_taken_out_for_open_flows() {
+    let mut router = router(3);
+    let others = ["south", "east", "west", "coast"];
+    for (index, centre) in others.into_iter().enumerate() {
+        for number in 0..8 {
+            router.roster.insert(AgentRecord {
+                address: agent(10 * (index as u8 + 1) + number),
+                centre: centre.into(),
+                service: support::SERVICE.into(),
+            });
+        }
+    }
+    let before: Vec<_> = (0..100)
+        .map(|caller| targets(&router.route(&open_packet(caller), Millis(0)))[0])
+        .collect();
+    let mut rules = support::rules(2);
+    rules.close_centres([support::CENTRE.into()]);
+    router.rules = Some(Arc::new(rules));
+    for (caller, owner) in before.into_iter().enumerate() {
+        let later = packet(caller as u16, PacketKind::Middle);
+        assert!(targets(&router.route(&later, Millis(0))).contains(&owner));
+    }
+}
