End the way of a copy of an opening packet that goes round in a loop

Cause: an agent that passed an opening packet on sends later copies the same way. Copies start at different agents, so the ways of several copies form loops. Now a copy follows earlier ones for the first 7 agents.

Test: ends_the_way_of_a_copy_that_goes_round_in_a_loop failed first (line 261).

--- a/components/flows/src/connection/flow_keeper/opening.rs
+++ b/components/flows/src/connection/flow_keeper/opening.rs
@@ -1,5 +1,7 @@
 //! Opening packets: taking, passing on, refusing.
 
+use std::net::SocketAddrV4;
+
 use bytes::Bytes;
 use carobdrum_core::Millis;
 
@@ -25,6 +27,10 @@
     },
 };
 
+/// Agents that a copy of an opening packet may have seen when it still goes the way of an earlier
+/// one. The ways of several copies may form a loop.
+const FOLLOW_HOPS: u8 = 7;
+
 impl FlowKeeper {
     pub(super) fn take_open(
         &mut self,
@@ -42,9 +48,7 @@
                     actions.push(KeeperAction::Deliver);
                     return;
                 }
-                FlowStage::Passed(to) if !head.rest.contains(&to) && !head.assigned => {
-                    head.rest.insert(0, to);
-                }
+                FlowStage::Passed(to) => follow_copy(&mut head, to),
                 _ => {}
             }
         }
@@ -258,3 +262,11 @@
             .has_room(now, (limit.floor() as u32).saturating_sub(1))
     }
 }
+
+/// Sends a copy of an opening packet the way of an earlier one, whose end may hold the flow.
+fn follow_copy(head: &mut ForwardHead, to: SocketAddrV4) {
+    let is_loop = head.hops > FOLLOW_HOPS;
+    if !head.assigned && !is_loop && !head.rest.contains(&to) {
+        head.rest.insert(0, to);
+    }
+}
--- a/components/flows/tests/keeping.rs
+++ b/components/flows/tests/keeping.rs
@@ -244,6 +244,25 @@
     assert!(keeper.report(Millis(2)).accepts);
 }
 
+/// Guards against copies of an opening packet that go round in a loop along the ways of earlier copies
+/// until they are dropped: after an outage, such flows were neither taken nor refused.
+#[test]
+fn ends_the_way_of_a_copy_that_goes_round_in_a_loop() {
+    let mut keeper = keeper();
+    for caller in 0..2 {
+        forward(&mut keeper, &open_packet(caller), head(&[1]), Millis(0));
+    }
+    forward(&mut keeper, &open_packet(2), head(&[1]), Millis(0));
+    let copy = packet(2, PacketKind::Open { copy: 1 });
+    let mut looped = head(&[]);
+    looped.near = 1;
+    let followed = forward(&mut keeper, &copy, looped.clone(), Millis(1));
+    assert_eq!(passed_to(&followed), Some(agent(1)));
+    looped.hops = 8;
+    let taken = forward(&mut keeper, &copy, looped, Millis(1));
+    assert!(delivers(&taken));
+}
+
 /// Guards against a reset of a flow that a server may have accepted.
 #[test]
 fn refuses_only_what_no_server_was_offered() {
