Take copies of an opening packet with a shorter wait

Ruled out: bringing the loops back (those flows were neither taken nor refused).

Tests: keeps_goodput_under_overload passes again, with its bound as it was.

--- a/components/flows/src/connection/flow_keeper/opening.rs
+++ b/components/flows/src/connection/flow_keeper/opening.rs
@@ -23,7 +23,8 @@
         BestOffer,
         FlowKey,
         FlowPacket,
-        ForwardHead, //
+        ForwardHead,
+        PacketKind, //
     },
 };
 
@@ -83,7 +84,10 @@
             .rules
             .as_ref()
             .and_then(|rules| rules.route(packet.key.service));
-        route.map_or(u32::MAX, wait_limit_us)
+        let PacketKind::Open { copy } = packet.kind else {
+            return u32::MAX;
+        };
+        route.map_or(u32::MAX, |route| wait_limit_us(route, copy))
     }
 
     pub(super) fn offer_load(&self, head: &mut ForwardHead, wait_us: u32) {
