Leave new agents out that don't answer a probe at once

Cause: packets of flows went to agents that had written their keys and ended right after, for 250 to 450 ms. An agent answers the first packet of a balancer at once, so one that was never heard is suspect after 60 ms now, and new agents are probed as soon as the balancer learns of them. A key that is written anew clears the suspicion.

Ruled out: servers that answer late (their answers came 1 to 80 ms after the data), lost datagrams (loss is 0.0005).

Test: leaves_a_new_agent_out_that_does_not_answer_its_first_probe failed first (insert took no time then).

--- a/components/flows/src/process/agent_roster.rs
+++ b/components/flows/src/process/agent_roster.rs
@@ -19,6 +19,9 @@
 /// Time without an answer after which an agent is suspect.
 const SUSPECT_TIME: Millis = Millis(250);
 
+/// The same for an agent that has not been heard yet: it answers the first packet at once.
+const FIRST_ANSWER_TIME: Millis = Millis(60);
+
 /// Time without an answer after which an agent whose key has lapsed is removed.
 const LAPSE_TIME: Millis = Millis(2_000);
 
@@ -73,8 +76,12 @@
     }
 
     pub(crate) fn is_suspect(&self, now: Millis) -> bool {
+        let patience = match self.heard {
+            Some(_) => SUSPECT_TIME,
+            None => FIRST_ANSWER_TIME,
+        };
         self.unanswered
-            .is_some_and(|since| now.since(since) >= SUSPECT_TIME)
+            .is_some_and(|since| now.since(since) >= patience)
     }
 
     /// Returns whether a recent report showed no free slot.
@@ -91,7 +98,8 @@
     fn needs_probe(&self, now: Millis) -> bool {
         let recent = |time: Option<Millis>, span| time.is_some_and(|time| now.since(time) < span);
         let quiet = recent(self.listed, LISTED_TIME) && !recent(self.heard, QUIET_TIME);
-        self.is_suspect(now) || self.lapsed.is_some() || quiet
+        let unknown = self.heard.is_none() && self.unanswered.is_none();
+        self.is_suspect(now) || self.lapsed.is_some() || quiet || unknown
     }
 
     fn is_gone(&self, now: Millis) -> bool {
@@ -126,25 +134,28 @@
             }
         }
         for record in records {
-            self.put(record);
+            self.put(record, now);
         }
         self.loaded = true;
         self.index();
     }
 
     /// Adds an agent, or takes what its new record says.
-    pub fn insert(&mut self, record: AgentRecord) {
-        self.put(record);
+    pub fn insert(&mut self, record: AgentRecord, now: Millis) {
+        self.put(record, now);
         self.index();
     }
 
-    fn put(&mut self, record: AgentRecord) {
+    fn put(&mut self, record: AgentRecord, now: Millis) {
         match self.find(record.address) {
             Ok(index) => {
                 let slot = &mut self.slots[index];
                 slot.lapsed = None;
                 if slot.record != record {
                     *slot = AgentSlot::new(record);
+                } else if slot.is_suspect(now) {
+                    // The key was written anew, so the agent may have been started again.
+                    slot.unanswered = None;
                 }
             }
             Err(index) => self.slots.insert(index, AgentSlot::new(record)),
@@ -157,7 +168,7 @@
         let known = self.find(record.address).is_ok();
         if !known {
             let address = record.address;
-            self.insert(record);
+            self.insert(record, now);
             self.lapse(address, now);
             self.loaded = true;
         }
--- a/components/flows/tests/routing.rs
+++ b/components/flows/tests/routing.rs
@@ -163,11 +163,14 @@
     let mut rules = support::rules(2);
     rules.close_centres([support::CENTRE.into()]);
     router.rules = Some(Arc::new(rules));
-    router.roster.insert(AgentRecord {
-        address: agent(9),
-        centre: "south".into(),
-        service: support::SERVICE.into(),
-    });
+    router.roster.insert(
+        AgentRecord {
+            address: agent(9),
+            centre: "south".into(),
+            service: support::SERVICE.into(),
+        },
+        Millis(0),
+    );
     for caller in 0..50 {
         let later = targets(&router.route(&packet(caller, PacketKind::Middle), Millis(0)));
         assert_eq!(later[0], agent(9));
@@ -186,11 +189,14 @@
     rules.close_centres([support::CENTRE.into()]);
     router.rules = Some(Arc::new(rules));
     for number in 10..30 {
-        router.roster.insert(AgentRecord {
-            address: agent(number),
-            centre: if number < 20 { "south" } else { "east" }.into(),
-            service: support::SERVICE.into(),
-        });
+        router.roster.insert(
+            AgentRecord {
+                address: agent(number),
+                centre: if number < 20 { "south" } else { "east" }.into(),
+                service: support::SERVICE.into(),
+            },
+            Millis(0),
+        );
     }
     let south: Vec<_> = (10..20).map(agent).collect();
     let mut in_south = 0;
@@ -215,11 +221,14 @@
     let others = ["south", "east", "west", "coast"];
     for (index, centre) in others.into_iter().enumerate() {
         for number in 0..8 {
-            router.roster.insert(AgentRecord {
-                address: agent(10 * (index as u8 + 1) + number),
-                centre: centre.into(),
-                service: support::SERVICE.into(),
-            });
+            router.roster.insert(
+                AgentRecord {
+                    address: agent(10 * (index as u8 + 1) + number),
+                    centre: centre.into(),
+                    service: support::SERVICE.into(),
+                },
+                Millis(0),
+            );
         }
     }
     let before: Vec<_> = (0..100)
@@ -233,3 +242,34 @@
         assert!(targets(&router.route(&later, Millis(0))).contains(&owner));
     }
 }
+
+/// Guards against packets that are lost at an agent which ended right after it wrote its key: a new
+/// agent answers a probe at once, so a silent one is left out sooner than one that was heard.
+#[test]
+fn leaves_a_new_agent_out_that_does_not_answer_its_first_probe() {
+    let mut router = router(3);
+    let probed = router.roster.take_probes(Millis(0));
+    assert_eq!(probed.len(), 3);
+    let report = AgentReport {
+        accepts: true,
+        ..AgentReport::default()
+    };
+    for heard in &probed[..2] {
+        router.roster.take_report(*heard, report, Millis(10));
+    }
+    let silent = probed[2];
+    let soon = Millis(80);
+    for caller in 0..20 {
+        let opening = targets(&router.route(&open_packet(caller), soon));
+        assert!(!opening.contains(&silent));
+        let later = targets(&router.route(&packet(caller, PacketKind::Middle), soon));
+        assert_eq!(later.last(), Some(&silent));
+    }
+    let record = AgentRecord {
+        address: silent,
+        centre: support::CENTRE.into(),
+        service: support::SERVICE.into(),
+    };
+    router.roster.insert(record, soon);
+    assert!(router.roster.take_probes(soon).contains(&silent));
+}
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -65,7 +65,7 @@
 const BATCH: usize = 64;
 
 /// Time between probes of agents that don't answer.
-const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What the control thread tells the traffic thread of a balancer.
 #[derive(Debug)]
@@ -142,9 +142,10 @@
         let now = self.clock.now();
         match update {
             BalancerUpdate::Agents(records) => self.router.roster.replace(records, now),
-            BalancerUpdate::Agent(record) => self.router.roster.insert(record),
+            BalancerUpdate::Agent(record) => self.router.roster.insert(record, now),
             BalancerUpdate::Lapsed(address) => self.router.roster.lapse(address, now),
         }
+        self.probe(now);
     }
 
     fn read_callers(&mut self) {
@@ -280,6 +281,11 @@
         for agent in self.router.roster.expire(now) {
             info!(%agent, "agent removed: key gone and no answer");
         }
+        self.probe(now);
+    }
+
+    /// Asks agents for a report. New ones are asked at once, so that a dead one takes few packets.
+    fn probe(&mut self, now: Millis) {
         let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_number(self.address),
             revision: self.revision(),
