Open a span for each hop of an opaque flow

The users ask for traces with a span for each hop; on their platform only log lines told the hops. Packets have no room for a trace id, so each process derives it from the flow's addresses. Spans are at level debug, as on the product's own path.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -27,6 +27,7 @@
     read_from_caller,
     reset_packet, //
 };
+use carobdrum_telemetry::HopKind;
 use carobdrum_wire::flow_datagram::{
     address_number,
     number_address,
@@ -62,6 +63,7 @@
         decode_head,
         encode_forward, //
     },
+    hop_spans::HopSpans,
     revision_sight::{
         raise_revision,
         RevisionSight, //
@@ -113,6 +115,7 @@
     stopped: Option<oneshot::Sender<()>>,
     metrics: NodeMetrics,
     log: FlowLog,
+    hops: HopSpans,
 }
 
 impl AgentTraffic {
@@ -139,6 +142,7 @@
             stopped: None,
             metrics,
             log: FlowLog::new(),
+            hops: HopSpans::default(),
         })
     }
 
@@ -245,15 +249,30 @@
         let mut actions = std::mem::take(&mut self.actions);
         self.keeper
             .take_forward(&packet, &bytes, head, now, &mut actions);
-        if packet.is_open() && actions.contains(&KeeperAction::Deliver) {
-            let report = self.keeper.report(now);
-            self.metrics.opened.inc();
-            self.log.offered(packet.key, hops, report);
+        if packet.is_open() {
+            self.note_opening(packet.key, hops, &actions, now);
         }
         self.act(&mut actions, &bytes);
         self.actions = actions;
     }
 
+    /// Notes where an opening packet goes: to the server or to another agent.
+    fn note_opening(&mut self, key: FlowKey, hops: u8, actions: &[KeeperAction], now: Millis) {
+        for action in actions {
+            match action {
+                KeeperAction::Deliver => {
+                    let report = self.keeper.report(now);
+                    self.metrics.opened.inc();
+                    self.log.offered(key, hops, report);
+                    self.hops.pass(HopKind::Agent, key, self.backend);
+                    self.hops.begin(key, self.backend);
+                }
+                KeeperAction::PassOn { to, .. } => self.hops.pass(HopKind::Agent, key, *to),
+                _ => {}
+            }
+        }
+    }
+
     fn read_backend(&mut self) {
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
@@ -315,6 +334,7 @@
                 KeeperAction::Answered(key, time) => {
                     self.metrics.answer_time.observe(time.0 as f64 / 1_000.0);
                     self.log.answered(key, time);
+                    self.hops.end(key);
                 }
                 KeeperAction::Refuse(key, cause) => {
                     NodeMetrics::count(&self.metrics.refused, cause.name());
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -22,6 +22,7 @@
     read_from_caller,
     reset_packet, //
 };
+use carobdrum_telemetry::HopKind;
 use carobdrum_wire::flow_datagram::{
     address_number,
     number_address,
@@ -49,6 +50,7 @@
 use super::{
     flow_log::FlowLog,
     head_codec::encode_forward,
+    hop_spans::HopSpans,
     revision_sight::{
         raise_revision,
         RevisionSight, //
@@ -90,6 +92,7 @@
     agents: UdpPort,
     metrics: NodeMetrics,
     log: FlowLog,
+    hops: HopSpans,
 }
 
 impl BalancerTraffic {
@@ -110,6 +113,7 @@
             agents: UdpPort::open(address).await?,
             metrics,
             log: FlowLog::new(),
+            hops: HopSpans::default(),
         })
     }
 
@@ -174,6 +178,7 @@
                 if opens {
                     self.metrics.opened.inc();
                     self.log.forwarded(key, to, &head);
+                    self.hops.pass(HopKind::Balancer, key, to);
                 } else {
                     self.metrics.forwarded.inc();
                 }
--- /dev/null
+++ b/components/forwarder/src/connection/hop_spans.rs
@@ -0,0 +1,75 @@
+//! Spans of the hops of an opaque flow.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::process::address_number;
+use carobdrum_flows::FlowKey;
+use carobdrum_telemetry::{
+    hop_span,
+    HopKind,
+    TraceContext,
+    HOP_TARGET, //
+};
+use compact_str::{
+    CompactString,
+    ToCompactString, //
+};
+use hashbrown::HashMap;
+use tracing::{
+    Level,
+    Span, //
+};
+
+/// Most requests whose span is open at a time. Beyond it the open ones are closed, so that requests
+/// which are never answered don't add up.
+const MAX_OPEN_SPANS: usize = 4_096;
+
+/// Opens a span for each hop of a flow: at the balancer and at each agent for the opening packet, and
+/// at the server from the offer until the answer begins.
+///
+/// Packets have no room for a trace id. Each process derives it from the flow's addresses.
+#[derive(Debug, Default)]
+pub struct HopSpans {
+    requests: HashMap<FlowKey, Span>,
+}
+
+impl HopSpans {
+    /// Writes the hop of an opening packet at a balancer or an agent; `target` is the next process.
+    pub fn pass(&self, hop: HopKind, key: FlowKey, target: SocketAddrV4) {
+        if let Some(span) = open_span(hop, key, target) {
+            span.in_scope(|| {});
+        }
+    }
+
+    /// Opens the hop of a request at the server.
+    pub fn begin(&mut self, key: FlowKey, server: SocketAddrV4) {
+        if self.requests.len() >= MAX_OPEN_SPANS {
+            self.requests.clear();
+        }
+        if let Some(span) = open_span(HopKind::Server, key, server) {
+            self.requests.insert(key, span);
+        }
+    }
+
+    /// Closes the hop of a request at the server.
+    pub fn end(&mut self, key: FlowKey) {
+        self.requests.remove(&key);
+    }
+}
+
+fn open_span(hop: HopKind, key: FlowKey, target: SocketAddrV4) -> Option<Span> {
+    if !tracing::enabled!(target: HOP_TARGET, Level::DEBUG) {
+        return None;
+    }
+    let service: CompactString = key.service.to_compact_string();
+    let target: CompactString = target.to_compact_string();
+    Some(hop_span(hop, &flow_trace(key), &service, &target))
+}
+
+fn flow_trace(key: FlowKey) -> TraceContext {
+    let mut bytes = [0; 16];
+    let (caller, service) = bytes.split_at_mut(8);
+    caller.copy_from_slice(&address_number(key.caller).to_be_bytes());
+    service.copy_from_slice(&address_number(key.service).to_be_bytes());
+    TraceContext::from_flow(&bytes)
+}
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod balancer_traffic;
 mod flow_log;
 mod head_codec;
+mod hop_spans;
 mod revision_sight;
 mod udp_port;
 
@@ -15,4 +16,5 @@
     BalancerTraffic,
     BalancerUpdate, //
 };
+pub use hop_spans::HopSpans;
 pub use revision_sight::RevisionSight;
--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -6,7 +6,10 @@
 mod connection;
 mod process;
 
-pub use connection::RevisionSight;
+pub use connection::{
+    HopSpans,
+    RevisionSight, //
+};
 pub use process::{
     run_agent,
     run_balancer,
