Repeat a read that the store doesn't answer, while the process can't serve

Cause: a balancer that starts while the store is silent waits for its read until it times out after 1.5 s. Now such a process makes the read again after each 400 ms, on a new connection, and takes the first answer; at most four calls wait at a time. Followers that have read once are as before.

Ruled out: a shorter time limit (a slow store answers after 400 ms and more).

Test: reads_soon_after_a_silent_store_is_back failed first.

--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod agent_node;
 mod balancer_node;
 mod boot_clock;
+mod hedged_read;
 mod http_port;
 mod lease_actor;
 pub(crate) mod node_error;
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -10,6 +10,7 @@
     StoreClient,
     StoreFault,
     StoreItem,
+    StoreListing,
     StoreNews, //
 };
 use rand::Rng;
@@ -22,6 +23,7 @@
     warn, //
 };
 
+use super::hedged_read::list_hedged;
 use crate::connection::RevisionSight;
 
 /// Longest wait of a watch; the connection's keep-alive finds a silent store sooner.
@@ -57,6 +59,7 @@
 /// Following the keys that begin alike.
 #[derive(Debug)]
 pub struct KeyFollower {
+    store: SocketAddrV4,
     client: StoreClient,
     prefix: &'static str,
     /// Highest revision that other processes have shown; a follower that has an older one for
@@ -75,6 +78,7 @@
         seen: watch::Receiver<RevisionSight>,
     ) -> KeyFollower {
         KeyFollower {
+            store,
             client: StoreClient::new(store, CALL_TIMEOUT),
             prefix,
             seen,
@@ -93,7 +97,6 @@
     /// force.
     pub async fn run(mut self, mut take: impl AsyncFnMut(KeyNews) -> Option<u64>) {
         let mut after = None;
-        let mut urgent = self.urgent;
         let mut backoff = StoreBackoff::default();
         loop {
             match self.call(after).await {
@@ -103,7 +106,7 @@
                     let Some(news) = news else {
                         continue;
                     };
-                    urgent = false;
+                    self.urgent = false;
                     let changed = matches!(news, KeyNews::Changes(_));
                     match take(news).await {
                         Some(revision) => self.revision = revision,
@@ -117,20 +120,33 @@
                     // A watch that was cut may have missed changes, and one that goes on from an
                     // old revision may wait for the next change.
                     after = None;
-                    let longest = if urgent { URGENT_PAUSE } else { LONGEST_PAUSE };
+                    let longest = if self.urgent {
+                        URGENT_PAUSE
+                    } else {
+                        LONGEST_PAUSE
+                    };
                     sleep(backoff.fail(self.prefix, &error, longest)).await;
                 }
             }
         }
     }
 
+    async fn list(&mut self) -> Result<StoreListing, StoreFault> {
+        if !self.urgent {
+            return self.client.list(self.prefix).await;
+        }
+        let (client, listing) = list_hedged(self.store, self.prefix).await?;
+        self.client = client;
+        Ok(listing)
+    }
+
     /// Makes one call; returns what it told, and the revision from which the next one goes on.
     async fn call(
         &mut self,
         after: Option<u64>,
     ) -> Result<(Option<KeyNews>, Option<u64>), StoreFault> {
         let Some(after) = after else {
-            let listing = self.client.list(self.prefix).await?;
+            let listing = self.list().await?;
             return Ok((Some(KeyNews::All(listing.items)), Some(listing.revision)));
         };
         let watch = self.client.watch(self.prefix, after, WATCH_WAIT);
--- a/components/forwarder/tests/key_follower.rs
+++ b/components/forwarder/tests/key_follower.rs
@@ -42,11 +42,19 @@
     values: mpsc::UnboundedReceiver<String>,
 }
 
-async fn follow() -> Followed {
+async fn start_store() -> LeaseServer {
     let store = LeaseServer::start(Ipv4Addr::LOCALHOST).await.unwrap();
     store.put(KEY, "1");
+    store
+}
+
+async fn follow() -> Followed {
+    follow_store(start_store().await, |follower| follower)
+}
+
+fn follow_store(store: LeaseServer, build: impl Fn(KeyFollower) -> KeyFollower) -> Followed {
     let (seen, versions) = watch::channel(RevisionSight::default());
-    let follower = KeyFollower::new(store.address(), PREFIX, versions);
+    let follower = build(KeyFollower::new(store.address(), PREFIX, versions));
     let (values, receiver) = mpsc::unbounded_channel();
     tokio::spawn(follower.run(async move |news| {
         let mut version = 0;
@@ -159,3 +167,17 @@
     }
     followed.expect("11").await;
 }
+
+/// Guards against a balancer that starts while the store is silent, and after the store's return waits
+/// for the time limit of a call that will never be answered: callers were not served for a second more.
+#[tokio::test]
+async fn reads_soon_after_a_silent_store_is_back() {
+    let store = start_store().await;
+    store.set_mode(StoreMode::Silent);
+    let mut followed = follow_store(store, KeyFollower::urgent);
+    sleep(SETTLE).await;
+    followed.store.set_mode(StoreMode::Open);
+    timeout(Duration::from_millis(600), followed.expect("1"))
+        .await
+        .expect("the value is read long before the first call times out");
+}
