Take news of the configuration in any order

Cause, found by reading: an evacuation learned from another process was kept under the data centre's name instead of its key, so its end was only seen by the next full read. A list that was read before a change and arrives after another process told of it put the state back, for as long as the watch took to catch up. And a process claimed all revisions that others had shown when its list arrived, also those newer than the list, so that it didn't notice that it lagged.

Now a change or list that is older than what another process told is left out, evacuations have their keys, and no revision beyond the list's is claimed.

--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -16,5 +16,6 @@
     KeyFollower,
     KeyNews,
     NodeError,
+    RulesFeed,
     SettingsFile, //
 };
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -244,8 +244,9 @@
         record
     };
     match news {
-        KeyNews::All(items) => {
-            let records = items.iter().filter_map(|item| read(&item.key, &item.value));
+        KeyNews::All(listing) => {
+            let items = listing.items.iter();
+            let records = items.filter_map(|item| read(&item.key, &item.value));
             let records = records.collect();
             info!(?records, "agents listed");
             vec![BalancerUpdate::Agents(records)]
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -21,6 +21,7 @@
 pub(crate) use boot_clock::BootClock;
 pub use node_error::NodeError;
 pub(crate) use node_metrics::NodeMetrics;
+pub use rules_feed::RulesFeed;
 pub use settings_file::SettingsFile;
 pub use store_watch::{
     KeyFollower,
--- a/components/forwarder/src/process/rules_feed.rs
+++ b/components/forwarder/src/process/rules_feed.rs
@@ -4,68 +4,100 @@
 
 use carobdrum_flows::version::SiteRules;
 use carobdrum_platform::{
+    closing_key,
     read_operator,
     OperatorEntry,
     StoreChange,
-    StoreItem, //
+    StoreItem,
+    StoreListing, //
 };
 use compact_str::CompactString;
 use tracing::{
+    debug,
     info,
     warn, //
 };
 
 use super::store_watch::KeyNews;
 
+/// A data centre that is taken out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ClosedCentre {
+    /// Key of the operator that takes it out.
+    key: CompactString,
+    centre: CompactString,
+}
+
 /// Configuration and evacuations that are in force.
 #[derive(Debug, Default)]
-pub(crate) struct RulesFeed {
+pub struct RulesFeed {
     rules: Option<SiteRules>,
-    /// Data centres that are taken out, with their keys.
-    closed: Vec<(CompactString, CompactString)>,
+    closed: Vec<ClosedCentre>,
     revision: u64,
+    /// Revision of the last state taken from another process, which has all changes up to it.
+    taken: u64,
 }
 
 impl RulesFeed {
     /// Returns the revision of the last change that is in force; zero if there is none.
-    pub(crate) fn revision(&self) -> u64 {
+    pub fn revision(&self) -> u64 {
         self.revision
     }
 
     /// Takes news; returns what is in force, if there is a configuration.
     ///
-    /// A full list is at least as new as `seen`, the highest revision that other processes had
-    /// shown before it was read.
-    pub(crate) fn take(&mut self, news: KeyNews, seen: u64) -> Option<Arc<SiteRules>> {
+    /// `seen` is the highest revision that other processes have shown. News that are older than
+    /// what another process has told are left out: they may come late, and would put back what has
+    /// changed since.
+    pub fn take(&mut self, news: KeyNews, seen: u64) -> Option<Arc<SiteRules>> {
         match news {
-            KeyNews::All(items) => {
-                self.closed.clear();
-                self.revision = self.revision.max(seen);
-                for item in items {
-                    self.put(item);
-                }
-            }
+            KeyNews::All(listing) => self.take_listing(listing, seen),
             KeyNews::Changes(changes) => {
                 for change in changes {
-                    match change {
-                        StoreChange::Put(item) => self.put(item),
-                        StoreChange::Gone(key, revision) => self.remove(&key, revision),
-                    }
+                    self.take_change(change);
                 }
             }
         }
         self.in_force()
     }
 
+    fn take_listing(&mut self, listing: StoreListing, seen: u64) {
+        let revision = listing.revision;
+        if revision < self.taken {
+            info!(revision, taken = self.taken, "older list left out");
+            return;
+        }
+        self.closed.clear();
+        for item in listing.items {
+            self.put(item);
+        }
+        // The list may have been read before the others saw the last change.
+        self.revision = self.revision.max(seen.min(revision));
+    }
+
+    fn take_change(&mut self, change: StoreChange) {
+        match change {
+            StoreChange::Put(item) if item.revision > self.taken => self.put(item),
+            StoreChange::Gone(key, revision) if revision > self.taken => {
+                self.remove(&key, revision);
+            }
+            _ => debug!(?change, taken = self.taken, "older change left out"),
+        }
+    }
+
     /// Takes the configuration and the evacuations of another process, if they are newer.
-    pub(crate) fn take_rules(&mut self, rules: SiteRules) -> Option<Arc<SiteRules>> {
+    pub fn take_rules(&mut self, rules: SiteRules) -> Option<Arc<SiteRules>> {
         if rules.revision <= self.revision {
             return None;
         }
         self.revision = rules.revision;
+        self.taken = rules.revision;
         let closed = rules.closed_centres().iter();
         self.closed = closed
-            .map(|centre| (centre.clone(), centre.clone()))
+            .map(|centre| ClosedCentre {
+                key: closing_key(centre),
+                centre: centre.clone(),
+            })
             .collect();
         self.put_rules(rules);
         self.in_force()
@@ -74,7 +106,8 @@
     fn in_force(&mut self) -> Option<Arc<SiteRules>> {
         let rules = self.rules.as_mut()?;
         rules.revision = self.revision;
-        rules.close_centres(self.closed.iter().map(|(_, centre)| centre.clone()));
+        let closed = self.closed.iter();
+        rules.close_centres(closed.map(|closed| closed.centre.clone()));
         Some(Arc::new(rules.clone()))
     }
 
@@ -83,8 +116,9 @@
             Ok(OperatorEntry::Rules(rules)) => self.put_rules(rules),
             Ok(OperatorEntry::ClosedCentre(centre)) => {
                 info!(%centre, revision = item.revision, "data centre taken out");
-                self.closed.retain(|(key, _)| *key != item.key);
-                self.closed.push((item.key, centre));
+                self.closed.retain(|closed| closed.key != item.key);
+                let key = item.key;
+                self.closed.push(ClosedCentre { key, centre });
             }
             Ok(OperatorEntry::Other) => {}
             Err(error) => warn!(key = %item.key, %error, "operator's entry can't be read"),
@@ -94,7 +128,7 @@
 
     fn remove(&mut self, key: &str, revision: u64) {
         info!(key, revision, "operator's key gone");
-        self.closed.retain(|(closed, _)| closed != key);
+        self.closed.retain(|closed| closed.key != key);
         self.revision = self.revision.max(revision);
     }
 
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -9,7 +9,6 @@
     StoreChange,
     StoreClient,
     StoreFault,
-    StoreItem,
     StoreListing,
     StoreNews, //
 };
@@ -51,7 +50,7 @@
 #[derive(Debug)]
 pub enum KeyNews {
     /// All keys, at the start and whenever changes may have been missed.
-    All(Vec<StoreItem>),
+    All(StoreListing),
     /// Changes since the last news.
     Changes(Vec<StoreChange>),
 }
@@ -147,7 +146,8 @@
     ) -> Result<(Option<KeyNews>, Option<u64>), StoreFault> {
         let Some(after) = after else {
             let listing = self.list().await?;
-            return Ok((Some(KeyNews::All(listing.items)), Some(listing.revision)));
+            let revision = listing.revision;
+            return Ok((Some(KeyNews::All(listing)), Some(revision)));
         };
         let watch = self.client.watch(self.prefix, after, WATCH_WAIT);
         let news = tokio::select! {
--- a/components/forwarder/tests/key_follower.rs
+++ b/components/forwarder/tests/key_follower.rs
@@ -73,7 +73,7 @@
 
 fn values_of(news: KeyNews) -> Vec<String> {
     let items = match news {
-        KeyNews::All(items) => items,
+        KeyNews::All(listing) => listing.items,
         KeyNews::Changes(changes) => changes
             .into_iter()
             .filter_map(|change| match change {
