Share what both daemons have around their traffic thread

balancer_node.rs and agent_node.rs set up signals, metrics, the knowledge of the site and its followers alike; NodeFrame does it for both, and run_control holds the runtime. ForwardHead answers whether a walk is over, which was computed in two places.

The test ends_when_its_traffic_thread_can_not_run failed once after this, and 1 of 3 times when repeated: it started two agents with one address at the same time and expected the second to lose, and the first lost as well as often. Now the test holds the address itself; what it checks is the same.

--- a/components/flows/src/connection/flow_keeper/opening.rs
+++ b/components/flows/src/connection/flow_keeper/opening.rs
@@ -69,8 +69,7 @@
         if bearable {
             self.offer_load(&mut head, wait_us);
         }
-        let near_done = head.near == 0 && head.best.is_some_and(|best| best.wait_us <= DISTANCE_US);
-        let last = head.rest.is_empty() || near_done;
+        let last = head.has_asked_all(DISTANCE_US);
         match head.best {
             Some(best) if last && best.agent == self.settings.address => {
                 self.accept(key, bytes, head, now, actions);
@@ -141,9 +140,8 @@
         now: Millis,
         actions: &mut Vec<KeeperAction>,
     ) {
-        let near_done = head.near == 0 && head.best.is_some_and(|best| best.wait_us <= DISTANCE_US);
         let to = match head.best {
-            Some(best) if (head.rest.is_empty() || near_done) && !head.assigned => {
+            Some(best) if head.has_asked_all(DISTANCE_US) && !head.assigned => {
                 head.assigned = true;
                 Some(best.agent)
             }
--- a/components/flows/src/request/forward_head.rs
+++ b/components/flows/src/request/forward_head.rs
@@ -16,7 +16,7 @@
 pub struct ForwardHead {
     /// Balancer that received the packet.
     pub balancer: SocketAddrV4,
-    /// Hash of the data centre of the caller's balancer.
+    /// Hash of the flow's data centre: the caller's, unless no agent there is usable.
     pub centre: u32,
     /// Hash of the service that the balancer's configuration names.
     pub service: u32,
@@ -26,7 +26,7 @@
     pub hops: u8,
     /// Candidates that are still to be asked, in order.
     pub rest: Vec<SocketAddrV4>,
-    /// How many of `rest`, from the front, are in the caller's data centre.
+    /// How many of `rest`, from the front, are in the flow's data centre.
     pub near: u8,
     /// For an opening packet, the least loaded agent so far.
     pub best: Option<BestOffer>,
@@ -35,3 +35,12 @@
     /// Whether the opening packet was delivered to a backend server before.
     pub delivered: bool,
 }
+
+impl ForwardHead {
+    /// Returns whether an opening packet asks no further agent: none is left, or the best offer is
+    /// better than the way to another data centre, which costs `distance_us`.
+    pub fn has_asked_all(&self, distance_us: u32) -> bool {
+        let near_enough = self.best.is_some_and(|best| best.wait_us <= distance_us);
+        self.rest.is_empty() || (self.near == 0 && near_enough)
+    }
+}
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -18,8 +18,7 @@
 };
 use carobdrum_platform::{
     CallFault,
-    NodeCall,
-    OPERATOR_PREFIX, //
+    NodeCall, //
 };
 use carobdrum_settings::{
     BackendSettings,
@@ -27,23 +26,16 @@
 };
 use compact_str::CompactString;
 use http::StatusCode;
-use prometheus_client::registry::Registry;
 use ractor::ActorRef;
 use snafu::{
     OptionExt,
     ResultExt, //
 };
 use tokio::{
-    signal::unix::{
-        signal,
-        SignalKind, //
-    },
     sync::{
         mpsc,
-        oneshot,
-        watch, //
+        oneshot, //
     },
-    task::LocalSet,
     time::timeout, //
 };
 use tracing::{
@@ -65,22 +57,16 @@
         StartSnafu,
         TrafficEndedSnafu, //
     },
-    serve_metrics::serve_metrics,
-    settings_file::SettingsFile,
-    site_hub::{
-        follow_peers,
-        follow_rules,
-        SiteHub, //
+    node_frame::{
+        run_control,
+        NodeFrame, //
     },
-    snapshot_port::serve_snapshots,
-    store_watch::KeyFollower,
-    NodeError,
-    NodeMetrics, //
+    settings_file::SettingsFile,
+    NodeError, //
 };
 use crate::connection::{
     AgentTraffic,
-    AgentUpdate,
-    RevisionSight, //
+    AgentUpdate, //
 };
 
 /// Updates that may wait for the traffic thread.
@@ -101,11 +87,7 @@
 ///
 /// Returns why it can't run.
 pub fn run_agent(settings: SettingsFile) -> Result<(), NodeError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(StartSnafu)?;
-    LocalSet::new().block_on(&runtime, control(settings))
+    run_control(control(settings))
 }
 
 async fn control(mut file: SettingsFile) -> Result<(), NodeError> {
@@ -113,18 +95,12 @@
     let node = &settings.node;
     let backend = settings.backend.as_ref().context(NoBackendSnafu)?;
     info!(name = %node.name, centre = %node.data_centre, service = %backend.service, "agent starts");
-    let mut stop = signal(SignalKind::terminate()).context(StartSnafu)?;
-    let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
+    let mut frame = NodeFrame::start(node).await?;
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let keeper = keeper_settings(&settings, backend);
     let (server, outgoing) = (backend.address, backend.outgoing);
-    let mut registry = Registry::default();
-    let metrics = NodeMetrics::register(&mut registry);
-    let _server = serve_metrics(node.metrics, registry)?;
-    let (seen, sights) = watch::channel(RevisionSight::default());
-    let (rules, in_force) = watch::channel(None);
-    let hub = SiteHub::new(rules);
-    serve_snapshots(SocketAddrV4::new(node.ip, node.peer_port), hub.clone()).await?;
+    let (seen, metrics) = (frame.seen.clone(), frame.metrics.clone());
+    let in_force = frame.in_force.clone();
     let traffic = spawn_thread("traffic", move || async move {
         let traffic = AgentTraffic::open(keeper, server, outgoing, seen, metrics).await?;
         traffic.run(receiver, in_force).await
@@ -135,9 +111,8 @@
         centre: node.data_centre.clone(),
         service: backend.service.clone(),
     };
-    let store = settings.store.address;
     let arguments = LeaseArguments {
-        store,
+        store: settings.store.address,
         min_lease: Duration::from_millis(settings.store.min_lease_ms),
         record: record.clone(),
     };
@@ -148,14 +123,12 @@
     };
     serve_ready(node.ready).await?;
     serve_backend(backend.heartbeats, updates.clone(), key).await?;
-    let follower = KeyFollower::new(store, OPERATOR_PREFIX, sights.clone());
-    tokio::task::spawn_local(follow_rules(hub.clone(), follower, sights.clone()));
-    tokio::task::spawn_local(follow_peers(hub, sights, node.peer_port));
+    frame.follow_rules(&settings, |follower| follower);
     loop {
         tokio::select! {
-            _ = stop.recv() => break,
+            _ = frame.stop.recv() => break,
             () = updates.closed() => return TrafficEndedSnafu.fail(),
-            changed = file.changed(&mut reload) => take_settings(&changed, &updates).await,
+            changed = file.changed(&mut frame.reload) => take_settings(&changed, &updates).await,
         }
     }
     info!("agent leaves");
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -13,23 +13,16 @@
     read_agent,
     NodeCall,
     StoreChange,
-    AGENT_PREFIX,
-    OPERATOR_PREFIX, //
+    AGENT_PREFIX, //
 };
 use carobdrum_settings::NodeSettings;
 use http::StatusCode;
-use prometheus_client::registry::Registry;
 use snafu::ResultExt;
 use tokio::{
-    signal::unix::{
-        signal,
-        SignalKind, //
-    },
     sync::{
         mpsc,
         watch, //
     },
-    task::LocalSet,
     time::sleep, //
 };
 use tracing::{
@@ -43,21 +36,20 @@
         StartSnafu,
         TrafficEndedSnafu, //
     },
-    serve_metrics::serve_metrics,
+    node_frame::{
+        run_control,
+        NodeFrame, //
+    },
     settings_file::SettingsFile,
     site_hub::{
         ask_peers,
-        follow_peers,
-        follow_rules,
         SiteHub, //
     },
-    snapshot_port::serve_snapshots,
     store_watch::{
         KeyFollower,
         KeyNews, //
     },
-    NodeError,
-    NodeMetrics, //
+    NodeError, //
 };
 use crate::connection::{
     BalancerTraffic,
@@ -81,49 +73,36 @@
 ///
 /// Returns why it can't run.
 pub fn run_balancer(settings: SettingsFile) -> Result<(), NodeError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(StartSnafu)?;
-    LocalSet::new().block_on(&runtime, control(settings))
+    run_control(control(settings))
 }
 
 async fn control(mut file: SettingsFile) -> Result<(), NodeError> {
     let settings = file.current().clone();
     let node = &settings.node;
     info!(name = %node.name, centre = %node.data_centre, "balancer starts");
-    let mut stop = signal(SignalKind::terminate()).context(StartSnafu)?;
-    let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
+    let mut frame = NodeFrame::start(node).await?;
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let traffic_gone = updates.clone();
-    let packets = node.packets;
+    let (packets, centre) = (node.packets, node.data_centre.clone());
     let address = SocketAddrV4::new(node.ip, node.peer_port);
-    let centre = node.data_centre.clone();
-    let mut registry = Registry::default();
-    let metrics = NodeMetrics::register(&mut registry);
-    let _server = serve_metrics(node.metrics, registry)?;
-    let (seen, sights) = watch::channel(RevisionSight::default());
-    let (rules, in_force) = watch::channel(None);
-    let hub = SiteHub::new(rules);
+    let (seen, metrics) = (frame.seen.clone(), frame.metrics.clone());
+    let in_force = frame.in_force.clone();
     let traffic = spawn_thread("traffic", move || async move {
         let traffic = BalancerTraffic::open(packets, address, &centre, seen, metrics).await?;
         traffic.run(receiver, in_force).await
     });
     traffic.context(StartSnafu)?;
-    serve_snapshots(address, hub.clone()).await?;
+    let hub = frame.hub.clone();
     let ready = Rc::new(ReadyState {
         hub: hub.clone(),
         agents: Cell::default(),
         leaving: Cell::default(),
     });
     serve_ready(node.ready, ready.clone()).await?;
-    let store = settings.store.address;
-    let follower = KeyFollower::new(store, OPERATOR_PREFIX, sights.clone()).urgent();
+    frame.follow_rules(&settings, KeyFollower::urgent);
     // Entries of agents have no revision in common.
     let (unversioned, none) = watch::channel(RevisionSight::default());
-    let agents = KeyFollower::new(store, AGENT_PREFIX, none).urgent();
-    tokio::task::spawn_local(follow_rules(hub.clone(), follower, sights.clone()));
-    tokio::task::spawn_local(follow_peers(hub.clone(), sights.clone(), node.peer_port));
+    let agents = KeyFollower::new(settings.store.address, AGENT_PREFIX, none).urgent();
     tokio::task::spawn_local(follow_agents(
         hub.clone(),
         agents,
@@ -134,15 +113,15 @@
         hub,
         node.clone(),
         updates,
-        sights,
+        frame.sights.clone(),
         ready.clone(),
     ));
     loop {
         tokio::select! {
-            _ = stop.recv() => break,
+            _ = frame.stop.recv() => break,
             () = traffic_gone.closed() => return TrafficEndedSnafu.fail(),
             // Addresses can't change while the process runs; the rest isn't used by balancers.
-            _ = file.changed(&mut reload) => {}
+            _ = file.changed(&mut frame.reload) => {}
         }
     }
     info!("balancer leaves");
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -5,7 +5,8 @@
     net::{
         Ipv4Addr,
         SocketAddrV4,
-        TcpListener, //
+        TcpListener,
+        UdpSocket, //
     },
     path::Path,
     process::{
@@ -97,17 +98,21 @@
 }
 
 fn start_agent(store: &LeaseServer) -> Role {
+    start_agent_at(store, free_port())
+}
+
+/// Starts an agent that takes packets at `packet_port`.
+fn start_agent_at(store: &LeaseServer, packet_port: u16) -> Role {
     let folder = TempDir::new().unwrap();
     let ip = Ipv4Addr::LOCALHOST;
     let ready = SocketAddrV4::new(ip, free_port());
     let peer_port = free_port();
     let settings = format!(
         "[node]\nname = 'a'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
-         packets = '{ip}:{}'\nready = '{ready}'\ngrace_s = '6'\n\
+         packets = '{ip}:{packet_port}'\nready = '{ready}'\ngrace_s = '6'\n\
          [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
          [backend]\naddress = '{ip}:{}'\nservice = 's'\noutgoing = '{ip}:{}'\n\
          heartbeats = '{ip}:{}'\nreuse_s = '2'\n",
-        free_port(),
         store.address(),
         free_port(),
         free_port(),
@@ -123,31 +128,6 @@
     }
 }
 
-/// Starts an agent with the packet addresses of another one, and other addresses for calls.
-fn start_again(other: &Role) -> Role {
-    let folder = TempDir::new().unwrap();
-    let ready = SocketAddrV4::new(other.ip, free_port());
-    let peer_port = free_port();
-    let text = fs::read_to_string(other.folder.path().join(SETTINGS)).unwrap();
-    let text = text
-        .replace(&other.ready.to_string(), &ready.to_string())
-        .replace(&format!("= {}", other.peer_port), &format!("= {peer_port}"));
-    let heartbeats = format!("heartbeats = '{}:{}'", other.ip, free_port());
-    let lines = text.lines().map(|line| match line {
-        line if line.starts_with("heartbeats") => heartbeats.as_str(),
-        line => line,
-    });
-    let text = lines.collect::<Vec<_>>().join("\n");
-    fs::write(folder.path().join(SETTINGS), text).unwrap();
-    Role {
-        child: spawn("agent", folder.path()),
-        ip: other.ip,
-        ready,
-        peer_port,
-        folder,
-    }
-}
-
 fn spawn(role: &str, folder: &Path) -> Child {
     Command::new(env!("CARGO_BIN_EXE_carobdrum"))
         .args(["platform", role, "--settings"])
@@ -254,7 +234,7 @@
 #[tokio::test]
 async fn ends_when_its_traffic_thread_can_not_run() {
     let store = start_store().await;
-    let first = start_agent(&store);
-    let mut second = start_again(&first);
-    second.expect_end().await;
+    let taken = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let mut agent = start_agent_at(&store, taken.local_addr().unwrap().port());
+    agent.expect_end().await;
 }
