--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -49,7 +49,8 @@
     ip: Ipv4Addr,
     ready: SocketAddrV4,
     peer_port: u16,
-    folder: TempDir,
+    /// Removed when the role is dropped.
+    _folder: TempDir,
 }
 
 impl Drop for Role {
@@ -93,7 +94,7 @@
         ip,
         ready,
         peer_port,
-        folder,
+        _folder: folder,
     }
 }
 
@@ -124,7 +125,7 @@
         ip,
         ready,
         peer_port,
-        folder,
+        _folder: folder,
     }
 }
 
