Check the settings of the platform's roles and their template

`check` knew neither the settings of `platform balancer` and `platform agent` nor the template of the deploy file; a wrong one showed only when processes didn't start. It now fills the template in with the fields of a plausible VM of each kind, as the platform does, and checks the result. The names stay in platform/.

Tests: fault_of_a_template_is_told (five faults), and templates among the random files of random_files_cause_no_panic.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -28,6 +28,7 @@
     SettingsError, //
 };
 pub use settings_text::{
+    parse_flow_settings,
     read_agent,
     read_balancer,
     read_flow_settings,
--- a/components/settings/src/settings_text.rs
+++ b/components/settings/src/settings_text.rs
@@ -4,6 +4,7 @@
 
 use carobdrum_core::{
     FieldShape,
+    FileFault,
     ShapedText, //
 };
 use serde::de::DeserializeOwned;
@@ -62,6 +63,17 @@
     read_checked(path, FLOW_SHAPE, |_: &mut FlowSettings, _, _| ())
 }
 
+/// Checks the text of the settings of a role that forwards opaque flows.
+///
+/// # Errors
+///
+/// Returns all faults.
+pub fn parse_flow_settings(bytes: &[u8]) -> Result<FlowSettings, Vec<FileFault>> {
+    let mut text = ShapedText::read(bytes, MAX_SETTINGS_BYTES, FLOW_SHAPE);
+    let settings = text.value();
+    text.finish(settings)
+}
+
 fn read_checked<S: DeserializeOwned>(
     path: &Path,
     shape: &'static [FieldShape],
--- a/src/cmd/check_set.rs
+++ b/src/cmd/check_set.rs
@@ -16,7 +16,12 @@
     FileFault,
     ShapedText, //
 };
+use carobdrum_platform::{
+    render_sample,
+    SampleRole, //
+};
 use carobdrum_settings::{
+    parse_flow_settings,
     read_agent,
     read_balancer,
     read_bounded,
@@ -96,6 +101,8 @@
             match file.kind {
                 Some(FileKind::Balancer) => file.check_balancer(),
                 Some(FileKind::Agent) => file.check_agent(),
+                Some(FileKind::Node) => file.check_node(),
+                Some(FileKind::NodeTemplate) => file.check_template(),
                 _ => (),
             }
         }
@@ -112,7 +119,7 @@
         let other = match kind {
             FileKind::Routes => FileKind::Pools,
             FileKind::Pools => FileKind::Routes,
-            FileKind::Balancer | FileKind::Agent => return None,
+            _ => return None,
         };
         let folder = self.files[index].folder();
         let here = |file: &CheckedFile| file.folder() == folder;
@@ -228,6 +235,34 @@
         }
     }
 
+    fn check_node(&mut self) {
+        if let Err(faults) = parse_flow_settings(&self.bytes) {
+            self.faults = faults;
+        }
+    }
+
+    /// Checks what the platform makes of a template, on both kinds of VMs.
+    fn check_template(&mut self) {
+        let Ok(template) = std::str::from_utf8(&self.bytes) else {
+            let allowed = "UTF-8 text";
+            self.faults = vec![file_fault("", "other bytes".into(), allowed)];
+            return;
+        };
+        let mut faults = Vec::new();
+        for role in [SampleRole::Balancer, SampleRole::Agent] {
+            match render_sample(template, role) {
+                Ok(text) => faults.extend(parse_flow_settings(text.as_bytes()).err()),
+                Err(error) => {
+                    let found = error.to_compact_string();
+                    let allowed = "a template that the platform can fill in";
+                    faults.push(vec![file_fault("", found, allowed)]);
+                }
+            }
+        }
+        self.faults = faults.concat();
+        self.faults.dedup();
+    }
+
     fn refuse(&mut self, error: SettingsError) {
         let allowed = "a readable file of UTF-8 text";
         match error {
--- a/src/cmd/file_kind.rs
+++ b/src/cmd/file_kind.rs
@@ -15,8 +15,15 @@
     Balancer,
     /// Settings of an agent.
     Agent,
+    /// Settings of a role on the users' platform.
+    Node,
+    /// Template from which the platform makes such settings.
+    NodeTemplate,
 }
 
+/// End of the name of a template.
+const TEMPLATE_END: &str = ".template";
+
 /// Beginnings of file names, and the kinds that they tell.
 const NAMES: &[(&str, FileKind)] = &[
     ("routes", FileKind::Routes),
@@ -34,6 +41,7 @@
     ("server", FileKind::Agent),
     ("certificate_file", FileKind::Agent),
     ("key_file", FileKind::Agent),
+    ("node", FileKind::Node),
     ("process", FileKind::Balancer),
 ];
 
@@ -41,6 +49,9 @@
     /// Tells the kind by the name, and otherwise by the fields.
     pub(crate) fn tell(path: &Path, bytes: &[u8]) -> Option<FileKind> {
         let name = path.file_name()?.to_string_lossy();
+        if name.ends_with(TEMPLATE_END) {
+            return Some(FileKind::NodeTemplate);
+        }
         let by_name = NAMES.iter().find(|(start, _)| name.starts_with(start));
         if let Some((_, kind)) = by_name {
             return Some(*kind);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -143,6 +143,39 @@
         `connections`, `state`";
 }
 
+/// Arranges one named case per fault of the settings template.
+macro_rules! faulty_templates {
+    ($($name:ident: $before:expr, $after:expr => $line:expr;)*) => {
+        /// Guards against a template that is deployed and with which no process starts.
+        #[rstest]
+        $(#[case::$name($before, $after, $line)])*
+        fn fault_of_a_template_is_told(
+            #[case] before: &str,
+            #[case] after: &str,
+            #[case] line: &str,
+        ) {
+            let good = include_str!("../platform/settings.toml.template");
+            let output = check(&[("good.template", good.as_bytes())]);
+            assert_eq!(output.status.code(), Some(0));
+            assert!(good.contains(before));
+            let bad = good.replace(before, after);
+            let output = check(&[("bad.template", bad.as_bytes())]);
+            assert_eq!(output.status.code(), Some(2));
+            let lines = stderr_lines(&output);
+            assert!(lines.iter().any(|found| found.starts_with(line)), "{lines:?}");
+        }
+    };
+}
+
+faulty_templates! {
+    unknown_field: "{{Zone|json}}", "{{Sone|json}}"
+        => "bad.template: found field `Sone`, which the platform doesn't have; allowed: ";
+    open_section: "{{/app}}", "" => "bad.template: found section `app` without an end; allowed: ";
+    open_placeholder: "{{/app}}", "{{/app" => "bad.template: found section `app` without an end";
+    wrong_kind: "{{InternalPortRange.0}}", "{{InternalPortRange}}" => "bad.template:7: ";
+    missing_setting: "min_lease_ms", "max_lease_ms" => "bad.template:";
+}
+
 /// Guards against two processes of a deployment that take each other's packets or name.
 #[test]
 fn settings_are_checked_against_each_other_and_the_pools() {
@@ -181,10 +214,16 @@
 /// Guards against a panic on damaged files, and against output that isn't one line for each fault.
 #[test]
 fn random_files_cause_no_panic() {
-    const NAMES: [&str; 4] = ["routes.toml", "pools.toml", "agent.toml", "other.toml"];
+    const NAMES: [&str; 5] = [
+        "routes.toml",
+        "pools.toml",
+        "agent.toml",
+        "other.toml",
+        "node.template",
+    ];
     let pieces = prop_oneof![
         3 => prop::sample::select(vec![
-            "[[route]]\n", "[[pool]]\n", "[process]\n", "[store]\n", "[log]\n", "name = ",
+            "[[route]]\n", "[[pool]]\n", "[node]\n", "{{", "}}", "{{#Seeds}}", "{{.}}", "[process]\n", "[store]\n", "[log]\n", "name = ",
             "address = ", "server = ", "secret_file = ", "filter = ", "bootstrap = ", "\"a\"\n",
             "'127.0.0.1:1'\n", "[", "]", "{", "}", "=", "\n", "-1\n", "\"/dev/zero\"\n", "\"\\n\"\n",
         ]).prop_map(|piece| piece.as_bytes().to_vec()),
@@ -198,7 +237,7 @@
     };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     TestRunner::new_with_rng(config, rng)
-        .run(&[text.clone(), text.clone(), text.clone(), text], |texts| {
+        .run(&[(); 5].map(|()| text.clone()), |texts| {
             let contents = texts.iter().map(Vec::as_slice);
             let files: Vec<(&str, &[u8])> = NAMES.into_iter().zip(contents).collect();
             let output = check(&files);
