--- a/components/flows/src/process/candidate_ranks.rs
+++ b/components/flows/src/process/candidate_ranks.rs
@@ -34,7 +34,7 @@
     pub(crate) suspect: bool,
     /// Whether its data centre is taken out.
     pub(crate) closed: bool,
-    /// Whether its data centre isn't the flow's.
+    /// Whether its data centre isn't the flow's, once [`CandidateRanks::set_home`] has chosen that.
     pub(crate) far: bool,
     /// Place of its service in the route.
     pub(crate) service: u8,
@@ -116,7 +116,7 @@
     }
 
     /// Returns the candidates in order. `caller` is the data centre of the caller, `home` that of
-    /// the flow.
+    /// the flow, which [`CandidateRanks::set_home`] returned.
     pub(crate) fn take(&mut self, caller: u32, home: u32, size: ListSize) -> CandidateList {
         self.ranks.sort_unstable_by(|left, right| {
             let places = left.place.cmp(&right.place);
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -9,10 +9,7 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    process::{
-        BackendBeat,
-        ReportSchedule, //
-    },
+    process::BackendBeat,
     version::SiteRules,
     FlowKeeper,
     FlowKey,
@@ -34,8 +31,7 @@
     FlowBody,
     FlowDatagram,
     FlowOwner,
-    ForwardedPacket,
-    ServerReport, //
+    ForwardedPacket, //
 };
 use compact_str::CompactString;
 use prost::Message;
@@ -52,12 +48,10 @@
         MissedTickBehavior, //
     },
 };
-use tracing::{
-    debug,
-    info, //
-};
+use tracing::debug;
 
 use super::{
+    agent_reporter::AgentReporter,
     flow_log::FlowLog,
     head_codec::{
         decode_head,
@@ -109,8 +103,7 @@
     backend: SocketAddrV4,
     packets: UdpPort,
     outgoing: UdpPort,
-    reports: ReportSchedule,
-    accepts: bool,
+    reporter: AgentReporter,
     actions: Vec<KeeperAction>,
     stopped: Option<oneshot::Sender<()>>,
     metrics: NodeMetrics,
@@ -136,8 +129,7 @@
             backend,
             packets: UdpPort::open(address).await?,
             outgoing: UdpPort::open(outgoing).await?,
-            reports: ReportSchedule::default(),
-            accepts: true,
+            reporter: AgentReporter::new(address),
             actions: Vec::new(),
             stopped: None,
             metrics,
@@ -197,13 +189,13 @@
                 self.stopped = Some(answer);
             }
         }
-        self.report_change(now);
+        self.tell_change(now);
     }
 
     fn take_rules(&mut self, rules: Option<Arc<SiteRules>>) {
         if let Some(rules) = rules {
             self.keeper.set_rules(rules);
-            self.report_change(self.clock.now());
+            self.tell_change(self.clock.now());
         }
     }
 
@@ -307,7 +299,7 @@
             self.act(&mut actions, &bytes);
         }
         self.actions = actions;
-        self.report_change(now);
+        self.tell_change(now);
     }
 
     fn act(&mut self, actions: &mut Vec<KeeperAction>, bytes: &Bytes) {
@@ -386,11 +378,7 @@
             .revision
             .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
         self.keeper.expire(now);
-        self.report_change(now);
-        let due = self.reports.take_due(now);
-        if !due.is_empty() {
-            self.send_reports(due, now);
-        }
+        self.reporter.tick(&mut self.keeper, &mut self.packets, now);
         if self.stopped.is_some() && self.keeper.open_flows() == 0 {
             if let Some(answer) = self.stopped.take() {
                 // The control thread may have stopped waiting.
@@ -399,43 +387,13 @@
         }
     }
 
-    /// Notes that a balancer sends here, and answers with a report if one is due.
     fn meet(&mut self, balancer: SocketAddrV4, now: Millis) {
-        if self.reports.note_packet(balancer, now) {
-            self.send_reports([balancer], now);
-        }
-    }
-
-    fn send_reports(&mut self, balancers: impl IntoIterator<Item = SocketAddrV4>, now: Millis) {
-        let report = self.report(now);
-        for balancer in balancers {
-            self.packets.send(&report, balancer);
-        }
-    }
-
-    /// Tells all balancers when the server begins or ceases to take new flows.
-    fn report_change(&mut self, now: Millis) {
-        let accepts = self.keeper.report(now).accepts;
-        if accepts == self.accepts {
-            return;
-        }
-        self.accepts = accepts;
-        info!(accepts, "backend server changed");
-        let balancers = self.reports.take_all(now);
-        self.send_reports(balancers, now);
+        self.reporter
+            .meet(balancer, &mut self.keeper, &mut self.packets, now);
     }
 
-    fn report(&mut self, now: Millis) -> Vec<u8> {
-        let report = self.keeper.report(now);
-        FlowDatagram::encode_body(FlowBody::Report(ServerReport {
-            agent: address_number(self.address),
-            accepts: report.accepts,
-            busy: report.busy,
-            slots: report.slots,
-            revision: report.revision,
-            centre: self.keeper.centre().to_string(),
-            service: self.keeper.service().to_string(),
-            failing: u32::from(report.failing),
-        }))
+    fn tell_change(&mut self, now: Millis) {
+        self.reporter
+            .tell_change(&mut self.keeper, &mut self.packets, now);
     }
 }
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! The traffic threads: packets in, decisions, packets out.
 
+mod agent_reporter;
 mod agent_traffic;
 mod balancer_traffic;
 mod flow_log;
