Remember former services of routes for the lifetime of a flow

Cause: a balancer searched the owner of an open flow among the services that the route names in the version in force.

Agents of former services are candidates of later packets after those of the route, with limits of their own, so that a large service doesn't displace them. A process that has read a list of the store instead of following its changes doesn't know which versions it missed; until a flow's lifetime has passed since then, the remaining services follow as a last resort. An owner that a packet reached by a search announces itself to the balancer. The candidate list counts groups while it is filled, where it compared each candidate with all before it. Decimal settings out of range are refused; a negative grace period made the process panic.

Ruled out: announcing each flow of a former service (its agent can't know that the route has changed before the balancers do), and former services in the store (a call for each change and process).

--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -60,6 +60,9 @@
         if matches!(entry.stage, FlowStage::Opening { .. }) {
             entry.stage = FlowStage::Open;
         }
+        if entry.stage == FlowStage::Open && header.hops > 1 {
+            actions.push(TrackerAction::AnnounceOwner(header.balancer, packet.key));
+        }
         entry.header = header;
         let has_request = packet.data_len > 0 && entry.stage == FlowStage::Open;
         if has_request && entry.request_started.replace(now).is_none() {
--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -4,9 +4,20 @@
 
 use carobdrum_core::process::splitmix64;
 
-/// Limit of the candidates of one packet.
+/// Limit of the candidates of one packet, those of other services than the first not counted.
 const MAX_CANDIDATES: usize = 16;
 
+/// Limit of the candidates of other services than the first.
+const MAX_OTHER_CANDIDATES: usize = 8;
+
+/// Limits for each service but the first, where a flow may have opened before the route changed. Its
+/// opening packet had as few candidates.
+const OTHER_LIMITS: CandidateLimits = CandidateLimits {
+    near: 4,
+    far: 1,
+    all_far: 2,
+};
+
 /// Largest share of a service's servers that may be ejected, in percent.
 const MAX_EJECTED_PERCENT: usize = 34;
 
@@ -27,6 +38,30 @@
     pub(crate) all_far: usize,
 }
 
+/// Number of the candidates taken from one service in one data centre.
+#[derive(Clone, Copy, Debug)]
+struct GroupCount {
+    centre: u32,
+    service: u8,
+    count: usize,
+}
+
+/// Returns the count of a group, which is zero at first.
+fn group_count(groups: &mut Vec<GroupCount>, centre: u32, service: u8) -> &mut usize {
+    let found = groups
+        .iter()
+        .position(|group| (group.centre, group.service) == (centre, service));
+    let index = found.unwrap_or_else(|| {
+        groups.push(GroupCount {
+            centre,
+            service,
+            count: 0,
+        });
+        groups.len() - 1
+    });
+    &mut groups[index].count
+}
+
 /// Criteria that precede the hash in the order of candidates, in this order; false comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct CandidateRank {
@@ -108,13 +143,13 @@
     pub(crate) fn set_home(&mut self, caller: u32, hash: u64) -> u32 {
         let usable = |candidate: &&Candidate| !candidate.rank.suspect && !candidate.rank.evacuated;
         let score = |centre: u32| splitmix64(hash ^ u64::from(centre));
-        let centres = self
-            .candidates
-            .iter()
-            .filter(usable)
-            .map(|found| found.centre);
-        let home = centres.max_by_key(|centre| (*centre == caller, score(*centre)));
-        let home = home.unwrap_or(caller);
+        let usable = self.candidates.iter().filter(usable);
+        let home = usable.max_by_key(|candidate| {
+            let centre = candidate.centre;
+            let is_first = candidate.rank.service == 0;
+            (is_first, centre == caller, score(centre))
+        });
+        let home = home.map_or(caller, |candidate| candidate.centre);
         for candidate in &mut self.candidates {
             candidate.rank.far = candidate.centre != home;
         }
@@ -138,21 +173,33 @@
             near: 0,
             centre: home,
         };
+        let mut groups = Vec::new();
         let mut far = 0;
-        for (index, candidate) in self.candidates.iter().enumerate() {
-            let before = &self.candidates[..index];
-            let same = before
-                .iter()
-                .filter(|other| other.centre == candidate.centre);
+        let mut others_far = 0;
+        let mut others = 0;
+        for candidate in &self.candidates {
             let is_near = candidate.centre == home;
-            let is_other = !is_near && candidate.centre != caller;
-            let most = if is_near { limits.near } else { limits.far };
-            let too_far = is_other && far == limits.all_far;
-            if list.agents.len() == MAX_CANDIDATES || same.count() >= most || too_far {
+            let is_remote = !is_near && candidate.centre != caller;
+            let is_other = candidate.rank.service > 0;
+            let (limits, all_far) = if is_other {
+                (OTHER_LIMITS, &mut others_far)
+            } else {
+                (limits, &mut far)
+            };
+            let limit = if is_near { limits.near } else { limits.far };
+            let count = group_count(&mut groups, candidate.centre, candidate.rank.service);
+            let is_full = if is_other {
+                others == MAX_OTHER_CANDIDATES
+            } else {
+                list.agents.len() - others == MAX_CANDIDATES
+            };
+            if is_full || *count >= limit || (is_remote && *all_far == limits.all_far) {
                 continue;
             }
             list.agents.push(candidate.address);
-            far += usize::from(is_other);
+            *count += 1;
+            *all_far += usize::from(is_remote);
+            others += usize::from(is_other);
             list.near += u8::from(is_near && !candidate.rank.suspect);
         }
         list
--- /dev/null
+++ b/components/flows/src/process/flow_router/flow_candidates.rs
@@ -0,0 +1,132 @@
+//! Candidates of opening and of later packets.
+
+use carobdrum_core::{
+    process::splitmix64,
+    Millis, //
+};
+
+use super::FlowRouter;
+use crate::{
+    process::{
+        agent_table::AgentState,
+        candidate_ranking::{
+            Candidate,
+            CandidateLimits,
+            CandidateList,
+            CandidateRank, //
+        },
+        name_hash,
+    },
+    version::{
+        FlowRoute,
+        SiteConfig, //
+    },
+};
+
+/// Limits for opening packets. While all servers are busy, each candidate in another data centre
+/// adds the delay of a hop there.
+const OPENING_LIMITS: CandidateLimits = CandidateLimits {
+    near: 4,
+    far: 1,
+    all_far: 2,
+};
+
+/// Limits for later packets, which need more candidates: the owner may have been among the first
+/// only because others accepted no new flows, and agents that joined since may rank before it.
+const LATER_LIMITS: CandidateLimits = CandidateLimits {
+    near: 8,
+    far: 4,
+    all_far: 12,
+};
+
+/// Limits for later packets whose flows go to another data centre than the caller's. Flows that
+/// opened before the caller's data centre was evacuated are still there.
+const LATER_REMOTE_LIMITS: CandidateLimits = CandidateLimits {
+    near: 4,
+    far: 4,
+    all_far: 8,
+};
+
+/// Returns the services that may hold an open flow of a route, as hashes of their names: those of
+/// the route, beginning with the one of the flow's hash, and those that it led to before. While
+/// earlier versions of the configuration are unknown, all other services follow.
+pub(super) fn owner_services(
+    config: &SiteConfig,
+    route: &FlowRoute,
+    hash: u64,
+    now: Millis,
+) -> Vec<u32> {
+    let former = config.former_services.services(route.address, now);
+    let is_unknown = now < config.history_complete_at;
+    let others = config.services().iter().map(|service| &service.name);
+    let others = others.filter(|_| is_unknown);
+    let mut services = Vec::new();
+    for name in route.services(hash).chain(former).chain(others) {
+        let service = name_hash(name);
+        if !services.contains(&service) {
+            services.push(service);
+        }
+    }
+    services
+}
+
+impl FlowRouter {
+    /// Returns the candidates of an opening packet.
+    pub(super) fn list_opening(&mut self, service: u32, hash: u64, now: Millis) -> CandidateList {
+        self.ranking.clear();
+        self.add_candidates(service, 0, hash, true, now);
+        self.ranking.exclude_suspects();
+        self.ranking.eject_failing(hash);
+        let home = self.ranking.set_home(self.centre, hash);
+        self.ranking.take(self.centre, home, OPENING_LIMITS)
+    }
+
+    /// Returns the candidates of a later packet, whose flow may have opened at any of `services`.
+    /// Agents of the first one come first in each data centre.
+    pub(super) fn list_later(&mut self, services: &[u32], hash: u64, now: Millis) -> CandidateList {
+        self.ranking.clear();
+        for (index, service) in services.iter().enumerate() {
+            let order = u8::try_from(index).unwrap_or(u8::MAX);
+            self.add_candidates(*service, order, hash, false, now);
+        }
+        let home = self.ranking.set_home(self.centre, hash);
+        let limits = if home == self.centre {
+            LATER_LIMITS
+        } else {
+            LATER_REMOTE_LIMITS
+        };
+        self.ranking.take(self.centre, home, limits)
+    }
+
+    fn add_candidates(
+        &mut self,
+        service: u32,
+        order: u8,
+        hash: u64,
+        is_opening: bool,
+        now: Millis,
+    ) {
+        let config = &self.config;
+        let evacuated = |state: &AgentState| {
+            config
+                .as_ref()
+                .is_some_and(|config| config.is_evacuated(&state.record.centre))
+        };
+        let usable =
+            |state: &&AgentState| !is_opening || (state.report.accepts && !evacuated(state));
+        let candidates = self.agents.of_service(service).filter(usable);
+        self.ranking.extend(candidates.map(|state| Candidate {
+            rank: CandidateRank {
+                suspect: state.is_suspect(now),
+                evacuated: evacuated(state),
+                far: false,
+                service: order,
+                busy: is_opening && state.is_busy(now),
+            },
+            score: splitmix64(state.hash ^ hash),
+            centre: state.centre,
+            address: state.record.address,
+            failing: state.is_failing(),
+        }));
+    }
+}
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -6,10 +6,12 @@
 mod backend_liveness;
 mod candidate_ranking;
 mod cold_budget;
+mod drop_cause;
 mod flow_router;
 mod name_hash;
 mod owner_cache;
 mod report_schedule;
+mod route_action;
 
 pub use agent_record::AgentRecord;
 pub use agent_report::AgentReport;
@@ -20,11 +22,9 @@
     BackendState, //
 };
 pub use cold_budget::ColdBudget;
-pub use flow_router::{
-    DropCause,
-    FlowRouter,
-    RouteAction, //
-};
+pub use drop_cause::DropCause;
+pub use flow_router::FlowRouter;
 pub use name_hash::name_hash;
 pub use owner_cache::OwnerCache;
 pub use report_schedule::ReportSchedule;
+pub use route_action::RouteAction;
--- a/components/flows/src/version/site_config.rs
+++ b/components/flows/src/version/site_config.rs
@@ -7,6 +7,7 @@
 
 use super::{
     FlowRoute,
+    FormerServices,
     ServiceConfig, //
 };
 
@@ -25,6 +26,11 @@
     pub idle_timeout: Millis,
     /// Data centres that get no new flows, sorted.
     evacuated_centres: Vec<CompactString>,
+    /// Services that routes led to in earlier versions.
+    pub former_services: FormerServices,
+    /// Time from which `former_services` names every service that may hold an open flow. Before,
+    /// flows may be open under versions that the process hasn't seen.
+    pub history_complete_at: Millis,
 }
 
 impl SiteConfig {
@@ -46,6 +52,8 @@
             services,
             idle_timeout,
             evacuated_centres: Vec::new(),
+            former_services: FormerServices::default(),
+            history_complete_at: Millis::default(),
         }
     }
 
--- a/components/forwarder/src/process/config_tracker.rs
+++ b/components/forwarder/src/process/config_tracker.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use carobdrum_flows::version::SiteConfig;
+use carobdrum_core::Millis;
+use carobdrum_flows::version::{
+    FormerServices,
+    SiteConfig, //
+};
 use carobdrum_platform::{
     evacuation_key,
     parse_operator_entry,
@@ -29,8 +33,16 @@
 }
 
 /// Tracks the configuration and evacuations in force, and ignores stale events.
-#[derive(Debug, Default)]
+///
+/// It also remembers the services that routes led to before, for as long as flows that opened there
+/// may live.
+#[derive(Debug)]
 pub struct ConfigTracker {
+    /// Longest lifetime of a flow.
+    flow_lifetime: Millis,
+    former_services: FormerServices,
+    /// Time from which `former_services` names every service that may hold an open flow.
+    history_complete_at: Millis,
     config: Option<SiteConfig>,
     evacuated: Vec<EvacuatedCentre>,
     revision: u64,
@@ -39,29 +51,48 @@
 }
 
 impl ConfigTracker {
+    /// Creates a tracker without a configuration, for flows that live for at most `flow_lifetime`.
+    pub fn new(flow_lifetime: Millis) -> ConfigTracker {
+        ConfigTracker {
+            flow_lifetime,
+            former_services: FormerServices::default(),
+            history_complete_at: Millis::default(),
+            config: None,
+            evacuated: Vec::new(),
+            revision: 0,
+            adopted_revision: 0,
+        }
+    }
+
     /// Returns the revision of the last change that is in force; zero if there is none.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Applies an event of the store; returns the configuration in force, if there is one.
+    /// Applies an event of the store at time `now`; returns the configuration in force, if there is
+    /// one.
     ///
     /// `peer_revision` is the highest revision of another process. Events that are older than a
     /// configuration adopted from a peer are ignored: they may arrive late and would undo later
     /// changes.
-    pub fn apply_event(&mut self, event: KeyEvent, peer_revision: u64) -> Option<Arc<SiteConfig>> {
+    pub fn apply_event(
+        &mut self,
+        event: KeyEvent,
+        peer_revision: u64,
+        now: Millis,
+    ) -> Option<Arc<SiteConfig>> {
         match event {
-            KeyEvent::All(listing) => self.apply_listing(listing, peer_revision),
+            KeyEvent::All(listing) => self.apply_listing(listing, peer_revision, now),
             KeyEvent::Changes(changes) => {
                 for change in changes {
-                    self.apply_change(change);
+                    self.apply_change(change, now);
                 }
             }
         }
-        self.in_force()
+        self.in_force(now)
     }
 
-    fn apply_listing(&mut self, listing: StoreListing, peer_revision: u64) {
+    fn apply_listing(&mut self, listing: StoreListing, peer_revision: u64, now: Millis) {
         let revision = listing.revision;
         if revision < self.adopted_revision {
             info!(
@@ -72,17 +103,22 @@
             return;
         }
         self.evacuated.clear();
+        let known = self.version();
         for item in listing.items {
-            self.apply_item(item);
+            self.apply_item(item, now);
+        }
+        if self.version() != known {
+            // The list shows the last version only, and there may have been others in between.
+            self.history_complete_at = now.plus(self.flow_lifetime);
         }
         // The list may have been read before the last change that peers have seen.
         self.revision = self.revision.max(peer_revision.min(revision));
     }
 
-    fn apply_change(&mut self, change: StoreChange) {
+    fn apply_change(&mut self, change: StoreChange, now: Millis) {
         match change {
             StoreChange::Put(item) if item.revision > self.adopted_revision => {
-                self.apply_item(item)
+                self.apply_item(item, now)
             }
             StoreChange::Deleted(key, revision) if revision > self.adopted_revision => {
                 self.apply_deletion(&key, revision);
@@ -95,11 +131,12 @@
         }
     }
 
-    /// Adopts the configuration and evacuations of a peer, if they are newer; returns the
-    /// configuration in force in that case.
-    pub fn adopt_config(&mut self, config: SiteConfig) -> Option<Arc<SiteConfig>> {
+    /// Adopts the configuration and evacuations of a peer at time `now`, if they are newer; returns
+    /// the configuration in force in that case, or if the peer knows more of earlier versions.
+    pub fn adopt_config(&mut self, config: SiteConfig, now: Millis) -> Option<Arc<SiteConfig>> {
+        let learned = self.adopt_history(&config, now);
         if config.revision <= self.revision {
-            return None;
+            return learned.then(|| self.in_force(now)).flatten();
         }
         self.revision = config.revision;
         self.adopted_revision = config.revision;
@@ -110,21 +147,47 @@
                 centre: centre.clone(),
             })
             .collect();
-        self.replace_config(config);
-        self.in_force()
+        self.replace_config(config, now);
+        self.in_force(now)
+    }
+
+    /// Adds what a peer knows of earlier versions; returns whether that was any news.
+    fn adopt_history(&mut self, config: &SiteConfig, now: Millis) -> bool {
+        let latest = now.plus(self.flow_lifetime);
+        let before = self.former_services.clone();
+        for former in config.former_services.entries() {
+            let mut former = former.clone();
+            former.until = former.until.min(latest);
+            self.former_services.insert(former);
+        }
+        // The peer has seen every version up to its own, but perhaps not those after it.
+        let has_all = config.version >= self.version();
+        let complete_at = config.history_complete_at.min(latest);
+        let is_sooner = complete_at < self.history_complete_at || self.config.is_none();
+        if has_all && (is_sooner || config.version > self.version()) {
+            self.history_complete_at = complete_at;
+        }
+        self.former_services != before || (has_all && is_sooner)
     }
 
-    fn in_force(&mut self) -> Option<Arc<SiteConfig>> {
+    fn version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    fn in_force(&mut self, now: Millis) -> Option<Arc<SiteConfig>> {
+        self.former_services.expire(now);
         let config = self.config.as_mut()?;
+        config.former_services = self.former_services.clone();
+        config.history_complete_at = self.history_complete_at;
         config.revision = self.revision;
         let evacuated = self.evacuated.iter();
         config.set_evacuated_centres(evacuated.map(|evacuated| evacuated.centre.clone()));
         Some(Arc::new(config.clone()))
     }
 
-    fn apply_item(&mut self, item: StoreItem) {
+    fn apply_item(&mut self, item: StoreItem, now: Millis) {
         match parse_operator_entry(&item.key, &item.value) {
-            Ok(OperatorEntry::Config(config)) => self.replace_config(config),
+            Ok(OperatorEntry::Config(config)) => self.replace_config(config, now),
             Ok(OperatorEntry::EvacuatedCentre(centre)) => {
                 info!(%centre, revision = item.revision, "data centre evacuated");
                 self.evacuated.retain(|evacuated| evacuated.key != item.key);
@@ -144,8 +207,8 @@
     }
 
     /// Replaces the configuration, unless the new one has an older version.
-    fn replace_config(&mut self, config: SiteConfig) {
-        let known = self.config.as_ref().map_or(0, |config| config.version);
+    fn replace_config(&mut self, config: SiteConfig, now: Millis) {
+        let known = self.version();
         if config.version < known {
             warn!(
                 version = config.version,
@@ -154,9 +217,16 @@
             return;
         }
         let routes = config.routes().len();
+        if let Some(before) = &self.config {
+            let until = now.plus(self.flow_lifetime);
+            self.former_services.record_change(before, &config, until);
+        }
         info!(
             version = config.version,
-            known, routes, "configuration in force"
+            known,
+            routes,
+            former = self.former_services.entries().len(),
+            "configuration in force"
         );
         self.config = Some(config);
     }
--- a/components/forwarder/src/process/node_context.rs
+++ b/components/forwarder/src/process/node_context.rs
@@ -7,6 +7,7 @@
     sync::Arc, //
 };
 
+use carobdrum_core::Millis;
 use carobdrum_flows::version::SiteConfig;
 use carobdrum_platform::OPERATOR_PREFIX;
 use carobdrum_settings::{
@@ -79,7 +80,7 @@
             .map(|address| MetricsServer::spawn(address.into(), registry));
         let (revision_sender, peer_revisions) = watch::channel(PeerRevision::default());
         let (config, in_force) = watch::channel(None);
-        let state = SiteState::new(config);
+        let state = SiteState::new(config, flow_lifetime(node));
         serve_snapshots(SocketAddrV4::new(node.ip, node.peer_port), state.clone()).await?;
         Ok(NodeContext {
             stop,
@@ -112,6 +113,11 @@
     }
 }
 
+/// Returns the longest lifetime of a flow.
+pub(crate) fn flow_lifetime(node: &NodeSettings) -> Millis {
+    Millis((node.flow_lifetime_s * 1_000.0) as u64)
+}
+
 /// Runs the control task of a daemon on the current thread.
 ///
 /// # Errors
--- a/components/forwarder/src/process/site_state.rs
+++ b/components/forwarder/src/process/site_state.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use carobdrum_core::Millis;
 use carobdrum_flows::{
     process::AgentRecord,
     version::SiteConfig, //
@@ -26,6 +27,7 @@
 };
 
 use super::{
+    boot_clock::BootClock,
     config_tracker::ConfigTracker,
     snapshot_codec::{
         decode_agents,
@@ -56,9 +58,11 @@
 
 impl SiteState {
     /// Creates the state of a process that has read nothing yet.
-    pub(crate) fn new(config: ConfigSender) -> Rc<SiteState> {
+    ///
+    /// `flow_lifetime` is the longest lifetime of a flow.
+    pub(crate) fn new(config: ConfigSender, flow_lifetime: Millis) -> Rc<SiteState> {
         Rc::new(SiteState {
-            tracker: RefCell::default(),
+            tracker: RefCell::new(ConfigTracker::new(flow_lifetime)),
             agents: RefCell::default(),
             config,
         })
@@ -77,7 +81,8 @@
     /// Returns the snapshot for peers; `None` without a configuration.
     pub(crate) fn snapshot(&self) -> Option<SiteSnapshot> {
         let config = self.config.borrow().clone()?;
-        Some(encode_snapshot(&config, &self.agents.borrow()))
+        let agents = self.agents.borrow();
+        Some(encode_snapshot(&config, &agents, BootClock.now()))
     }
 
     /// Applies a change of the agents in the store.
@@ -88,16 +93,20 @@
     /// Applies an event of the operator's keys; `peer_revision` is the highest revision of another
     /// process before the event.
     fn apply_event(&self, event: KeyEvent, peer_revision: u64) {
-        let config = self.tracker.borrow_mut().apply_event(event, peer_revision);
+        let config = self
+            .tracker
+            .borrow_mut()
+            .apply_event(event, peer_revision, BootClock.now());
         self.publish(config);
     }
 
     /// Adopts the configuration of a peer, if it is newer.
     pub(crate) fn apply_snapshot(&self, snapshot: &SiteSnapshot) {
+        let now = BootClock.now();
         let config = self
             .tracker
             .borrow_mut()
-            .adopt_config(decode_config(snapshot));
+            .adopt_config(decode_config(snapshot, now), now);
         self.publish(config);
     }
 
--- a/components/forwarder/src/process/snapshot_codec.rs
+++ b/components/forwarder/src/process/snapshot_codec.rs
@@ -5,6 +5,7 @@
     process::AgentRecord,
     version::{
         FlowRoute,
+        FormerService,
         ServiceConfig,
         ServiceShare,
         SiteConfig, //
@@ -17,6 +18,7 @@
     },
     snapshot::{
         AgentEntry,
+        FormerEntry,
         RouteEntry,
         ServiceEntry,
         ShareEntry,
@@ -25,9 +27,19 @@
 };
 use compact_str::CompactString;
 
-/// Encodes the configuration and the agents.
-pub(crate) fn encode_snapshot(config: &SiteConfig, agents: &[AgentRecord]) -> SiteSnapshot {
+/// Time until the history of a peer is complete that doesn't state one.
+const UNKNOWN_GAP: Millis = Millis(u64::MAX);
+
+/// Encodes the configuration and the agents, with times relative to `now`.
+pub(crate) fn encode_snapshot(
+    config: &SiteConfig,
+    agents: &[AgentRecord],
+    now: Millis,
+) -> SiteSnapshot {
+    let former = config.former_services.entries().iter();
     SiteSnapshot {
+        former_services: former.map(|former| encode_former(former, now)).collect(),
+        history_gap_ms: Some(config.history_complete_at.since(now).0),
         version: config.version,
         revision: config.revision,
         idle_timeout_ms: config.idle_timeout.0,
@@ -42,14 +54,19 @@
     }
 }
 
-/// Decodes the configuration of a snapshot.
-pub(crate) fn decode_config(snapshot: &SiteSnapshot) -> SiteConfig {
+/// Decodes the configuration of a snapshot that arrived at `now`.
+pub(crate) fn decode_config(snapshot: &SiteSnapshot, now: Millis) -> SiteConfig {
     let routes = snapshot.routes.iter().map(decode_route);
     let services = snapshot.services.iter().map(decode_service);
     let idle_timeout = Millis(snapshot.idle_timeout_ms);
     let mut config = SiteConfig::new(snapshot.version, idle_timeout, routes, services);
     config.revision = snapshot.revision;
     config.set_evacuated_centres(snapshot.evacuated_centres.iter().map(CompactString::from));
+    for entry in &snapshot.former_services {
+        config.former_services.insert(decode_former(entry, now));
+    }
+    let gap = snapshot.history_gap_ms.map_or(UNKNOWN_GAP, Millis);
+    config.history_complete_at = now.plus(gap);
     config
 }
 
@@ -89,6 +106,22 @@
     }
 }
 
+fn encode_former(former: &FormerService, now: Millis) -> FormerEntry {
+    FormerEntry {
+        address: address_to_number(former.address),
+        service: former.service.to_string(),
+        remaining_ms: former.until.since(now).0,
+    }
+}
+
+fn decode_former(entry: &FormerEntry, now: Millis) -> FormerService {
+    FormerService {
+        address: address_from_number(entry.address),
+        service: entry.service.as_str().into(),
+        until: now.plus(Millis(entry.remaining_ms)),
+    }
+}
+
 fn encode_service(config: &ServiceConfig) -> ServiceEntry {
     ServiceEntry {
         name: config.name.to_string(),
--- a/components/forwarder/tests/config_search.rs
+++ b/components/forwarder/tests/config_search.rs
@@ -20,6 +20,8 @@
 };
 
 const CENTRE: &str = "north";
+const FLOW_LIFETIME: Millis = Millis(60_000);
+const NOW: Millis = Millis(0);
 const CONFIG: &str = "op/config";
 
 /// Step of the operator at each revision of the store, from 1.
@@ -126,7 +128,7 @@
 /// Returns the tracker of a process after these events, and its state: whether the data centre is
 /// evacuated, and the version.
 fn replay(events: &[Event]) -> (ConfigTracker, Option<(bool, u64)>) {
-    let mut tracker = ConfigTracker::default();
+    let mut tracker = ConfigTracker::new(FLOW_LIFETIME);
     let mut state = None;
     for event in events {
         let config = match event {
@@ -135,13 +137,13 @@
                     items: store_at(*revision),
                     revision: *revision,
                 };
-                tracker.apply_event(KeyEvent::All(listing), *revision)
+                tracker.apply_event(KeyEvent::All(listing), *revision, NOW)
             }
             Event::Change(revision) => {
-                tracker.apply_event(KeyEvent::Changes(vec![change_at(*revision)]), 0)
+                tracker.apply_event(KeyEvent::Changes(vec![change_at(*revision)]), 0, NOW)
             }
             Event::Peer(events) => match replay_config(events) {
-                Some(config) => tracker.adopt_config(config),
+                Some(config) => tracker.adopt_config(config, NOW),
                 None => None,
             },
         };
--- a/components/forwarder/tests/config_tracker.rs
+++ b/components/forwarder/tests/config_tracker.rs
@@ -14,6 +14,8 @@
 };
 
 const CENTRE: &str = "north";
+const FLOW_LIFETIME: Millis = Millis(60_000);
+const NOW: Millis = Millis(0);
 
 fn item(key: &str, value: &str, revision: u64) -> StoreItem {
     StoreItem {
@@ -37,12 +39,15 @@
 /// Returns a tracker that has adopted the configuration of a peer in which the data centre is
 /// evacuated.
 fn evacuated_tracker(revision: u64) -> ConfigTracker {
-    let mut tracker = ConfigTracker::default();
-    tracker.apply_event(listing(vec![config_item(1, 1)], 1), 0);
+    let mut tracker = ConfigTracker::new(FLOW_LIFETIME);
+    tracker.apply_event(listing(vec![config_item(1, 1)], 1), 0, NOW);
     let mut config = SiteConfig::new(1, Millis(1_000), [], []);
     config.revision = revision;
     config.set_evacuated_centres([CENTRE.into()]);
-    assert!(tracker.adopt_config(config).unwrap().is_evacuated(CENTRE));
+    assert!(tracker
+        .adopt_config(config, NOW)
+        .unwrap()
+        .is_evacuated(CENTRE));
     tracker
 }
 
@@ -51,9 +56,9 @@
 #[test]
 fn ignores_a_list_older_than_a_peers_configuration() {
     let mut tracker = evacuated_tracker(7);
-    let config = tracker.apply_event(listing(vec![config_item(1, 1)], 5), 7);
+    let config = tracker.apply_event(listing(vec![config_item(1, 1)], 5), 7, NOW);
     assert!(config.unwrap().is_evacuated(CENTRE));
-    let config = tracker.apply_event(listing(vec![config_item(1, 1)], 8), 7);
+    let config = tracker.apply_event(listing(vec![config_item(1, 1)], 8), 7, NOW);
     assert!(!config.unwrap().is_evacuated(CENTRE));
 }
 
@@ -65,11 +70,11 @@
     let deletion =
         |revision| KeyEvent::Changes(vec![StoreChange::Deleted(evacuation_key(CENTRE), revision)]);
     assert!(tracker
-        .apply_event(deletion(3), 7)
+        .apply_event(deletion(3), 7, NOW)
         .unwrap()
         .is_evacuated(CENTRE));
     assert!(!tracker
-        .apply_event(deletion(9), 7)
+        .apply_event(deletion(9), 7, NOW)
         .unwrap()
         .is_evacuated(CENTRE));
     assert_eq!(tracker.revision(), 9);
@@ -79,9 +84,9 @@
 /// doesn't read the keys again.
 #[test]
 fn claims_no_revision_newer_than_its_list() {
-    let mut tracker = ConfigTracker::default();
-    tracker.apply_event(listing(vec![config_item(1, 1)], 8), 9);
+    let mut tracker = ConfigTracker::new(FLOW_LIFETIME);
+    tracker.apply_event(listing(vec![config_item(1, 1)], 8), 9, NOW);
     assert_eq!(tracker.revision(), 8);
-    tracker.apply_event(listing(vec![config_item(1, 1)], 12), 9);
+    tracker.apply_event(listing(vec![config_item(1, 1)], 12), 9, NOW);
     assert_eq!(tracker.revision(), 9);
 }
--- a/components/settings/src/flow_settings.rs
+++ b/components/settings/src/flow_settings.rs
@@ -16,6 +16,9 @@
 /// Longest time in the settings, in milliseconds: one hour.
 const MAX_TIME_MS: u32 = 3_600_000;
 
+/// Largest decimal number in the settings.
+const MAX_DECIMAL: f64 = 1_000_000.0;
+
 const PORT: FieldKind = FieldKind::Number {
     min: 1,
     max: u16::MAX as u32,
@@ -33,6 +36,7 @@
     FieldSchema::required("packets", FieldKind::Address4),
     FieldSchema::required("ready", FieldKind::Address4),
     FieldSchema::optional("grace_s", FieldKind::Text),
+    FieldSchema::optional("flow_lifetime_s", FieldKind::Text),
     FieldSchema::optional("peers", FieldKind::AddressList),
     FieldSchema::optional("metrics", FieldKind::Address4),
 ];
@@ -91,6 +95,10 @@
     /// if absent.
     #[serde(default = "default_grace", deserialize_with = "decimal")]
     pub grace_s: f64,
+    /// Longest lifetime of a flow, in seconds; 60 if absent. Services that a route no longer names
+    /// are searched for open flows for this time.
+    #[serde(default = "default_lifetime", deserialize_with = "decimal")]
+    pub flow_lifetime_s: f64,
     /// Address (TCP) at which metrics are served; if absent, none are.
     pub metrics: Option<SocketAddrV4>,
     /// Control addresses of a few other processes, which a balancer asks for a snapshot when it
@@ -138,6 +146,10 @@
     5.0
 }
 
+fn default_lifetime() -> f64 {
+    60.0
+}
+
 fn default_reuse() -> f64 {
     2.0
 }
@@ -146,8 +158,14 @@
     1.0
 }
 
-/// Deserializes a decimal number that is written as a string.
+/// Deserializes a decimal number from zero to [`MAX_DECIMAL`] that is written as a string.
 fn decimal<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
     let text = CompactString::deserialize(deserializer)?;
-    text.parse().map_err(D::Error::custom)
+    let number: f64 = text.parse().map_err(D::Error::custom)?;
+    if (0.0..=MAX_DECIMAL).contains(&number) {
+        Ok(number)
+    } else {
+        let expected = format_args!("{text} is not from 0 to {MAX_DECIMAL}");
+        Err(D::Error::custom(expected))
+    }
 }
--- a/components/wire/src/snapshot.rs
+++ b/components/wire/src/snapshot.rs
@@ -32,6 +32,27 @@
     /// Agents; empty from an agent, since only balancers know the agents.
     #[prost(message, repeated, tag = "7")]
     pub agents: Vec<AgentEntry>,
+    /// Services that routes led to in earlier versions, whose flows may still be open.
+    #[prost(message, repeated, tag = "8")]
+    pub former_services: Vec<FormerEntry>,
+    /// Time after which `former_services` names every service that may hold an open flow, in
+    /// milliseconds; absent if the sender doesn't know.
+    #[prost(uint64, optional, tag = "9")]
+    pub history_gap_ms: Option<u64>,
+}
+
+/// A service that a route led to in an earlier version.
+#[derive(Clone, PartialEq, Message)]
+pub struct FormerEntry {
+    /// Address of the route.
+    #[prost(fixed64, tag = "1")]
+    pub address: u64,
+    /// Name of the service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Time for which flows that opened there may remain open, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub remaining_ms: u64,
 }
 
 /// A route of the configuration.
