Let owners of low rank announce themselves to anchors

Cause: the opening packet goes to agents with a free slot first, so the owner of a flow may rank below the candidates of later packets, and agents that join move it down further. Only the balancer of the opening packet knew such an owner; when the routers chose another balancer for a long flow, its packets reached other servers only.

Ruled out: longer lists (each hop delivers the packet to a server that may not hold the flow, and the owner's rank grows with the data centre), announcements to all balancers (54,000 a second times 530).

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -29,7 +29,8 @@
         AgentReport,
         BackendHeartbeat,
         BackendLiveness,
-        ColdBudget, //
+        ColdBudget,
+        OwnerCache, //
     },
     request::{FlowKey, FlowPacket, ForwardHeader},
     version::SiteConfig, //
@@ -76,6 +77,8 @@
     pub cold_factor: f64,
     /// Requests per second above the scaled rate for cold servers that are accepted as well.
     pub cold_slack: f64,
+    /// Longest lifetime of a flow, for which the announcements of owners are kept.
+    pub flow_lifetime: Millis,
 }
 
 /// Flows of the backend server beside an agent, and the state of that server.
@@ -94,6 +97,8 @@
     /// [`FlowTracker::check_openings`] looks at them.
     opening_deadlines: VecDeque<(Millis, FlowKey)>,
     failure_rate: FailureRate,
+    /// Owners of flows for which this agent is an anchor.
+    owners: OwnerCache,
     return_pause: ReturnPause,
     stopping: bool,
 }
@@ -111,6 +116,7 @@
             flows: HashMap::new(),
             opening_deadlines: VecDeque::new(),
             failure_rate: FailureRate::default(),
+            owners: OwnerCache::default(),
             return_pause: ReturnPause::default(),
             stopping: false,
             settings,
@@ -212,11 +218,17 @@
         }
     }
 
+    /// Records the owner of a flow, which has announced itself to this agent.
+    pub fn record_owner(&mut self, key: FlowKey, owner: SocketAddrV4, now: Millis) {
+        self.owners.insert(key, owner, now);
+    }
+
     /// Removes flows that have been idle too long, and the load of idle requests.
     pub fn expire(&mut self, now: Millis) {
         let idle_timeout = self.config.as_ref().map_or(CLOSED_RETENTION, |config| {
             config.idle_timeout.max(CLOSED_RETENTION)
         });
+        self.owners.expire(now, self.settings.flow_lifetime);
         let load = &mut self.load;
         self.flows.retain(|_, entry| {
             let idle = now.since(entry.last_used);
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -29,6 +29,10 @@
         now: Millis,
         actions: &mut Vec<TrackerAction>,
     ) {
+        if self.follow_owner(packet, &mut header, now) {
+            redirect_later(packet.key, header, RedirectCause::Followed, actions);
+            return;
+        }
         let Some(entry) = self.flows.get_mut(&packet.key) else {
             self.deliver_unverified(packet.key, header, now, actions);
             return;
@@ -59,6 +63,9 @@
         }
         if matches!(entry.stage, FlowStage::Opening { .. }) {
             entry.stage = FlowStage::Open;
+            let anchors = entry.header.anchors.iter();
+            let others = anchors.filter(|anchor| **anchor != self.settings.address);
+            actions.extend(others.map(|to| TrackerAction::AnnounceOwner(*to, packet.key)));
         }
         if entry.stage == FlowStage::Open && header.hops > 1 {
             actions.push(TrackerAction::AnnounceOwner(header.balancer, packet.key));
@@ -85,6 +92,28 @@
         actions.push(TrackerAction::Deliver);
     }
 
+    /// Puts the owner that announced itself in front of the remaining candidates, unless the server
+    /// here may hold the flow; returns whether it did.
+    fn follow_owner(
+        &mut self,
+        packet: &FlowPacket,
+        header: &mut ForwardHeader,
+        now: Millis,
+    ) -> bool {
+        let stage = self.flows.get(&packet.key).map(|entry| &entry.stage);
+        let may_hold = stage
+            .is_some_and(|stage| !matches!(stage, FlowStage::NotHeld | FlowStage::Redirected(_)));
+        if may_hold {
+            return false;
+        }
+        let Some(owner) = self.owners.owner(packet.key, now) else {
+            return false;
+        };
+        header.rest.retain(|candidate| *candidate != owner);
+        header.rest.insert(0, owner);
+        true
+    }
+
     /// Delivers a packet of an unknown flow. After a restart the agent can't know which flows its
     /// server holds; the server returns the packet if it doesn't hold the flow.
     pub(super) fn deliver_unverified(
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -75,7 +75,7 @@
     ToCaller,
     /// Reset the flow, whose opening packet was delivered to no server.
     Refuse(FlowKey, RedirectCause),
-    /// Tell the balancer that this agent owns the flow.
+    /// Tell a balancer or another agent that this agent owns the flow.
     AnnounceOwner(SocketAddrV4, FlowKey),
     /// Send nothing; report that the server's response began after this time.
     ResponseStarted(FlowKey, Millis),
--- a/components/flows/src/request/forward_header.rs
+++ b/components/flows/src/request/forward_header.rs
@@ -36,6 +36,9 @@
     /// Whether the opening packet was already delivered to a backend server, so that the flow must
     /// not be refused.
     pub delivered: bool,
+    /// Agents to which the agent that gets the flow announces itself, because later packets may not
+    /// find it otherwise; empty in later packets.
+    pub anchors: Vec<SocketAddrV4>,
 }
 
 impl ForwardHeader {
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -115,6 +115,7 @@
         activity_timeout: ACTIVITY_TIMEOUT,
         cold_factor: 1.5,
         cold_slack: 5.0,
+        flow_lifetime: Millis(60_000),
     };
     FlowTracker::new(settings, Millis(0))
 }
@@ -154,6 +155,7 @@
         best: None,
         assigned: false,
         delivered: false,
+        anchors: Vec::new(),
     }
 }
 
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -55,6 +55,7 @@
     flow_log::FlowLog,
     header_codec::{
         decode_header,
+        decode_owner,
         encode_forward, //
     },
     hop_spans::HopSpans,
@@ -216,7 +217,11 @@
                     raise_peer_revision(&self.revision_sender, probe.revision, *balancer.ip());
                     self.note_balancer(balancer, now);
                 }
-                _ => debug!(%from, "datagram dropped: no forwarded packet and no probe"),
+                Some(FlowBody::Owner(owner)) => {
+                    let (key, agent) = decode_owner(&owner);
+                    self.tracker.record_owner(key, agent, now);
+                }
+                _ => debug!(%from, "datagram dropped: not for an agent"),
             }
         }
     }
@@ -344,7 +349,7 @@
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, 0), to);
                 }
-                TrackerAction::AnnounceOwner(balancer, key) => self.announce_owner(balancer, key),
+                TrackerAction::AnnounceOwner(to, key) => self.announce_owner(to, key),
                 TrackerAction::Drop(key, cause) => {
                     NodeMetrics::count(&self.metrics.dropped, cause.name());
                     let report = self.tracker.report(self.clock.now());
@@ -358,13 +363,13 @@
         SocketAddrV4::new(*key.caller.ip(), self.address.port())
     }
 
-    fn announce_owner(&mut self, balancer: SocketAddrV4, key: FlowKey) {
+    fn announce_owner(&mut self, to: SocketAddrV4, key: FlowKey) {
         let owner = FlowDatagram::encode_body(FlowBody::Owner(FlowOwner {
             agent: address_to_number(self.address),
             caller: address_to_number(key.caller),
             service: address_to_number(key.service_address),
         }));
-        self.packets.send(&owner, balancer);
+        self.packets.send(&owner, to);
     }
 
     fn check_openings(&mut self) {
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -49,7 +49,10 @@
 
 use super::{
     flow_log::FlowLog,
-    header_codec::encode_forward,
+    header_codec::{
+        decode_owner,
+        encode_forward, //
+    },
     hop_spans::HopSpans,
     peer_revision::{
         raise_peer_revision,
@@ -243,11 +246,7 @@
                     }
                 }
                 Some(FlowBody::Owner(owner)) => {
-                    let key = FlowKey {
-                        caller: address_from_number(owner.caller),
-                        service_address: address_from_number(owner.service),
-                    };
-                    let agent = address_from_number(owner.agent);
+                    let (key, agent) = decode_owner(&owner);
                     self.router.owners.insert(key, agent, now);
                 }
                 _ => debug!(%from, "datagram dropped: no report and no owner announcement"),
--- a/components/forwarder/src/connection/header_codec.rs
+++ b/components/forwarder/src/connection/header_codec.rs
@@ -1,8 +1,11 @@
 //! Conversion between headers of forwarded packets and datagrams.
 
+use std::net::SocketAddrV4;
+
 use bytes::Bytes;
 use carobdrum_flows::request::{
     BestOffer,
+    FlowKey,
     ForwardHeader, //
 };
 use carobdrum_wire::flow_datagram::{
@@ -10,12 +13,16 @@
     address_to_number,
     FlowBody,
     FlowDatagram,
+    FlowOwner,
     ForwardedPacket, //
 };
 
 /// Maximum number of candidates that are read from a datagram; further ones are ignored.
 const MAX_CANDIDATES: usize = 32;
 
+/// Maximum number of anchors that are read from a datagram; further ones are ignored.
+const MAX_ANCHORS: usize = 4;
+
 /// Encodes a datagram of a header and its packet.
 pub(crate) fn encode_forward(header: &ForwardHeader, packet: Bytes) -> Vec<u8> {
     let best = header.best;
@@ -25,19 +32,19 @@
         service: header.service_hash,
         revision: header.revision,
         hops: u32::from(header.hops),
-        rest: header.rest.iter().copied().map(address_to_number).collect(),
+        rest: numbers(&header.rest),
         near: u32::from(header.near),
         best_agent: best.map_or(0, |best| address_to_number(best.agent)),
         best_wait_us: best.map_or(0, |best| best.wait_us),
         assigned: header.assigned,
         delivered: header.delivered,
         packet,
+        anchors: numbers(&header.anchors),
     }))
 }
 
 /// Returns the header of a forwarded packet. Numbers that are too large are clamped to the maximum.
 pub(crate) fn decode_header(forwarded: &ForwardedPacket) -> ForwardHeader {
-    let rest = forwarded.rest.iter().take(MAX_CANDIDATES);
     let best = BestOffer {
         agent: address_from_number(forwarded.best_agent),
         wait_us: forwarded.best_wait_us,
@@ -48,10 +55,29 @@
         service_hash: forwarded.service,
         revision: forwarded.revision,
         hops: u8::try_from(forwarded.hops).unwrap_or(u8::MAX),
-        rest: rest.copied().map(address_from_number).collect(),
+        rest: addresses(&forwarded.rest, MAX_CANDIDATES),
         near: u8::try_from(forwarded.near).unwrap_or(u8::MAX),
         best: (forwarded.best_agent != 0).then_some(best),
         assigned: forwarded.assigned,
         delivered: forwarded.delivered,
+        anchors: addresses(&forwarded.anchors, MAX_ANCHORS),
     }
 }
+
+/// Returns the flow and the owner that an announcement names.
+pub(crate) fn decode_owner(owner: &FlowOwner) -> (FlowKey, SocketAddrV4) {
+    let key = FlowKey {
+        caller: address_from_number(owner.caller),
+        service_address: address_from_number(owner.service),
+    };
+    (key, address_from_number(owner.agent))
+}
+
+fn numbers(addresses: &[SocketAddrV4]) -> Vec<u64> {
+    addresses.iter().copied().map(address_to_number).collect()
+}
+
+fn addresses(numbers: &[u64], limit: usize) -> Vec<SocketAddrV4> {
+    let numbers = numbers.iter().take(limit);
+    numbers.copied().map(address_from_number).collect()
+}
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -52,6 +52,7 @@
         LeaseMessage, //
     },
     node_context::{
+        flow_lifetime,
         run_control,
         NodeContext, //
     },
@@ -181,6 +182,7 @@
         activity_timeout: reuse.since(REUSE_MARGIN),
         cold_factor: backend.cold_factor,
         cold_slack: backend.cold_slack,
+        flow_lifetime: flow_lifetime(&settings.node),
     }
 }
 
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -61,6 +61,7 @@
 const HEARTBEAT_INTERVAL: Millis = Millis(1_000);
 const ACTIVITY_TIMEOUT: Millis = Millis(1_900);
 const IDLE_TIMEOUT: Millis = Millis(15_000);
+const FLOW_LIFETIME: Millis = Millis(60_000);
 const TICKS_PER_PROBE: u64 = 10;
 
 /// Remaining downtime of a balancer up to which the routers still use its VM.
@@ -218,6 +219,7 @@
             activity_timeout: ACTIVITY_TIMEOUT,
             cold_factor: 1.5,
             cold_slack: 5.0,
+            flow_lifetime: FLOW_LIFETIME,
         };
         let mut tracker = FlowTracker::new(settings, self.now);
         tracker.set_config(self.config.clone());
--- a/components/model/src/flow_model/network.rs
+++ b/components/model/src/flow_model/network.rs
@@ -54,13 +54,11 @@
                     found.router.agents.apply_report(agent, report, now);
                 }
             }
-            ModelDatagram::Owner {
-                balancer,
-                agent,
-                key,
-            } => {
+            ModelDatagram::Owner { to, agent, key } => {
                 let now = self.now;
-                if let Some(found) = self.find_balancer(balancer) {
+                if let Some(index) = self.find_agent(to) {
+                    self.agents[index].tracker.record_owner(key, agent, now);
+                } else if let Some(found) = self.find_balancer(to) {
                     found.router.owners.insert(key, agent, now);
                 }
             }
@@ -179,10 +177,10 @@
                     self.send_datagram(ModelDatagram::ToCaller { packet }, delay);
                 }
                 TrackerAction::Refuse(key, _) => self.refuse(key),
-                TrackerAction::AnnounceOwner(balancer, key) => {
-                    let delay = delay_between(centre, balancer.ip().octets()[1] - 1);
+                TrackerAction::AnnounceOwner(to, key) => {
+                    let delay = delay_between(centre, to.ip().octets()[1] - 1);
                     let datagram = ModelDatagram::Owner {
-                        balancer,
+                        to,
                         agent: address,
                         key,
                     };
--- a/components/model/src/model_event.rs
+++ b/components/model/src/model_event.rs
@@ -54,7 +54,8 @@
         report: AgentReport,
     },
     Owner {
-        balancer: SocketAddrV4,
+        /// A balancer or an agent.
+        to: SocketAddrV4,
         agent: SocketAddrV4,
         key: FlowKey,
     },
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -38,7 +38,7 @@
     /// Report of a backend server's state, from its agent to a balancer.
     #[prost(message, tag = "2")]
     Report(ServerReport),
-    /// Tells a balancer which agent owns a flow; the owner sends it.
+    /// Tells a balancer or another agent which agent owns a flow; the owner sends it.
     #[prost(message, tag = "3")]
     Owner(FlowOwner),
     /// Asks an agent for a report.
@@ -89,6 +89,9 @@
     /// The packet as the caller sent it.
     #[prost(bytes = "bytes", tag = "12")]
     pub packet: Bytes,
+    /// Agents to which the agent that gets the flow announces itself.
+    #[prost(fixed64, repeated, tag = "13")]
+    pub anchors: Vec<u64>,
 }
 
 /// Report of a backend server's state.
