Choose the same anchors at balancers of all data centres

Cause: anchors were the first candidates of later packets as the balancer of the opening packet saw them.

Change: anchors are the two agents of a service that come first by the hash alone, in any data centre, evacuated or not. They are always candidates of later packets, after those of the flow's data centre. Every packet names them, so an owner also informs agents that joined later. An owner whose rank its data centre's balancers find informs them only when the flow is a second old; flows of one request cost nothing.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -7,6 +7,13 @@
 
 use crate::request::ForwardHeader;
 
+/// Age from which a flow counts as long. Flows of one request are shorter.
+const LONG_FLOW_AGE: Millis = Millis(1_000);
+
+/// Limit of the informed agents that are remembered. More than the anchors of one packet, since
+/// balancers that know different agents name different ones.
+const MAX_INFORMED: usize = 4;
+
 /// Stage of a flow as an agent knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FlowStage {
@@ -46,12 +53,21 @@
     pub server_done: bool,
     /// The opening packet, kept for a redirect until the server has answered it.
     pub opening_packet: Option<Bytes>,
+    /// Time of the first packet.
+    pub first_used: Millis,
+    /// Whether balancers find the owner by its rank.
+    pub is_firm: bool,
+    /// Agents that know the owner from its announcements, the last ones last.
+    pub informed: Vec<SocketAddrV4>,
 }
 
 impl FlowEntry {
     /// Creates the entry of a flow whose first packet at this agent arrived at `now`.
     pub fn new(stage: FlowStage, header: ForwardHeader, now: Millis) -> FlowEntry {
         FlowEntry {
+            first_used: now,
+            is_firm: header.is_firm,
+            informed: Vec::new(),
             stage,
             request_started: None,
             last_used: now,
@@ -62,6 +78,25 @@
         }
     }
 
+    /// Returns the anchors to inform of the owner at `now`: those that aren't informed yet, and none
+    /// while the flow is so short that most others end before.
+    pub fn take_uninformed(
+        &mut self,
+        anchors: &[SocketAddrV4],
+        owner: SocketAddrV4,
+        now: Millis,
+    ) -> Vec<SocketAddrV4> {
+        if self.is_firm && now.since(self.first_used) < LONG_FLOW_AGE {
+            return Vec::new();
+        }
+        let is_new = |anchor: &&SocketAddrV4| **anchor != owner && !self.informed.contains(anchor);
+        let uninformed: Vec<SocketAddrV4> = anchors.iter().filter(is_new).copied().collect();
+        self.informed.extend(&uninformed);
+        let excess = self.informed.len().saturating_sub(MAX_INFORMED);
+        self.informed.drain(..excess);
+        uninformed
+    }
+
     /// Closes the flow if both ends have finished; returns whether it did.
     pub fn close_if_done(&mut self) -> bool {
         let done = self.caller_done && self.server_done;
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -53,7 +53,7 @@
 const REMOTE_PENALTY_US: u32 = 20_000;
 
 /// Limit of the agents that one packet passes; more are taken for a loop.
-const MAX_HOPS: u8 = 24;
+const MAX_HOPS: u8 = 32;
 
 /// Width of the acknowledgement window that follows a server's first sequence number: a number in
 /// it shows that the caller continues the flow that this server accepted.
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -63,9 +63,11 @@
         }
         if matches!(entry.stage, FlowStage::Opening { .. }) {
             entry.stage = FlowStage::Open;
-            let anchors = entry.header.anchors.iter();
-            let others = anchors.filter(|anchor| **anchor != self.settings.address);
-            actions.extend(others.map(|to| TrackerAction::AnnounceOwner(*to, packet.key)));
+        }
+        if entry.stage == FlowStage::Open {
+            let uninformed = entry.take_uninformed(&header.anchors, self.settings.address, now);
+            let announce = |to| TrackerAction::AnnounceOwner(to, packet.key);
+            actions.extend(uninformed.into_iter().map(announce));
         }
         if entry.stage == FlowStage::Open && header.hops > 1 {
             actions.push(TrackerAction::AnnounceOwner(header.balancer, packet.key));
--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -10,6 +10,13 @@
 /// Limit of the candidates of other services than the first.
 const MAX_OTHER_CANDIDATES: usize = 8;
 
+/// Number of the agents of each service to which the owner of a flow announces itself. Two, so that
+/// one of them may restart.
+const MAX_ANCHORS: usize = 2;
+
+/// Limit of the services whose anchors are marked, as these are taken beside all limits.
+const MAX_ANCHORED_SERVICES: usize = 4;
+
 /// Limits for each service but the first, where a flow may have opened before the route changed. Its
 /// opening packet had as few candidates.
 const OTHER_LIMITS: CandidateLimits = CandidateLimits {
@@ -62,6 +69,17 @@
     &mut groups[index].count
 }
 
+/// Distance of an agent from a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum CandidateDistance {
+    /// Its data centre is the flow's, which [`CandidateRanking::set_home`] chooses.
+    Near,
+    /// It is an anchor of the flow in another data centre.
+    Anchor,
+    /// It is in another data centre.
+    Far,
+}
+
 /// Criteria that precede the hash in the order of candidates, in this order; false comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct CandidateRank {
@@ -69,8 +87,7 @@
     pub(crate) suspect: bool,
     /// Whether its data centre is evacuated.
     pub(crate) evacuated: bool,
-    /// Whether its data centre isn't the flow's, which [`CandidateRanking::set_home`] chooses.
-    pub(crate) far: bool,
+    pub(crate) distance: CandidateDistance,
     /// Position of its service in the flow's list of services.
     pub(crate) service: u8,
     /// Whether it recently reported no free slot.
@@ -87,6 +104,8 @@
     pub(crate) centre: u32,
     pub(crate) address: SocketAddrV4,
     pub(crate) failing: bool,
+    /// Whether it is one of the flow's anchors, to which the owner announces itself.
+    pub(crate) is_anchor: bool,
 }
 
 /// Candidates of a packet, best first.
@@ -97,6 +116,10 @@
     pub(crate) near: u8,
     /// Hash of the name of the flow's data centre.
     pub(crate) centre: u32,
+    /// Anchors of the flow at its first service.
+    pub(crate) anchors: Vec<SocketAddrV4>,
+    /// Whether balancers of the caller's data centre find the owner by its rank.
+    pub(crate) is_firm: bool,
 }
 
 /// Builder of the candidate list of one packet.
@@ -151,12 +174,37 @@
         });
         let home = home.map_or(caller, |candidate| candidate.centre);
         for candidate in &mut self.candidates {
-            candidate.rank.far = candidate.centre != home;
+            candidate.rank.distance = if candidate.centre == home {
+                CandidateDistance::Near
+            } else {
+                CandidateDistance::Far
+            };
         }
         home
     }
 
-    /// Returns the best candidates within `limits`. `caller` is the data centre of the caller,
+    /// Marks the anchors of the flow: the agents of each service that come first by the hash alone,
+    /// wherever they are. Balancers of all data centres agree on them, whatever they believe of
+    /// evacuations and of agents that don't answer. Candidates of a service must be adjacent.
+    pub(crate) fn mark_anchors(&mut self) {
+        let same_service =
+            |left: &Candidate, right: &Candidate| left.rank.service == right.rank.service;
+        let services = self.candidates.chunk_by_mut(same_service);
+        for candidates in services.take(MAX_ANCHORED_SERVICES) {
+            if candidates.len() > MAX_ANCHORS {
+                candidates.select_nth_unstable_by(MAX_ANCHORS - 1, |left, right| {
+                    right.score.cmp(&left.score)
+                });
+            }
+            for candidate in candidates.iter_mut().take(MAX_ANCHORS) {
+                candidate.is_anchor = true;
+                let distance = &mut candidate.rank.distance;
+                *distance = (*distance).min(CandidateDistance::Anchor);
+            }
+        }
+    }
+
+    /// Returns the best candidates within `limits`, and the anchors beside them. `caller` is the data centre of the caller,
     /// `home` that of the flow, which [`CandidateRanking::set_home`] returned.
     pub(crate) fn take(
         &mut self,
@@ -172,6 +220,8 @@
             agents: Vec::with_capacity(MAX_CANDIDATES),
             near: 0,
             centre: home,
+            anchors: Vec::new(),
+            is_firm: false,
         };
         let mut groups = Vec::new();
         let mut far = 0;
@@ -181,6 +231,9 @@
             let is_near = candidate.centre == home;
             let is_remote = !is_near && candidate.centre != caller;
             let is_other = candidate.rank.service > 0;
+            if candidate.is_anchor && !is_other {
+                list.anchors.push(candidate.address);
+            }
             let (limits, all_far) = if is_other {
                 (OTHER_LIMITS, &mut others_far)
             } else {
@@ -189,11 +242,13 @@
             let limit = if is_near { limits.near } else { limits.far };
             let count = group_count(&mut groups, candidate.centre, candidate.rank.service);
             let is_full = if is_other {
-                others == MAX_OTHER_CANDIDATES
+                others >= MAX_OTHER_CANDIDATES
             } else {
-                list.agents.len() - others == MAX_CANDIDATES
+                list.agents.len() - others >= MAX_CANDIDATES
             };
-            if is_full || *count >= limit || (is_remote && *all_far == limits.all_far) {
+            let is_excluded =
+                is_full || *count >= limit || (is_remote && *all_far >= limits.all_far);
+            if is_excluded && !candidate.is_anchor {
                 continue;
             }
             list.agents.push(candidate.address);
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -30,12 +30,6 @@
     version::SiteConfig, //
 };
 
-/// Number of the first candidates of later packets that remain candidates when agents join.
-const FIRM_RANKS: usize = 4;
-
-/// Limit of the agents to which an owner announces itself. Two, so that one of them may restart.
-const MAX_ANCHORS: usize = 2;
-
 /// Routing state of a balancer.
 #[derive(Debug)]
 pub struct FlowRouter {
@@ -83,20 +77,13 @@
         let Some(service) = route.services(hash).next().map(|name| name_hash(name)) else {
             return refuse_or_drop(packet, DropCause::NoRoute);
         };
-        let (list, anchors) = if packet.is_open() {
-            let later = self.list_later(&[service], hash, now);
-            let list = self.list_opening(service, hash, now);
-            if list.agents.first() != later.agents.first() {
-                self.remember_owner(packet, &list.agents, now);
-            }
-            let anchors = anchors(&list.agents, &later.agents);
-            (list, anchors)
+        let list = if packet.is_open() {
+            self.list_opening_with_anchors(packet, service, hash, now)
         } else {
             let services = owner_services(&config, route, hash, now);
-            (self.list_later(&services, hash, now), Vec::new())
+            self.list_later(&services, hash, now)
         };
-        let action = self.forward(packet, list, service, config.revision, now);
-        with_anchors(action, anchors)
+        self.forward(packet, list, service, config.revision, now)
     }
 
     /// Remembers the first candidate of an opening packet when later packets wouldn't try it first.
@@ -121,6 +108,8 @@
             agents: mut list,
             mut near,
             centre,
+            anchors,
+            is_firm,
         } = candidates;
         if list.is_empty() {
             return refuse_or_drop(packet, DropCause::NoAgent);
@@ -152,34 +141,13 @@
             best: None,
             assigned: false,
             delivered: false,
-            anchors: Vec::new(),
+            anchors,
+            is_firm,
         };
         RouteAction::Forward { to, header }
     }
 }
 
-/// Returns the agents to which the owner of a flow announces itself, if it is one of `opening` and
-/// later packets may not find it: agents that join move an owner down the list of later packets,
-/// `later`, until it is no longer in it.
-fn anchors(opening: &[SocketAddrV4], later: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
-    let firmly_listed = &later[..later.len().min(FIRM_RANKS)];
-    let is_firm = |owner: &SocketAddrV4| firmly_listed.contains(owner);
-    if opening.iter().all(is_firm) {
-        return Vec::new();
-    }
-    later.iter().take(MAX_ANCHORS).copied().collect()
-}
-
-fn with_anchors(action: RouteAction, anchors: Vec<SocketAddrV4>) -> RouteAction {
-    match action {
-        RouteAction::Forward { to, header } => RouteAction::Forward {
-            to,
-            header: ForwardHeader { anchors, ..header },
-        },
-        other => other,
-    }
-}
-
 /// Refuses the first copy of an opening packet, and drops any other packet: a retransmission may
 /// belong to a flow that has opened.
 fn refuse_or_drop(packet: &FlowPacket, cause: DropCause) -> RouteAction {
--- a/components/flows/src/process/flow_router/flow_candidates.rs
+++ b/components/flows/src/process/flow_router/flow_candidates.rs
@@ -11,12 +11,14 @@
         agent_table::AgentState,
         candidate_ranking::{
             Candidate,
+            CandidateDistance,
             CandidateLimits,
             CandidateList,
             CandidateRank, //
         },
         name_hash,
     },
+    request::FlowPacket,
     version::{
         FlowRoute,
         SiteConfig, //
@@ -47,6 +49,9 @@
     all_far: 8,
 };
 
+/// Number of the first candidates of later packets that remain candidates when agents join.
+const FIRM_RANKS: usize = 4;
+
 /// Returns the services that may hold an open flow of a route, as hashes of their names: those of
 /// the route, beginning with the one of the flow's hash, and those that it led to before. While
 /// earlier versions of the configuration are unknown, all other services follow.
@@ -81,6 +86,29 @@
         self.ranking.take(self.centre, home, OPENING_LIMITS)
     }
 
+    /// Returns the candidates of an opening packet, and the anchors of its flow.
+    pub(super) fn list_opening_with_anchors(
+        &mut self,
+        packet: &FlowPacket,
+        service: u32,
+        hash: u64,
+        now: Millis,
+    ) -> CandidateList {
+        let later = self.list_later(&[service], hash, now);
+        let list = self.list_opening(service, hash, now);
+        if list.agents.first() != later.agents.first() {
+            self.remember_owner(packet, &list.agents, now);
+        }
+        let firmly_listed = &later.agents[..later.agents.len().min(FIRM_RANKS)];
+        let mut owners = list.agents.iter();
+        CandidateList {
+            is_firm: list.centre == self.centre
+                && owners.all(|owner| firmly_listed.contains(owner)),
+            anchors: later.anchors,
+            ..list
+        }
+    }
+
     /// Returns the candidates of a later packet, whose flow may have opened at any of `services`.
     /// Agents of the first one come first in each data centre.
     pub(super) fn list_later(&mut self, services: &[u32], hash: u64, now: Millis) -> CandidateList {
@@ -90,6 +118,7 @@
             self.add_candidates(*service, order, hash, false, now);
         }
         let home = self.ranking.set_home(self.centre, hash);
+        self.ranking.mark_anchors();
         let limits = if home == self.centre {
             LATER_LIMITS
         } else {
@@ -119,7 +148,7 @@
             rank: CandidateRank {
                 suspect: state.is_suspect(now),
                 evacuated: evacuated(state),
-                far: false,
+                distance: CandidateDistance::Near,
                 service: order,
                 busy: is_opening && state.is_busy(now),
             },
@@ -127,6 +156,7 @@
             centre: state.centre,
             address: state.record.address,
             failing: state.is_failing(),
+            is_anchor: false,
         }));
     }
 }
--- a/components/flows/src/request/forward_header.rs
+++ b/components/flows/src/request/forward_header.rs
@@ -36,9 +36,12 @@
     /// Whether the opening packet was already delivered to a backend server, so that the flow must
     /// not be refused.
     pub delivered: bool,
-    /// Agents to which the agent that gets the flow announces itself, because later packets may not
-    /// find it otherwise; empty in later packets.
+    /// Agents to which the owner of the flow announces itself, because later packets may not find
+    /// it otherwise.
     pub anchors: Vec<SocketAddrV4>,
+    /// Whether balancers of the caller's data centre find the owner of an opening packet by its
+    /// rank, so that only the anchors of a long flow need the announcement.
+    pub is_firm: bool,
 }
 
 impl ForwardHeader {
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -156,6 +156,7 @@
         assigned: false,
         delivered: false,
         anchors: Vec::new(),
+        is_firm: true,
     }
 }
 
--- a/components/forwarder/src/connection/header_codec.rs
+++ b/components/forwarder/src/connection/header_codec.rs
@@ -40,6 +40,7 @@
         delivered: header.delivered,
         packet,
         anchors: numbers(&header.anchors),
+        is_firm: header.is_firm,
     }))
 }
 
@@ -61,6 +62,7 @@
         assigned: forwarded.assigned,
         delivered: forwarded.delivered,
         anchors: addresses(&forwarded.anchors, MAX_ANCHORS),
+        is_firm: forwarded.is_firm,
     }
 }
 
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -89,9 +89,12 @@
     /// The packet as the caller sent it.
     #[prost(bytes = "bytes", tag = "12")]
     pub packet: Bytes,
-    /// Agents to which the agent that gets the flow announces itself.
+    /// Agents to which the owner of the flow announces itself.
     #[prost(fixed64, repeated, tag = "13")]
     pub anchors: Vec<u64>,
+    /// Whether balancers of the caller's data centre find the owner by its rank.
+    #[prost(bool, tag = "14")]
+    pub is_firm: bool,
 }
 
 /// Report of a backend server's state.
