Reset open flows that their server has lost

Cause: when a server was restarted, or left while callers had idle flows open at it, their next packets went along the whole list of candidates and ended without an answer; the callers waited until their deadline.

Change: an agent resets a flow when its server, which has answered packets of the flow before, returns one as not held, when the server's next run sends a heartbeat, and when the agent is stopped after its server has deregistered. No other server can hold such a flow. A flow of which only the acceptance was seen is searched elsewhere as before. Idle callers open a new flow before their next request.

Ruled out for now: a reset after a search that found no owner. After a power loss of all VMs nobody remembers the flows, and an agent that the balancer doesn't know might hold one.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -53,6 +53,11 @@
     pub server_done: bool,
     /// The opening packet, kept for a redirect until the server has answered it.
     pub opening_packet: Option<Bytes>,
+    /// Sequence number that the caller expects next; that of a reset.
+    pub caller_expects: u32,
+    /// Whether the server has sent more than the acceptance of the flow, so that it certainly held
+    /// it.
+    pub is_served: bool,
     /// Time of the first packet.
     pub first_used: Millis,
     /// Whether balancers find the owner by its rank.
@@ -65,6 +70,8 @@
     /// Creates the entry of a flow whose first packet at this agent arrived at `now`.
     pub fn new(stage: FlowStage, header: ForwardHeader, now: Millis) -> FlowEntry {
         FlowEntry {
+            caller_expects: 0,
+            is_served: false,
             first_used: now,
             is_firm: header.is_firm,
             informed: Vec::new(),
@@ -97,6 +104,12 @@
         uninformed
     }
 
+    /// Returns whether the server held the flow until now and would have answered its packets. No
+    /// other server can hold it then.
+    pub fn is_certainly_open(&self) -> bool {
+        self.stage == FlowStage::Open && self.is_served
+    }
+
     /// Closes the flow if both ends have finished; returns whether it did.
     pub fn close_if_done(&mut self) -> bool {
         let done = self.caller_done && self.server_done;
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -100,6 +100,8 @@
     /// Owners of flows for which this agent is an anchor.
     owners: OwnerCache,
     return_pause: ReturnPause,
+    /// Flows of a server that has ended, which are to be reset.
+    lost_flows: Vec<FlowKey>,
     stopping: bool,
 }
 
@@ -118,6 +120,7 @@
             failure_rate: FailureRate::default(),
             owners: OwnerCache::default(),
             return_pause: ReturnPause::default(),
+            lost_flows: Vec::new(),
             stopping: false,
             settings,
         }
@@ -144,6 +147,7 @@
         let cold_until = now.plus(heartbeat.cold_remaining);
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
+        let had_heartbeat = self.liveness.service().is_some();
         let restarted = self.liveness.is_new_run(&heartbeat);
         if !self.liveness.handle_heartbeat(heartbeat, now) {
             return false;
@@ -151,6 +155,9 @@
         if restarted {
             self.return_pause.clear();
         }
+        if had_heartbeat && restarted {
+            self.note_server_ended();
+        }
         self.cold.set_cold_until(cold_until);
         self.load.set_slots(slots);
         self.service = service;
@@ -163,8 +170,20 @@
     }
 
     /// Stops accepting new flows, for a graceful shutdown.
+    ///
+    /// The platform stops an agent after its server has ended, if the server has deregistered.
     pub fn stop(&mut self) {
         self.stopping = true;
+        if self.liveness.is_deregistered() {
+            self.note_server_ended();
+        }
+    }
+
+    /// Marks the flows of a server that has ended for [`FlowTracker::reset_lost_flows`].
+    fn note_server_ended(&mut self) {
+        let flows = self.flows.iter();
+        let open = flows.filter(|(_, entry)| entry.is_certainly_open());
+        self.lost_flows.extend(open.map(|(key, _)| *key));
     }
 
     /// Returns the number of flows that are open, or whose opening packet was delivered.
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -73,6 +73,7 @@
             actions.push(TrackerAction::AnnounceOwner(header.balancer, packet.key));
         }
         entry.header = header;
+        entry.caller_expects = packet.acknowledged;
         let has_request = packet.data_len > 0 && entry.stage == FlowStage::Open;
         if has_request && entry.request_started.replace(now).is_none() {
             self.load.begin();
@@ -148,6 +149,7 @@
         };
         entry.last_used = now;
         entry.opening_packet = None;
+        entry.is_served |= packet.kind != PacketKind::Accept;
         match (&mut entry.stage, packet.kind) {
             (FlowStage::Opening { server_sequence }, PacketKind::Accept) => {
                 *server_sequence = Some(packet.sequence);
@@ -188,6 +190,11 @@
             actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
             return;
         };
+        if entry.is_certainly_open() {
+            self.cold.mark_possibly_restarted();
+            self.reset_flow(packet.key, actions);
+            return;
+        }
         let mut header = entry.header.clone();
         if packet.is_open() {
             self.return_pause.note_return(now);
@@ -223,6 +230,27 @@
     }
 }
 
+impl FlowTracker {
+    /// Resets the open flows of a server that has ended or was restarted, so that their callers open
+    /// new ones at once instead of waiting for an answer.
+    pub fn reset_lost_flows(&mut self, actions: &mut Vec<TrackerAction>) {
+        for key in std::mem::take(&mut self.lost_flows) {
+            self.reset_flow(key, actions);
+        }
+    }
+
+    fn reset_flow(&mut self, key: FlowKey, actions: &mut Vec<TrackerAction>) {
+        let Some(entry) = self.flows.get_mut(&key) else {
+            return;
+        };
+        entry.stage = FlowStage::NotHeld;
+        if entry.request_started.take().is_some() {
+            self.load.end();
+        }
+        actions.push(TrackerAction::Reset(key, entry.caller_expects));
+    }
+}
+
 fn redirect_later(
     key: FlowKey,
     mut header: ForwardHeader,
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -75,6 +75,8 @@
     ToCaller,
     /// Reset the flow, whose opening packet was delivered to no server.
     Refuse(FlowKey, RedirectCause),
+    /// Reset an open flow that its server has lost, with this sequence number.
+    Reset(FlowKey, u32),
     /// Tell a balancer or another agent that this agent owns the flow.
     AnnounceOwner(SocketAddrV4, FlowKey),
     /// Send nothing; report that the server's response began after this time.
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -102,6 +102,11 @@
         is_current
     }
 
+    /// Returns whether the server has deregistered.
+    pub fn is_deregistered(&self) -> bool {
+        self.deregistered
+    }
+
     /// Records a packet that the server sent for a flow that it holds.
     pub fn note_activity(&mut self, now: Millis) {
         if !self.deregistered {
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -5,17 +5,23 @@
 use carobdrum_core::Millis;
 use carobdrum_flows::{
     connection::RedirectCause,
-    process::BackendState,
+    process::{
+        BackendHeartbeat,
+        BackendState, //
+    },
     FlowPacket,
-    PacketKind, //
-    TrackerAction,
+    FlowTracker,
+    PacketKind,
+    TrackerAction, //
 };
+use rstest::rstest;
 use support::{
     agent,
     backend,
     forward,
     header,
     heartbeat,
+    key,
     open_flow,
     open_packet,
     packet,
@@ -363,3 +369,87 @@
     assert!(accepted_flows(&mut tracker, 0, Millis(2)) <= limit);
     assert_eq!(accepted_flows(&mut tracker, 200, Millis(200)), 0);
 }
+
+/// Opens a flow at the server and has it answer a request.
+fn serve_flow(tracker: &mut FlowTracker, caller: u16, now: Millis) {
+    open_flow(tracker, caller, now);
+    let answer = FlowPacket {
+        data_len: 100,
+        ..packet(caller, PacketKind::Data)
+    };
+    backend(tracker, &answer, now);
+    let acknowledgement = FlowPacket {
+        acknowledged: 100,
+        ..packet(caller, PacketKind::Data)
+    };
+    forward(tracker, &acknowledgement, header(&[]), now);
+}
+
+/// Guards against callers that wait until their deadline for a server that was restarted: their
+/// next request would go into a flow that nobody holds.
+#[test]
+fn resets_flows_that_a_restarted_server_held() {
+    let mut tracker = tracker();
+    serve_flow(&mut tracker, 1, Millis(0));
+    let mut actions = Vec::new();
+    assert!(tracker.handle_heartbeat(heartbeat(2, BackendState::Ready), Millis(500)));
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions, [], "the server still runs");
+    let restarted = BackendHeartbeat {
+        started_ms: 2,
+        ..heartbeat(1, BackendState::Ready)
+    };
+    assert!(tracker.handle_heartbeat(restarted, Millis(1_000)));
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions, [TrackerAction::Reset(key(1), 100)]);
+    assert_eq!(tracker.report(Millis(1_000)).busy, 0);
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions.len(), 1, "a flow is reset once");
+}
+
+/// Guards against a search for a flow that its owner has lost, and against a reset of a flow that
+/// another server may hold.
+#[rstest]
+#[case::served_here(true)]
+#[case::only_accepted_here(false)]
+fn resets_a_returned_flow_only_if_the_server_has_served_it(#[case] is_served: bool) {
+    let mut tracker = tracker();
+    if is_served {
+        serve_flow(&mut tracker, 1, Millis(0));
+    } else {
+        open_flow(&mut tracker, 1, Millis(0));
+    }
+    let request = FlowPacket {
+        acknowledged: 100,
+        ..packet(1, PacketKind::Data)
+    };
+    forward(&mut tracker, &request, header(&[1]), Millis(100));
+    let returned = FlowPacket {
+        returned: true,
+        ..request
+    };
+    let actions = backend(&mut tracker, &returned, Millis(101));
+    if is_served {
+        assert_eq!(actions, [TrackerAction::Reset(key(1), 100)]);
+    } else {
+        assert!(matches!(&actions[..], [TrackerAction::Redirect { to, .. }] if *to == agent(1)));
+    }
+}
+
+/// Guards against idle flows that outlive their server: it leaves without ending them, and the
+/// caller's next request is lost. An agent that is stopped alone leaves them to its server.
+#[rstest]
+#[case::server_has_left(true)]
+#[case::server_still_runs(false)]
+fn resets_open_flows_when_it_stops_after_its_server(#[case] has_left: bool) {
+    let mut tracker = tracker();
+    serve_flow(&mut tracker, 1, Millis(0));
+    if has_left {
+        assert!(tracker.deregister("i-1"));
+    }
+    tracker.stop();
+    let mut actions = Vec::new();
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions.len(), usize::from(has_left));
+    assert_eq!(tracker.open_flows(), usize::from(!has_left));
+}
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -183,18 +183,27 @@
                 let is_new = self.tracker.handle_heartbeat(heartbeat, now);
                 // The requester may have stopped waiting.
                 let _ = answer.send(is_new);
+                self.reset_lost_flows();
             }
             AgentUpdate::Deregister(id, answer) => {
                 let _ = answer.send(self.tracker.deregister(&id));
             }
             AgentUpdate::Stop(answer) => {
                 self.tracker.stop();
+                self.reset_lost_flows();
                 self.shutdown_answer = Some(answer);
             }
         }
         self.report_change(now);
     }
 
+    fn reset_lost_flows(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.tracker.reset_lost_flows(&mut actions);
+        self.act(&mut actions, &Bytes::new());
+        self.actions = actions;
+    }
+
     fn apply_config(&mut self, config: Option<Arc<SiteConfig>>) {
         if let Some(config) = config {
             self.tracker.set_config(config);
@@ -349,6 +358,12 @@
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, 0), to);
                 }
+                TrackerAction::Reset(key, sequence) => {
+                    NodeMetrics::count(&self.metrics.refused, "lost");
+                    self.log.reset(key);
+                    let to = self.caller_port(key);
+                    self.packets.send(&reset_packet(key, sequence), to);
+                }
                 TrackerAction::AnnounceOwner(to, key) => self.announce_owner(to, key),
                 TrackerAction::Drop(key, cause) => {
                     NodeMetrics::count(&self.metrics.dropped, cause.name());
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    pub(crate) fn reset(&mut self, key: FlowKey) {
+        if let Some(left_out) = self.limiter.admit() {
+            info!(flow = %key, left_out, "open flow reset: its server has lost it");
+        }
+    }
+
     pub(crate) fn not_delivered(
         &mut self,
         key: FlowKey,
