Batch changes of agents by their number, and wait longer in watches

Change: the delay after changes of agents is 15 ms for each known agent, from 700 ms to 4 s, so that the share of the agents not known yet stays the same at every size: at a replacement a second 1.5%. A watch waits 30 s, the longest that the store allows. The configuration's delay stays at 700 ms.

Ruled out: stale reads at a tenth of the price in place of watches (whole lists, 0.8 MB for 5,700 agents, where a watch carries the change alone).

--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -18,4 +18,5 @@
     KeyWatcher,
     NodeError,
     SettingsFile, //
+    WatchProgress,
 };
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -46,8 +46,9 @@
         SiteState, //
     },
     store_watch::{
-        KeyEvent, //
+        KeyEvent,
         KeyWatcher,
+        WatchProgress, //
     },
     NodeError, //
 };
@@ -176,7 +177,7 @@
             updates.send(update).await.ok()?;
         }
         ready.agents.set(true);
-        Some(0)
+        Some(WatchProgress::of_agents(state.agent_count()))
     };
     watcher.run(handle).await;
 }
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -26,4 +26,5 @@
 pub use store_watch::{
     KeyEvent, //
     KeyWatcher,
+    WatchProgress,
 };
--- a/components/forwarder/src/process/node_context.rs
+++ b/components/forwarder/src/process/node_context.rs
@@ -4,7 +4,8 @@
     future::Future,
     net::SocketAddrV4,
     rc::Rc,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use carobdrum_core::Millis;
@@ -44,6 +45,10 @@
 };
 use crate::connection::PeerRevision;
 
+/// Time for which the store may lag behind a peer before the configuration is fetched from that
+/// peer. It exceeds the delay between two watches, in which every process may lag behind briefly.
+const LAG_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Signals, metrics and site state of a daemon.
 pub(crate) struct NodeContext {
     /// Signal for a graceful shutdown.
@@ -109,7 +114,8 @@
             adjust(watcher),
             peer_revisions.clone(),
         ));
-        tokio::task::spawn_local(follow_peers(state, peer_revisions, settings.node.peer_port));
+        let port = settings.node.peer_port;
+        tokio::task::spawn_local(follow_peers(state, peer_revisions, port, LAG_TIMEOUT));
     }
 }
 
--- a/components/forwarder/src/process/site_state.rs
+++ b/components/forwarder/src/process/site_state.rs
@@ -36,16 +36,13 @@
     },
     snapshot_port::fetch_snapshot,
     store_watch::{
-        KeyEvent, //
+        KeyEvent,
         KeyWatcher,
+        WatchProgress, //
     },
 };
 use crate::connection::PeerRevision;
 
-/// Time for which the store may lag behind a peer before the configuration is fetched from that
-/// peer. It exceeds the delay between two watches, in which every process may lag behind briefly.
-const LAG_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Publishes the configuration in force to the traffic thread.
 pub(crate) type ConfigSender = watch::Sender<Option<Arc<SiteConfig>>>;
 
@@ -90,6 +87,11 @@
         change(&mut self.agents.borrow_mut());
     }
 
+    /// Returns the number of agents that the store lists.
+    pub(crate) fn agent_count(&self) -> usize {
+        self.agents.borrow().len()
+    }
+
     /// Applies an event of the operator's keys; `peer_revision` is the highest revision of another
     /// process before the event.
     fn apply_event(&self, event: KeyEvent, peer_revision: u64) {
@@ -126,32 +128,27 @@
     let handle = async |event| {
         let peer_revision = peer_revisions.borrow().revision;
         state.apply_event(event, peer_revision);
-        Some(state.revision())
+        Some(WatchProgress::of_config(state.revision()))
     };
     watcher.run(handle).await;
 }
 
-/// Fetches the configuration from a peer that has a newer one, if the store doesn't deliver it in
-/// time.
+/// Fetches the configuration from a peer that has had a newer one for `lag_timeout`, if the store
+/// doesn't deliver it in that time.
 pub(crate) async fn follow_peers(
     state: Rc<SiteState>,
     mut peer_revisions: watch::Receiver<PeerRevision>,
     port: u16,
+    lag_timeout: Duration,
 ) {
-    loop {
-        let newer = |peer_revision: &PeerRevision| peer_revision.revision > state.revision();
-        let Ok(peer_revision) = peer_revisions
-            .wait_for(newer)
-            .await
-            .map(|peer_revision| *peer_revision)
-        else {
-            return;
-        };
-        sleep(LAG_TIMEOUT).await;
-        if state.revision() >= peer_revision.revision {
+    while let Some(newest) = wait_for_newer(&state, &mut peer_revisions).await {
+        sleep(lag_timeout).await;
+        if state.revision() >= newest.revision {
             continue;
         }
-        let peer = SocketAddrV4::new(peer_revision.peer, port);
+        // The peer that showed the newest revision since is the likeliest to have it.
+        let newest = *peer_revisions.borrow_and_update();
+        let peer = SocketAddrV4::new(newest.peer, port);
         match fetch_snapshot(peer).await {
             Ok(snapshot) => {
                 info!(%peer, revision = snapshot.revision, "configuration adopted from a peer");
@@ -162,6 +159,16 @@
     }
 }
 
+/// Waits until a peer has a newer configuration; returns `None` when the traffic thread has ended.
+async fn wait_for_newer(
+    state: &SiteState,
+    peer_revisions: &mut watch::Receiver<PeerRevision>,
+) -> Option<PeerRevision> {
+    let newer = |peer_revision: &PeerRevision| peer_revision.revision > state.revision();
+    let newest = peer_revisions.wait_for(newer).await;
+    newest.map(|peer_revision| *peer_revision).ok()
+}
+
 /// Adopts the configuration of the first peer that has a snapshot, and returns its agents; `None`
 /// if no peer has one.
 pub(crate) async fn query_peers(
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -26,8 +26,8 @@
 use crate::connection::PeerRevision;
 
 /// Time for which a watch waits for changes. The keep-alive of the connection detects an
-/// unresponsive store sooner.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// unresponsive store sooner. The store allows no longer wait.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
 
 /// First backoff after a failed request, before jitter.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
@@ -40,8 +40,16 @@
 /// become available.
 pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
 
-/// Delay after changes, so that a series of them takes few requests.
-const BATCH_DELAY: Duration = Duration::from_millis(700);
+/// Shortest delay after changes, so that a series of them takes few requests.
+const MIN_BATCH_DELAY: Duration = Duration::from_millis(700);
+
+/// Longest delay after changes.
+const MAX_BATCH_DELAY: Duration = Duration::from_secs(4);
+
+/// Part of the delay after changes of the agents, for each known agent. While agents are replaced
+/// one after the other, the share of those that aren't known yet then doesn't depend on the fleet's
+/// size.
+const BATCH_DELAY_PER_AGENT: Duration = Duration::from_millis(15);
 
 /// Time for which a watch may lag behind other processes.
 const LAG_TIMEOUT: Duration = Duration::from_millis(300);
@@ -58,6 +66,35 @@
     Changes(Vec<StoreChange>),
 }
 
+/// What a [`KeyWatcher`] has to know after an event.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchProgress {
+    /// Revision in force.
+    pub revision: u64,
+    /// Delay before the next watch if the event was a change.
+    pub batch_delay: Duration,
+}
+
+impl WatchProgress {
+    /// Returns the progress of a watcher of the configuration.
+    pub fn of_config(revision: u64) -> WatchProgress {
+        WatchProgress {
+            revision,
+            batch_delay: MIN_BATCH_DELAY,
+        }
+    }
+
+    /// Returns the progress of a watcher of `agents` agents, whose entries have no common revision.
+    pub fn of_agents(agents: usize) -> WatchProgress {
+        let agents = u32::try_from(agents).unwrap_or(u32::MAX);
+        let delay = BATCH_DELAY_PER_AGENT.saturating_mul(agents);
+        WatchProgress {
+            revision: 0,
+            batch_delay: delay.clamp(MIN_BATCH_DELAY, MAX_BATCH_DELAY),
+        }
+    }
+}
+
 /// Watches the keys of the store that have a common prefix.
 #[derive(Debug)]
 pub struct KeyWatcher {
@@ -98,9 +135,8 @@
         self
     }
 
-    /// Reads the keys and watches their changes. `handle` returns the revision in force, or `None`
-    /// to end the watch.
-    pub async fn run(mut self, mut handle: impl AsyncFnMut(KeyEvent) -> Option<u64>) {
+    /// Reads the keys and watches their changes. `handle` returns `None` to end the watch.
+    pub async fn run(mut self, mut handle: impl AsyncFnMut(KeyEvent) -> Option<WatchProgress>) {
         let mut after = None;
         let mut backoff = StoreBackoff::default();
         loop {
@@ -113,12 +149,12 @@
                     };
                     self.urgent = false;
                     let changed = matches!(event, KeyEvent::Changes(_));
-                    match handle(event).await {
-                        Some(revision) => self.revision = revision,
-                        None => return,
-                    }
+                    let Some(progress) = handle(event).await else {
+                        return;
+                    };
+                    self.revision = progress.revision;
                     if changed {
-                        sleep(BATCH_DELAY).await;
+                        sleep(progress.batch_delay).await;
                     }
                 }
                 Err(error) => {
--- a/components/forwarder/tests/key_watcher.rs
+++ b/components/forwarder/tests/key_watcher.rs
@@ -9,12 +9,14 @@
     KeyEvent,
     KeyWatcher,
     PeerRevision, //
+    WatchProgress,
 };
 use carobdrum_platform::StoreChange;
 use carobdrum_platform_standins::{
     LeaseServer,
     StoreMode, //
 };
+use rstest::rstest;
 use tokio::{
     sync::{
         mpsc,
@@ -62,7 +64,7 @@
             version = value.parse().ok()?;
             values.send(value).ok()?;
         }
-        Some(version)
+        Some(WatchProgress::of_config(version))
     }));
     WatchedStore {
         store,
@@ -181,3 +183,14 @@
         .await
         .expect("the watcher should read the value long before the first request times out");
 }
+
+/// Guards against calls to the store that grow with the number of changes times the number of
+/// processes while a fleet is replaced, and against a small fleet that learns of a new agent late.
+#[rstest]
+#[case::small_fleet(11, 700)]
+#[case::hundreds(200, 3_000)]
+#[case::thousands(5_700, 4_000)]
+fn batches_changes_of_agents_by_their_number(#[case] agents: usize, #[case] delay_ms: u64) {
+    let progress = WatchProgress::of_agents(agents);
+    assert_eq!(progress.batch_delay, Duration::from_millis(delay_ms));
+}
