Let agents follow the configuration of their balancers

Change: an agent reads op/ once at its start. A balancer answers a report that shows an older revision with a probe, which carries its own. When the agent lags, the newer configuration of the two decides about a new flow, so a flow isn't refused because the agent hasn't got the route or the end of an evacuation yet. Of several processes that show the highest revision the last one is asked, since the first may be gone.

What is given up: an agent no longer corrects a balancer that lags behind the store before the agent has got a packet of another balancer. Balancers watch the store as before and are bound by themselves.

Measured: tests/platform_roles.rs (agent_follows_the_configuration_of_its_balancers, with a silent store and a balancer that is gone), flow_tracking.rs (newer_configuration_decides).

--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -54,8 +54,9 @@
             }
         }
         if let Some(cause) = self
-            .exclusion_cause(now)
-            .or_else(|| self.route_exclusion_cause(packet, &header, now))
+            .server_exclusion_cause(now)
+            .or_else(|| self.config_exclusion_cause(packet, &header))
+            .or_else(|| (!self.cold_has_room(now)).then_some(RedirectCause::Cold))
         {
             self.redirect_opening(key, header, cause, None, now, actions);
             return;
@@ -221,6 +222,16 @@
 
     /// Returns the reason for which the server accepts no new flow at all now.
     pub(super) fn exclusion_cause(&self, now: Millis) -> Option<RedirectCause> {
+        let evacuated = self.is_evacuated().then_some(RedirectCause::Evacuated);
+        self.server_exclusion_cause(now).or(evacuated)
+    }
+
+    fn is_evacuated(&self) -> bool {
+        let config = self.config.as_ref();
+        config.is_some_and(|config| config.is_evacuated(&self.settings.centre))
+    }
+
+    fn server_exclusion_cause(&self, now: Millis) -> Option<RedirectCause> {
         if self.stopping {
             return Some(RedirectCause::Stopping);
         }
@@ -230,33 +241,29 @@
         if self.return_pause.is_paused(now) {
             return Some(RedirectCause::Paused);
         }
-        let config = self.config.as_ref()?;
-        if config.is_evacuated(&self.settings.centre) {
-            return Some(RedirectCause::Evacuated);
-        }
         None
     }
 
-    /// Returns the reason for which the server doesn't accept this flow now.
-    pub(super) fn route_exclusion_cause(
-        &mut self,
+    /// Returns the reason for which the configuration excludes this flow from the server. The newer
+    /// one of the balancer and the agent decides.
+    fn config_exclusion_cause(
+        &self,
         packet: &FlowPacket,
         header: &ForwardHeader,
-        now: Millis,
     ) -> Option<RedirectCause> {
         if header.service_hash != name_hash(&self.service) {
             return Some(RedirectCause::WrongService);
         }
         let config = self.config.as_ref()?;
-        if let Some(route) = config.route(packet.key.service_address) {
-            if !route.allows(&self.service) {
-                return Some(RedirectCause::WrongService);
-            }
-        } else if config.revision >= header.revision {
-            return Some(RedirectCause::WrongService);
+        if config.revision < header.revision {
+            return None;
+        }
+        if self.is_evacuated() {
+            return Some(RedirectCause::Evacuated);
         }
-        let room = self.cold_has_room(now);
-        (!room).then_some(RedirectCause::Cold)
+        let route = config.route(packet.key.service_address);
+        let allows = route.is_some_and(|route| route.allows(&self.service));
+        (!allows).then_some(RedirectCause::WrongService)
     }
 
     /// Returns whether the server may get another flow under the cold-start limit of its service.
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use carobdrum_core::Millis;
 use carobdrum_flows::{
     connection::RedirectCause,
@@ -9,6 +11,7 @@
         BackendHeartbeat,
         BackendState, //
     },
+    request::ForwardHeader,
     FlowPacket,
     FlowTracker,
     PacketKind,
@@ -18,6 +21,7 @@
 use support::{
     agent,
     backend,
+    config,
     forward,
     header,
     heartbeat,
@@ -26,7 +30,8 @@
     open_packet,
     packet,
     tracker,
-    ACTIVITY_TIMEOUT, //
+    ACTIVITY_TIMEOUT,
+    CENTRE, //
 };
 
 /// Time for which a delivered opening packet counts as load before the caller continues the flow.
@@ -453,3 +458,24 @@
     assert_eq!(actions.len(), usize::from(has_left));
     assert_eq!(tracker.open_flows(), usize::from(!has_left));
 }
+
+/// Guards against flows that are refused because the agent learns of a change after the balancer:
+/// the newer configuration of the two decides.
+#[rstest]
+#[case::balancer_is_newer(3, true)]
+#[case::both_are_equal(2, false)]
+#[case::agent_is_newer(1, false)]
+fn newer_configuration_decides(#[case] revision: u64, #[case] accepts: bool) {
+    let mut tracker = tracker();
+    let mut evacuated = config(2);
+    evacuated.revision = 2;
+    evacuated.set_evacuated_centres([CENTRE.into()]);
+    tracker.set_config(Arc::new(evacuated));
+    let opening = ForwardHeader {
+        revision,
+        ..header(&[1])
+    };
+    let actions = forward(&mut tracker, &open_packet(1), opening, Millis(0));
+    assert_eq!(delivers(&actions), accepts);
+    assert!(!tracker.report(Millis(0)).accepts);
+}
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -235,6 +235,9 @@
                         revision: report.revision,
                     };
                     let changed = self.router.agents.apply_report(agent, state, now);
+                    if report.revision < self.revision() {
+                        self.send_probe(agent);
+                    }
                     if changed == Some(true) {
                         info!(
                             %agent,
@@ -294,12 +297,17 @@
     /// Probes agents for a report. New agents are probed at once, so that few packets are sent to a
     /// dead one.
     fn probe(&mut self, now: Millis) {
+        for agent in self.router.agents.next_probes(now) {
+            self.send_probe(agent);
+        }
+    }
+
+    /// Sends a probe, which also shows the agent the revision in force here.
+    fn send_probe(&mut self, agent: SocketAddrV4) {
         let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_to_number(self.address),
             revision: self.revision(),
         }));
-        for agent in self.router.agents.next_probes(now) {
-            self.agents.send(&probe, agent);
-        }
+        self.agents.send(&probe, agent);
     }
 }
--- a/components/forwarder/src/connection/peer_revision.rs
+++ b/components/forwarder/src/connection/peer_revision.rs
@@ -22,7 +22,8 @@
     }
 }
 
-/// Publishes the revision of another process if it is higher than all before.
+/// Publishes the revision of another process if it is higher than all before. Of several processes
+/// with the highest one, the last is remembered, which is the likeliest to run.
 pub(crate) fn raise_peer_revision(
     revision_sender: &watch::Sender<PeerRevision>,
     revision: u64,
@@ -30,7 +31,7 @@
 ) {
     revision_sender.send_if_modified(|highest| {
         let newer = revision > highest.revision;
-        if newer {
+        if revision >= highest.revision {
             *highest = PeerRevision { revision, peer };
         }
         newer
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -134,7 +134,7 @@
     };
     serve_readiness(node.ready).await?;
     serve_backend(backend.heartbeats, updates.clone(), writer).await?;
-    context.follow_config(&settings, |watcher| watcher);
+    context.follow_balancers(&settings);
     loop {
         tokio::select! {
             _ = context.stop.recv() => break,
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -102,7 +102,7 @@
         shutting_down: Cell::default(),
     });
     serve_readiness(node.ready, ready.clone()).await?;
-    context.follow_config(&settings, KeyWatcher::urgent);
+    context.follow_config(&settings);
     // Agents' entries have no common revision by which peers could show that this process is
     // behind, so nothing is sent on this channel.
     let (unversioned, none) = watch::channel(PeerRevision::default());
--- a/components/forwarder/src/process/node_context.rs
+++ b/components/forwarder/src/process/node_context.rs
@@ -34,6 +34,7 @@
         StartSnafu, //
     },
     site_state::{
+        follow_balancers,
         follow_config,
         follow_peers,
         SiteState, //
@@ -99,24 +100,29 @@
         })
     }
 
-    /// Spawns the tasks that follow the configuration in the store and at peers. `adjust` may
-    /// change the watcher of the store.
-    pub(crate) fn follow_config(
-        &self,
-        settings: &FlowSettings,
-        adjust: impl FnOnce(KeyWatcher) -> KeyWatcher,
-    ) {
+    /// Spawns the tasks that follow the configuration of a balancer in the store and at peers.
+    pub(crate) fn follow_config(&self, settings: &FlowSettings) {
         let store = settings.store.address;
         let watcher = KeyWatcher::new(store, OPERATOR_PREFIX, self.peer_revisions.clone());
         let (state, peer_revisions) = (self.state.clone(), self.peer_revisions.clone());
         tokio::task::spawn_local(follow_config(
             state.clone(),
-            adjust(watcher),
+            watcher.urgent(),
             peer_revisions.clone(),
         ));
         let port = settings.node.peer_port;
         tokio::task::spawn_local(follow_peers(state, peer_revisions, port, LAG_TIMEOUT));
     }
+
+    /// Spawns the task that follows the configuration of the balancers that send to an agent.
+    pub(crate) fn follow_balancers(&self, settings: &FlowSettings) {
+        tokio::task::spawn_local(follow_balancers(
+            self.state.clone(),
+            self.peer_revisions.clone(),
+            settings.node.peer_port,
+            settings.store.address,
+        ));
+    }
 }
 
 /// Returns the longest lifetime of a flow.
--- a/components/forwarder/src/process/site_state.rs
+++ b/components/forwarder/src/process/site_state.rs
@@ -16,7 +16,9 @@
     process::AgentRecord,
     version::SiteConfig, //
 };
+use carobdrum_platform::OPERATOR_PREFIX;
 use carobdrum_wire::snapshot::SiteSnapshot;
+use rand::Rng;
 use tokio::{
     sync::watch,
     time::sleep, //
@@ -43,6 +45,12 @@
 };
 use crate::connection::PeerRevision;
 
+/// Time over which agents spread their requests to a balancer that shows a new configuration.
+const FETCH_SPREAD: Duration = Duration::from_millis(200);
+
+/// Time for a read of the store by an agent that could ask a balancer instead.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Publishes the configuration in force to the traffic thread.
 pub(crate) type ConfigSender = watch::Sender<Option<Arc<SiteConfig>>>;
 
@@ -159,6 +167,55 @@
     }
 }
 
+/// Keeps the configuration of an agent as new as those of the balancers that send to it, without a
+/// watch of its own: fetches it from the balancer that shows a newer one, or from the store if that
+/// fails.
+pub(crate) async fn follow_balancers(
+    state: Rc<SiteState>,
+    mut peer_revisions: watch::Receiver<PeerRevision>,
+    port: u16,
+    store: SocketAddrV4,
+) {
+    read_config(&state, store, &peer_revisions).await;
+    while wait_for_newer(&state, &mut peer_revisions).await.is_some() {
+        let delay = FETCH_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        sleep(delay).await;
+        let newest = *peer_revisions.borrow_and_update();
+        let peer = SocketAddrV4::new(newest.peer, port);
+        match fetch_snapshot(peer).await {
+            Ok(snapshot) => {
+                info!(%peer, revision = snapshot.revision, "configuration adopted from a balancer");
+                state.apply_snapshot(&snapshot);
+            }
+            Err(error) => warn!(%peer, %error, "configuration not fetched from a balancer"),
+        }
+        if state.revision() < newest.revision {
+            read_config(&state, store, &peer_revisions).await;
+        }
+    }
+}
+
+/// Reads the operator's entries in the store once. Ends early when the configuration is as new as
+/// that of a peer.
+async fn read_config(
+    state: &Rc<SiteState>,
+    store: SocketAddrV4,
+    peer_revisions: &watch::Receiver<PeerRevision>,
+) {
+    let watcher = KeyWatcher::new(store, OPERATOR_PREFIX, peer_revisions.clone());
+    let peer_revision = peer_revisions.borrow().revision;
+    let handle = async |event| {
+        state.apply_event(event, peer_revision);
+        None
+    };
+    let mut newest = peer_revisions.clone();
+    tokio::select! {
+        () = watcher.run(handle) => {}
+        // A balancer is more likely to answer now than a store that doesn't.
+        Some(_) = wait_for_newer(state, &mut newest) => sleep(READ_TIMEOUT).await,
+    }
+}
+
 /// Waits until a peer has a newer configuration; returns `None` when the traffic thread has ended.
 async fn wait_for_newer(
     state: &SiteState,
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -16,10 +16,23 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use carobdrum_platform_standins::{
     LeaseServer,
     StoreMode, //
 };
+use carobdrum_wire::{
+    flow_datagram::{
+        address_to_number,
+        FlowBody,
+        FlowDatagram,
+        ReportProbe, //
+    },
+    snapshot::SiteSnapshot,
+};
+use futures_util::SinkExt;
+use prost::Message;
+use rstest::rstest;
 use tempfile::TempDir;
 use tokio::{
     io::{
@@ -32,6 +45,10 @@
         timeout, //
     },
 };
+use tokio_util::codec::{
+    Framed,
+    LengthDelimitedCodec, //
+};
 
 /// Time limit for a process to start, to stop, or to read its settings.
 const STATE_TIMEOUT: Duration = Duration::from_secs(6);
@@ -104,15 +121,14 @@
 }
 
 fn start_agent(store: &LeaseServer) -> RoleProcess {
-    start_agent_at(store, free_port())
+    start_agent_at(store, free_port(), free_port())
 }
 
 /// Starts an agent that receives packets on `packet_port`.
-fn start_agent_at(store: &LeaseServer, packet_port: u16) -> RoleProcess {
+fn start_agent_at(store: &LeaseServer, packet_port: u16, peer_port: u16) -> RoleProcess {
     let folder = TempDir::new().unwrap();
     let ip = Ipv4Addr::LOCALHOST;
     let ready = SocketAddrV4::new(ip, free_port());
-    let peer_port = free_port();
     let settings = format!(
         "[node]\nname = 'a'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
          packets = '{ip}:{packet_port}'\nready = '{ready}'\ngrace_s = '6'\n\
@@ -246,6 +262,94 @@
 async fn exits_when_its_traffic_thread_fails() {
     let store = start_store().await;
     let taken = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let mut agent = start_agent_at(&store, taken.local_addr().unwrap().port());
+    let mut agent = start_agent_at(&store, taken.local_addr().unwrap().port(), free_port());
     agent.wait_for_exit().await;
 }
+
+/// A balancer in the test, which shows its revision to an agent and serves a snapshot.
+struct FakeBalancer {
+    socket: tokio::net::UdpSocket,
+    snapshots: tokio::net::TcpListener,
+}
+
+impl FakeBalancer {
+    async fn start(ip: Ipv4Addr, peer_port: u16) -> FakeBalancer {
+        FakeBalancer {
+            socket: tokio::net::UdpSocket::bind((ip, peer_port)).await.unwrap(),
+            snapshots: tokio::net::TcpListener::bind((ip, peer_port))
+                .await
+                .unwrap(),
+        }
+    }
+
+    /// Shows a revision to the agent until it reports `least` or a newer one.
+    async fn show_until(&self, agent: SocketAddrV4, revision: u64, least: u64) {
+        let own = match self.socket.local_addr().unwrap() {
+            std::net::SocketAddr::V4(own) => own,
+            std::net::SocketAddr::V6(own) => panic!("{own} is no IPv4 address"),
+        };
+        let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
+            balancer: address_to_number(own),
+            revision,
+        }));
+        let wait = async {
+            let mut buffer = [0; 2_048];
+            loop {
+                self.socket.send_to(&probe, agent).await.unwrap();
+                let received = timeout(POLL_INTERVAL, self.socket.recv(&mut buffer)).await;
+                let Ok(Ok(length)) = received else {
+                    continue;
+                };
+                let report = FlowDatagram::decode(&buffer[..length]).unwrap();
+                if matches!(report.body, Some(FlowBody::Report(report)) if report.revision >= least)
+                {
+                    return;
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(STATE_TIMEOUT, wait)
+            .await
+            .expect("the agent must report the revision in time");
+    }
+
+    /// Sends a snapshot of this revision to the next process that connects.
+    async fn serve_snapshot(&self, revision: u64) {
+        let (stream, _) = self.snapshots.accept().await.unwrap();
+        let snapshot = SiteSnapshot {
+            version: revision,
+            revision,
+            ..SiteSnapshot::default()
+        };
+        let mut stream = Framed::new(stream, LengthDelimitedCodec::new());
+        let bytes = Bytes::from(snapshot.encode_to_vec());
+        stream.send(bytes).await.unwrap();
+    }
+}
+
+/// Guards against agents that lag behind their balancers, which are the only ones that tell them of
+/// a change: the balancer that showed it first may be gone, and the store may be silent.
+#[rstest]
+#[case::store_answers(StoreMode::Open)]
+#[case::store_is_silent(StoreMode::Unresponsive)]
+#[tokio::test]
+async fn agent_follows_the_configuration_of_its_balancers(#[case] mode: StoreMode) {
+    let store = start_store().await;
+    let (packet_port, peer_port) = (free_port(), free_port());
+    let agent = start_agent_at(&store, packet_port, peer_port);
+    let address = SocketAddrV4::new(agent.ip, packet_port);
+    agent.wait_for_status(200).await;
+    let gone = FakeBalancer::start(Ipv4Addr::new(127, 0, 0, 3), peer_port).await;
+    gone.show_until(address, 0, 1).await;
+    store.set_mode(mode);
+    let lives = FakeBalancer::start(Ipv4Addr::new(127, 0, 0, 4), peer_port).await;
+    // The first balancer shows the revision and is then gone.
+    drop(gone.snapshots);
+    let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
+        balancer: address_to_number(SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 3), peer_port)),
+        revision: 9,
+    }));
+    gone.socket.send_to(&probe, address).await.unwrap();
+    drop(gone.socket);
+    tokio::join!(lives.show_until(address, 9, 9), lives.serve_snapshot(9));
+}
