Finish an agent's read of the store although a balancer is newer

Cause: the read of an agent that starts was cancelled as soon as a balancer showed a newer configuration, as the wait of 1 s stood in the handler of the select, which runs after the read is dropped. For that second the agent had no route and so no limit of the wait, and its server shed flows after an outage (503).

Change: the wait is part of the future that races with the read.

--- a/components/forwarder/src/process/site_state.rs
+++ b/components/forwarder/src/process/site_state.rs
@@ -195,8 +195,8 @@
     }
 }
 
-/// Reads the operator's entries in the store once. Ends early when the configuration is as new as
-/// that of a peer.
+/// Reads the operator's entries in the store once. Gives up after a while when a balancer has a newer
+/// configuration, as it is more likely to answer than a store that hasn't.
 async fn read_config(
     state: &Rc<SiteState>,
     store: SocketAddrV4,
@@ -209,10 +209,14 @@
         None
     };
     let mut newest = peer_revisions.clone();
+    let give_up = async {
+        if wait_for_newer(state, &mut newest).await.is_some() {
+            sleep(READ_TIMEOUT).await;
+        }
+    };
     tokio::select! {
         () = watcher.run(handle) => {}
-        // A balancer is more likely to answer now than a store that doesn't.
-        Some(_) = wait_for_newer(state, &mut newest) => sleep(READ_TIMEOUT).await,
+        () = give_up => info!("configuration not read from the store in time"),
     }
 }
 
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -353,3 +353,18 @@
     drop(gone.socket);
     tokio::join!(lives.show_until(address, 9, 9), lives.serve_snapshot(9));
 }
+
+/// Guards against an agent without a configuration because a balancer shows one while the agent
+/// reads the store, and then doesn't deliver it.
+#[tokio::test]
+async fn agent_reads_the_store_while_balancers_deliver_nothing() {
+    let store = start_store().await;
+    let (packet_port, peer_port) = (free_port(), free_port());
+    let balancer = FakeBalancer::start(Ipv4Addr::new(127, 0, 0, 5), peer_port).await;
+    store.set_mode(StoreMode::Unavailable);
+    let agent = start_agent_at(&store, packet_port, peer_port);
+    let address = SocketAddrV4::new(agent.ip, packet_port);
+    balancer.show_until(address, u64::MAX, 0).await;
+    store.set_mode(StoreMode::Open);
+    balancer.show_until(address, u64::MAX, 1).await;
+}
