Keep a leaving server known across restarts of its agent

Cause: only the agent's memory held that its server was shutting down or had deregistered. An agent that was killed and started again reported that it accepts flows until the server's next heartbeat, and its balancers believed it: new flows went to a server that had left (looked for because it happened to operators of similar systems).

Change: the agent's store entry shows whether its server is leaving. A new agent writes its entry only after the first heartbeat, so the entry of the process before it stands until then. Its reports show whether a heartbeat has come; without one they don't turn a server that isn't accepting into one that is. A changed entry is written under the same lease, which saves a call, and a write that fails is retried with backoff instead of with the next renewal. The estimates of the wait saturate.

What is left: an agent that is killed within the milliseconds between its acknowledgement of the drain and the store's answer, together with all balancers that have had its report.

Measured: entry_of_a_leaving_server_survives_a_restart_of_its_agent and a_restarted_agent_does_not_undo_that_its_server_is_leaving (new, both need the new fields); agent_has_a_store_entry_until_its_shutdown now sends the heartbeat after which an entry is due, and checks that there is none before.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -147,7 +147,7 @@
         let cold_until = now.plus(heartbeat.cold_remaining);
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
-        let had_heartbeat = self.liveness.service().is_some();
+        let had_heartbeat = self.liveness.is_confirmed();
         let restarted = self.liveness.is_new_run(&heartbeat);
         if !self.liveness.handle_heartbeat(heartbeat, now) {
             return false;
@@ -169,6 +169,11 @@
         self.liveness.deregister(id)
     }
 
+    /// Returns whether the server is shutting down or has deregistered.
+    pub fn is_leaving(&self) -> bool {
+        self.liveness.is_leaving()
+    }
+
     /// Stops accepting new flows, for a graceful shutdown.
     ///
     /// The platform stops an agent after its server has ended, if the server has deregistered.
@@ -201,6 +206,7 @@
             busy: self.load.busy(),
             slots: self.load.slots(),
             revision: self.config.as_ref().map_or(0, |config| config.revision),
+            is_confirmed: self.liveness.is_confirmed(),
         }
     }
 
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -98,7 +98,7 @@
         };
         let offer = BestOffer {
             agent: self.settings.address,
-            wait_us: wait_us + penalty_us,
+            wait_us: wait_us.saturating_add(penalty_us),
         };
         if header.best.is_none_or(|best| offer.wait_us < best.wait_us) {
             header.best = Some(offer);
--- a/components/flows/src/connection/load_estimate.rs
+++ b/components/flows/src/connection/load_estimate.rs
@@ -63,7 +63,7 @@
     /// Returns the expected queueing delay of a new request, in microseconds.
     pub fn wait_us(&self) -> u32 {
         let ahead = (self.busy + 1).saturating_sub(self.slots);
-        (ahead * self.work_us) / self.slots
+        ahead.saturating_mul(self.work_us) / self.slots
     }
 
     /// Returns the number of requests in progress, including those that are queued at the server.
--- a/components/flows/src/process/agent_record.rs
+++ b/components/flows/src/process/agent_record.rs
@@ -13,4 +13,7 @@
     pub centre: CompactString,
     /// Name of the backend server's service.
     pub service: CompactString,
+    /// Whether the server is shutting down or has deregistered. It remains true across restarts of
+    /// the agent, until a heartbeat shows otherwise.
+    pub is_leaving: bool,
 }
--- a/components/flows/src/process/agent_report.rs
+++ b/components/flows/src/process/agent_report.rs
@@ -13,4 +13,7 @@
     pub slots: u32,
     /// Store revision of the agent's configuration; zero before the first one.
     pub revision: u64,
+    /// Whether the server has sent a heartbeat since the agent's start. Before, the agent doesn't
+    /// know whether its server is shutting down.
+    pub is_confirmed: bool,
 }
--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -69,11 +69,11 @@
             hash: splitmix64(address_to_number(address)),
             service: name_hash(&record.service),
             centre: name_hash(&record.centre),
-            record,
             report: AgentReport {
-                accepts: true,
+                accepts: !record.is_leaving,
                 ..AgentReport::default()
             },
+            record,
             unanswered_since: None,
             last_heard: None,
             expired_since: None,
@@ -103,6 +103,13 @@
         self.report.failure_percent >= EJECT_PERCENT
     }
 
+    /// Returns whether `record` differs only in that the server is leaving.
+    fn is_leaving_now(&self, record: &AgentRecord) -> bool {
+        let known = &self.record;
+        let is_same = known.service == record.service && known.centre == record.centre;
+        is_same && record.is_leaving && !known.is_leaving
+    }
+
     fn needs_probe(&self, now: Millis) -> bool {
         let recent = |time: Option<Millis>, span| time.is_some_and(|time| now.since(time) < span);
         let quiet = recent(self.last_candidate, CANDIDATE_RETENTION)
@@ -164,7 +171,10 @@
             Ok(index) => {
                 let state = &mut self.agents[index];
                 state.expired_since = None;
-                if state.record != record {
+                if state.is_leaving_now(&record) {
+                    state.record = record;
+                    state.report.accepts = false;
+                } else if state.record != record {
                     *state = AgentState::new(record);
                 } else if state.is_suspect(now) {
                     // The entry was written again, so the agent may have been restarted.
@@ -257,6 +267,11 @@
     ) -> Option<bool> {
         let index = self.find(address).ok()?;
         let state = &mut self.agents[index];
+        let report = AgentReport {
+            // A restarted agent doesn't know yet that its server is leaving.
+            accepts: report.accepts && (report.is_confirmed || state.report.accepts),
+            ..report
+        };
         let ejects = |report: &AgentReport| report.failure_percent >= EJECT_PERCENT;
         let changed = state.is_suspect(now)
             || state.report.accepts != report.accepts
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -102,6 +102,18 @@
         is_current
     }
 
+    /// Returns whether the server has sent a heartbeat to this agent.
+    pub fn is_confirmed(&self) -> bool {
+        self.heartbeat.is_some()
+    }
+
+    /// Returns whether the server is shutting down or has deregistered.
+    pub fn is_leaving(&self) -> bool {
+        let heartbeat = self.heartbeat.as_ref();
+        let draining = heartbeat.is_some_and(|heartbeat| heartbeat.state == BackendState::Draining);
+        self.deregistered || draining
+    }
+
     /// Returns whether the server has deregistered.
     pub fn is_deregistered(&self) -> bool {
         self.deregistered
@@ -116,11 +128,7 @@
 
     /// Returns whether the server accepts new flows.
     pub fn accepts_flows(&self, now: Millis) -> bool {
-        let draining = self
-            .heartbeat
-            .as_ref()
-            .is_some_and(|heartbeat| heartbeat.state == BackendState::Draining);
-        !self.deregistered && !draining && now.since(self.last_activity) < self.activity_timeout
+        !self.is_leaving() && now.since(self.last_activity) < self.activity_timeout
     }
 
     /// Returns the service that the last heartbeat named; `None` before the first one.
--- a/components/flows/tests/owner_anchors.rs
+++ b/components/flows/tests/owner_anchors.rs
@@ -95,6 +95,7 @@
             address: agent(number),
             centre: CENTRES[usize::from(number % 4)].into(),
             service: SERVICE.into(),
+            is_leaving: false,
         });
         router.agents.replace(records, Millis(0));
     };
--- a/components/flows/tests/routing.rs
+++ b/components/flows/tests/routing.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::{
+    net::SocketAddrV4,
+    sync::Arc, //
+};
 
 use carobdrum_core::Millis;
 use carobdrum_flows::{
@@ -10,9 +13,11 @@
         AgentRecord,
         AgentReport, //
     },
+    FlowRouter,
     PacketKind,
     RouteAction, //
 };
+use rstest::rstest;
 use support::{
     agent,
     open_packet,
@@ -170,6 +175,7 @@
             address: agent(9),
             centre: "south".into(),
             service: support::SERVICE.into(),
+            is_leaving: false,
         },
         Millis(0),
     );
@@ -196,6 +202,7 @@
                 address: agent(number),
                 centre: if number < 20 { "south" } else { "east" }.into(),
                 service: support::SERVICE.into(),
+                is_leaving: false,
             },
             Millis(0),
         );
@@ -228,6 +235,7 @@
                     address: agent(10 * (index as u8 + 1) + number),
                     centre: centre.into(),
                     service: support::SERVICE.into(),
+                    is_leaving: false,
                 },
                 Millis(0),
             );
@@ -271,7 +279,46 @@
         address: silent,
         centre: support::CENTRE.into(),
         service: support::SERVICE.into(),
+        is_leaving: false,
     };
     router.agents.insert(record, soon);
     assert!(router.agents.next_probes(soon).contains(&silent));
 }
+
+/// Returns whether the agent is a candidate of new flows.
+fn is_offered(router: &mut FlowRouter, agent: SocketAddrV4) -> bool {
+    (0..20).any(|caller| targets(&router.route(&open_packet(caller), Millis(0))).contains(&agent))
+}
+
+/// Guards against new flows at a server that is leaving, after its agent or the balancer was
+/// restarted: a new agent doesn't know the state of its server before the first heartbeat.
+#[rstest]
+#[case::known_from_a_report(false)]
+#[case::known_from_the_store(true)]
+fn a_restarted_agent_does_not_undo_that_its_server_is_leaving(#[case] is_in_store: bool) {
+    let mut router = router(3);
+    let report = |accepts, is_confirmed| AgentReport {
+        accepts,
+        is_confirmed,
+        ..AgentReport::default()
+    };
+    if is_in_store {
+        let record = AgentRecord {
+            address: agent(0),
+            centre: support::CENTRE.into(),
+            service: support::SERVICE.into(),
+            is_leaving: true,
+        };
+        router.agents.insert(record, Millis(0));
+    } else {
+        let left = report(false, true);
+        router.agents.apply_report(agent(0), left, Millis(0));
+    }
+    assert!(!is_offered(&mut router, agent(0)));
+    let restarted = report(true, false);
+    router.agents.apply_report(agent(0), restarted, Millis(0));
+    assert!(!is_offered(&mut router, agent(0)));
+    let next_run = report(true, true);
+    router.agents.apply_report(agent(0), next_run, Millis(0));
+    assert!(is_offered(&mut router, agent(0)));
+}
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -75,6 +75,7 @@
         address: agent(number),
         centre: CENTRE.into(),
         service: SERVICE.into(),
+        is_leaving: false,
     });
     router.agents.replace(records, Millis(0));
     router
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -105,6 +105,7 @@
             centre: tracker.centre().to_string(),
             service: tracker.service().to_string(),
             failure_percent: u32::from(report.failure_percent),
+            confirmed: report.is_confirmed,
         }))
     }
 }
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -85,15 +85,23 @@
 pub(crate) enum AgentUpdate {
     /// The settings have changed.
     Settings(TrackerSettings),
-    /// A heartbeat of the backend server; the reply is false if it is stale.
-    Heartbeat(BackendHeartbeat, oneshot::Sender<bool>),
-    /// The backend server with this identity deregisters; the reply is false if another one is
-    /// known.
-    Deregister(CompactString, oneshot::Sender<bool>),
+    /// A heartbeat of the backend server; the reply tells whether it was applied.
+    Heartbeat(BackendHeartbeat, oneshot::Sender<BackendOutcome>),
+    /// The backend server with this identity deregisters; it isn't applied if another one is known.
+    Deregister(CompactString, oneshot::Sender<BackendOutcome>),
     /// The process is shutting down; the reply is sent when no flow is open.
     Stop(oneshot::Sender<()>),
 }
 
+/// What became of a request of the backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BackendOutcome {
+    /// Whether it was applied; otherwise it is stale.
+    pub(crate) is_applied: bool,
+    /// Whether the server is shutting down or has deregistered, as far as the agent knows now.
+    pub(crate) is_leaving: bool,
+}
+
 /// State of an agent's traffic thread: its sockets and flows.
 #[derive(Debug)]
 pub(crate) struct AgentTraffic {
@@ -180,13 +188,14 @@
         match update {
             AgentUpdate::Settings(settings) => self.tracker.set_settings(settings),
             AgentUpdate::Heartbeat(heartbeat, answer) => {
-                let is_new = self.tracker.handle_heartbeat(heartbeat, now);
+                let is_applied = self.tracker.handle_heartbeat(heartbeat, now);
                 // The requester may have stopped waiting.
-                let _ = answer.send(is_new);
+                let _ = answer.send(self.outcome(is_applied));
                 self.reset_lost_flows();
             }
             AgentUpdate::Deregister(id, answer) => {
-                let _ = answer.send(self.tracker.deregister(&id));
+                let is_applied = self.tracker.deregister(&id);
+                let _ = answer.send(self.outcome(is_applied));
             }
             AgentUpdate::Stop(answer) => {
                 self.tracker.stop();
@@ -197,6 +206,13 @@
         self.report_change(now);
     }
 
+    fn outcome(&self, is_applied: bool) -> BackendOutcome {
+        BackendOutcome {
+            is_applied,
+            is_leaving: self.tracker.is_leaving(),
+        }
+    }
+
     fn reset_lost_flows(&mut self) {
         let mut actions = std::mem::take(&mut self.actions);
         self.tracker.reset_lost_flows(&mut actions);
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -233,6 +233,7 @@
                         busy: report.busy,
                         slots: report.slots,
                         revision: report.revision,
+                        is_confirmed: report.confirmed,
                     };
                     let changed = self.router.agents.apply_report(agent, state, now);
                     if report.revision < self.revision() {
@@ -263,6 +264,7 @@
             address: agent,
             centre: report.centre.as_str().into(),
             service: report.service.as_str().into(),
+            is_leaving: false,
         };
         if self.router.agents.discover(record, now) {
             info!(%agent, service = report.service, "agent discovered by its report");
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -11,7 +11,8 @@
 
 pub(crate) use agent_traffic::{
     AgentTraffic,
-    AgentUpdate, //
+    AgentUpdate,
+    BackendOutcome, //
 };
 pub(crate) use balancer_traffic::{
     BalancerTraffic,
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -1,7 +1,10 @@
 //! Agent daemon.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     net::SocketAddrV4,
     rc::Rc,
     time::Duration, //
@@ -67,7 +70,8 @@
 };
 use crate::connection::{
     AgentTraffic,
-    AgentUpdate, //
+    AgentUpdate,
+    BackendOutcome, //
 };
 
 /// Capacity of the queue of updates for the traffic thread.
@@ -121,16 +125,17 @@
         address: node.packets,
         centre: node.data_centre.clone(),
         service: backend.service.clone(),
+        is_leaving: false,
     };
     let arguments = LeaseArguments {
         store: settings.store.address,
         min_lease: Duration::from_millis(settings.store.min_lease_ms),
-        record: record.clone(),
     };
     let lease = spawn_lease(arguments).await.context(ActorSnafu)?;
     let writer = EntryWriter {
         lease: lease.clone(),
         record: Rc::new(RefCell::new(record)),
+        is_written: Rc::default(),
     };
     serve_readiness(node.ready).await?;
     serve_backend(backend.heartbeats, updates.clone(), writer).await?;
@@ -196,21 +201,31 @@
     .await
 }
 
-/// Rewrites the agent's store entry when the server names another service.
+/// Writes the agent's store entry: once the server has sent a heartbeat, and whenever it names
+/// another service or begins or ends to leave.
+///
+/// Until the first heartbeat, the entry of an earlier process remains, which may show that the server
+/// is leaving.
 #[derive(Clone)]
 struct EntryWriter {
     lease: ActorRef<LeaseMessage>,
     record: Rc<RefCell<AgentRecord>>,
+    is_written: Rc<Cell<bool>>,
 }
 
 impl EntryWriter {
-    fn set_service(&self, service: CompactString) {
+    /// Writes the entry if it has changed. `service` is `None` if it remains.
+    fn update(&self, service: Option<CompactString>, is_leaving: bool) {
         let mut record = self.record.borrow_mut();
-        if record.service == service {
+        let service = service.unwrap_or_else(|| record.service.clone());
+        let is_same = record.service == service && record.is_leaving == is_leaving;
+        if is_same && self.is_written.get() {
             return;
         }
-        info!(before = %record.service, after = %service, "service of the backend server changed");
+        info!(before = %record.service, after = %service, is_leaving, "store entry changes");
         record.service = service;
+        record.is_leaving = is_leaving;
+        self.is_written.set(true);
         let message = LeaseMessage::Write(record.clone());
         if self.lease.send_message(message).is_err() {
             warn!("store entry not written: the lease actor has ended");
@@ -242,7 +257,10 @@
             info!(%id, "backend server deregisters");
             let (answer, outcome) = oneshot::channel();
             let update = AgentUpdate::Deregister(id, answer);
-            send_update(updates, update, outcome).await
+            send_update(updates, update, outcome, |outcome| {
+                writer.update(None, outcome.is_leaving);
+            })
+            .await
         }
         Ok(NodeRequest::Ready) => StatusCode::OK,
         Ok(NodeRequest::Unknown) => StatusCode::NOT_FOUND,
@@ -261,28 +279,27 @@
     debug!(beat = ?heartbeat, "heartbeat");
     let service = heartbeat.service.clone();
     let (answer, outcome) = oneshot::channel();
-    let status = send_update(updates, AgentUpdate::Heartbeat(heartbeat, answer), outcome).await;
-    if status == StatusCode::OK {
-        writer.set_service(service);
-    }
-    status
+    let update = AgentUpdate::Heartbeat(heartbeat, answer);
+    send_update(updates, update, outcome, |outcome| {
+        writer.update(Some(service), outcome.is_leaving);
+    })
+    .await
 }
 
+/// Sends an update to the traffic thread, and calls `apply` if it was applied.
 async fn send_update(
     updates: mpsc::Sender<AgentUpdate>,
     update: AgentUpdate,
-    outcome: oneshot::Receiver<bool>,
+    outcome: oneshot::Receiver<BackendOutcome>,
+    apply: impl FnOnce(BackendOutcome),
 ) -> StatusCode {
     if updates.send(update).await.is_err() {
         return StatusCode::SERVICE_UNAVAILABLE;
     }
     match outcome.await {
-        Ok(is_new) => {
-            if !is_new {
-                info!("stale request of a backend server ignored");
-            }
-            StatusCode::OK
-        }
-        Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+        Ok(outcome) if outcome.is_applied => apply(outcome),
+        Ok(_) => info!("stale request of a backend server ignored"),
+        Err(_) => return StatusCode::SERVICE_UNAVAILABLE,
     }
+    StatusCode::OK
 }
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -35,7 +35,9 @@
 pub(crate) enum LeaseMessage {
     /// The agent's entry has changed and is to be written.
     Write(AgentRecord),
-    /// The lease is due for renewal, or a failed request for a retry.
+    /// The entry couldn't be written; try again unless it has been written since.
+    Retry,
+    /// The lease is due for renewal, or a failed renewal for a retry.
     Renew,
 }
 
@@ -44,13 +46,14 @@
     pub(crate) store: SocketAddrV4,
     /// Shortest time to live that the store grants.
     pub(crate) min_lease: Duration,
-    pub(crate) record: AgentRecord,
 }
 
 /// State of a [`LeaseActor`].
 pub(crate) struct LeaseState {
     client: StoreClient,
-    record: AgentRecord,
+    /// The entry; `None` until the first one is to be written.
+    record: Option<AgentRecord>,
+    is_written: bool,
     lease_ttl: Duration,
     lease: Option<u64>,
     backoff: StoreBackoff,
@@ -84,7 +87,8 @@
         myself.send_message(LeaseMessage::Renew)?;
         Ok(LeaseState {
             client: StoreClient::new(arguments.store, CALL_TIMEOUT),
-            record: arguments.record,
+            record: None,
+            is_written: false,
             lease_ttl: LEASE_TTL.max(arguments.min_lease),
             lease: None,
             backoff: StoreBackoff::default(),
@@ -99,10 +103,14 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             LeaseMessage::Write(record) => {
-                // The entry moves to a new lease; the old one expires without it.
-                state.record = record;
-                state.lease = None;
-                state.renew_or_write().await;
+                state.record = Some(record);
+                state.is_written = false;
+                state.write_or_retry(&myself).await;
+            }
+            LeaseMessage::Retry => {
+                if !state.is_written {
+                    state.write_or_retry(&myself).await;
+                }
             }
             LeaseMessage::Renew => {
                 let pause = state.renew_or_write().await;
@@ -127,17 +135,28 @@
 }
 
 impl LeaseState {
+    async fn write_or_retry(&mut self, myself: &ActorRef<LeaseMessage>) {
+        let pause = self.renew_or_write().await;
+        if !self.is_written {
+            myself.send_after(pause, || LeaseMessage::Retry);
+        }
+    }
+
     /// Renews the lease, or writes the entry under a new one; returns the delay before the next
     /// renewal or retry.
     async fn renew_or_write(&mut self) -> Duration {
+        let Some(record) = self.record.clone() else {
+            return RENEW_INTERVAL;
+        };
         let outcome = match self.lease {
-            Some(lease) => self.client.renew_lease(lease).await.map(|()| lease),
-            None => self.write().await,
+            Some(lease) if self.is_written => self.client.renew_lease(lease).await.map(|()| lease),
+            lease => self.write(&record, lease).await,
         };
         match outcome {
             Ok(lease) => {
                 self.backoff.record_success("lease");
                 self.lease = Some(lease);
+                self.is_written = true;
                 RENEW_INTERVAL
             }
             Err(StoreError::LeaseEnded) => {
@@ -149,13 +168,22 @@
         }
     }
 
-    async fn write(&mut self) -> Result<u64, StoreError> {
-        let record = &self.record;
+    /// Writes the entry under `lease`, or under a new one.
+    async fn write(&mut self, record: &AgentRecord, lease: Option<u64>) -> Result<u64, StoreError> {
         let value = encode_agent_entry(record)?;
-        let lease = self.client.grant_lease(self.lease_ttl).await?;
+        let lease = match lease {
+            Some(lease) => lease,
+            None => self.client.grant_lease(self.lease_ttl).await?,
+        };
         let key = agent_key(record.address);
         self.client.put(&key, &value, lease).await?;
-        info!(agent = %record.address, service = %record.service, lease, "store entry written");
+        info!(
+            agent = %record.address,
+            service = %record.service,
+            is_leaving = record.is_leaving,
+            lease,
+            "store entry written"
+        );
         Ok(lease)
     }
 }
--- a/components/forwarder/src/process/snapshot_codec.rs
+++ b/components/forwarder/src/process/snapshot_codec.rs
@@ -76,6 +76,7 @@
         address: address_from_number(entry.address),
         centre: entry.centre.as_str().into(),
         service: entry.service.as_str().into(),
+        is_leaving: entry.leaving,
     });
     agents.collect()
 }
@@ -143,5 +144,6 @@
         address: address_to_number(record.address),
         centre: record.centre.to_string(),
         service: record.service.to_string(),
+        leaving: record.is_leaving,
     }
 }
--- a/components/forwarder/tests/route_changes.rs
+++ b/components/forwarder/tests/route_changes.rs
@@ -111,6 +111,7 @@
             address: agent(service, number),
             centre: CENTRE.into(),
             service: (*service).into(),
+            is_leaving: false,
         })
     });
     router.agents.replace(records, Millis(0));
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -243,6 +243,7 @@
             address: agent.address,
             centre: centre_name(agent.centre),
             service: SERVICE.into(),
+            is_leaving: false,
         });
         router.agents.replace(records, self.now);
         router
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -124,6 +124,9 @@
     /// Share of the server's responses that are failures, in percent.
     #[prost(uint32, tag = "8")]
     pub failure_percent: u32,
+    /// Whether the server has sent a heartbeat since the agent's start.
+    #[prost(bool, tag = "9")]
+    pub confirmed: bool,
 }
 
 /// The agent that owns a flow.
--- a/components/wire/src/snapshot.rs
+++ b/components/wire/src/snapshot.rs
@@ -109,4 +109,7 @@
     /// Name of the backend server's service.
     #[prost(string, tag = "3")]
     pub service: String,
+    /// Whether the backend server is shutting down or has deregistered.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -66,6 +66,8 @@
     ip: Ipv4Addr,
     ready: SocketAddrV4,
     peer_port: u16,
+    /// Address to which the server of an agent sends heartbeats.
+    heartbeats: SocketAddrV4,
     /// Folder of the settings file, removed when the value is dropped.
     _folder: TempDir,
 }
@@ -116,6 +118,7 @@
         ip,
         ready,
         peer_port,
+        heartbeats: ready,
         _folder: folder,
     }
 }
@@ -129,16 +132,16 @@
     let folder = TempDir::new().unwrap();
     let ip = Ipv4Addr::LOCALHOST;
     let ready = SocketAddrV4::new(ip, free_port());
+    let heartbeats = SocketAddrV4::new(ip, free_port());
     let settings = format!(
         "[node]\nname = 'a'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
          packets = '{ip}:{packet_port}'\nready = '{ready}'\ngrace_s = '6'\n\
          [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
          [backend]\naddress = '{ip}:{}'\nservice = 's'\noutgoing = '{ip}:{}'\n\
-         heartbeats = '{ip}:{}'\nreuse_s = '2'\n",
+         heartbeats = '{heartbeats}'\nreuse_s = '2'\n",
         store.address(),
         free_port(),
         free_port(),
-        free_port(),
     );
     fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
     RoleProcess {
@@ -146,6 +149,7 @@
         ip,
         ready,
         peer_port,
+        heartbeats,
         _folder: folder,
     }
 }
@@ -169,6 +173,23 @@
         response.split(' ').nth(1)?.parse().ok()
     }
 
+    /// Sends a heartbeat of the agent's server in this run and state.
+    async fn send_heartbeat(&self, run: u64, sequence: u64, state: &str) {
+        let body = format!(
+            r#"{{"Service":"s","Address":"127.0.0.1:1","Zone":"north","Version":"v1","Slots":2,"State":"{state}","ColdRemainingMs":0,"Sequence":{sequence},"born":{run}}}"#
+        );
+        let mut stream = TcpStream::connect(self.heartbeats).await.unwrap();
+        let request = format!(
+            "PUT /carobdrum/instances/i-{run} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len(),
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+
     async fn wait_for_status(&self, status: u16) {
         let wait = async {
             while self.status().await != Some(status) {
@@ -250,6 +271,9 @@
         };
         timeout(STATE_TIMEOUT, wait)
     };
+    agent.wait_for_status(200).await;
+    assert_eq!(store.keys("agents/").len(), 0, "its server may not exist");
+    agent.send_heartbeat(1, 1, "ready").await;
     count(1).await.expect("store entry not written in time");
     agent.signal(libc::SIGTERM);
     count(0).await.expect("store entry not deleted in time");
@@ -368,3 +392,41 @@
     store.set_mode(StoreMode::Open);
     balancer.show_until(address, u64::MAX, 1).await;
 }
+
+/// Waits until the only agent's store entry shows whether its server is leaving.
+async fn wait_for_leaving(store: &LeaseServer, is_leaving: bool) {
+    let expected = format!(r#""leaving":{is_leaving}"#);
+    let shows = |value: &Vec<u8>| String::from_utf8_lossy(value).contains(&expected);
+    let wait = async {
+        while !store.values("agents/").iter().any(shows) {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(STATE_TIMEOUT, wait)
+        .await
+        .expect("store entry not changed in time");
+}
+
+/// Guards against new flows at a server that is leaving, after its agent was killed and has started
+/// again: only the store knows of the earlier heartbeats then.
+#[tokio::test]
+async fn entry_of_a_leaving_server_survives_a_restart_of_its_agent() {
+    let store = start_store().await;
+    let packet_port = free_port();
+    let agent = start_agent_at(&store, packet_port, free_port());
+    agent.wait_for_status(200).await;
+    agent.send_heartbeat(1, 1, "ready").await;
+    wait_for_leaving(&store, false).await;
+    agent.send_heartbeat(1, 2, "draining").await;
+    wait_for_leaving(&store, true).await;
+    drop(agent);
+    let agent = start_agent_at(&store, packet_port, free_port());
+    agent.wait_for_status(200).await;
+    sleep(Duration::from_secs(1)).await;
+    wait_for_leaving(&store, true).await;
+    agent.send_heartbeat(1, 3, "draining").await;
+    sleep(POLL_INTERVAL).await;
+    wait_for_leaving(&store, true).await;
+    agent.send_heartbeat(2, 1, "ready").await;
+    wait_for_leaving(&store, false).await;
+}
