Use a connection to the backend server for one request only

Cause: the agent of the product's own interface kept idle connections for idempotent requests. HTTP/1.1 responses don't name their request, so a second copy of a response that a server sends late is taken for the response to the next request on the connection: one of the faults that operators of similar systems met. The new test got /places/0 as the response to /places/1.

Change: every request gets a connection of its own, which is closed after it; the pool of idle connections is gone. A repeated idempotent request always takes from the retry budget.

Ruled out: closing a connection on which bytes arrive while it is idle, as the copy may arrive after the next request was written.

--- a/components/agent/src/connection/mod.rs
+++ b/components/agent/src/connection/mod.rs
@@ -4,7 +4,7 @@
 mod flow_issuer;
 mod redirect_table;
 mod reset_key;
-mod server_pool;
+mod server_connector;
 mod tunnel_socket;
 mod tunnel_state;
 
@@ -15,11 +15,9 @@
 pub(crate) use flow_issuer::FlowIssuer;
 pub(crate) use redirect_table::RedirectTable;
 pub(crate) use reset_key::ResetKey;
-pub(crate) use server_pool::{
-    ConnectError,
+pub(crate) use server_connector::{
     ServerBody,
-    ServerConnection,
-    ServerPool, //
+    ServerConnector, //
 };
 pub(crate) use tunnel_socket::TunnelSocket;
 pub(crate) use tunnel_state::{
--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -59,7 +59,7 @@
 use crate::{
     connection::{
         ControlDatagram,
-        ServerPool,
+        ServerConnector,
         TunnelSocket,
         TunnelState, //
     },
@@ -144,7 +144,7 @@
         metrics: metrics.clone(),
         published: published.clone(),
         slots: Rc::clone(&slots),
-        pool: ServerPool::new(settings.server),
+        connector: ServerConnector::new(settings.server),
         ledger,
         budget: RefCell::new(RetryBudget::new(shared.clock.now())),
     });
--- a/components/agent/src/request/request_handler.rs
+++ b/components/agent/src/request/request_handler.rs
@@ -55,7 +55,7 @@
     SlotScheduler, //
 };
 use crate::{
-    connection::ServerPool,
+    connection::ServerConnector,
     process::{
         AgentMetrics,
         AgentShared,
@@ -81,7 +81,7 @@
     pub(crate) metrics: AgentMetrics,
     pub(crate) published: watch::Receiver<PublishedState>,
     pub(crate) slots: Rc<SlotScheduler>,
-    pub(crate) pool: Rc<ServerPool>,
+    pub(crate) connector: Rc<ServerConnector>,
     pub(crate) ledger: SharedLedger,
     pub(crate) budget: RefCell<RetryBudget>,
 }
--- a/components/agent/src/request/request_run.rs
+++ b/components/agent/src/request/request_run.rs
@@ -48,9 +48,12 @@
     Empty,
     StreamBody, //
 };
-use hyper::body::{
-    Frame,
-    Incoming, //
+use hyper::{
+    body::{
+        Frame,
+        Incoming, //
+    },
+    client::conn::http1::SendRequest,
 };
 use tokio::{
     sync::mpsc,
@@ -75,14 +78,7 @@
     RequestStream,
     SlotPermit, //
 };
-use crate::{
-    connection::{
-        ConnectError,
-        ServerBody,
-        ServerConnection, //
-    },
-    process::RequestEnd,
-};
+use crate::{connection::ServerBody, process::RequestEnd};
 
 /// Maximum body length of a response that is recorded under an idempotency key, in bytes.
 const MAX_RECORDED_LEN: usize = 64 * 1024;
@@ -105,7 +101,8 @@
 /// A response of the server whose body hasn't been read yet.
 struct ServerResponse {
     response: Response<Incoming>,
-    connection: ServerConnection,
+    /// Keeps the connection open until the body has been read.
+    sender: SendRequest<ServerBody>,
 }
 
 impl RequestHandler {
@@ -187,9 +184,9 @@
         loop {
             attempts += 1;
             let repeatable = is_idempotent(method) && !has_body;
-            let connection = self.connect(repeatable && attempts == 1);
-            let connection = match self.run_until_deadline(context, connection).await {
-                Some(Ok(connection)) => connection,
+            let opening = self.parts.connector.open();
+            let sender = match self.run_until_deadline(context, opening).await {
+                Some(Ok(sender)) => sender,
                 Some(Err(error)) => {
                     debug!(%error, "no connection to the backend server");
                     return Err(RunFailure::NotSent(RequestOutcome::ConnectionRefused));
@@ -201,8 +198,7 @@
                 _ => empty_body(),
             };
             guard.mark_sent();
-            let reused = connection.reused;
-            match self.exchange(context, connection, content).await {
+            match self.exchange(context, sender, content).await {
                 Ok(server_response) => return Ok(server_response),
                 Err(outcome) => {
                     let now = self.now();
@@ -210,7 +206,7 @@
                         && attempts < MAX_ATTEMPTS
                         && outcome != RequestOutcome::TimedOut
                         && !context.deadline.is_passed(now)
-                        && (reused || self.parts.budget.borrow_mut().take_retry(now));
+                        && self.parts.budget.borrow_mut().take_retry(now);
                     if !may_repeat {
                         return Err(RunFailure::NoResponse(outcome));
                     }
@@ -219,20 +215,10 @@
         }
     }
 
-    /// Returns a connection. An idle one is reused only for a request that may be repeated: for
-    /// another one the loss of a reused connection would leave the outcome unknown.
-    async fn connect(&self, may_reuse: bool) -> Result<ServerConnection, ConnectError> {
-        if may_reuse {
-            self.parts.pool.reuse_or_open().await
-        } else {
-            self.parts.pool.open().await
-        }
-    }
-
     async fn exchange(
         &self,
         context: &RequestContext,
-        mut connection: ServerConnection,
+        mut sender: SendRequest<ServerBody>,
         content: ServerBody,
     ) -> Result<ServerResponse, RequestOutcome> {
         let request = self.server_request(context, content);
@@ -242,12 +228,9 @@
             &context.service,
             &self.parts.name,
         );
-        let sending = connection.sender.send_request(request).instrument(span);
+        let sending = sender.send_request(request).instrument(span);
         match self.run_until_deadline(context, sending).await {
-            Some(Ok(response)) => Ok(ServerResponse {
-                response,
-                connection,
-            }),
+            Some(Ok(response)) => Ok(ServerResponse { response, sender }),
             Some(Err(error)) => {
                 debug!(%error, "request to the backend server failed");
                 Err(RequestOutcome::ConnectionReset)
@@ -297,7 +280,7 @@
     ) -> RequestEnd {
         let ServerResponse {
             response,
-            connection,
+            sender: _sender,
         } = server_response;
         let latency = self.now().since(started);
         let (head, mut content) = response.into_parts();
@@ -345,7 +328,6 @@
         permit.finish(RequestResult { latency, outcome });
         if is_complete {
             guard.complete(recorder.outcome());
-            self.parts.pool.keep_idle(connection.sender);
         }
         if !caller_connected {
             return RequestEnd::Cancelled;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -144,13 +144,19 @@
 
     /// Starts the agent of the next backend server that has none.
     pub(crate) fn add_agent(&mut self, data_centre: &str) {
+        let server = self.servers[self.agents.len()].address();
+        self.add_agent_of(data_centre, server);
+    }
+
+    /// Starts an agent beside the backend server at this address.
+    pub(crate) fn add_agent_of(&mut self, data_centre: &str, server: std::net::SocketAddr) {
         let index = self.agents.len();
         let ip = Ipv4Addr::new(127, self.net, 2, index as u8 + 1);
         let settings = AgentSettings {
             process: self.process(&format!("placename-api-{index}"), data_centre, ip),
             store: self.store_settings(),
             log: LogSettings::default(),
-            server: self.servers[index].address(),
+            server,
             certificate_file: self.file("cert.pem"),
             key_file: self.file("key.pem"),
             drain_timeout_ms: 5_000,
--- a/tests/request_rules.rs
+++ b/tests/request_rules.rs
@@ -2,7 +2,13 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    net::Ipv4Addr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
 
 use carobdrum_caller::{
     CallerError,
@@ -24,6 +30,18 @@
     StatusCode, //
 };
 
+use tokio::{
+    io::{
+        AsyncBufReadExt,
+        AsyncWriteExt,
+        BufReader, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+};
+
 const KEY_PATH: &str = "/.well-known/carobdrum/idempotency-key";
 const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 const IDENTITY_HEADER: HeaderName = HeaderName::from_static("x-request-identity");
@@ -247,3 +265,63 @@
         "{largest} concurrent requests; the pool allows 4 slots"
     );
 }
+
+/// Starts a backend server that answers each request with its path. On a connection that is used
+/// again, it first sends the response before once more.
+async fn start_repeating_server() -> std::net::SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(repeat_responses(stream));
+        }
+    });
+    address
+}
+
+async fn repeat_responses(stream: TcpStream) {
+    let (reader, mut writer) = stream.into_split();
+    let mut lines = BufReader::new(reader).lines();
+    let mut path = String::new();
+    let mut last_response = String::new();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if let Some(rest) = line.strip_prefix("GET ") {
+            path = rest.split(' ').next().unwrap_or_default().to_owned();
+        }
+        if !line.is_empty() {
+            continue;
+        }
+        let length = path.len();
+        let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{path}");
+        let sent = std::mem::replace(&mut last_response, response.clone());
+        if writer.write_all(sent.as_bytes()).await.is_err() {
+            return;
+        }
+        if writer.write_all(response.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against a caller that gets the response to an earlier request, because the server sends a
+/// second copy of it when its connection is in use again.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_a_response_reaches_no_other_caller() {
+    let mut site = TestSite::start(50, 0).await;
+    site.apply(&site.routes(), POOLS).await;
+    site.add_balancer("galway-a");
+    let server = start_repeating_server().await;
+    site.add_agent_of("galway-a", server);
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let flow = loop {
+        if let Ok(flow) = site.caller().connect(site.service().into()).await {
+            break flow;
+        }
+        assert!(Instant::now() < deadline, "no flow within 10 s");
+    };
+    for number in 0..20 {
+        let path = format!("/places/{number}");
+        let response = send(&flow, CallerRequest::get(&path)).await;
+        assert_eq!(response.body, path.as_bytes());
+    }
+}
