--- a/components/settings/tests/settings_files.rs
+++ b/components/settings/tests/settings_files.rs
@@ -5,6 +5,7 @@
 use carobdrum_settings::{
     read_agent,
     read_balancer,
+    read_flow_settings,
     read_secret,
     LogFormat,
     SettingsError, //
@@ -145,3 +146,29 @@
     assert!(lines[0].starts_with(":2: threads: found 65; allowed: a whole number from 1 to 64"));
     assert_eq!(lines.len(), 5, "{lines:?}");
 }
+
+const FLOW_NODE: &str = r#"[node]
+name = "b"
+data_centre = "north"
+ip = "127.0.0.1"
+peer_port = 7000
+packets = "127.0.0.1:8000"
+ready = "127.0.0.1:8001"
+"#;
+
+const FLOW_STORE: &str = "[store]\naddress = \"127.0.0.1:8500\"\nmin_lease_ms = 1000\n";
+
+/// Guards against a process that panics at its shutdown because a time in its settings is negative,
+/// infinite or no number.
+#[rstest]
+#[case::negative("grace_s = '-1'")]
+#[case::infinite("grace_s = 'inf'")]
+#[case::not_a_number("flow_lifetime_s = 'NaN'")]
+#[case::too_large("flow_lifetime_s = '1e300'")]
+fn times_out_of_range_are_refused(#[case] line: &str) {
+    let (_kept, path) = folder(&format!("{FLOW_NODE}{line}\n{FLOW_STORE}"));
+    assert!(read_flow_settings(&path).is_err());
+    let (_kept, path) = folder(&format!("{FLOW_NODE}{FLOW_STORE}"));
+    let settings = read_flow_settings(&path).expect("both times have defaults");
+    assert!((settings.node.flow_lifetime_s - 60.0).abs() < f64::EPSILON);
+}
