--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -479,3 +479,47 @@
     assert_eq!(delivers(&actions), accepts);
     assert!(!tracker.report(Millis(0)).accepts);
 }
+
+/// Guards against flows that are cut by a planned stop because they were accepted right before it:
+/// the agent waits for them and delivers their packets.
+#[test]
+fn a_flow_accepted_before_the_stop_is_served() {
+    let mut tracker = tracker();
+    forward(&mut tracker, &open_packet(1), header(&[]), Millis(0));
+    tracker.stop();
+    assert_eq!(tracker.open_flows(), 1);
+    backend(&mut tracker, &packet(1, PacketKind::Accept), Millis(1));
+    let request = data(1, PacketKind::Data);
+    assert!(delivers(&forward(
+        &mut tracker,
+        &request,
+        header(&[1]),
+        Millis(2)
+    )));
+    let actions = forward(&mut tracker, &open_packet(2), header(&[1]), Millis(2));
+    assert_eq!(redirected_to(&actions), Some(agent(1)));
+    backend(&mut tracker, &data(1, PacketKind::Finish), Millis(3));
+    assert_eq!(tracker.open_flows(), 1);
+    forward(
+        &mut tracker,
+        &packet(1, PacketKind::Finish),
+        header(&[1]),
+        Millis(4),
+    );
+    assert_eq!(tracker.open_flows(), 0);
+}
+
+/// Guards against new flows at a server of which an agent, paused for seconds, doesn't know whether
+/// it still runs: what arrived during the pause is handled by the time of the wake-up.
+#[rstest]
+#[case::two_seconds(2_000)]
+#[case::a_minute(60_000)]
+fn a_paused_agent_accepts_no_flow_before_its_server_shows_activity(#[case] pause_ms: u64) {
+    let mut tracker = tracker();
+    let awake = Millis(pause_ms);
+    let actions = forward(&mut tracker, &open_packet(1), header(&[1]), awake);
+    assert_eq!(redirected_to(&actions), Some(agent(1)));
+    assert!(tracker.handle_heartbeat(heartbeat(2, BackendState::Ready), awake));
+    let actions = forward(&mut tracker, &open_packet(2), header(&[1]), awake);
+    assert!(delivers(&actions));
+}
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -26,12 +26,18 @@
         address_to_number,
         FlowBody,
         FlowDatagram,
+        ForwardedPacket,
         ReportProbe, //
     },
     snapshot::SiteSnapshot,
 };
 use futures_util::SinkExt;
 use prost::Message;
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
 use rstest::rstest;
 use tempfile::TempDir;
 use tokio::{
@@ -68,6 +74,10 @@
     peer_port: u16,
     /// Address to which the server of an agent sends heartbeats.
     heartbeats: SocketAddrV4,
+    /// Address at which packets of callers or balancers arrive.
+    packets: SocketAddrV4,
+    /// Address at which packets of an agent's server arrive.
+    outgoing: SocketAddrV4,
     /// Folder of the settings file, removed when the value is dropped.
     _folder: TempDir,
 }
@@ -104,12 +114,12 @@
 ) -> RoleProcess {
     let folder = TempDir::new().unwrap();
     let ready = SocketAddrV4::new(ip, free_port());
+    let packets = SocketAddrV4::new(ip, free_port());
     let peers = peer.map_or(String::new(), |peer| format!("'{peer}:1'"));
     let settings = format!(
         "[node]\nname = 'b'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
-         packets = '{ip}:{}'\nready = '{ready}'\ngrace_s = '6'\npeers = [{peers}]\n\
+         packets = '{packets}'\nready = '{ready}'\ngrace_s = '6'\npeers = [{peers}]\n\
          [store]\naddress = '{}'\nmin_lease_ms = 1000\n",
-        free_port(),
         store.address(),
     );
     fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
@@ -119,6 +129,8 @@
         ready,
         peer_port,
         heartbeats: ready,
+        packets,
+        outgoing: packets,
         _folder: folder,
     }
 }
@@ -133,15 +145,15 @@
     let ip = Ipv4Addr::LOCALHOST;
     let ready = SocketAddrV4::new(ip, free_port());
     let heartbeats = SocketAddrV4::new(ip, free_port());
+    let outgoing = SocketAddrV4::new(ip, free_port());
     let settings = format!(
         "[node]\nname = 'a'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
          packets = '{ip}:{packet_port}'\nready = '{ready}'\ngrace_s = '6'\n\
          [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
-         [backend]\naddress = '{ip}:{}'\nservice = 's'\noutgoing = '{ip}:{}'\n\
+         [backend]\naddress = '{ip}:{}'\nservice = 's'\noutgoing = '{outgoing}'\n\
          heartbeats = '{heartbeats}'\nreuse_s = '2'\n",
         store.address(),
         free_port(),
-        free_port(),
     );
     fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
     RoleProcess {
@@ -150,6 +162,8 @@
         ready,
         peer_port,
         heartbeats,
+        packets: SocketAddrV4::new(ip, packet_port),
+        outgoing,
         _folder: folder,
     }
 }
@@ -430,3 +444,102 @@
     agent.send_heartbeat(2, 1, "ready").await;
     wait_for_leaving(&store, false).await;
 }
+
+/// Sends malformed requests to an HTTP port. The process may answer, or close the connection.
+async fn send_malformed_requests(port: SocketAddrV4, random: &mut SmallRng) {
+    for number in 0..20 {
+        let body: Vec<u8> = (0..random.random_range(0..200))
+            .map(|_| random.random())
+            .collect();
+        let head = match number % 4 {
+            0 => "PUT /carobdrum/instances/i-1 HTTP/1.1\r\nContent-Length: 9999999999999999999999",
+            1 => "PUT /carobdrum/instances/%00/.. HTTP/1.1\r\nContent-Length: 4",
+            2 => "\0\0\0 / HTTP/9.9",
+            _ => "DELETE /carobdrum/instances/ HTTP/1.1\r\nTransfer-Encoding: chunked",
+        };
+        let Ok(mut stream) = TcpStream::connect(port).await else {
+            continue;
+        };
+        let mut request = format!("{head}\r\nHost: a\r\n\r\n").into_bytes();
+        request.extend(body);
+        // The process may have closed the connection after the head.
+        let _ = stream.write_all(&request).await;
+    }
+}
+
+/// Returns a random loopback address as a number, since the process may send to it.
+fn loopback_number(random: &mut SmallRng) -> u64 {
+    let ip = Ipv4Addr::new(127, random.random(), random.random(), random.random());
+    address_to_number(SocketAddrV4::new(ip, random.random()))
+}
+
+/// Sends datagrams that are random, or well formed with a random packet.
+async fn send_malformed_datagrams(port: SocketAddrV4, random: &mut SmallRng) {
+    let socket = tokio::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .unwrap();
+    for number in 0..400 {
+        let bytes: Vec<u8> = (0..random.random_range(0..1_400))
+            .map(|_| random.random())
+            .collect();
+        let datagram = if number % 2 == 0 {
+            bytes
+        } else {
+            FlowDatagram::encode_body(FlowBody::Forward(ForwardedPacket {
+                balancer: loopback_number(random),
+                hops: random.random(),
+                near: random.random(),
+                best_agent: loopback_number(random),
+                best_wait_us: u32::MAX,
+                revision: random.random(),
+                rest: (0..random.random_range(0..100))
+                    .map(|_| loopback_number(random))
+                    .collect(),
+                packet: Bytes::from(bytes),
+                ..ForwardedPacket::default()
+            }))
+        };
+        // A process without a socket there refuses the datagram.
+        let _ = socket.send_to(&datagram, port).await;
+    }
+}
+
+/// Guards against a malformed message that ends a process, on each of its sockets.
+#[tokio::test]
+async fn malformed_messages_end_no_process() {
+    let store = start_store().await;
+    store.put("agents/not an address", "{}");
+    store.put("agents/127.0.0.1:9", "[1]");
+    store.put("op/evacuate/", "\u{0}");
+    let (agent_port, peer_port) = (free_port(), free_port());
+    let mut agent = start_agent_at(&store, agent_port, peer_port);
+    let mut balancer = start_balancer(&store);
+    agent.wait_for_status(200).await;
+    balancer.wait_for_status(200).await;
+    store.put("op/config", "{\"Version\":");
+    let mut random = SmallRng::seed_from_u64(5);
+    let at = |port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+    for port in [
+        at(agent_port),
+        at(balancer.peer_port),
+        balancer.packets,
+        agent.outgoing,
+    ] {
+        send_malformed_datagrams(port, &mut random).await;
+    }
+    for port in [
+        agent.ready,
+        agent.heartbeats,
+        balancer.ready,
+        at(agent.peer_port),
+        at(balancer.peer_port),
+    ] {
+        send_malformed_requests(port, &mut random).await;
+    }
+    agent.send_heartbeat(1, 1, "ready").await;
+    wait_for_leaving(&store, false).await;
+    for process in [&mut agent, &mut balancer] {
+        assert_eq!(process.status().await, Some(200));
+        assert!(process.child.try_wait().unwrap().is_none());
+    }
+}
