Fetch the configuration of a peer in one place

follow_peers and follow_balancers had the same fetch; the log messages are those of peers now. No other behaviour changes. Doc comments of the candidate ranking are completed.

--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -17,8 +17,8 @@
 /// Limit of the services whose anchors are marked, as these are taken beside all limits.
 const MAX_ANCHORED_SERVICES: usize = 4;
 
-/// Limits for each service but the first, where a flow may have opened before the route changed. Its
-/// opening packet had as few candidates.
+/// Limits for each service but the first, where a flow may have opened before the route changed. They
+/// are those of opening packets.
 const OTHER_LIMITS: CandidateLimits = CandidateLimits {
     near: 4,
     far: 1,
@@ -53,7 +53,7 @@
     count: usize,
 }
 
-/// Returns the count of a group, which is zero at first.
+/// Returns the count of a group; that of a new group is zero.
 fn group_count(groups: &mut Vec<GroupCount>, centre: u32, service: u8) -> &mut usize {
     let found = groups
         .iter()
@@ -80,13 +80,14 @@
     Far,
 }
 
-/// Criteria that precede the hash in the order of candidates, in this order; false comes first.
+/// Criteria that precede the hash in the order of candidates, in this order; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct CandidateRank {
     /// Whether the agent doesn't answer.
     pub(crate) suspect: bool,
     /// Whether its data centre is evacuated.
     pub(crate) evacuated: bool,
+    /// Distance of its data centre.
     pub(crate) distance: CandidateDistance,
     /// Position of its service in the flow's list of services.
     pub(crate) service: u8,
@@ -204,8 +205,10 @@
         }
     }
 
-    /// Returns the best candidates within `limits`, and the anchors beside them. `caller` is the data centre of the caller,
-    /// `home` that of the flow, which [`CandidateRanking::set_home`] returned.
+    /// Returns the best candidates within `limits`, and the anchors beside them.
+    ///
+    /// `caller` is the data centre of the caller, `home` that of the flow, which
+    /// [`CandidateRanking::set_home`] returned.
     pub(crate) fn take(
         &mut self,
         caller: u32,
--- a/components/forwarder/src/process/site_state.rs
+++ b/components/forwarder/src/process/site_state.rs
@@ -154,16 +154,7 @@
         if state.revision() >= newest.revision {
             continue;
         }
-        // The peer that showed the newest revision since is the likeliest to have it.
-        let newest = *peer_revisions.borrow_and_update();
-        let peer = SocketAddrV4::new(newest.peer, port);
-        match fetch_snapshot(peer).await {
-            Ok(snapshot) => {
-                info!(%peer, revision = snapshot.revision, "configuration adopted from a peer");
-                state.apply_snapshot(&snapshot);
-            }
-            Err(error) => warn!(%peer, %error, "configuration not fetched from a peer"),
-        }
+        adopt_newest(&state, &mut peer_revisions, port).await;
     }
 }
 
@@ -180,21 +171,32 @@
     while wait_for_newer(&state, &mut peer_revisions).await.is_some() {
         let delay = FETCH_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
         sleep(delay).await;
-        let newest = *peer_revisions.borrow_and_update();
-        let peer = SocketAddrV4::new(newest.peer, port);
-        match fetch_snapshot(peer).await {
-            Ok(snapshot) => {
-                info!(%peer, revision = snapshot.revision, "configuration adopted from a balancer");
-                state.apply_snapshot(&snapshot);
-            }
-            Err(error) => warn!(%peer, %error, "configuration not fetched from a balancer"),
-        }
+        let newest = adopt_newest(&state, &mut peer_revisions, port).await;
         if state.revision() < newest.revision {
             read_config(&state, store, &peer_revisions).await;
         }
     }
 }
 
+/// Adopts the configuration of the process that showed the highest revision last, which is the
+/// likeliest to run; returns that revision.
+async fn adopt_newest(
+    state: &SiteState,
+    peer_revisions: &mut watch::Receiver<PeerRevision>,
+    port: u16,
+) -> PeerRevision {
+    let newest = *peer_revisions.borrow_and_update();
+    let peer = SocketAddrV4::new(newest.peer, port);
+    match fetch_snapshot(peer).await {
+        Ok(snapshot) => {
+            info!(%peer, revision = snapshot.revision, "configuration adopted from a peer");
+            state.apply_snapshot(&snapshot);
+        }
+        Err(error) => warn!(%peer, %error, "configuration not fetched from a peer"),
+    }
+    newest
+}
+
 /// Reads the operator's entries in the store once. Gives up after a while when a balancer has a newer
 /// configuration, as it is more likely to answer than a store that hasn't.
 async fn read_config(
