Redirect a returned opening packet although a former flow is known

Cause: found by reading the change. A caller that uses a port again within the life of the former flow's entry has its opening packet delivered to the former owner; when that server was full and returned it, the agent took the former flow for lost and reset the new one.

Measured: returned_opening_packet_is_redirected_although_a_former_flow_is_known fails before.

--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -190,7 +190,7 @@
             actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
             return;
         };
-        if entry.is_certainly_open() {
+        if entry.is_certainly_open() && !packet.is_open() {
             self.cold.mark_possibly_restarted();
             self.reset_flow(packet.key, actions);
             return;
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -523,3 +523,19 @@
     let actions = forward(&mut tracker, &open_packet(2), header(&[1]), awake);
     assert!(delivers(&actions));
 }
+
+/// Guards against a new flow from a caller's port that is reset because the server, which is full,
+/// returns its opening packet while the entry of the former flow remains.
+#[test]
+fn returned_opening_packet_is_redirected_although_a_former_flow_is_known() {
+    let mut tracker = tracker();
+    serve_flow(&mut tracker, 1, Millis(0));
+    forward(&mut tracker, &open_packet(1), header(&[1]), Millis(100));
+    let returned = FlowPacket {
+        returned: true,
+        ..open_packet(1)
+    };
+    let actions = backend(&mut tracker, &returned, Millis(101));
+    let reset = |action: &TrackerAction| matches!(action, TrackerAction::Reset(..));
+    assert!(!actions.iter().any(reset), "{actions:?}");
+}
