Announce long flows to their anchors although they are idle

A flow opened through another data centre's balancer, had its only request in its first 60 ms and was idle for 11 s. Owners of firm rank announced themselves with the first packet after a second, and there was none. The next packet arrived at a balancer of the caller's own data centre; the flow's service was the second one of its route there, with fewer candidates, and the owner wasn't among them.

Change: the agent's tick announces each open flow that has become a second old.

--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -95,6 +95,20 @@
         actions.push(TrackerAction::Deliver);
     }
 
+    /// Announces the owner of open flows that have become long, whether or not they have packets: the
+    /// next packet of an idle flow may arrive at a balancer that wouldn't find the owner.
+    pub fn announce_long_flows(&mut self, now: Millis, actions: &mut Vec<TrackerAction>) {
+        for (key, entry) in &mut self.flows {
+            if entry.stage != FlowStage::Open || !entry.informed.is_empty() {
+                continue;
+            }
+            let anchors = entry.header.anchors.clone();
+            let uninformed = entry.take_uninformed(&anchors, self.settings.address, now);
+            let announce = |to| TrackerAction::AnnounceOwner(to, *key);
+            actions.extend(uninformed.into_iter().map(announce));
+        }
+    }
+
     /// Puts the owner that announced itself in front of the remaining candidates, unless the server
     /// here may hold the flow; returns whether it did.
     fn follow_owner(
--- a/components/flows/tests/owner_anchors.rs
+++ b/components/flows/tests/owner_anchors.rs
@@ -237,3 +237,21 @@
     let announced = TrackerAction::AnnounceOwner(BALANCER, key(1));
     assert_eq!(actions, [announced, TrackerAction::Deliver]);
 }
+
+/// Guards against idle flows that no anchor knows: a flow had its only request in its first
+/// milliseconds, and its next packet arrives in another data centre seconds later.
+#[test]
+fn owner_announces_a_long_flow_without_packets() {
+    let mut tracker = tracker();
+    accept_flow(&mut tracker, true);
+    assert_eq!(announced(&mut tracker, &[5, 6], NOW), []);
+    let mut actions = Vec::new();
+    tracker.announce_long_flows(NOW.plus(Millis(900)), &mut actions);
+    assert_eq!(actions, []);
+    let later = NOW.plus(Millis(1_000));
+    tracker.announce_long_flows(later, &mut actions);
+    let announce = |number| TrackerAction::AnnounceOwner(agent(number), key(1));
+    assert_eq!(actions, [announce(5), announce(6)]);
+    tracker.announce_long_flows(later, &mut actions);
+    assert_eq!(actions.len(), 2);
+}
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -206,6 +206,13 @@
         self.report_change(now);
     }
 
+    fn announce_long_flows(&mut self, now: Millis) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.tracker.announce_long_flows(now, &mut actions);
+        self.act(&mut actions, &Bytes::new());
+        self.actions = actions;
+    }
+
     fn outcome(&self, is_applied: bool) -> BackendOutcome {
         BackendOutcome {
             is_applied,
@@ -423,6 +430,7 @@
             .revision
             .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
         self.tracker.expire(now);
+        self.announce_long_flows(now);
         self.reporter
             .tick(&mut self.tracker, &mut self.packets, now);
         if self.shutdown_answer.is_some() && self.tracker.open_flows() == 0 {
