Untie the tasks and the state of the configuration

Moves only: the tasks that follow the store and the peers go from site_state.rs to config_tasks.rs, so that site_state and snapshot_port no longer refer to each other; the backoff and the time limits of requests to the store go to store_backoff.rs, so that store_watch and hedged_read don't either; the two impl blocks of later.rs become one.

--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -242,9 +242,7 @@
             redirect_later(packet.key, header, RedirectCause::NotHeld, actions);
         }
     }
-}
 
-impl FlowTracker {
     /// Resets the open flows of a server that has ended or was restarted, so that their callers open
     /// new ones at once instead of waiting for an answer.
     pub fn reset_lost_flows(&mut self, actions: &mut Vec<TrackerAction>) {
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -31,6 +31,7 @@
 };
 
 use super::{
+    config_tasks::query_peers,
     http_port::serve_requests,
     node_context::{
         run_control,
@@ -41,10 +42,7 @@
         TrafficEndedSnafu, //
     },
     settings_file::SettingsFile,
-    site_state::{
-        query_peers,
-        SiteState, //
-    },
+    site_state::SiteState,
     store_watch::{
         KeyEvent,
         KeyWatcher,
--- a/components/forwarder/src/process/hedged_read.rs
+++ b/components/forwarder/src/process/hedged_read.rs
@@ -20,7 +20,7 @@
     info, //
 };
 
-use super::store_watch::CALL_TIMEOUT;
+use super::store_backoff::CALL_TIMEOUT;
 
 /// Time without a response after which the read is repeated on a new connection.
 const HEDGE_DELAY: Duration = Duration::from_millis(400);
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -20,7 +20,7 @@
 };
 use tracing::info;
 
-use super::store_watch::{
+use super::store_backoff::{
     StoreBackoff,
     CALL_TIMEOUT,
     MAX_BACKOFF, //
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod agent_node;
 mod balancer_node;
 mod boot_clock;
+mod config_tasks;
 mod config_tracker;
 mod hedged_read;
 mod http_port;
@@ -14,6 +15,7 @@
 mod site_state;
 mod snapshot_codec;
 mod snapshot_port;
+mod store_backoff;
 mod store_watch;
 
 pub use agent_node::run_agent;
--- a/components/forwarder/src/process/node_context.rs
+++ b/components/forwarder/src/process/node_context.rs
@@ -29,16 +29,16 @@
 };
 
 use super::{
+    config_tasks::{
+        follow_balancers,
+        follow_config,
+        follow_peers, //
+    },
     node_error::{
         MetricsSnafu,
         StartSnafu, //
     },
-    site_state::{
-        follow_balancers,
-        follow_config,
-        follow_peers,
-        SiteState, //
-    },
+    site_state::SiteState,
     snapshot_port::serve_snapshots,
     store_watch::KeyWatcher,
     NodeError,
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -12,34 +12,30 @@
     StoreListing,
     WatchResponse, //
 };
-use rand::Rng;
 use tokio::{
     sync::watch,
     time::sleep, //
 };
-use tracing::{
-    info,
-    warn, //
+use tracing::info;
+
+use super::{
+    hedged_read::list_hedged,
+    store_backoff::{
+        StoreBackoff,
+        CALL_TIMEOUT,
+        MAX_BACKOFF, //
+    },
 };
-
-use super::hedged_read::list_hedged;
 use crate::connection::PeerRevision;
 
 /// Time for which a watch waits for changes. The keep-alive of the connection detects an
 /// unresponsive store sooner. The store allows no longer wait.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 
-/// First backoff after a failed request, before jitter.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
-
 /// Longest backoff of a process that can't serve before a request succeeds. It is short because it
 /// prolongs the outage for callers.
 const MAX_URGENT_BACKOFF: Duration = Duration::from_millis(300);
 
-/// Longest backoff otherwise. Entries must be written again within two seconds after the store has
-/// become available.
-pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
-
 /// Shortest delay after changes, so that a series of them takes few requests.
 const MIN_BATCH_DELAY: Duration = Duration::from_millis(700);
 
@@ -54,9 +50,6 @@
 /// Time for which a watch may lag behind other processes.
 const LAG_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time limit of a request to the store, except for the wait of a watch.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Event of a [`KeyWatcher`].
 #[derive(Debug)]
 pub enum KeyEvent {
@@ -237,37 +230,3 @@
     sleep(LAG_TIMEOUT).await;
     newer
 }
-
-/// Backoff between failed requests to the store. It logs the beginning and the end of an outage.
-#[derive(Debug, Default)]
-pub(crate) struct StoreBackoff {
-    failures: u32,
-}
-
-impl StoreBackoff {
-    /// Ends the backoff after a successful request.
-    pub(crate) fn record_success(&mut self, what: &str) {
-        if self.failures > 0 {
-            info!(what, failures = self.failures, "store available again");
-        }
-        self.failures = 0;
-    }
-
-    /// Returns the delay before a failed request is retried: exponential up to `longest`, with
-    /// jitter.
-    pub(crate) fn record_failure(
-        &mut self,
-        what: &str,
-        error: &StoreError,
-        longest: Duration,
-    ) -> Duration {
-        if self.failures == 0 {
-            warn!(what, %error, "store unavailable");
-        }
-        let pause = INITIAL_BACKOFF * 2u32.pow(self.failures.min(8));
-        let pause = pause.min(longest);
-        self.failures += 1;
-        let jitter = rand::rng().random_range(0.5..1.0);
-        pause.mul_f64(jitter)
-    }
-}
