Accept no new flow before the first heartbeat of the server

Ruled out: changed settings (read at the start, with the first service), late heartbeats (none), the choice of the balancers (the agent compares the service, and had the wrong one).

The agent now accepts no flow before a heartbeat has named the service and state of the server, and reports so. Packets of the server don't count before: they tell neither its service nor that it is leaving.

The new test failed before: the opening packet was delivered. The first half of limits_new_flows_of_a_server_that_may_be_cold expected 19 flows before any heartbeat; it now expects none, and 19 after a heartbeat that says cold. Agents of the model had no heartbeat at time 0, though it says that all processes run at first; they begin with one now.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -106,13 +106,13 @@
 }
 
 impl FlowTracker {
-    /// Creates a tracker without flows, whose server counts as alive at first.
-    pub fn new(settings: TrackerSettings, now: Millis) -> FlowTracker {
+    /// Creates a tracker without flows, which accepts none before the first heartbeat of its server.
+    pub fn new(settings: TrackerSettings) -> FlowTracker {
         FlowTracker {
             centre: name_hash(&settings.centre),
             service: settings.service.clone(),
             config: None,
-            liveness: BackendLiveness::new(now, settings.activity_timeout),
+            liveness: BackendLiveness::new(settings.activity_timeout),
             cold: ColdBudget::default(),
             load: LoadEstimate::new(DEFAULT_SLOTS),
             flows: HashMap::new(),
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -235,6 +235,9 @@
         if self.stopping {
             return Some(RedirectCause::Stopping);
         }
+        if !self.liveness.is_confirmed() {
+            return Some(RedirectCause::Unconfirmed);
+        }
         if !self.liveness.accepts_flows(now) {
             return Some(RedirectCause::Unavailable);
         }
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -15,6 +15,8 @@
 pub enum RedirectCause {
     /// The server accepts no new flows, or has shown no activity in time.
     Unavailable,
+    /// The server has sent no heartbeat since the agent's start.
+    Unconfirmed,
     /// New flows are paused because the server has recently returned an opening packet.
     Paused,
     /// The data centre is evacuated.
@@ -40,6 +42,7 @@
     pub fn name(self) -> &'static str {
         match self {
             RedirectCause::Unavailable => "unavailable",
+            RedirectCause::Unconfirmed => "unconfirmed",
             RedirectCause::Paused => "returning",
             RedirectCause::Evacuated => "closed",
             RedirectCause::WrongService => "wrong_service",
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -38,6 +38,10 @@
 }
 
 /// Liveness of the backend server beside an agent, from its heartbeats and packets.
+///
+/// Before the first heartbeat the server counts as inactive: an agent that starts knows neither
+/// whether the server has ended, so that another service may soon reuse its address, nor whether it
+/// is shutting down.
 #[derive(Debug)]
 pub struct BackendLiveness {
     heartbeat: Option<BackendHeartbeat>,
@@ -47,15 +51,15 @@
 }
 
 impl BackendLiveness {
-    /// Creates the state of a server that counts as alive until `activity_timeout` has passed
-    /// without activity.
+    /// Creates the state of a server that has not sent a heartbeat. After each heartbeat or packet
+    /// it counts as alive for `activity_timeout`.
     ///
     /// `activity_timeout` must be shorter than the time after which another service may reuse the
     /// address of a server that has ended.
-    pub fn new(now: Millis, activity_timeout: Millis) -> BackendLiveness {
+    pub fn new(activity_timeout: Millis) -> BackendLiveness {
         BackendLiveness {
             heartbeat: None,
-            last_activity: now,
+            last_activity: Millis(0),
             activity_timeout,
             deregistered: false,
         }
@@ -128,7 +132,8 @@
 
     /// Returns whether the server accepts new flows.
     pub fn accepts_flows(&self, now: Millis) -> bool {
-        !self.is_leaving() && now.since(self.last_activity) < self.activity_timeout
+        let is_active = now.since(self.last_activity) < self.activity_timeout;
+        self.is_confirmed() && !self.is_leaving() && is_active
     }
 
     /// Returns the service that the last heartbeat named; `None` before the first one.
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -361,6 +361,12 @@
             .count()
     };
     let mut restarted = support::new_tracker(rate);
+    assert_eq!(accepted_flows(&mut restarted, 0, Millis(0)), 0);
+    let cold = BackendHeartbeat {
+        cold_remaining: Millis(5_000),
+        ..heartbeat(1, BackendState::Ready)
+    };
+    assert!(restarted.handle_heartbeat(cold, Millis(0)));
     assert_eq!(accepted_flows(&mut restarted, 0, Millis(0)), limit);
 
     let mut tracker = support::new_tracker(rate);
@@ -524,6 +530,32 @@
     assert!(delivers(&actions));
 }
 
+/// Guards against new flows at a server of which a restarted agent has heard nothing: the server may
+/// have ended before the restart, and another service may reuse its address. Packets that the server
+/// sends or returns don't tell its service.
+#[test]
+fn a_restarted_agent_accepts_no_flow_before_the_first_heartbeat() {
+    let mut tracker = support::new_tracker(10.0);
+    assert!(!tracker.report(Millis(0)).accepts);
+    let actions = forward(&mut tracker, &open_packet(1), header(&[1]), Millis(0));
+    assert_eq!(redirected_to(&actions), Some(agent(1)));
+
+    let unknown = packet(2, PacketKind::Data);
+    assert!(delivers(&forward(
+        &mut tracker,
+        &unknown,
+        header(&[1]),
+        Millis(10)
+    )));
+    backend(&mut tracker, &data(2, PacketKind::Data), Millis(11));
+    let actions = forward(&mut tracker, &open_packet(3), header(&[1]), Millis(12));
+    assert_eq!(redirected_to(&actions), Some(agent(1)));
+
+    assert!(tracker.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(700)));
+    let actions = forward(&mut tracker, &open_packet(4), header(&[1]), Millis(701));
+    assert!(delivers(&actions));
+}
+
 /// Guards against a new flow from a caller's port that is reset because the server, which is full,
 /// returns its opening packet while the entry of the former flow remains.
 #[test]
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -118,7 +118,7 @@
         cold_slack: 5.0,
         flow_lifetime: Millis(60_000),
     };
-    FlowTracker::new(settings, Millis(0))
+    FlowTracker::new(settings)
 }
 
 pub(crate) fn key(caller: u16) -> FlowKey {
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -133,7 +133,7 @@
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
         Ok(AgentTraffic {
-            tracker: FlowTracker::new(settings, BootClock.now()),
+            tracker: FlowTracker::new(settings),
             clock: BootClock,
             revision_sender,
             address,
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -137,6 +137,9 @@
                 model.add_agent(centre, number);
             }
         }
+        for index in 0..model.agents.len() {
+            model.send_heartbeat(index);
+        }
         for centre in 0..model.experiment.centres {
             for number in 0..model.experiment.balancers {
                 model.add_balancer(centre, number);
@@ -221,7 +224,7 @@
             cold_slack: 5.0,
             flow_lifetime: FLOW_LIFETIME,
         };
-        let mut tracker = FlowTracker::new(settings, self.now);
+        let mut tracker = FlowTracker::new(settings);
         tracker.set_config(self.config.clone());
         tracker
     }
--- a/components/model/src/flow_model/faults.rs
+++ b/components/model/src/flow_model/faults.rs
@@ -68,10 +68,7 @@
     pub(super) fn stop_agents(&mut self, count: usize, end: Millis, with_servers: bool) {
         for index in 0..self.agents.len().min(count) {
             let (centre, address) = (self.agents[index].centre, self.agents[index].address);
-            let now = self.now;
-            self.now = end;
             let tracker = self.new_tracker(centre, address);
-            self.now = now;
             let agent = &mut self.agents[index];
             agent.tracker = tracker;
             agent.down_until = end;
