Let a run with an earlier start time take the place of a silent one

Ruled out: lost heartbeats, sequence numbers (they grew), balancers (the agent delivered the packets).

The start time alone can't tell a late heartbeat of an ended run from a live run whose clock was set back. The agent now accepts no new flow while two runs claim to be live; the next heartbeat of the known run ends the claim, and a run whose heartbeats go on takes its place once it has been silent for as long as any server may be. A replaced run is judged the same way, so late heartbeats don't bring it back. Open flows aren't reset by a replacement: the server may hold them, and returns packets of those it doesn't. The log names run and outcome of each heartbeat that doesn't continue the known run.

Both tests (three cases) failed before: the agent accepted flows at once. Tests of tracker.handle_heartbeat now ask is_applied() of its outcome, which was a bool. Heartbeat and outcome have files of their own.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -30,6 +30,7 @@
         BackendHeartbeat,
         BackendLiveness,
         ColdBudget,
+        HeartbeatOutcome,
         OwnerCache, //
     },
     request::{FlowKey, FlowPacket, ForwardHeader},
@@ -142,26 +143,30 @@
         self.settings = settings;
     }
 
-    /// Applies a heartbeat of the server; returns false if it is stale.
-    pub fn handle_heartbeat(&mut self, heartbeat: BackendHeartbeat, now: Millis) -> bool {
+    /// Applies a heartbeat of the server, unless it is stale or its run is contested.
+    pub fn handle_heartbeat(
+        &mut self,
+        heartbeat: BackendHeartbeat,
+        now: Millis,
+    ) -> HeartbeatOutcome {
         let cold_until = now.plus(heartbeat.cold_remaining);
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
         let had_heartbeat = self.liveness.is_confirmed();
-        let restarted = self.liveness.is_new_run(&heartbeat);
-        if !self.liveness.handle_heartbeat(heartbeat, now) {
-            return false;
+        let outcome = self.liveness.handle_heartbeat(heartbeat, now);
+        if !outcome.is_applied() {
+            return outcome;
         }
-        if restarted {
+        if outcome != HeartbeatOutcome::Continued {
             self.return_pause.clear();
         }
-        if had_heartbeat && restarted {
+        if had_heartbeat && outcome == HeartbeatOutcome::Started {
             self.note_server_ended();
         }
         self.cold.set_cold_until(cold_until);
         self.load.set_slots(slots);
         self.service = service;
-        true
+        outcome
     }
 
     /// Marks the server as deregistered; returns false if its last heartbeat had another identity.
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -238,6 +238,9 @@
         if !self.liveness.is_confirmed() {
             return Some(RedirectCause::Unconfirmed);
         }
+        if self.liveness.is_contested() {
+            return Some(RedirectCause::Contested);
+        }
         if !self.liveness.accepts_flows(now) {
             return Some(RedirectCause::Unavailable);
         }
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -17,6 +17,8 @@
     Unavailable,
     /// The server has sent no heartbeat since the agent's start.
     Unconfirmed,
+    /// It is unclear which of two runs of the server is live.
+    Contested,
     /// New flows are paused because the server has recently returned an opening packet.
     Paused,
     /// The data centre is evacuated.
@@ -43,6 +45,7 @@
         match self {
             RedirectCause::Unavailable => "unavailable",
             RedirectCause::Unconfirmed => "unconfirmed",
+            RedirectCause::Contested => "contested",
             RedirectCause::Paused => "returning",
             RedirectCause::Evacuated => "closed",
             RedirectCause::WrongService => "wrong_service",
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -3,39 +3,11 @@
 use carobdrum_core::Millis;
 use compact_str::CompactString;
 
-/// State that a backend server reports in its heartbeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BackendState {
-    /// The server accepts new flows.
-    Ready,
-    /// The server is shutting down and accepts no new flows.
-    Draining,
-}
-
-/// One heartbeat of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BackendHeartbeat {
-    /// Identity of the server, chosen by itself.
-    pub id: CompactString,
-    /// Unix time of the server's start, in milliseconds.
-    pub started_ms: u64,
-    /// Sequence number of this heartbeat, which grows during a run of the server.
-    pub sequence: u64,
-    /// Name of the server's service.
-    pub service: CompactString,
-    /// State of the server when it sent the heartbeat.
-    pub state: BackendState,
-    /// Number of requests that the server processes at once.
-    pub slots: u32,
-    /// Time for which the server stays cold; zero if it is warm.
-    pub cold_remaining: Millis,
-}
-
-impl BackendHeartbeat {
-    fn is_same_run(&self, other: &BackendHeartbeat) -> bool {
-        self.id == other.id && self.started_ms == other.started_ms
-    }
-}
+use super::{
+    BackendHeartbeat,
+    BackendState,
+    HeartbeatOutcome, //
+};
 
 /// Liveness of the backend server beside an agent, from its heartbeats and packets.
 ///
@@ -45,6 +17,11 @@
 #[derive(Debug)]
 pub struct BackendLiveness {
     heartbeat: Option<BackendHeartbeat>,
+    last_heartbeat: Millis,
+    /// Last heartbeat of a run that claims to be live beside the known one.
+    rival: Option<BackendHeartbeat>,
+    /// Last heartbeat of the run whose place the known one has taken.
+    replaced: Option<BackendHeartbeat>,
     last_activity: Millis,
     activity_timeout: Millis,
     deregistered: bool,
@@ -59,6 +36,9 @@
     pub fn new(activity_timeout: Millis) -> BackendLiveness {
         BackendLiveness {
             heartbeat: None,
+            last_heartbeat: Millis(0),
+            rival: None,
+            replaced: None,
             last_activity: Millis(0),
             activity_timeout,
             deregistered: false,
@@ -70,28 +50,58 @@
         self.activity_timeout = activity_timeout;
     }
 
-    /// Returns whether a heartbeat comes from another run of the server than the last one did.
-    pub fn is_new_run(&self, heartbeat: &BackendHeartbeat) -> bool {
-        self.heartbeat
-            .as_ref()
-            .is_none_or(|known| !known.is_same_run(heartbeat))
+    /// Applies a heartbeat, unless it is stale or its run is contested.
+    pub fn handle_heartbeat(
+        &mut self,
+        heartbeat: BackendHeartbeat,
+        now: Millis,
+    ) -> HeartbeatOutcome {
+        let Some(known) = &self.heartbeat else {
+            self.apply(heartbeat, now);
+            return HeartbeatOutcome::Started;
+        };
+        if known.is_same_run(&heartbeat) {
+            if self.deregistered || heartbeat.sequence <= known.sequence {
+                return HeartbeatOutcome::Stale;
+            }
+            self.apply(heartbeat, now);
+            return HeartbeatOutcome::Continued;
+        }
+        let is_replaced = |replaced: &BackendHeartbeat| replaced.is_same_run(&heartbeat);
+        if heartbeat.started_ms < known.started_ms
+            || self.replaced.as_ref().is_some_and(is_replaced)
+        {
+            return self.handle_rival(heartbeat, now);
+        }
+        self.replaced = None;
+        self.apply(heartbeat, now);
+        HeartbeatOutcome::Started
     }
 
-    /// Applies a heartbeat; returns false if it is stale: repeated, from an earlier run, or from a
-    /// run that has deregistered.
-    pub fn handle_heartbeat(&mut self, heartbeat: BackendHeartbeat, now: Millis) -> bool {
-        if let Some(known) = &self.heartbeat {
-            let same = known.is_same_run(&heartbeat);
-            let repeated = same && (self.deregistered || heartbeat.sequence <= known.sequence);
-            let is_stale = repeated || heartbeat.started_ms < known.started_ms;
-            if is_stale {
-                return false;
-            }
+    /// Handles a heartbeat of a run that is live only if the known one has ended. Its heartbeats then
+    /// go on, while late ones of an ended run come together, and the known run sends its own.
+    fn handle_rival(&mut self, heartbeat: BackendHeartbeat, now: Millis) -> HeartbeatOutcome {
+        let earlier = self.rival.as_ref();
+        let earlier = earlier.filter(|rival| rival.is_same_run(&heartbeat));
+        if earlier.is_some_and(|rival| heartbeat.sequence <= rival.sequence) {
+            return HeartbeatOutcome::Stale;
+        }
+        let is_silent = now.since(self.last_heartbeat) >= self.activity_timeout;
+        if earlier.is_none() || !is_silent {
+            self.rival = Some(heartbeat);
+            return HeartbeatOutcome::Contested;
         }
+        self.replaced = self.heartbeat.take();
+        self.apply(heartbeat, now);
+        HeartbeatOutcome::Replaced
+    }
+
+    fn apply(&mut self, heartbeat: BackendHeartbeat, now: Millis) {
         self.heartbeat = Some(heartbeat);
+        self.last_heartbeat = now;
+        self.rival = None;
         self.last_activity = now;
         self.deregistered = false;
-        true
     }
 
     /// Marks the server as deregistered; returns false if its last heartbeat had another identity.
@@ -111,6 +121,11 @@
         self.heartbeat.is_some()
     }
 
+    /// Returns whether it is unclear which of two runs of the server is live.
+    pub fn is_contested(&self) -> bool {
+        self.rival.is_some()
+    }
+
     /// Returns whether the server is shutting down or has deregistered.
     pub fn is_leaving(&self) -> bool {
         let heartbeat = self.heartbeat.as_ref();
@@ -133,7 +148,7 @@
     /// Returns whether the server accepts new flows.
     pub fn accepts_flows(&self, now: Millis) -> bool {
         let is_active = now.since(self.last_activity) < self.activity_timeout;
-        self.is_confirmed() && !self.is_leaving() && is_active
+        self.is_confirmed() && !self.is_contested() && !self.is_leaving() && is_active
     }
 
     /// Returns the service that the last heartbeat named; `None` before the first one.
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -3,11 +3,13 @@
 mod agent_record;
 mod agent_report;
 mod agent_table;
+mod backend_heartbeat;
 mod backend_liveness;
 mod candidate_ranking;
 mod cold_budget;
 mod drop_cause;
 mod flow_router;
+mod heartbeat_outcome;
 mod name_hash;
 mod owner_cache;
 mod report_schedule;
@@ -16,14 +18,15 @@
 pub use agent_record::AgentRecord;
 pub use agent_report::AgentReport;
 pub use agent_table::AgentTable;
-pub use backend_liveness::{
+pub use backend_heartbeat::{
     BackendHeartbeat,
-    BackendLiveness,
     BackendState, //
 };
+pub use backend_liveness::BackendLiveness;
 pub use cold_budget::ColdBudget;
 pub use drop_cause::DropCause;
 pub use flow_router::FlowRouter;
+pub use heartbeat_outcome::HeartbeatOutcome;
 pub use name_hash::name_hash;
 pub use owner_cache::OwnerCache;
 pub use report_schedule::ReportSchedule;
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -188,8 +188,12 @@
 #[test]
 fn ignores_stale_heartbeats() {
     let mut tracker = tracker();
-    assert!(tracker.handle_heartbeat(heartbeat(3, BackendState::Draining), Millis(1)));
-    assert!(!tracker.handle_heartbeat(heartbeat(2, BackendState::Ready), Millis(2)));
+    assert!(tracker
+        .handle_heartbeat(heartbeat(3, BackendState::Draining), Millis(1))
+        .is_applied());
+    assert!(!tracker
+        .handle_heartbeat(heartbeat(2, BackendState::Ready), Millis(2))
+        .is_applied());
     assert!(!tracker.report(Millis(2)).accepts);
 }
 
@@ -262,7 +266,7 @@
     backend(&mut tracker, &returned, Millis(1));
     let mut restarted = heartbeat(1, BackendState::Ready);
     restarted.started_ms += 1;
-    assert!(tracker.handle_heartbeat(restarted, Millis(2)));
+    assert!(tracker.handle_heartbeat(restarted, Millis(2)).is_applied());
     assert!(tracker.report(Millis(2)).accepts);
 }
 
@@ -366,7 +370,7 @@
         cold_remaining: Millis(5_000),
         ..heartbeat(1, BackendState::Ready)
     };
-    assert!(restarted.handle_heartbeat(cold, Millis(0)));
+    assert!(restarted.handle_heartbeat(cold, Millis(0)).is_applied());
     assert_eq!(accepted_flows(&mut restarted, 0, Millis(0)), limit);
 
     let mut tracker = support::new_tracker(rate);
@@ -403,14 +407,18 @@
     let mut tracker = tracker();
     serve_flow(&mut tracker, 1, Millis(0));
     let mut actions = Vec::new();
-    assert!(tracker.handle_heartbeat(heartbeat(2, BackendState::Ready), Millis(500)));
+    assert!(tracker
+        .handle_heartbeat(heartbeat(2, BackendState::Ready), Millis(500))
+        .is_applied());
     tracker.reset_lost_flows(&mut actions);
     assert_eq!(actions, [], "the server still runs");
     let restarted = BackendHeartbeat {
         started_ms: 2,
         ..heartbeat(1, BackendState::Ready)
     };
-    assert!(tracker.handle_heartbeat(restarted, Millis(1_000)));
+    assert!(tracker
+        .handle_heartbeat(restarted, Millis(1_000))
+        .is_applied());
     tracker.reset_lost_flows(&mut actions);
     assert_eq!(actions, [TrackerAction::Reset(key(1), 100)]);
     assert_eq!(tracker.report(Millis(1_000)).busy, 0);
@@ -525,7 +533,9 @@
     let awake = Millis(pause_ms);
     let actions = forward(&mut tracker, &open_packet(1), header(&[1]), awake);
     assert_eq!(redirected_to(&actions), Some(agent(1)));
-    assert!(tracker.handle_heartbeat(heartbeat(2, BackendState::Ready), awake));
+    assert!(tracker
+        .handle_heartbeat(heartbeat(2, BackendState::Ready), awake)
+        .is_applied());
     let actions = forward(&mut tracker, &open_packet(2), header(&[1]), awake);
     assert!(delivers(&actions));
 }
@@ -551,11 +561,83 @@
     let actions = forward(&mut tracker, &open_packet(3), header(&[1]), Millis(12));
     assert_eq!(redirected_to(&actions), Some(agent(1)));
 
-    assert!(tracker.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(700)));
+    assert!(tracker
+        .handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(700))
+        .is_applied());
     let actions = forward(&mut tracker, &open_packet(4), header(&[1]), Millis(701));
     assert!(delivers(&actions));
 }
 
+/// Returns a heartbeat of another run of the server than the first one of [`tracker`].
+fn heartbeat_of(id: &str, started_ms: u64, sequence: u64) -> BackendHeartbeat {
+    BackendHeartbeat {
+        id: id.into(),
+        started_ms,
+        ..heartbeat(sequence, BackendState::Ready)
+    }
+}
+
+/// Guards against new flows at a leaving server whose heartbeats are ignored: the time of day was set
+/// back between two starts of the server, so that the live run has the earlier start time.
+#[rstest]
+#[case::other_identity("i-2")]
+#[case::same_identity("i-1")]
+fn a_run_with_an_earlier_start_time_takes_the_place_of_a_silent_one(#[case] id: &str) {
+    let mut tracker = support::new_tracker(10.0);
+    let accepts = |tracker: &mut FlowTracker, at| tracker.report(Millis(at)).accepts;
+    tracker.handle_heartbeat(heartbeat_of("i-1", 5_000, 1), Millis(0));
+    tracker.handle_heartbeat(heartbeat_of("i-1", 5_000, 2), Millis(770));
+
+    serve_flow(&mut tracker, 1, Millis(1_390));
+    tracker.handle_heartbeat(heartbeat_of(id, 3_000, 1), Millis(1_400));
+    assert!(
+        !accepts(&mut tracker, 1_400),
+        "either run may be the live one"
+    );
+    tracker.handle_heartbeat(heartbeat_of(id, 3_000, 2), Millis(2_170));
+    assert!(!accepts(&mut tracker, 2_170));
+    tracker.handle_heartbeat(heartbeat_of(id, 3_000, 3), Millis(2_940));
+    assert!(accepts(&mut tracker, 2_940));
+    let mut actions = Vec::new();
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions, [], "a flow of the live run isn't lost");
+
+    let draining = BackendHeartbeat {
+        state: BackendState::Draining,
+        ..heartbeat_of(id, 3_000, 4)
+    };
+    tracker.handle_heartbeat(draining, Millis(3_000));
+    assert!(tracker.is_leaving());
+    let opening = forward(&mut tracker, &open_packet(9), header(&[1]), Millis(3_001));
+    assert_eq!(redirected_to(&opening), Some(agent(1)));
+    tracker.handle_heartbeat(heartbeat_of("i-1", 5_000, 3), Millis(3_100));
+    assert!(
+        !accepts(&mut tracker, 3_100),
+        "a late heartbeat of the run that ended"
+    );
+}
+
+/// Guards against a server out of use, or taken for another one, after late heartbeats of a run that
+/// ended before.
+#[test]
+fn late_heartbeats_of_an_earlier_run_pause_new_flows_until_the_next_heartbeat() {
+    let mut tracker = support::new_tracker(10.0);
+    tracker.handle_heartbeat(heartbeat_of("i-2", 5_000, 1), Millis(0));
+    serve_flow(&mut tracker, 1, Millis(1));
+    for (sequence, at) in [(7, 900), (8, 901)] {
+        let mut late = heartbeat_of("i-1", 3_000, sequence);
+        late.service = "other".into();
+        tracker.handle_heartbeat(late, Millis(at));
+        assert_eq!(tracker.service(), support::SERVICE);
+        assert!(!tracker.report(Millis(at)).accepts);
+    }
+    tracker.handle_heartbeat(heartbeat_of("i-2", 5_000, 2), Millis(1_000));
+    assert!(tracker.report(Millis(1_000)).accepts);
+    let mut actions = Vec::new();
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions, []);
+}
+
 /// Guards against a new flow from a caller's port that is reset because the server, which is full,
 /// returns its opening packet while the entry of the former flow remains.
 #[test]
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -97,7 +97,9 @@
 pub(crate) fn tracker() -> FlowTracker {
     let mut tracker = start_tracker();
     tracker.set_config(Arc::new(config(1)));
-    assert!(tracker.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(0)));
+    assert!(tracker
+        .handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(0))
+        .is_applied());
     tracker
 }
 
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -9,7 +9,10 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    process::BackendHeartbeat,
+    process::{
+        BackendHeartbeat,
+        HeartbeatOutcome, //
+    },
     version::SiteConfig,
     FlowKey,
     FlowTracker,
@@ -96,8 +99,8 @@
 /// What became of a request of the backend server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BackendOutcome {
-    /// Whether it was applied; otherwise it is stale.
-    pub(crate) is_applied: bool,
+    /// Whether it was applied, and if not, why.
+    pub(crate) outcome: HeartbeatOutcome,
     /// Whether the server is shutting down or has deregistered, as far as the agent knows now.
     pub(crate) is_leaving: bool,
 }
@@ -188,14 +191,18 @@
         match update {
             AgentUpdate::Settings(settings) => self.tracker.set_settings(settings),
             AgentUpdate::Heartbeat(heartbeat, answer) => {
-                let is_applied = self.tracker.handle_heartbeat(heartbeat, now);
+                let outcome = self.tracker.handle_heartbeat(heartbeat, now);
                 // The requester may have stopped waiting.
-                let _ = answer.send(self.outcome(is_applied));
+                let _ = answer.send(self.backend_outcome(outcome));
                 self.reset_lost_flows();
             }
             AgentUpdate::Deregister(id, answer) => {
-                let is_applied = self.tracker.deregister(&id);
-                let _ = answer.send(self.outcome(is_applied));
+                let outcome = if self.tracker.deregister(&id) {
+                    HeartbeatOutcome::Continued
+                } else {
+                    HeartbeatOutcome::Stale
+                };
+                let _ = answer.send(self.backend_outcome(outcome));
             }
             AgentUpdate::Stop(answer) => {
                 self.tracker.stop();
@@ -210,9 +217,9 @@
         self.run_tracker(|tracker, actions| tracker.announce_long_flows(now, actions));
     }
 
-    fn outcome(&self, is_applied: bool) -> BackendOutcome {
+    fn backend_outcome(&self, outcome: HeartbeatOutcome) -> BackendOutcome {
         BackendOutcome {
-            is_applied,
+            outcome,
             is_leaving: self.tracker.is_leaving(),
         }
     }
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -15,7 +15,8 @@
 use carobdrum_flows::{
     process::{
         AgentRecord,
-        BackendHeartbeat, //
+        BackendHeartbeat,
+        HeartbeatOutcome, //
     },
     TrackerSettings, //
 };
@@ -253,15 +254,7 @@
 ) -> StatusCode {
     match request {
         Ok(NodeRequest::Heartbeat(heartbeat)) => handle_heartbeat(heartbeat, updates, writer).await,
-        Ok(NodeRequest::Deregister(id)) => {
-            info!(%id, "backend server deregisters");
-            let (answer, outcome) = oneshot::channel();
-            let update = AgentUpdate::Deregister(id, answer);
-            send_update(updates, update, outcome, |outcome| {
-                writer.update(None, outcome.is_leaving);
-            })
-            .await
-        }
+        Ok(NodeRequest::Deregister(id)) => handle_deregistration(id, updates, writer).await,
         Ok(NodeRequest::Ready) => StatusCode::OK,
         Ok(NodeRequest::Unknown) => StatusCode::NOT_FOUND,
         Err(error) => {
@@ -271,35 +264,54 @@
     }
 }
 
+async fn handle_deregistration(
+    id: CompactString,
+    updates: mpsc::Sender<AgentUpdate>,
+    writer: EntryWriter,
+) -> StatusCode {
+    let (answer, outcome) = oneshot::channel();
+    let update = AgentUpdate::Deregister(id.clone(), answer);
+    let Some(reply) = send_update(updates, update, outcome).await else {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    };
+    info!(%id, outcome = ?reply.outcome, "backend server deregisters");
+    if reply.outcome.is_applied() {
+        writer.update(None, reply.is_leaving);
+    }
+    StatusCode::OK
+}
+
+/// Applies a heartbeat. One of a contested run is acknowledged although it isn't applied: no new flow
+/// is accepted then, which is what a server that is shutting down asks for.
 async fn handle_heartbeat(
     heartbeat: BackendHeartbeat,
     updates: mpsc::Sender<AgentUpdate>,
     writer: EntryWriter,
 ) -> StatusCode {
     debug!(beat = ?heartbeat, "heartbeat");
-    let service = heartbeat.service.clone();
+    let (id, service) = (heartbeat.id.clone(), heartbeat.service.clone());
+    let (started_ms, sequence) = (heartbeat.started_ms, heartbeat.sequence);
     let (answer, outcome) = oneshot::channel();
     let update = AgentUpdate::Heartbeat(heartbeat, answer);
-    send_update(updates, update, outcome, |outcome| {
-        writer.update(Some(service), outcome.is_leaving);
-    })
-    .await
+    let Some(reply) = send_update(updates, update, outcome).await else {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    };
+    let outcome = reply.outcome;
+    if outcome != HeartbeatOutcome::Continued {
+        info!(%id, started_ms, sequence, ?outcome, "heartbeat of a run that isn't the known one");
+    }
+    if outcome.is_applied() {
+        writer.update(Some(service), reply.is_leaving);
+    }
+    StatusCode::OK
 }
 
-/// Sends an update to the traffic thread, and calls `apply` if it was applied.
+/// Sends an update to the traffic thread, and returns its outcome; `None` if the thread has ended.
 async fn send_update(
     updates: mpsc::Sender<AgentUpdate>,
     update: AgentUpdate,
     outcome: oneshot::Receiver<BackendOutcome>,
-    apply: impl FnOnce(BackendOutcome),
-) -> StatusCode {
-    if updates.send(update).await.is_err() {
-        return StatusCode::SERVICE_UNAVAILABLE;
-    }
-    match outcome.await {
-        Ok(outcome) if outcome.is_applied => apply(outcome),
-        Ok(_) => info!("stale request of a backend server ignored"),
-        Err(_) => return StatusCode::SERVICE_UNAVAILABLE,
-    }
-    StatusCode::OK
+) -> Option<BackendOutcome> {
+    updates.send(update).await.ok()?;
+    outcome.await.ok()
 }
