--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -185,17 +185,30 @@
         }
     }
 
-    /// Adds an agent that sent a report, if it isn't known; returns whether it was added. Without
-    /// an entry in the store it remains for as long as it answers.
+    /// Adds an agent that sent a report if it isn't known, or corrects its service and data centre;
+    /// returns whether anything changed. Without an entry in the store it remains for as long as it
+    /// answers.
     pub fn discover(&mut self, record: AgentRecord, now: Millis) -> bool {
-        let known = self.find(record.address).is_ok();
-        if !known {
-            let address = record.address;
+        let address = record.address;
+        let Ok(index) = self.find(address) else {
             self.insert(record, now);
             self.mark_expired(address, now);
             self.loaded = true;
+            return true;
+        };
+        let state = &mut self.agents[index];
+        let known = &state.record;
+        if known.service == record.service && known.centre == record.centre {
+            return false;
         }
-        !known
+        let expired_since = state.expired_since;
+        *state = AgentState::new(AgentRecord {
+            is_leaving: known.is_leaving,
+            ..record
+        });
+        state.expired_since = expired_since;
+        self.index();
+        true
     }
 
     /// Marks the store entry of an agent as expired; the agent remains for as long as it answers.
--- a/components/flows/tests/routing.rs
+++ b/components/flows/tests/routing.rs
@@ -322,3 +322,29 @@
     router.agents.apply_report(agent(0), next_run, Millis(0));
     assert!(is_offered(&mut router, agent(0)));
 }
+
+/// Guards against an agent that gets no flows because another writer has replaced its entry in the
+/// store, by one that names another service or data centre: the agent's own report decides.
+#[test]
+fn the_report_of_an_agent_corrects_its_store_entry() {
+    let mut router = router(3);
+    let record = |centre: &str, service: &str| AgentRecord {
+        address: agent(0),
+        centre: centre.into(),
+        service: service.into(),
+        is_leaving: false,
+    };
+    router
+        .agents
+        .insert(record("nowhere", "another"), Millis(0));
+    assert!(!is_offered(&mut router, agent(0)));
+    let reported = record(support::CENTRE, support::SERVICE);
+    assert!(router.agents.discover(reported.clone(), Millis(0)));
+    assert!(is_offered(&mut router, agent(0)));
+    assert!(!router.agents.discover(reported, Millis(0)));
+    router.agents.expire(Millis(10_000));
+    assert!(
+        is_offered(&mut router, agent(0)),
+        "its entry hasn't expired"
+    );
+}
