Give the processes of the platform tests ports of their own

Ruled out: the agent's read of the store (it had not begun), load (the error came 1 ms after the start).

Ports now come from below the system's range, each only once in a run, and are checked for TCP and UDP.

--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -13,6 +13,10 @@
         Child,
         Command, //
     },
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    },
     time::Duration,
 };
 
@@ -90,9 +94,28 @@
     }
 }
 
+/// Ports that are handed out by [`free_port`]: below those that the system gives to sockets without a
+/// port of their own, so that none is taken before its process binds it.
+const FIRST_PORT: u32 = 12_000;
+const PORT_COUNT: u32 = 20_000;
+
+/// Distance of the first ports of two test runs at the same time, which differ in their process IDs.
+const PORTS_PER_RUN: u32 = 101;
+
+/// Returns a port that is free for TCP and UDP, another one with each call.
 fn free_port() -> u16 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap().port()
+    static HANDED_OUT: AtomicU32 = AtomicU32::new(0);
+    let is_free = |port: &u16| {
+        let at = (Ipv4Addr::LOCALHOST, *port);
+        TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok()
+    };
+    let ports = std::iter::repeat_with(|| {
+        let number = HANDED_OUT.fetch_add(1, Ordering::Relaxed);
+        let start = std::process::id().wrapping_mul(PORTS_PER_RUN);
+        (FIRST_PORT + start.wrapping_add(number) % PORT_COUNT) as u16
+    });
+    let mut ports = ports.take(PORT_COUNT as usize);
+    ports.find(is_free).expect("no port is free")
 }
 
 async fn start_store() -> LeaseServer {
