Let a balancer without members join through an established flow

flows_continue_and_open_while_the_store_is_down failed once: the balancer that had started while the store was down forwarded the request of an old flow, and no new flow opened through it within 10 s.

The state that does this: a balancer with version and key ring, but without any other member. It reads these in one request and the entry points in a later one, and may be the first to register, so a store that goes away during the start of a site can leave it alone; whoever joins through it only is alone as well. Established flows need the version and the keys, new ones a list of agents, and nothing fills that before the store is back.

That the failure had this cause isn't proved: it left no logs.

A balancer that forwards an established flow to an agent that isn't a target introduces itself to it, if it isn't a known member. The agent answers with its record and its balancers, which are then contacted. The messages carry one more optional field; builds without it ignore it.

--- a/components/balancer/src/process/control_thread.rs
+++ b/components/balancer/src/process/control_thread.rs
@@ -88,7 +88,7 @@
         MemberArguments,
         MemberMessage, //
     },
-    traffic_state::VersionNotice,
+    traffic_state::TrafficNotice,
     BalancerError,
     BalancerMetrics, //
 };
@@ -110,7 +110,7 @@
     pub(crate) secret: [u8; 32],
     pub(crate) metrics: BalancerMetrics,
     pub(crate) plans: watch::Sender<Arc<ForwardPlan>>,
-    pub(crate) notice_receiver: mpsc::Receiver<VersionNotice>,
+    pub(crate) notice_receiver: mpsc::Receiver<TrafficNotice>,
     pub(crate) stopped: watch::Receiver<bool>,
     pub(crate) ready: SyncSender<Result<(), BalancerError>>,
 }
@@ -331,9 +331,9 @@
     }
 }
 
-fn event_message(item: DaemonEvent<VersionNotice>) -> MemberMessage {
+fn event_message(item: DaemonEvent<TrafficNotice>) -> MemberMessage {
     match item {
-        DaemonEvent::Traffic(notice) => MemberMessage::VersionNotice(notice),
+        DaemonEvent::Traffic(notice) => MemberMessage::TrafficNotice(notice),
         DaemonEvent::CallCompleted(event) => MemberMessage::CallCompleted(event),
         DaemonEvent::EntryPoints(entry_points) => MemberMessage::Bootstrap(entry_points),
     }
--- a/components/balancer/src/process/member_actor.rs
+++ b/components/balancer/src/process/member_actor.rs
@@ -46,7 +46,7 @@
 use tracing::info;
 
 use super::{
-    traffic_state::VersionNotice,
+    traffic_state::TrafficNotice,
     BalancerMetrics, //
 };
 use crate::{
@@ -62,8 +62,8 @@
         header: TunnelHeader,
         message: ControlMessage,
     },
-    /// A traffic thread received a datagram with a newer version number.
-    VersionNotice(VersionNotice),
+    /// A traffic thread saw a newer version or an agent that isn't a target.
+    TrafficNotice(TrafficNotice),
     /// A control call has ended.
     CallCompleted(MemberEvent),
     /// Another balancer requests the records of differing buckets.
@@ -129,7 +129,7 @@
                 header,
                 message,
             } => state.handle_datagram(source, &header, message),
-            MemberMessage::VersionNotice(notice) => state.handle_notice(notice),
+            MemberMessage::TrafficNotice(notice) => state.handle_notice(notice),
             MemberMessage::CallCompleted(event) => state.handle_event(event),
             MemberMessage::AnswerSync(request, reply) => {
                 // The send fails if the requester no longer waits for the response.
@@ -181,13 +181,18 @@
         });
     }
 
-    /// Handles the notice of a newer version like an empty gossip message with that version.
-    fn handle_notice(&mut self, notice: VersionNotice) {
-        self.handle_event(MemberEvent::Received {
-            from: notice.peer,
-            version: notice.number,
-            message: PeerMessage::Gossip(GossipBody::default()),
-        });
+    /// Handles a notice. That of a newer version is handled like an empty gossip message with that
+    /// version.
+    fn handle_notice(&mut self, notice: TrafficNotice) {
+        let event = match notice {
+            TrafficNotice::NewerVersion { number, peer } => MemberEvent::Received {
+                from: peer,
+                version: number,
+                message: PeerMessage::Gossip(GossipBody::default()),
+            },
+            TrafficNotice::AgentSeen(agent) => MemberEvent::AgentSeen { agent },
+        };
+        self.handle_event(event);
     }
 
     fn handle_event(&mut self, event: MemberEvent) {
--- a/components/balancer/src/process/traffic_state.rs
+++ b/components/balancer/src/process/traffic_state.rs
@@ -55,14 +55,21 @@
 /// Maximum number of stateless resets per second and thread, so that a flood of packets doesn't
 /// cause a flood of resets.
 const RESETS_PER_SECOND: u32 = 1_000;
+/// Shortest interval of notices of agents that aren't targets.
+const AGENT_NOTICE_INTERVAL: Millis = Millis(500);
 
-/// Notice from a traffic thread to the control thread that a newer version exists.
+/// Notice from a traffic thread to the control thread.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct VersionNotice {
-    /// Number of a version newer than the one in force.
-    pub(crate) number: u32,
-    /// Control address of a process that has it in force.
-    pub(crate) peer: SocketAddrV4,
+pub(crate) enum TrafficNotice {
+    /// A version newer than the one in force exists.
+    NewerVersion {
+        /// Number of that version.
+        number: u32,
+        /// Control address of a process that has it in force.
+        peer: SocketAddrV4,
+    },
+    /// The agent at this address owns an established flow and isn't a target of new ones.
+    AgentSeen(SocketAddrV4),
 }
 
 /// State of one traffic thread. It decides about datagrams but doesn't send or receive them.
@@ -75,7 +82,8 @@
     clock: ProcessClock,
     now: Millis,
     metrics: BalancerMetrics,
-    notice_sender: mpsc::Sender<VersionNotice>,
+    notice_sender: mpsc::Sender<TrafficNotice>,
+    next_agent_notice: Millis,
     random: SmallRng,
     resets_remaining: u32,
     resets_refilled_at: Instant,
@@ -87,7 +95,7 @@
         key: &TunnelKey,
         control_port: u16,
         metrics: BalancerMetrics,
-        notice_sender: mpsc::Sender<VersionNotice>,
+        notice_sender: mpsc::Sender<TrafficNotice>,
     ) -> TrafficState {
         let clock = ProcessClock::start();
         TrafficState {
@@ -100,6 +108,7 @@
             clock,
             metrics,
             notice_sender,
+            next_agent_notice: Millis(0),
             random: SmallRng::from_os_rng(),
             resets_remaining: RESETS_PER_SECOND,
             resets_refilled_at: Instant::now(),
@@ -134,6 +143,7 @@
         let (agent, second) = match self.plan.route(service, packet) {
             RouteDecision::Established(agent) => {
                 self.metrics.forwarded.inc();
+                self.report_unknown_agent(service, agent);
                 (agent, None)
             }
             RouteDecision::Placed { first, second } => {
@@ -233,8 +243,20 @@
         if header.version > self.plan.number {
             let peer = SocketAddrV4::new(*source.ip(), header.control_port);
             let number = header.version;
-            let _ = self.notice_sender.try_send(VersionNotice { number, peer });
+            let _ = self
+                .notice_sender
+                .try_send(TrafficNotice::NewerVersion { number, peer });
+        }
+    }
+
+    /// Notifies the control thread of an agent that isn't a target of new flows, at most once per
+    /// [`AGENT_NOTICE_INTERVAL`]: the balancer may not know it as a member.
+    fn report_unknown_agent(&mut self, service: ServiceId, agent: SocketAddrV4) {
+        if self.now < self.next_agent_notice || self.plan.has_target(service, agent) {
+            return;
         }
+        self.next_agent_notice = self.now.plus(AGENT_NOTICE_INTERVAL);
+        let _ = self.notice_sender.try_send(TrafficNotice::AgentSeen(agent));
     }
 
     fn reset(
--- a/components/balancer/src/version/forward_plan.rs
+++ b/components/balancer/src/version/forward_plan.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Returns whether the agent is a target of new flows of the service.
+    pub(crate) fn has_target(&self, service: ServiceId, agent: SocketAddrV4) -> bool {
+        let key = |target: &PlanTarget| (target.service, target.agent);
+        self.targets
+            .binary_search_by_key(&(service, agent), key)
+            .is_ok()
+    }
+
     fn targets_of(&self, service: ServiceId) -> &[PlanTarget] {
         let start = self
             .targets
--- a/components/balancer/tests/common/fake_agent.rs
+++ b/components/balancer/tests/common/fake_agent.rs
@@ -267,5 +267,6 @@
         number: probe.number,
         gossip: GossipBody::default(),
         member: None,
+        balancers: Vec::new(),
     }))
 }
--- a/components/control/src/connection/peer_codec.rs
+++ b/components/control/src/connection/peer_codec.rs
@@ -172,6 +172,7 @@
         number: probe.number,
         gossip: Some(encode_gossip(probe.gossip)),
         member: probe.member.as_ref().map(encode_record),
+        balancers: probe.balancers.into_iter().map(encode_address).collect(),
     }
 }
 
@@ -180,6 +181,7 @@
         number: probe.number,
         gossip: probe.gossip.map(decode_gossip).unwrap_or_default(),
         member: probe.member.and_then(decode_record),
+        balancers: probe.balancers.iter().filter_map(decode_address).collect(),
     }
 }
 
--- a/components/control/tests/peer_codec.rs
+++ b/components/control/tests/peer_codec.rs
@@ -80,6 +80,9 @@
         number: number(random) as u32,
         gossip: gossip(random),
         member: optional_record(random),
+        balancers: (0..random.random_range(0..3))
+            .map(|_| address(random))
+            .collect(),
     }
 }
 
--- a/components/control/tests/random_input.rs
+++ b/components/control/tests/random_input.rs
@@ -60,6 +60,7 @@
             number,
             gossip: (port % 2 == 0).then(|| gossip.clone()),
             member: member.clone(),
+            balancers: members.clone(),
         };
         match kind {
             0 => ControlBody::Heartbeat(Heartbeat {
--- a/components/core/src/process/agent_announcer.rs
+++ b/components/core/src/process/agent_announcer.rs
@@ -151,7 +151,8 @@
             MemberEvent::KeyRingAdopted { version } => self.keys.set_current(version),
             MemberEvent::VersionFetchFailed => self.versions.fetch_failed(now, &mut self.rng),
             MemberEvent::KeyFetchFailed => self.keys.fetch_failed(now, &mut self.rng),
-            MemberEvent::SyncCompleted { .. }
+            MemberEvent::AgentSeen { .. }
+            | MemberEvent::SyncCompleted { .. }
             | MemberEvent::RecordsPushed { .. }
             | MemberEvent::SyncFailed => {}
         }
@@ -329,11 +330,12 @@
     }
 
     /// Acknowledges a probe, with the own record if the probe carries a failure report about this
-    /// agent. The record is sent even if it refutes the report already, because the sender of the
+    /// agent, and if its sender introduces itself. The record is sent even if it refutes the report already, because the sender of the
     /// probe hasn't received that refutation.
     fn on_probe(&mut self, now: Millis, from: SocketAddrV4, probe: ProbeBody) {
         let address = self.own_record.address;
         let mut is_reported = false;
+        let is_introduction = probe.member.is_some();
         let records = probe.gossip.members.iter();
         for record in records.filter(|record| record.address == address) {
             is_reported = true;
@@ -346,7 +348,12 @@
                 key_version: self.keys.current(),
                 ..GossipBody::default()
             },
-            member: is_reported.then(|| self.own_record.clone()),
+            member: (is_reported || is_introduction).then(|| self.own_record.clone()),
+            balancers: if is_introduction {
+                self.balancers().collect()
+            } else {
+                Vec::new()
+            },
         };
         self.actions.push(MemberAction::Send {
             to: from,
--- a/components/core/src/process/member_event.rs
+++ b/components/core/src/process/member_event.rs
@@ -22,6 +22,11 @@
         /// The message.
         message: PeerMessage,
     },
+    /// An agent that isn't a target of new flows owns an established one.
+    AgentSeen {
+        /// Control address of the agent.
+        agent: SocketAddrV4,
+    },
     /// A newer configuration version is now in force in this process.
     VersionAdopted {
         /// Number of the version.
--- a/components/core/src/process/member_protocol.rs
+++ b/components/core/src/process/member_protocol.rs
@@ -358,6 +358,7 @@
                 version,
                 message,
             } => self.receive(now, from, version, message),
+            MemberEvent::AgentSeen { agent } => self.introduce_to(now, agent),
             MemberEvent::VersionAdopted {
                 number,
                 evacuates_centre,
--- a/components/core/src/process/member_protocol/probing.rs
+++ b/components/core/src/process/member_protocol/probing.rs
@@ -84,10 +84,27 @@
             number: self.detector.next_number(),
             gossip: self.gossip_body(0, None),
             member: Some(self.own_record.clone()),
+            balancers: Vec::new(),
         };
         self.send(now, ByteClass::Liveness, address, PeerMessage::Probe(probe));
     }
 
+    /// Sends the own record to an agent that isn't a known live member. The agent answers with its
+    /// record and with the balancers that it uses, through which this balancer can join the others.
+    pub(super) fn introduce_to(&mut self, now: Millis, agent: SocketAddrV4) {
+        let record = self.list.find(agent);
+        if record.is_some_and(|record| record.state != MemberState::Dead) {
+            return;
+        }
+        let probe = ProbeBody {
+            number: self.detector.next_number(),
+            gossip: self.gossip_body(0, None),
+            member: Some(self.own_record.clone()),
+            balancers: Vec::new(),
+        };
+        self.send(now, ByteClass::Liveness, agent, PeerMessage::Probe(probe));
+    }
+
     pub(super) fn probe(&mut self, now: Millis, target: SocketAddrV4) {
         if let Some(number) = self.detector.start_probe(now, target) {
             self.send_probe(now, target, number, None);
@@ -108,6 +125,7 @@
             number,
             gossip: self.gossip_body(room, disputed_record),
             member,
+            balancers: Vec::new(),
         };
         self.send(now, ByteClass::Liveness, target, PeerMessage::Probe(probe));
     }
@@ -237,12 +255,17 @@
             number: probe.number,
             gossip: self.gossip_body(room, disputed_record),
             member: (refuted || is_introduction).then(|| self.own_record.clone()),
+            balancers: Vec::new(),
         };
         self.send(now, ByteClass::Liveness, from, PeerMessage::ProbeAck(ack));
     }
 
     pub(super) fn on_probe_ack(&mut self, now: Millis, from: SocketAddrV4, probe: ProbeBody) {
         self.merge_all(now, from, probe.member);
+        if !probe.balancers.is_empty() {
+            self.add_bootstrap(probe.balancers);
+            self.timers.bootstrap = now;
+        }
         if let Some(target) = self.detector.finish_probe(probe.number) {
             self.reported_dead.retain(|&address| address != target);
             self.monitor.record_response(now, target);
@@ -253,6 +276,7 @@
                 number: relay.requester_number,
                 gossip: self.gossip_body(0, None),
                 member: self.list.find(from).cloned(),
+                balancers: Vec::new(),
             };
             let message = PeerMessage::ProbeAck(ack);
             self.send(now, ByteClass::Liveness, relay.requester, message);
--- a/components/core/src/process/peer_message.rs
+++ b/components/core/src/process/peer_message.rs
@@ -76,6 +76,8 @@
     pub gossip: GossipBody,
     /// The sender's own record, if the receiver may not hold it or should correct what it holds.
     pub member: Option<MemberRecord>,
+    /// Balancers that an agent sends heartbeats to, in its ack to a balancer that sent its record.
+    pub balancers: Vec<SocketAddrV4>,
 }
 
 /// A message between members.
@@ -150,5 +152,6 @@
         varint_len(self.number.into())
             + nested_len(self.gossip.wire_len())
             + self.member.as_ref().map_or(0, MemberRecord::wire_len)
+            + self.balancers.len() * ADDRESS_LEN
     }
 }
--- a/components/core/tests/member_rules.rs
+++ b/components/core/tests/member_rules.rs
@@ -12,6 +12,7 @@
 
 use carobdrum_core::{
     process::{
+        AgentAnnouncer,
         ByteBudget,
         ByteClass,
         FetchSchedule,
@@ -275,3 +276,51 @@
     let state = protocol.list().find(peer).map(|record| record.state);
     assert_eq!(state, Some(MemberState::Warm));
 }
+
+/// Returns the messages among the actions, with their receivers.
+fn messages(actions: Vec<MemberAction>) -> Vec<(SocketAddrV4, PeerMessage)> {
+    let message = |action| match action {
+        MemberAction::Send { to, message } => Some((to, message)),
+        _ => None,
+    };
+    actions.into_iter().filter_map(message).collect()
+}
+
+fn received(from: SocketAddrV4, message: PeerMessage) -> MemberEvent {
+    MemberEvent::Received {
+        from,
+        version: 0,
+        message,
+    }
+}
+
+/// Guards against a balancer that knows no other member although it forwards flows of an agent that
+/// does: the agent answers its introduction with its record and its balancers.
+#[test]
+fn a_balancer_joins_through_an_agent_that_it_forwards_to() {
+    let (own, agent, other) = (address(1), address(2), address(3));
+    let random = |seed| SmallRng::seed_from_u64(seed);
+    let own_record = MemberRecord::builder(MemberRole::Balancer, own, 1).build();
+    let mut balancer = MemberProtocol::builder(own_record, random(1)).build();
+    let agent_record = MemberRecord::builder(MemberRole::Agent, agent, 1)
+        .slots(4, 255)
+        .build();
+    let mut announcer = AgentAnnouncer::new(agent_record, random(2), [other]);
+    announcer.handle(Millis(0), MemberEvent::Tick);
+    balancer.handle(Millis(0), MemberEvent::Tick);
+
+    let seen = MemberEvent::AgentSeen { agent };
+    let introduction = messages(balancer.handle(Millis(100), seen.clone())).remove(0);
+    assert_eq!(introduction.0, agent);
+    let answer = announcer.handle(Millis(101), received(own, introduction.1));
+    let ack = messages(answer).remove(0).1;
+    balancer.handle(Millis(102), received(agent, ack));
+    let found = balancer.list().find(agent);
+    assert!(found.is_some_and(|record| record.weight() > 0));
+    assert_eq!(balancer.handle(Millis(103), seen), [], "the agent is known");
+    let is_contacted = (2..30).any(|tick| {
+        let sent = messages(balancer.handle(Millis(tick * 100), MemberEvent::Tick));
+        sent.iter().any(|(to, _)| *to == other)
+    });
+    assert!(is_contacted, "the balancers of the agent are contacted");
+}
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -183,6 +183,9 @@
     /// The sender's own record, for a receiver that may not have it.
     #[prost(message, optional, tag = "3")]
     pub member: Option<MemberInfo>,
+    /// Addresses of the balancers that an agent uses, in its ack to a balancer that sent its record.
+    #[prost(message, repeated, tag = "4")]
+    pub balancers: Vec<MemberInfo>,
 }
 
 /// Asks the receiver to probe another member for the sender.
--- a/components/wire/tests/control_len.rs
+++ b/components/wire/tests/control_len.rs
@@ -39,6 +39,14 @@
     }
 }
 
+fn address_info(address: &SocketAddrV4) -> MemberInfo {
+    MemberInfo {
+        ip: (*address.ip()).into(),
+        port: address.port().into(),
+        ..MemberInfo::default()
+    }
+}
+
 fn gossip(body: &GossipBody) -> Gossip {
     Gossip {
         members: body.members.iter().map(info).collect(),
@@ -75,17 +83,22 @@
         members in proptest::collection::vec(any_record(), 0..12),
         number in any::<u32>(),
         digest in any::<u64>(),
+        ports in proptest::collection::vec(1_u16.., 0..4),
     ) {
         let member = members.first().cloned();
+        let address = |port| SocketAddrV4::new(Ipv4Addr::new(127, 1, 2, 3), port);
+        let balancers: Vec<SocketAddrV4> = ports.into_iter().map(address).collect();
         let body = ProbeBody {
             number,
             gossip: GossipBody { members, digest, key_version: 3 },
             member: member.clone(),
+            balancers: balancers.clone(),
         };
         let encoded = ControlMessage::new(ControlBody::Probe(Probe {
             number,
             gossip: Some(gossip(&body.gossip)),
             member: member.as_ref().map(info),
+            balancers: balancers.iter().map(address_info).collect(),
         }));
         let count = body.gossip.members.len() + 1;
         let computed = PeerMessage::Probe(body).wire_len();
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -2,19 +2,24 @@
 
 mod common;
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use carobdrum_caller::{
+    CallerFlow,
     CallerRequest,
     CloseReason, //
 };
 use carobdrum_control::KeyWrapper;
 use carobdrum_standins::{
     PortMode,
-    ServiceTime, //
+    ServiceTime,
+    StoreServer, //
 };
 use common::{
     TestSite,
@@ -24,6 +29,7 @@
     rngs::StdRng,
     SeedableRng, //
 };
+use rstest::rstest;
 
 /// Time limit for an accepted edit to be in force at all processes.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
@@ -81,22 +87,73 @@
     site.bootstrap = vec![(site.balancer_ip(0), 7400)];
     site.add_balancer("galway-a");
     // The fabric knows only the new balancer, so it gets every packet.
-    let new_balancer = site.balancer_ip(3);
+    wait_until_forwarded(&site, &flow, 3).await;
+    site.connect().await;
+}
+
+/// Starts a store with the same version and key ring, but without entry points.
+async fn copy_store_without_entry_points(store: &StoreServer) -> StoreServer {
+    let copy = StoreServer::start(SocketAddr::from((store.address().ip(), 8501)))
+        .await
+        .expect("cannot start the store");
+    for key in ["carobdrum/test/tables/current", "carobdrum/test/keys"] {
+        copy.set_value(key, store.value(key).expect("key not in the store"));
+    }
+    copy
+}
+
+/// Sends requests on an open flow through one balancer until that has forwarded one.
+async fn wait_until_forwarded(site: &TestSite, flow: &CallerFlow, balancer: usize) {
     let deadline = Instant::now() + Duration::from_secs(10);
     loop {
-        site.fabric.set_balancers([new_balancer]);
+        site.fabric.set_balancers([site.balancer_ip(balancer)]);
         let request = CallerRequest::get("/bytes/9?seed=1").timeout(Duration::from_millis(500));
         if flow.request(request).await.is_ok() {
-            break;
+            return;
         }
         assert!(
             Instant::now() < deadline,
             "the new balancer didn't forward a request within 10 s"
         );
     }
+}
+
+/// Guards against a balancer that forwards established flows and places no new ones for as long as the
+/// store is down, because it knows the version and the key ring and no other member: it has read the
+/// store before the others had registered there, or has joined through such a balancer.
+#[rstest]
+#[case::itself(48, false)]
+#[case::its_only_peer(49, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_balancer_without_members_finds_them_through_established_flows(
+    #[case] net: u8,
+    #[case] through_peer: bool,
+) {
+    let mut site = start_two_centres(net).await;
+    let flow = site.connect().await;
+    let lonely = copy_store_without_entry_points(&site.store).await;
+    let store = std::mem::replace(&mut site.store, lonely);
+    site.add_balancer("galway-a");
+    wait_until_version(&site, 3).await;
+    site.store.set_mode(PortMode::Refusing).await;
+    store.set_mode(PortMode::Refusing).await;
+    if through_peer {
+        site.bootstrap = vec![(site.balancer_ip(3), 7400)];
+        site.add_balancer("galway-a");
+    }
+    let newest = site.balancers.len() - 1;
+    wait_until_forwarded(&site, &flow, newest).await;
     site.connect().await;
 }
 
+/// Waits until the balancer has a version in force.
+async fn wait_until_version(site: &TestSite, balancer: usize) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while site.versions().await[balancer] == 0 {
+        assert!(Instant::now() < deadline, "no version within 10 s");
+    }
+}
+
 /// Guards against a caller that waits for an agent that has lost its flows: a restarted agent must
 /// send a stateless reset.
 #[tokio::test(flavor = "multi_thread")]
