Test bad input at the size of a large fleet

One fault was found: a key that spells an address in another way (a port with leading zeros) listed its agent a second time; deleting one of the keys then marked the agent as expired.

--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -33,9 +33,15 @@
         ForwardedPacket,
         ReportProbe, //
     },
-    snapshot::SiteSnapshot,
+    snapshot::{
+        SiteSnapshot,
+        MAX_SNAPSHOT_LEN, //
+    },
+};
+use futures_util::{
+    SinkExt,
+    StreamExt, //
 };
-use futures_util::SinkExt;
 use prost::Message;
 use rand::{
     rngs::SmallRng,
@@ -125,20 +131,21 @@
 }
 
 fn start_balancer(store: &LeaseServer) -> RoleProcess {
-    start_balancer_at(store, Ipv4Addr::LOCALHOST, free_port(), None)
+    start_balancer_at(store, Ipv4Addr::LOCALHOST, free_port(), &[])
 }
 
-/// Starts a balancer, with `peer` as its peer if one is given.
+/// Starts a balancer with these peers.
 fn start_balancer_at(
     store: &LeaseServer,
     ip: Ipv4Addr,
     peer_port: u16,
-    peer: Option<Ipv4Addr>,
+    peers: &[Ipv4Addr],
 ) -> RoleProcess {
     let folder = TempDir::new().unwrap();
     let ready = SocketAddrV4::new(ip, free_port());
     let packets = SocketAddrV4::new(ip, free_port());
-    let peers = peer.map_or(String::new(), |peer| format!("'{peer}:1'"));
+    let peers: Vec<String> = peers.iter().map(|peer| format!("'{peer}:1'")).collect();
+    let peers = peers.join(",");
     let settings = format!(
         "[node]\nname = 'b'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
          packets = '{packets}'\nready = '{ready}'\ngrace_s = '6'\npeers = [{peers}]\n\
@@ -290,7 +297,7 @@
     first.wait_for_status(200).await;
     store.set_mode(StoreMode::Unresponsive);
     let ip = Ipv4Addr::new(127, 0, 0, 2);
-    let second = start_balancer_at(&store, ip, first.peer_port, Some(first.ip));
+    let second = start_balancer_at(&store, ip, first.peer_port, &[first.ip]);
     second.wait_for_status(200).await;
 }
 
@@ -566,3 +573,133 @@
         assert!(process.child.try_wait().unwrap().is_none());
     }
 }
+
+/// Returns the snapshot that a balancer serves.
+async fn fetch_snapshot(balancer: &RoleProcess) -> SiteSnapshot {
+    let address = SocketAddrV4::new(balancer.ip, balancer.peer_port);
+    let stream = TcpStream::connect(address).await.unwrap();
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_SNAPSHOT_LEN)
+        .new_codec();
+    let frame = Framed::new(stream, codec).next().await.unwrap().unwrap();
+    SiteSnapshot::decode(frame).unwrap()
+}
+
+/// Returns the largest resident memory that a process has had, in megabytes.
+fn peak_memory_mb(process: &RoleProcess) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+    kilobytes.unwrap().parse::<u64>().unwrap() / 1_024
+}
+
+/// Writes the entries of this many agents that don't run.
+fn put_agents(store: &LeaseServer, count: u32) {
+    for number in 0..count {
+        let [_, high, middle, low] = number.to_be_bytes();
+        let key = format!("agents/127.{}.{middle}.{low}:1", 100 + high);
+        store.put(&key, r#"{"centre":"north","service":"s","leaving":false}"#);
+    }
+}
+
+/// Guards against a balancer that can't start, or that lists other agents than the valid ones, because
+/// entries of other writers and of newer builds are among those of a large fleet.
+#[tokio::test]
+async fn a_large_list_with_odd_entries_is_read_in_full() {
+    let store = start_store().await;
+    put_agents(&store, 5_000);
+    for (key, value) in [
+        (
+            "agents/127.100.0.1:00001",
+            r#"{"centre":"north","service":"s"}"#,
+        ),
+        (
+            "agents/127.100.0.1:99999",
+            r#"{"centre":"north","service":"s"}"#,
+        ),
+        ("agents/127.9.0.1:0", r#"{"centre":"north","service":"s"}"#),
+        ("agents/127.9.0.2:1", &"[".repeat(100_000)),
+        (
+            "agents/127.9.0.3:1",
+            r#"{"centre":"north","service":1e999}"#,
+        ),
+        ("agents/127.9.0.4:1", "\u{0}"),
+        ("agents/a b&c=d#", "{}"),
+    ] {
+        store.put(key, value);
+    }
+    let unknown_centre = r#"{"centre":"nowhere","service":"s"}"#;
+    store.put("agents/127.9.0.5:1", unknown_centre);
+    let newer = r#"{"centre":"north","service":"s","leaving":false,"weight":{"a":[1.5]}}"#;
+    store.put("agents/127.9.0.6:1", newer);
+    let balancer = start_balancer(&store);
+    balancer.wait_for_status(200).await;
+    let snapshot = fetch_snapshot(&balancer).await;
+    assert_eq!(snapshot.agents.len(), 5_002);
+    store.put("agents/127.9.0.7:1", newer);
+    let wait = async {
+        while fetch_snapshot(&balancer).await.agents.len() != 5_003 {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(STATE_TIMEOUT, wait)
+        .await
+        .expect("the balancer no longer follows the list");
+}
+
+/// Guards against a process that can't start because a peer's snapshot is cut short or malformed.
+#[rstest]
+#[case::cut_short(&[0, 0, 1, 0, 8, 1])]
+#[case::malformed(&[0, 0, 0, 3, 255, 255, 255])]
+#[case::too_long(&[255, 255, 255, 255, 0])]
+#[case::empty(&[])]
+#[tokio::test]
+async fn a_bad_snapshot_is_skipped(#[case] bytes: &'static [u8]) {
+    let store = start_store().await;
+    let good = start_balancer(&store);
+    good.wait_for_status(200).await;
+    store.set_mode(StoreMode::Unresponsive);
+    let bad_ip = Ipv4Addr::new(127, 0, 0, 6);
+    let bad = tokio::net::TcpListener::bind((bad_ip, good.peer_port))
+        .await
+        .unwrap();
+    let served = tokio::spawn(async move {
+        let (mut stream, _) = bad.accept().await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+    });
+    let ip = Ipv4Addr::new(127, 0, 0, 7);
+    let starting = start_balancer_at(&store, ip, good.peer_port, &[bad_ip, good.ip]);
+    starting.wait_for_status(200).await;
+    served.await.unwrap();
+}
+
+/// Limits of the resident memory of the processes, in megabytes, at a fleet of 530 balancers and 5,700
+/// agents.
+const MAX_BALANCER_MB: u64 = 99;
+const MAX_AGENT_MB: u64 = 79;
+
+/// Guards against processes that need more memory than the VMs of a large fleet have.
+#[tokio::test]
+async fn memory_stays_under_its_limit_at_the_target_size() {
+    let store = start_store().await;
+    let small = start_balancer(&store);
+    small.wait_for_status(200).await;
+    let small_mb = peak_memory_mb(&small);
+    put_agents(&store, 5_700);
+    let peers: Vec<Ipv4Addr> = (0..300).map(|_| Ipv4Addr::new(127, 0, 0, 9)).collect();
+    let ip = Ipv4Addr::new(127, 0, 0, 8);
+    let balancer = start_balancer_at(&store, ip, free_port(), &peers);
+    balancer.wait_for_status(200).await;
+    let agent = start_agent(&store);
+    agent.wait_for_status(200).await;
+    agent.send_heartbeat(1, 1, "ready").await;
+    sleep(Duration::from_secs(1)).await;
+    let listed = fetch_snapshot(&balancer).await.agents.len();
+    assert_eq!(listed, 5_701, "the agent that was started is one of them");
+    let (balancer_mb, agent_mb) = (peak_memory_mb(&balancer), peak_memory_mb(&agent));
+    println!(
+        "peak MB: balancer {small_mb} without agents, {balancer_mb} with 5,700; agent {agent_mb}"
+    );
+    assert!(balancer_mb < MAX_BALANCER_MB, "{balancer_mb} MB");
+    assert!(agent_mb < MAX_AGENT_MB, "{agent_mb} MB");
+}
