Count what waited in a paused agent's sockets from before the pause

An agent that is paused while its server ends finds the server's last heartbeats and packets in its sockets when it wakes, and counted them as activity of that moment, so the server counted as alive for 1.9 s more, beyond the time after which its address may be used again.

An activity now counts from the last time at which nothing was waiting. The traffic thread remembers when it found the server's socket empty (in each batch that ends, and every 100 ms by a peek, as the runtime's readiness may be older than the pause). The control thread remembers its last two ticks.

The new test of the platform roles failed before (the agent accepted flows right after the wake-up); the one of flow_tracking uses the new call. FlowTracker::handle_backend no longer records activity by itself; test support and model call note_activity beside it.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -143,17 +143,28 @@
         self.settings = settings;
     }
 
-    /// Applies a heartbeat of the server, unless it is stale or its run is contested.
+    /// Applies a heartbeat that the server has just sent, unless it is stale or its run is contested.
     pub fn handle_heartbeat(
         &mut self,
         heartbeat: BackendHeartbeat,
         now: Millis,
+    ) -> HeartbeatOutcome {
+        self.handle_late_heartbeat(heartbeat, now, now)
+    }
+
+    /// Applies a heartbeat that the server sent at `sent` or later and that may have waited since in a
+    /// socket, as it does while the process is paused.
+    pub fn handle_late_heartbeat(
+        &mut self,
+        heartbeat: BackendHeartbeat,
+        sent: Millis,
+        now: Millis,
     ) -> HeartbeatOutcome {
         let cold_until = now.plus(heartbeat.cold_remaining);
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
         let had_heartbeat = self.liveness.is_confirmed();
-        let outcome = self.liveness.handle_heartbeat(heartbeat, now);
+        let outcome = self.liveness.handle_heartbeat(heartbeat, sent, now);
         if !outcome.is_applied() {
             return outcome;
         }
@@ -169,6 +180,11 @@
         outcome
     }
 
+    /// Records that the server has sent a packet for a flow that it holds, at `sent` or later.
+    pub fn note_activity(&mut self, sent: Millis) {
+        self.liveness.note_activity(sent);
+    }
+
     /// Marks the server as deregistered; returns false if its last heartbeat had another identity.
     pub fn deregister(&mut self, id: &str) -> bool {
         self.liveness.deregister(id)
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -156,7 +156,6 @@
             self.handle_returned(packet, now, actions);
             return;
         }
-        self.liveness.note_activity(now);
         actions.push(TrackerAction::ToCaller);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
             return;
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -46,7 +46,12 @@
             match entry.stage {
                 FlowStage::Opening { .. } | FlowStage::Open => {
                     entry.last_used = now;
-                    actions.push(TrackerAction::Deliver);
+                    // Another service may use the address of a server that has been silent.
+                    actions.push(if self.liveness.is_active(now) {
+                        TrackerAction::Deliver
+                    } else {
+                        TrackerAction::Drop(key, RedirectCause::Unavailable)
+                    });
                     return;
                 }
                 FlowStage::Redirected(to) => follow_earlier(&mut header, to),
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -50,37 +50,44 @@
         self.activity_timeout = activity_timeout;
     }
 
-    /// Applies a heartbeat, unless it is stale or its run is contested.
+    /// Applies a heartbeat that the server sent at `sent` or later, unless it is stale or its run is
+    /// contested.
     pub fn handle_heartbeat(
         &mut self,
         heartbeat: BackendHeartbeat,
+        sent: Millis,
         now: Millis,
     ) -> HeartbeatOutcome {
         let Some(known) = &self.heartbeat else {
-            self.apply(heartbeat, now);
+            self.apply(heartbeat, sent);
             return HeartbeatOutcome::Started;
         };
         if known.is_same_run(&heartbeat) {
             if self.deregistered || heartbeat.sequence <= known.sequence {
                 return HeartbeatOutcome::Stale;
             }
-            self.apply(heartbeat, now);
+            self.apply(heartbeat, sent);
             return HeartbeatOutcome::Continued;
         }
         let is_replaced = |replaced: &BackendHeartbeat| replaced.is_same_run(&heartbeat);
         if heartbeat.started_ms < known.started_ms
             || self.replaced.as_ref().is_some_and(is_replaced)
         {
-            return self.handle_rival(heartbeat, now);
+            return self.handle_rival(heartbeat, sent, now);
         }
         self.replaced = None;
-        self.apply(heartbeat, now);
+        self.apply(heartbeat, sent);
         HeartbeatOutcome::Started
     }
 
     /// Handles a heartbeat of a run that is live only if the known one has ended. Its heartbeats then
     /// go on, while late ones of an ended run come together, and the known run sends its own.
-    fn handle_rival(&mut self, heartbeat: BackendHeartbeat, now: Millis) -> HeartbeatOutcome {
+    fn handle_rival(
+        &mut self,
+        heartbeat: BackendHeartbeat,
+        sent: Millis,
+        now: Millis,
+    ) -> HeartbeatOutcome {
         let earlier = self.rival.as_ref();
         let earlier = earlier.filter(|rival| rival.is_same_run(&heartbeat));
         if earlier.is_some_and(|rival| heartbeat.sequence <= rival.sequence) {
@@ -92,15 +99,15 @@
             return HeartbeatOutcome::Contested;
         }
         self.replaced = self.heartbeat.take();
-        self.apply(heartbeat, now);
+        self.apply(heartbeat, sent);
         HeartbeatOutcome::Replaced
     }
 
-    fn apply(&mut self, heartbeat: BackendHeartbeat, now: Millis) {
+    fn apply(&mut self, heartbeat: BackendHeartbeat, sent: Millis) {
         self.heartbeat = Some(heartbeat);
-        self.last_heartbeat = now;
+        self.last_heartbeat = sent;
         self.rival = None;
-        self.last_activity = now;
+        self.last_activity = self.last_activity.max(sent);
         self.deregistered = false;
     }
 
@@ -138,17 +145,23 @@
         self.deregistered
     }
 
-    /// Records a packet that the server sent for a flow that it holds.
-    pub fn note_activity(&mut self, now: Millis) {
+    /// Records a packet that the server sent, at `sent` or later, for a flow that it holds.
+    pub fn note_activity(&mut self, sent: Millis) {
         if !self.deregistered {
-            self.last_activity = self.last_activity.max(now);
+            self.last_activity = self.last_activity.max(sent);
         }
     }
 
+    /// Returns whether the server has shown activity recently enough that no other service can use
+    /// its address.
+    pub fn is_active(&self, now: Millis) -> bool {
+        now.since(self.last_activity) < self.activity_timeout
+    }
+
     /// Returns whether the server accepts new flows.
     pub fn accepts_flows(&self, now: Millis) -> bool {
-        let is_active = now.since(self.last_activity) < self.activity_timeout;
-        self.is_confirmed() && !self.is_contested() && !self.is_leaving() && is_active
+        let is_known = self.is_confirmed() && !self.is_contested();
+        is_known && !self.is_leaving() && self.is_active(now)
     }
 
     /// Returns the service that the last heartbeat named; `None` before the first one.
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -638,6 +638,29 @@
     assert_eq!(actions, []);
 }
 
+/// Guards against new flows at a server that ended while its agent was paused: what it had sent before
+/// waited in the sockets, and shows no activity at the time of the wake-up.
+#[test]
+fn what_waited_during_a_pause_shows_no_activity_at_its_end() {
+    let mut tracker = tracker();
+    forward(&mut tracker, &open_packet(1), header(&[]), Millis(10));
+    let (paused, awake) = (Millis(100), Millis(3_000));
+    tracker.note_activity(paused);
+    let waiting = heartbeat(2, BackendState::Ready);
+    let outcome = tracker.handle_late_heartbeat(waiting, paused, awake);
+    assert!(outcome.is_applied());
+    assert!(!tracker.report(awake).accepts);
+    let actions = forward(&mut tracker, &open_packet(2), header(&[1]), awake);
+    assert_eq!(redirected_to(&actions), Some(agent(1)));
+    let copy = packet(1, PacketKind::Open { retransmission: 1 });
+    let actions = forward(&mut tracker, &copy, header(&[]), awake);
+    assert!(!delivers(&actions), "a copy of an accepted opening packet");
+
+    let fresh = heartbeat(3, BackendState::Ready);
+    tracker.handle_late_heartbeat(fresh, awake, awake.plus(Millis(200)));
+    assert!(tracker.report(awake.plus(Millis(200))).accepts);
+}
+
 /// Guards against a new flow from a caller's port that is reset because the server, which is full,
 /// returns its opening packet while the entry of the former flow remains.
 #[test]
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -186,6 +186,9 @@
     now: Millis,
 ) -> Vec<TrackerAction> {
     let mut actions = Vec::new();
+    if !packet.returned {
+        tracker.note_activity(now);
+    }
     tracker.handle_backend(packet, now, &mut actions);
     actions
 }
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -88,8 +88,9 @@
 pub(crate) enum AgentUpdate {
     /// The settings have changed.
     Settings(TrackerSettings),
-    /// A heartbeat of the backend server; the reply tells whether it was applied.
-    Heartbeat(BackendHeartbeat, oneshot::Sender<BackendOutcome>),
+    /// A heartbeat that the backend server sent at this time or later; the reply tells whether it was
+    /// applied.
+    Heartbeat(BackendHeartbeat, Millis, oneshot::Sender<BackendOutcome>),
     /// The backend server with this identity deregisters; it isn't applied if another one is known.
     Deregister(CompactString, oneshot::Sender<BackendOutcome>),
     /// The process is shutting down; the reply is sent when no flow is open.
@@ -116,6 +117,8 @@
     backend: SocketAddrV4,
     packets: UdpEndpoint,
     outgoing: UdpEndpoint,
+    /// Last time at which no packet of the server was waiting. What is read later was sent later.
+    drained_at: Millis,
     reporter: AgentReporter,
     actions: Vec<TrackerAction>,
     shutdown_answer: Option<oneshot::Sender<()>>,
@@ -143,6 +146,7 @@
             backend,
             packets: UdpEndpoint::open(address).await?,
             outgoing: UdpEndpoint::open(outgoing).await?,
+            drained_at: Millis(0),
             reporter: AgentReporter::new(address),
             actions: Vec::new(),
             shutdown_answer: None,
@@ -190,8 +194,8 @@
         let now = self.clock.now();
         match update {
             AgentUpdate::Settings(settings) => self.tracker.set_settings(settings),
-            AgentUpdate::Heartbeat(heartbeat, answer) => {
-                let outcome = self.tracker.handle_heartbeat(heartbeat, now);
+            AgentUpdate::Heartbeat(heartbeat, sent, answer) => {
+                let outcome = self.tracker.handle_late_heartbeat(heartbeat, sent, now);
                 // The requester may have stopped waiting.
                 let _ = answer.send(self.backend_outcome(outcome));
                 self.reset_lost_flows();
@@ -316,6 +320,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         for _ in 0..BATCH {
             let Some((bytes, _)) = self.outgoing.receive() else {
+                self.drained_at = now;
                 break;
             };
             let packet = match decode_backend_packet(bytes) {
@@ -328,6 +333,8 @@
             };
             if packet.returned {
                 clear_internal_fields(bytes);
+            } else {
+                self.tracker.note_activity(self.drained_at);
             }
             self.tracker.handle_backend(&packet, now, &mut actions);
             let is_response_start =
@@ -426,6 +433,9 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        if self.outgoing.is_drained() {
+            self.drained_at = now;
+        }
         let unsent = self.packets.unsent + self.outgoing.unsent;
         self.metrics
             .unsent
--- a/components/forwarder/src/connection/udp_endpoint.rs
+++ b/components/forwarder/src/connection/udp_endpoint.rs
@@ -2,12 +2,14 @@
 
 use std::{
     io,
+    mem::MaybeUninit,
     net::{
         SocketAddr,
         SocketAddrV4, //
     },
 };
 
+use socket2::SockRef;
 use tokio::net::UdpSocket;
 use tracing::debug;
 
@@ -52,6 +54,14 @@
         self.socket.readable().await
     }
 
+    /// Returns whether no datagram is waiting. It asks the system, as the runtime may not have seen
+    /// what arrived while the process was paused.
+    pub(crate) fn is_drained(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.socket).peek(&mut byte);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Reads a datagram, if one is waiting. The system reports an earlier datagram that couldn't be
     /// delivered as an error of a later read, which is therefore repeated.
     pub(crate) fn receive(&mut self) -> Option<(&mut [u8], SocketAddrV4)> {
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -67,6 +67,7 @@
         TrafficEndedSnafu, //
     },
     settings_file::SettingsFile,
+    tick_history::TickHistory,
     NodeError, //
 };
 use crate::connection::{
@@ -139,7 +140,12 @@
         is_written: Rc::default(),
     };
     serve_readiness(node.ready).await?;
-    serve_backend(backend.heartbeats, updates.clone(), writer).await?;
+    let requests = BackendRequests {
+        updates: updates.clone(),
+        writer,
+        ticks: TickHistory::start(),
+    };
+    serve_backend(backend.heartbeats, requests).await?;
     context.follow_balancers(&settings);
     loop {
         tokio::select! {
@@ -234,76 +240,70 @@
     }
 }
 
-async fn serve_backend(
-    address: SocketAddrV4,
+/// Handler of the requests of the backend server.
+#[derive(Clone)]
+struct BackendRequests {
     updates: mpsc::Sender<AgentUpdate>,
     writer: EntryWriter,
-) -> Result<(), NodeError> {
+    ticks: TickHistory,
+}
+
+async fn serve_backend(address: SocketAddrV4, requests: BackendRequests) -> Result<(), NodeError> {
     serve_requests(address, move |request| {
-        let updates = updates.clone();
-        let writer = writer.clone();
-        async move { handle_backend_request(request, updates, writer).await }
+        let requests = requests.clone();
+        async move { requests.handle(request).await }
     })
     .await
 }
 
-async fn handle_backend_request(
-    request: Result<NodeRequest, RequestError>,
-    updates: mpsc::Sender<AgentUpdate>,
-    writer: EntryWriter,
-) -> StatusCode {
-    match request {
-        Ok(NodeRequest::Heartbeat(heartbeat)) => handle_heartbeat(heartbeat, updates, writer).await,
-        Ok(NodeRequest::Deregister(id)) => handle_deregistration(id, updates, writer).await,
-        Ok(NodeRequest::Ready) => StatusCode::OK,
-        Ok(NodeRequest::Unknown) => StatusCode::NOT_FOUND,
-        Err(error) => {
-            warn!(%error, "malformed request of a backend server");
-            StatusCode::BAD_REQUEST
+impl BackendRequests {
+    async fn handle(self, request: Result<NodeRequest, RequestError>) -> StatusCode {
+        match request {
+            Ok(NodeRequest::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat).await,
+            Ok(NodeRequest::Deregister(id)) => self.handle_deregistration(id).await,
+            Ok(NodeRequest::Ready) => StatusCode::OK,
+            Ok(NodeRequest::Unknown) => StatusCode::NOT_FOUND,
+            Err(error) => {
+                warn!(%error, "malformed request of a backend server");
+                StatusCode::BAD_REQUEST
+            }
         }
     }
-}
 
-async fn handle_deregistration(
-    id: CompactString,
-    updates: mpsc::Sender<AgentUpdate>,
-    writer: EntryWriter,
-) -> StatusCode {
-    let (answer, outcome) = oneshot::channel();
-    let update = AgentUpdate::Deregister(id.clone(), answer);
-    let Some(reply) = send_update(updates, update, outcome).await else {
-        return StatusCode::SERVICE_UNAVAILABLE;
-    };
-    info!(%id, outcome = ?reply.outcome, "backend server deregisters");
-    if reply.outcome.is_applied() {
-        writer.update(None, reply.is_leaving);
+    async fn handle_deregistration(self, id: CompactString) -> StatusCode {
+        let (answer, outcome) = oneshot::channel();
+        let update = AgentUpdate::Deregister(id.clone(), answer);
+        let Some(reply) = send_update(self.updates, update, outcome).await else {
+            return StatusCode::SERVICE_UNAVAILABLE;
+        };
+        info!(%id, outcome = ?reply.outcome, "backend server deregisters");
+        if reply.outcome.is_applied() {
+            self.writer.update(None, reply.is_leaving);
+        }
+        StatusCode::OK
     }
-    StatusCode::OK
-}
 
-/// Applies a heartbeat. One of a contested run is acknowledged although it isn't applied: no new flow
-/// is accepted then, which is what a server that is shutting down asks for.
-async fn handle_heartbeat(
-    heartbeat: BackendHeartbeat,
-    updates: mpsc::Sender<AgentUpdate>,
-    writer: EntryWriter,
-) -> StatusCode {
-    debug!(beat = ?heartbeat, "heartbeat");
-    let (id, service) = (heartbeat.id.clone(), heartbeat.service.clone());
-    let (started_ms, sequence) = (heartbeat.started_ms, heartbeat.sequence);
-    let (answer, outcome) = oneshot::channel();
-    let update = AgentUpdate::Heartbeat(heartbeat, answer);
-    let Some(reply) = send_update(updates, update, outcome).await else {
-        return StatusCode::SERVICE_UNAVAILABLE;
-    };
-    let outcome = reply.outcome;
-    if outcome != HeartbeatOutcome::Continued {
-        info!(%id, started_ms, sequence, ?outcome, "heartbeat of a run that isn't the known one");
-    }
-    if outcome.is_applied() {
-        writer.update(Some(service), reply.is_leaving);
+    /// Applies a heartbeat. One of a contested run is acknowledged although it isn't applied: no new
+    /// flow is accepted then, which is what a server that is shutting down asks for.
+    async fn handle_heartbeat(self, heartbeat: BackendHeartbeat) -> StatusCode {
+        let sent = self.ticks.earliest_arrival();
+        debug!(beat = ?heartbeat, ?sent, "heartbeat");
+        let (id, service) = (heartbeat.id.clone(), heartbeat.service.clone());
+        let (started_ms, sequence) = (heartbeat.started_ms, heartbeat.sequence);
+        let (answer, outcome) = oneshot::channel();
+        let update = AgentUpdate::Heartbeat(heartbeat, sent, answer);
+        let Some(reply) = send_update(self.updates, update, outcome).await else {
+            return StatusCode::SERVICE_UNAVAILABLE;
+        };
+        let outcome = reply.outcome;
+        if outcome != HeartbeatOutcome::Continued {
+            info!(%id, started_ms, sequence, ?outcome, "heartbeat of a run that isn't the known one");
+        }
+        if outcome.is_applied() {
+            self.writer.update(Some(service), reply.is_leaving);
+        }
+        StatusCode::OK
     }
-    StatusCode::OK
 }
 
 /// Sends an update to the traffic thread, and returns its outcome; `None` if the thread has ended.
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod snapshot_port;
 mod store_backoff;
 mod store_watch;
+mod tick_history;
 
 pub use agent_node::run_agent;
 pub use balancer_node::run_balancer;
--- a/components/model/src/flow_model/network.rs
+++ b/components/model/src/flow_model/network.rs
@@ -231,6 +231,9 @@
                     let now = self.now;
                     let agent = &mut self.agents[index];
                     if agent.down_until <= now {
+                        if !packet.returned {
+                            agent.tracker.note_activity(now);
+                        }
                         agent.tracker.handle_backend(&packet, now, &mut actions);
                         self.act(index, actions, packet);
                     }
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -381,6 +381,28 @@
             .expect("the agent must report the revision in time");
     }
 
+    /// Returns whether the agent's next report says that it accepts new flows.
+    async fn asks_whether_accepting(&self, agent: SocketAddrV4) -> bool {
+        let mut buffer = [0; 2_048];
+        // Reports that were sent before are read first.
+        while self.socket.try_recv(&mut buffer).is_ok() {}
+        let own = match self.socket.local_addr().unwrap() {
+            std::net::SocketAddr::V4(own) => own,
+            std::net::SocketAddr::V6(own) => panic!("{own} is no IPv4 address"),
+        };
+        let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
+            balancer: address_to_number(own),
+            revision: 0,
+        }));
+        self.socket.send_to(&probe, agent).await.unwrap();
+        let received = timeout(STATE_TIMEOUT, self.socket.recv(&mut buffer)).await;
+        let length = received.expect("no report in time").unwrap();
+        match FlowDatagram::decode(&buffer[..length]).unwrap().body {
+            Some(FlowBody::Report(report)) => report.accepts,
+            body => panic!("no report: {body:?}"),
+        }
+    }
+
     /// Sends a snapshot of this revision to the next process that connects.
     async fn serve_snapshot(&self, revision: u64) {
         let (stream, _) = self.snapshots.accept().await.unwrap();
@@ -703,3 +725,39 @@
     assert!(balancer_mb < MAX_BALANCER_MB, "{balancer_mb} MB");
     assert!(agent_mb < MAX_AGENT_MB, "{agent_mb} MB");
 }
+
+/// A packet of a backend server that accepts a flow.
+const ACCEPT_PACKET: [u8; 32] = [
+    0xa1, 0xb2, 0xc3, 0xd5, 0, 0, 0, 0, 0x82, 0, 0, 0, 0, 1, 0, 0, 0, 0, 198, 18, 0, 1, 0x9c, 0x41,
+    0x01, 0xbb, 100, 64, 0, 7, 0, 0,
+];
+
+/// Guards against new flows at a server that ended while its agent was paused: heartbeats and packets
+/// that it had sent before waited in the sockets of the agent.
+#[tokio::test]
+async fn a_paused_agent_doesnt_take_what_waited_for_activity() {
+    let store = start_store().await;
+    let (packet_port, peer_port) = (free_port(), free_port());
+    let agent = start_agent_at(&store, packet_port, peer_port);
+    let balancer = FakeBalancer::start(Ipv4Addr::new(127, 0, 0, 10), peer_port).await;
+    agent.wait_for_status(200).await;
+    agent.send_heartbeat(1, 1, "ready").await;
+    sleep(Duration::from_millis(150)).await;
+    assert!(balancer.asks_whether_accepting(agent.packets).await);
+
+    agent.signal(libc::SIGSTOP);
+    let waiting = timeout(POLL_INTERVAL, agent.send_heartbeat(1, 2, "ready")).await;
+    assert!(waiting.is_err(), "the agent is paused");
+    let server = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    for _ in 0..100 {
+        server.send_to(&ACCEPT_PACKET, agent.outgoing).unwrap();
+    }
+    sleep(Duration::from_millis(2_200)).await;
+    agent.signal(libc::SIGCONT);
+    for _ in 0..10 {
+        assert!(!balancer.asks_whether_accepting(agent.packets).await);
+        sleep(POLL_INTERVAL).await;
+    }
+    agent.send_heartbeat(1, 3, "ready").await;
+    assert!(balancer.asks_whether_accepting(agent.packets).await);
+}
