Count a server as cold after an evacuation and after a restart of its agent

When the evacuation of a data centre ends, its agents went on with the last heartbeat from before (warm), and the count of new flows of a restarted agent began at zero.

A server counts as cold from the end of an evacuation, as the agent or a newer balancer knows it, until a heartbeat that it sent afterwards. A started agent takes the cold limit for used up for the 1.1 s of its window.

Services that state no rate for cold servers, as on all sites, are not affected.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -108,13 +108,13 @@
 
 impl FlowTracker {
     /// Creates a tracker without flows, which accepts none before the first heartbeat of its server.
-    pub fn new(settings: TrackerSettings) -> FlowTracker {
+    pub fn new(settings: TrackerSettings, now: Millis) -> FlowTracker {
         FlowTracker {
             centre: name_hash(&settings.centre),
             service: settings.service.clone(),
             config: None,
             liveness: BackendLiveness::new(settings.activity_timeout),
-            cold: ColdBudget::default(),
+            cold: ColdBudget::new(now),
             load: LoadEstimate::new(DEFAULT_SLOTS),
             flows: HashMap::new(),
             opening_deadlines: VecDeque::new(),
@@ -127,9 +127,14 @@
         }
     }
 
-    /// Replaces the configuration in force.
-    pub fn set_config(&mut self, config: Arc<SiteConfig>) {
+    /// Replaces the configuration in force. Servers of a data centre whose evacuation has ended may have
+    /// turned cold.
+    pub fn set_config(&mut self, config: Arc<SiteConfig>, now: Millis) {
+        let was_evacuated = self.is_evacuated();
         self.config = Some(config);
+        if was_evacuated && !self.is_evacuated() {
+            self.cold.mark_unknown(now);
+        }
     }
 
     /// Applies changed settings. A service that the server has named takes precedence over theirs.
@@ -160,7 +165,7 @@
         sent: Millis,
         now: Millis,
     ) -> HeartbeatOutcome {
-        let cold_until = now.plus(heartbeat.cold_remaining);
+        let cold_remaining = heartbeat.cold_remaining;
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
         let had_heartbeat = self.liveness.is_confirmed();
@@ -174,7 +179,7 @@
         if had_heartbeat && outcome == HeartbeatOutcome::Started {
             self.note_server_ended();
         }
-        self.cold.set_cold_until(cold_until);
+        self.cold.set_remaining(cold_remaining, sent, now);
         self.load.set_slots(slots);
         self.service = service;
         outcome
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -204,7 +204,7 @@
             return;
         };
         if entry.is_certainly_open() && !packet.is_open() {
-            self.cold.mark_possibly_restarted();
+            self.cold.mark_unknown(now);
             self.reset_flow(packet.key, actions);
             return;
         }
@@ -231,7 +231,7 @@
             if !is_held_elsewhere {
                 if entry.stage == FlowStage::Open {
                     // The server held the flow and has lost it, so it may have restarted.
-                    self.cold.mark_possibly_restarted();
+                    self.cold.mark_unknown(now);
                 }
                 entry.stage = FlowStage::NotHeld;
                 if entry.request_started.take().is_some() {
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -58,6 +58,11 @@
                 _ => {}
             }
         }
+        let revision = self.config.as_ref().map_or(0, |config| config.revision);
+        if self.is_evacuated() && revision < header.revision {
+            // The evacuation has ended at the balancer, and so may the server's warm state have.
+            self.cold.mark_unknown(now);
+        }
         if let Some(cause) = self
             .server_exclusion_cause(now)
             .or_else(|| self.config_exclusion_cause(packet, &header))
@@ -231,7 +236,7 @@
         self.server_exclusion_cause(now).or(evacuated)
     }
 
-    fn is_evacuated(&self) -> bool {
+    pub(super) fn is_evacuated(&self) -> bool {
         let config = self.config.as_ref();
         config.is_some_and(|config| config.is_evacuated(&self.settings.centre))
     }
--- a/components/flows/src/process/cold_budget.rs
+++ b/components/flows/src/process/cold_budget.rs
@@ -8,6 +8,10 @@
 /// so that packets delayed on the way to the server can't exceed the limit within a second there.
 const WINDOW: Millis = Millis(1_100);
 
+/// Time for which a server still counts as cold after the end that it reported, since reports round
+/// the remaining time down.
+const END_MARGIN: Millis = Millis(20);
+
 /// End of the cold period as long as the server has not reported one.
 const UNKNOWN_END: Millis = Millis(u64::MAX);
 
@@ -15,28 +19,41 @@
 #[derive(Debug)]
 pub struct ColdBudget {
     cold_until: Millis,
+    /// Time at which the server may have turned cold; what it reported before doesn't count.
+    unknown_since: Millis,
     accepted: VecDeque<Millis>,
+    /// Start of the process. An earlier one may have delivered flows until then.
+    started: Millis,
 }
 
-impl Default for ColdBudget {
+impl ColdBudget {
     /// Creates the budget of a server that has not reported its state, and so counts as cold.
-    fn default() -> ColdBudget {
+    pub fn new(now: Millis) -> ColdBudget {
         ColdBudget {
             cold_until: UNKNOWN_END,
+            unknown_since: now,
             accepted: VecDeque::new(),
+            started: now,
         }
     }
-}
 
-impl ColdBudget {
-    /// Marks the server as possibly restarted; it counts as cold until its next heartbeat.
-    pub fn mark_possibly_restarted(&mut self) {
+    /// Marks the server as possibly cold until the next report that it sends.
+    pub fn mark_unknown(&mut self, now: Millis) {
         self.cold_until = UNKNOWN_END;
+        self.unknown_since = now;
     }
 
-    /// Sets the time until which the server is cold.
-    pub fn set_cold_until(&mut self, until: Millis) {
-        self.cold_until = until;
+    /// Sets how long the server remains cold, from a report that it sent at `sent` or later and that
+    /// is handled at `now`.
+    pub fn set_remaining(&mut self, remaining: Millis, sent: Millis, now: Millis) {
+        if sent < self.unknown_since {
+            return;
+        }
+        self.cold_until = if remaining == Millis(0) {
+            now
+        } else {
+            now.plus(remaining).plus(END_MARGIN)
+        };
     }
 
     /// Returns whether the server is cold at `now`.
@@ -54,7 +71,8 @@
         {
             self.accepted.pop_front();
         }
-        !self.is_cold(now) || self.accepted.len() < limit as usize
+        let is_counted = now.since(self.started) >= WINDOW;
+        !self.is_cold(now) || (is_counted && self.accepted.len() < limit as usize)
     }
 
     /// Counts a new flow that was delivered at `now`.
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -345,44 +345,136 @@
     assert!(tracker.report(Millis(8_000)).failure_percent < 10);
 }
 
+/// Rate of requests that a cold server of these tests takes, and the new flows per window that follow
+/// from it.
+const COLD_RATE: f64 = 10.0;
+const COLD_LIMIT: usize = 19;
+
+/// Window in which the new flows of a cold server are counted.
+const COLD_WINDOW: Millis = Millis(1_100);
+
+/// Offers 100 new flows at once; returns how many are accepted.
+fn accepted_flows(tracker: &mut FlowTracker, first: u16, now: Millis) -> usize {
+    let flows = first..first + 100;
+    let accepted = flows.filter(|caller| {
+        let mut assigned = header(&[]);
+        assigned.assigned = true;
+        let actions = forward(tracker, &open_packet(*caller), assigned, now);
+        let is_accepted = delivers(&actions);
+        tracker.check_openings(now.plus(RESERVATION), &mut Vec::new());
+        is_accepted
+    });
+    accepted.count()
+}
+
+fn cold_heartbeat(sequence: u64) -> BackendHeartbeat {
+    BackendHeartbeat {
+        cold_remaining: Millis(5_000),
+        ..heartbeat(sequence, BackendState::Ready)
+    }
+}
+
 /// Guards against more flows than a cold server can handle before a heartbeat shows that it is
 /// cold: after a restart of the agent, and after a restart of the server under the same identity.
 #[test]
 fn limits_new_flows_of_a_server_that_may_be_cold() {
-    let rate = 10.0;
-    let limit = 19;
-    let accepted_flows = |tracker: &mut carobdrum_flows::FlowTracker, first: u16, now: Millis| {
-        let flows = first..first + 100;
-        flows
-            .filter(|caller| {
-                let mut assigned = header(&[]);
-                assigned.assigned = true;
-                let actions = forward(tracker, &open_packet(*caller), assigned, now);
-                let is_accepted = delivers(&actions);
-                tracker.check_openings(now.plus(RESERVATION), &mut Vec::new());
-                is_accepted
-            })
-            .count()
+    let mut restarted = support::new_tracker(COLD_RATE);
+    assert_eq!(accepted_flows(&mut restarted, 0, COLD_WINDOW), 0);
+    let outcome = restarted.handle_heartbeat(cold_heartbeat(1), COLD_WINDOW);
+    assert!(outcome.is_applied());
+    assert_eq!(accepted_flows(&mut restarted, 0, COLD_WINDOW), COLD_LIMIT);
+
+    let start = Millis(2_000);
+    let mut tracker = support::new_tracker(COLD_RATE);
+    tracker.handle_heartbeat(heartbeat(1, BackendState::Ready), start);
+    open_flow(&mut tracker, 1_000, start);
+    let returned = FlowPacket {
+        returned: true,
+        ..packet(1_000, PacketKind::Data)
     };
-    let mut restarted = support::new_tracker(rate);
-    assert_eq!(accepted_flows(&mut restarted, 0, Millis(0)), 0);
+    backend(&mut tracker, &returned, start.plus(Millis(1)));
+    assert!(accepted_flows(&mut tracker, 0, start.plus(Millis(2))) <= COLD_LIMIT);
+    let later = start.plus(Millis(200));
+    assert_eq!(accepted_flows(&mut tracker, 200, later), 0);
+}
+
+/// Guards against the full rate in the last millisecond of a cold period, which a report that rounds the
+/// remaining time down doesn't cover.
+#[test]
+fn a_server_counts_as_cold_a_little_longer_than_reported() {
+    let mut tracker = support::new_tracker(COLD_RATE);
+    let (start, remaining) = (Millis(2_000), Millis(1_000));
     let cold = BackendHeartbeat {
-        cold_remaining: Millis(5_000),
+        cold_remaining: remaining,
         ..heartbeat(1, BackendState::Ready)
     };
-    assert!(restarted.handle_heartbeat(cold, Millis(0)).is_applied());
-    assert_eq!(accepted_flows(&mut restarted, 0, Millis(0)), limit);
+    tracker.handle_heartbeat(cold, start);
+    let reported_end = start.plus(remaining);
+    let accepted = accepted_flows(&mut tracker, 0, reported_end.plus(Millis(1)));
+    assert_eq!(accepted, COLD_LIMIT);
+    let later = reported_end.plus(Millis(100));
+    assert!(accepted_flows(&mut tracker, 100, later) > COLD_LIMIT);
+}
 
-    let mut tracker = support::new_tracker(rate);
-    tracker.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(0));
-    open_flow(&mut tracker, 1_000, Millis(0));
-    let returned = FlowPacket {
-        returned: true,
-        ..packet(1_000, PacketKind::Data)
+/// Guards against a cold server that gets its limit of new flows twice in a second, before and after a
+/// restart of its agent, which doesn't know how many the process before has delivered.
+#[test]
+fn a_restarted_agent_counts_the_flows_before_its_start_against_the_cold_limit() {
+    let mut tracker = support::new_tracker(COLD_RATE);
+    tracker.handle_heartbeat(cold_heartbeat(1), Millis(0));
+    assert_eq!(accepted_flows(&mut tracker, 0, Millis(100)), 0);
+    assert_eq!(accepted_flows(&mut tracker, 100, COLD_WINDOW), COLD_LIMIT);
+    let mut warm = support::new_tracker(COLD_RATE);
+    warm.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(0));
+    assert!(accepted_flows(&mut warm, 0, Millis(100)) > COLD_LIMIT);
+}
+
+/// Guards against the full rate at a server that has turned cold in an evacuated data centre, between
+/// its return and the next heartbeat, whether the agent or a balancer learns of the return first.
+#[rstest]
+#[case::agent_is_first(true)]
+#[case::balancer_is_first(false)]
+fn limits_new_flows_after_an_evacuation(#[case] agent_is_first: bool) {
+    let rate = Some(COLD_RATE);
+    let mut tracker = support::new_tracker(COLD_RATE);
+    let mut evacuated = support::config_with(2, rate);
+    evacuated.revision = 2;
+    evacuated.set_evacuated_centres([CENTRE.into()]);
+    tracker.set_config(Arc::new(evacuated), Millis(1_000));
+    tracker.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(5_000));
+    let (end, heartbeat_due) = (Millis(5_100), Millis(5_700));
+    if agent_is_first {
+        let mut returned = support::config_with(2, rate);
+        returned.revision = 3;
+        tracker.set_config(Arc::new(returned), end);
+    }
+    let newer = ForwardHeader {
+        revision: 3,
+        assigned: true,
+        ..header(&[])
     };
-    backend(&mut tracker, &returned, Millis(1));
-    assert!(accepted_flows(&mut tracker, 0, Millis(2)) <= limit);
-    assert_eq!(accepted_flows(&mut tracker, 200, Millis(200)), 0);
+    let mut accepted = 0;
+    for caller in 0..100 {
+        let actions = forward(&mut tracker, &open_packet(caller), newer.clone(), end);
+        accepted += usize::from(delivers(&actions));
+        tracker.check_openings(end.plus(RESERVATION), &mut Vec::new());
+    }
+    assert_eq!(accepted, COLD_LIMIT);
+
+    let sent_before = heartbeat(2, BackendState::Ready);
+    tracker.handle_late_heartbeat(sent_before, Millis(5_050), Millis(5_150));
+    let actions = forward(
+        &mut tracker,
+        &open_packet(200),
+        newer.clone(),
+        Millis(5_200),
+    );
+    assert!(!delivers(&actions), "the report is older than the return");
+    tracker.handle_heartbeat(heartbeat(3, BackendState::Ready), heartbeat_due);
+    if agent_is_first {
+        let actions = forward(&mut tracker, &open_packet(300), newer, heartbeat_due);
+        assert!(delivers(&actions), "the server is warm");
+    }
 }
 
 /// Opens a flow at the server and has it answer a request.
@@ -484,7 +576,7 @@
     let mut evacuated = config(2);
     evacuated.revision = 2;
     evacuated.set_evacuated_centres([CENTRE.into()]);
-    tracker.set_config(Arc::new(evacuated));
+    tracker.set_config(Arc::new(evacuated), Millis(0));
     let opening = ForwardHeader {
         revision,
         ..header(&[1])
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -49,7 +49,7 @@
     config_with(version, None)
 }
 
-fn config_with(version: u64, cold_rate: Option<f64>) -> SiteConfig {
+pub(crate) fn config_with(version: u64, cold_rate: Option<f64>) -> SiteConfig {
     let route = FlowRoute {
         address: ROUTE,
         shares: vec![ServiceShare {
@@ -96,7 +96,7 @@
 /// Returns the flow tracker of agent 0, whose server is ready and has two slots.
 pub(crate) fn tracker() -> FlowTracker {
     let mut tracker = start_tracker();
-    tracker.set_config(Arc::new(config(1)));
+    tracker.set_config(Arc::new(config(1)), Millis(0));
     assert!(tracker
         .handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(0))
         .is_applied());
@@ -106,7 +106,7 @@
 /// Returns the flow tracker of an agent without a heartbeat, whose service limits cold servers.
 pub(crate) fn new_tracker(cold_rate: f64) -> FlowTracker {
     let mut tracker = start_tracker();
-    tracker.set_config(Arc::new(config_with(1, Some(cold_rate))));
+    tracker.set_config(Arc::new(config_with(1, Some(cold_rate))), Millis(0));
     tracker
 }
 
@@ -120,7 +120,7 @@
         cold_slack: 5.0,
         flow_lifetime: Millis(60_000),
     };
-    FlowTracker::new(settings)
+    FlowTracker::new(settings, Millis(0))
 }
 
 pub(crate) fn key(caller: u16) -> FlowKey {
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -139,7 +139,7 @@
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
         Ok(AgentTraffic {
-            tracker: FlowTracker::new(settings),
+            tracker: FlowTracker::new(settings, BootClock.now()),
             clock: BootClock,
             revision_sender,
             address,
@@ -234,8 +234,9 @@
 
     fn apply_config(&mut self, config: Option<Arc<SiteConfig>>) {
         if let Some(config) = config {
-            self.tracker.set_config(config);
-            self.report_change(self.clock.now());
+            let now = self.clock.now();
+            self.tracker.set_config(config, now);
+            self.report_change(now);
         }
     }
 
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -224,8 +224,8 @@
             cold_slack: 5.0,
             flow_lifetime: FLOW_LIFETIME,
         };
-        let mut tracker = FlowTracker::new(settings);
-        tracker.set_config(self.config.clone());
+        let mut tracker = FlowTracker::new(settings, self.now);
+        tracker.set_config(self.config.clone(), self.now);
         tracker
     }
 
--- a/components/model/src/flow_model/faults.rs
+++ b/components/model/src/flow_model/faults.rs
@@ -89,7 +89,7 @@
         config.set_evacuated_centres(centres);
         self.config = Arc::new(config);
         for agent in &mut self.agents {
-            agent.tracker.set_config(self.config.clone());
+            agent.tracker.set_config(self.config.clone(), self.now);
         }
         for balancer in &mut self.balancers {
             balancer.router.config = Some(self.config.clone());
