Take the first report of a server for its state, and bound the wait limit

Two faults found while reading the diff. The time of a heartbeat is known only to be later than a tick up to 200 ms before, so the first one after a start could seem older than the start, and its server counted as cold until the next one (services with a cold rate only). And the wait limit of a route overflowed for an objective near the largest number: a panic with overflow checks, a small limit without.

Both new tests failed before.

--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -60,7 +60,8 @@
         }
         let revision = self.config.as_ref().map_or(0, |config| config.revision);
         if self.is_evacuated() && revision < header.revision {
-            // The evacuation has ended at the balancer, and so may the server's warm state have.
+            // The balancer knows of a change that may have ended the evacuation, during which the server
+            // may have turned cold.
             self.cold.mark_unknown(now);
         }
         if let Some(cause) = self
--- a/components/flows/src/connection/wait_limit.rs
+++ b/components/flows/src/connection/wait_limit.rs
@@ -21,6 +21,7 @@
     } else {
         RETRANSMISSION_WAIT_PERCENT
     };
-    let limit = route.latency_objective.0.saturating_mul(1_000) * percent / 100;
+    let objective_us = route.latency_objective.0.saturating_mul(1_000);
+    let limit = objective_us.saturating_mul(percent) / 100;
     u32::try_from(limit).unwrap_or(u32::MAX)
 }
--- a/components/flows/src/process/cold_budget.rs
+++ b/components/flows/src/process/cold_budget.rs
@@ -31,7 +31,7 @@
     pub fn new(now: Millis) -> ColdBudget {
         ColdBudget {
             cold_until: UNKNOWN_END,
-            unknown_since: now,
+            unknown_since: Millis(0),
             accepted: VecDeque::new(),
             started: now,
         }
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -6,10 +6,14 @@
 
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    connection::RedirectCause,
+    connection::{
+        wait_limit_us,
+        RedirectCause, //
+    },
     process::{
         BackendHeartbeat,
-        BackendState, //
+        BackendState,
+        ColdBudget, //
     },
     request::ForwardHeader,
     FlowPacket,
@@ -416,6 +420,23 @@
     assert!(accepted_flows(&mut tracker, 100, later) > COLD_LIMIT);
 }
 
+/// Guards against a limit that overflows for a route with a very large objective.
+#[test]
+fn a_very_large_objective_has_a_large_wait_limit() {
+    let mut route = config(1).routes()[0].clone();
+    route.latency_objective = Millis(u64::MAX);
+    assert_eq!(wait_limit_us(&route, 0), u32::MAX);
+}
+
+/// Guards against a warm server that is taken for cold because it reported right after the start of its
+/// agent, when the time of a report is only known to be later than one shortly before.
+#[test]
+fn the_first_report_tells_that_the_server_is_warm() {
+    let mut budget = ColdBudget::new(Millis(100));
+    budget.set_remaining(Millis(0), Millis(90), Millis(150));
+    assert!(!budget.is_cold(Millis(150)));
+}
+
 /// Guards against a cold server that gets its limit of new flows twice in a second, before and after a
 /// restart of its agent, which doesn't know how many the process before has delivered.
 #[test]
