--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -131,8 +131,8 @@
 ) {
     let mut site = start_two_centres(net).await;
     let flow = site.connect().await;
-    let lonely = copy_store_without_entry_points(&site.store).await;
-    let store = std::mem::replace(&mut site.store, lonely);
+    let isolated = copy_store_without_entry_points(&site.store).await;
+    let store = std::mem::replace(&mut site.store, isolated);
     site.add_balancer("galway-a");
     wait_until_version(&site, 3).await;
     site.store.set_mode(PortMode::Refusing).await;
