--- a/components/core/src/process/member_protocol/probing.rs
+++ b/components/core/src/process/member_protocol/probing.rs
@@ -80,13 +80,7 @@
         let Some(&address) = unknown_addresses.choose(&mut self.rng) else {
             return;
         };
-        let probe = ProbeBody {
-            number: self.detector.next_number(),
-            gossip: self.gossip_body(0, None),
-            member: Some(self.own_record.clone()),
-            balancers: Vec::new(),
-        };
-        self.send(now, ByteClass::Liveness, address, PeerMessage::Probe(probe));
+        self.send_introduction(now, address);
     }
 
     /// Sends the own record to an agent that isn't a known live member. The agent answers with its
@@ -96,13 +90,18 @@
         if record.is_some_and(|record| record.state != MemberState::Dead) {
             return;
         }
+        self.send_introduction(now, agent);
+    }
+
+    /// Sends a probe with the own record to a process that may not know it.
+    fn send_introduction(&mut self, now: Millis, to: SocketAddrV4) {
         let probe = ProbeBody {
             number: self.detector.next_number(),
             gossip: self.gossip_body(0, None),
             member: Some(self.own_record.clone()),
             balancers: Vec::new(),
         };
-        self.send(now, ByteClass::Liveness, agent, PeerMessage::Probe(probe));
+        self.send(now, ByteClass::Liveness, to, PeerMessage::Probe(probe));
     }
 
     pub(super) fn probe(&mut self, now: Millis, target: SocketAddrV4) {
--- a/tests/platform_roles.rs
+++ b/tests/platform_roles.rs
@@ -350,16 +350,21 @@
         }
     }
 
-    /// Shows a revision to the agent until it reports `least` or a newer one.
-    async fn show_until(&self, agent: SocketAddrV4, revision: u64, least: u64) {
+    /// Returns a probe that shows this revision.
+    fn probe(&self, revision: u64) -> Vec<u8> {
         let own = match self.socket.local_addr().unwrap() {
             std::net::SocketAddr::V4(own) => own,
             std::net::SocketAddr::V6(own) => panic!("{own} is no IPv4 address"),
         };
-        let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
+        FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_to_number(own),
             revision,
-        }));
+        }))
+    }
+
+    /// Shows a revision to the agent until it reports `least` or a newer one.
+    async fn show_until(&self, agent: SocketAddrV4, revision: u64, least: u64) {
+        let probe = self.probe(revision);
         let wait = async {
             let mut buffer = [0; 2_048];
             loop {
@@ -386,14 +391,7 @@
         let mut buffer = [0; 2_048];
         // Reports that were sent before are read first.
         while self.socket.try_recv(&mut buffer).is_ok() {}
-        let own = match self.socket.local_addr().unwrap() {
-            std::net::SocketAddr::V4(own) => own,
-            std::net::SocketAddr::V6(own) => panic!("{own} is no IPv4 address"),
-        };
-        let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
-            balancer: address_to_number(own),
-            revision: 0,
-        }));
+        let probe = self.probe(0);
         self.socket.send_to(&probe, agent).await.unwrap();
         let received = timeout(STATE_TIMEOUT, self.socket.recv(&mut buffer)).await;
         let length = received.expect("no report in time").unwrap();
