Log why an open flow is reset and which copy of an opening packet is refused

A reset of an open flow has no cause, a refused opening packet doesn't show which copy it was, a reset that a server sends leaves no line, and the line of an agent that stops accepting flows doesn't tell why.

Change: the lines have these fields, and resets of servers have a line with the stage of the flow at the agent. No decision changes. The tests of resets compare the cause as well.

Ruled out: a line for each later packet, which would be several times the volume of today for flows that meet nothing.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -20,6 +20,7 @@
     FlowStage,
     LoadEstimate,
     RedirectCause,
+    ResetCause,
     ReturnPause, //
     TrackerAction,
 };
@@ -102,7 +103,7 @@
     owners: OwnerCache,
     return_pause: ReturnPause,
     /// Flows of a server that has ended, which are to be reset.
-    lost_flows: Vec<FlowKey>,
+    lost_flows: Vec<(FlowKey, ResetCause)>,
     stopping: bool,
 }
 
@@ -177,7 +178,7 @@
             self.return_pause.clear();
         }
         if had_heartbeat && outcome == HeartbeatOutcome::Started {
-            self.note_server_ended();
+            self.note_server_ended(ResetCause::Restarted);
         }
         self.cold.set_remaining(cold_remaining, sent, now);
         self.load.set_slots(slots);
@@ -206,15 +207,15 @@
     pub fn stop(&mut self) {
         self.stopping = true;
         if self.liveness.is_deregistered() {
-            self.note_server_ended();
+            self.note_server_ended(ResetCause::Ended);
         }
     }
 
     /// Marks the flows of a server that has ended for [`FlowTracker::reset_lost_flows`].
-    fn note_server_ended(&mut self) {
+    fn note_server_ended(&mut self, cause: ResetCause) {
         let flows = self.flows.iter();
         let open = flows.filter(|(_, entry)| entry.is_certainly_open());
-        self.lost_flows.extend(open.map(|(key, _)| *key));
+        self.lost_flows.extend(open.map(|(key, _)| (*key, cause)));
     }
 
     /// Returns the number of flows that are open, or whose opening packet was delivered.
@@ -224,6 +225,11 @@
         self.flows.values().filter(open).count()
     }
 
+    /// Returns how far a flow has come; `None` if the agent doesn't know it.
+    pub fn stage(&self, key: FlowKey) -> Option<&FlowStage> {
+        self.flows.get(&key).map(|entry| &entry.stage)
+    }
+
     /// Returns the report for balancers.
     pub fn report(&mut self, now: Millis) -> AgentReport {
         AgentReport {
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -10,7 +10,8 @@
     connection::{
         FlowEntry,
         FlowStage,
-        RedirectCause, //
+        RedirectCause,
+        ResetCause, //
         TrackerAction,
     },
     request::{
@@ -205,7 +206,7 @@
         };
         if entry.is_certainly_open() && !packet.is_open() {
             self.cold.mark_unknown(now);
-            self.reset_flow(packet.key, actions);
+            self.reset_flow(packet.key, ResetCause::Returned, actions);
             return;
         }
         let mut header = entry.header.clone();
@@ -245,12 +246,12 @@
     /// Resets the open flows of a server that has ended or was restarted, so that their callers open
     /// new ones at once instead of waiting for an answer.
     pub fn reset_lost_flows(&mut self, actions: &mut Vec<TrackerAction>) {
-        for key in std::mem::take(&mut self.lost_flows) {
-            self.reset_flow(key, actions);
+        for (key, cause) in std::mem::take(&mut self.lost_flows) {
+            self.reset_flow(key, cause, actions);
         }
     }
 
-    fn reset_flow(&mut self, key: FlowKey, actions: &mut Vec<TrackerAction>) {
+    fn reset_flow(&mut self, key: FlowKey, cause: ResetCause, actions: &mut Vec<TrackerAction>) {
         let Some(entry) = self.flows.get_mut(&key) else {
             return;
         };
@@ -258,7 +259,7 @@
         if entry.request_started.take().is_some() {
             self.load.end();
         }
-        actions.push(TrackerAction::Reset(key, entry.caller_expects));
+        actions.push(TrackerAction::Reset(key, entry.caller_expects, cause));
     }
 }
 
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -232,7 +232,7 @@
     }
 
     /// Returns the reason for which the server accepts no new flow at all now.
-    pub(super) fn exclusion_cause(&self, now: Millis) -> Option<RedirectCause> {
+    pub fn exclusion_cause(&self, now: Millis) -> Option<RedirectCause> {
         let evacuated = self.is_evacuated().then_some(RedirectCause::Evacuated);
         self.server_exclusion_cause(now).or(evacuated)
     }
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -20,7 +20,8 @@
 pub use load_estimate::LoadEstimate;
 pub use return_pause::ReturnPause;
 pub use tracker_action::{
-    RedirectCause, //
+    RedirectCause,
+    ResetCause, //
     TrackerAction,
 };
 pub use wait_limit::wait_limit_us;
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -59,6 +59,28 @@
     }
 }
 
+/// Reason for which an open flow counts as lost by its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResetCause {
+    /// The server returned a packet of the flow.
+    Returned,
+    /// Another run of the server has started.
+    Restarted,
+    /// The server has ended.
+    Ended,
+}
+
+impl ResetCause {
+    /// Returns the name that logs show.
+    pub fn name(self) -> &'static str {
+        match self {
+            ResetCause::Returned => "returned",
+            ResetCause::Restarted => "restarted",
+            ResetCause::Ended => "ended",
+        }
+    }
+}
+
 /// An action that an agent carries out for a packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TrackerAction {
@@ -82,7 +104,7 @@
     /// Reset the flow, whose opening packet was delivered to no server.
     Refuse(FlowKey, RedirectCause),
     /// Reset an open flow that its server has lost, with this sequence number.
-    Reset(FlowKey, u32),
+    Reset(FlowKey, u32, ResetCause),
     /// Tell a balancer or another agent that this agent owns the flow.
     AnnounceOwner(SocketAddrV4, FlowKey),
     /// Send nothing; report that the server's response began after this time.
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -8,7 +8,8 @@
 use carobdrum_flows::{
     connection::{
         wait_limit_us,
-        RedirectCause, //
+        RedirectCause,
+        ResetCause, //
     },
     process::{
         BackendHeartbeat,
@@ -533,7 +534,10 @@
         .handle_heartbeat(restarted, Millis(1_000))
         .is_applied());
     tracker.reset_lost_flows(&mut actions);
-    assert_eq!(actions, [TrackerAction::Reset(key(1), 100)]);
+    assert_eq!(
+        actions,
+        [TrackerAction::Reset(key(1), 100, ResetCause::Restarted)]
+    );
     assert_eq!(tracker.report(Millis(1_000)).busy, 0);
     tracker.reset_lost_flows(&mut actions);
     assert_eq!(actions.len(), 1, "a flow is reset once");
@@ -562,7 +566,10 @@
     };
     let actions = backend(&mut tracker, &returned, Millis(101));
     if is_served {
-        assert_eq!(actions, [TrackerAction::Reset(key(1), 100)]);
+        assert_eq!(
+            actions,
+            [TrackerAction::Reset(key(1), 100, ResetCause::Returned)]
+        );
     } else {
         assert!(matches!(&actions[..], [TrackerAction::Redirect { to, .. }] if *to == agent(1)));
     }
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -76,7 +76,12 @@
             return;
         }
         self.accepts = accepts;
-        info!(accepts, "backend server's acceptance of flows changed");
+        let cause = tracker.exclusion_cause(now);
+        let cause = cause.map_or("none", |cause| cause.name());
+        info!(
+            accepts,
+            cause, "backend server's acceptance of flows changed"
+        );
         let balancers = self.schedule.take_all(now);
         self.send(balancers, tracker, endpoint, now);
     }
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -16,8 +16,9 @@
     version::SiteConfig,
     FlowKey,
     FlowTracker,
+    PacketKind, //
     TrackerAction,
-    TrackerSettings, //
+    TrackerSettings,
 };
 use carobdrum_platform::{
     clear_internal_fields,
@@ -337,6 +338,10 @@
             } else {
                 self.tracker.note_activity(self.drained_at);
             }
+            if packet.kind == PacketKind::Reset && !packet.returned {
+                self.log
+                    .server_reset(packet.key, self.tracker.stage(packet.key));
+            }
             self.tracker.handle_backend(&packet, now, &mut actions);
             let is_response_start =
                 |action: &TrackerAction| matches!(action, TrackerAction::ResponseStarted(..));
@@ -386,13 +391,14 @@
                 TrackerAction::Refuse(key, cause) => {
                     NodeMetrics::count(&self.metrics.refused, cause.name());
                     let report = self.tracker.report(self.clock.now());
-                    self.log.not_delivered(key, cause, "refused", report);
+                    self.log
+                        .opening_refused(key, cause, retransmission_of(bytes), report);
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, 0), to);
                 }
-                TrackerAction::Reset(key, sequence) => {
+                TrackerAction::Reset(key, sequence, cause) => {
                     NodeMetrics::count(&self.metrics.refused, "lost");
-                    self.log.reset(key);
+                    self.log.reset(key, cause);
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, sequence), to);
                 }
@@ -400,7 +406,7 @@
                 TrackerAction::Drop(key, cause) => {
                     NodeMetrics::count(&self.metrics.dropped, cause.name());
                     let report = self.tracker.report(self.clock.now());
-                    self.log.not_delivered(key, cause, "dropped", report);
+                    self.log.not_delivered(key, cause, report);
                 }
             }
         }
@@ -468,3 +474,11 @@
             .report_change(&mut self.tracker, &mut self.packets, now);
     }
 }
+
+/// Returns which retransmission of the opening packet this is; zero for the first copy.
+fn retransmission_of(bytes: &[u8]) -> u8 {
+    match decode_caller_packet(bytes).map(|packet| packet.kind) {
+        Ok(PacketKind::Open { retransmission }) => retransmission,
+        _ => 0,
+    }
+}
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -4,7 +4,11 @@
 
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    connection::RedirectCause,
+    connection::{
+        FlowStage,
+        RedirectCause,
+        ResetCause, //
+    },
     process::{
         AgentReport,
         DropCause, //
@@ -91,9 +95,41 @@
         }
     }
 
-    pub(crate) fn reset(&mut self, key: FlowKey) {
+    pub(crate) fn reset(&mut self, key: FlowKey, cause: ResetCause) {
+        if let Some(left_out) = self.limiter.admit() {
+            let cause = cause.name();
+            info!(flow = %key, cause, left_out, "open flow reset: its server has lost it");
+        }
+    }
+
+    /// Logs a reset that the server sent; `stage` is how far the agent took the flow to be.
+    pub(crate) fn server_reset(&mut self, key: FlowKey, stage: Option<&FlowStage>) {
+        if let Some(left_out) = self.limiter.admit() {
+            info!(flow = %key, ?stage, left_out, "backend server resets the flow");
+        }
+    }
+
+    pub(crate) fn opening_refused(
+        &mut self,
+        key: FlowKey,
+        cause: RedirectCause,
+        retransmission: u8,
+        report: AgentReport,
+    ) {
         if let Some(left_out) = self.limiter.admit() {
-            info!(flow = %key, left_out, "open flow reset: its server has lost it");
+            let (busy, slots, revision) = (report.busy, report.slots, report.revision);
+            let cause = cause.name();
+            info!(
+                flow = %key,
+                outcome = "refused",
+                cause,
+                retransmission,
+                busy,
+                slots,
+                revision,
+                left_out,
+                "packet not delivered"
+            );
         }
     }
 
@@ -101,7 +137,6 @@
         &mut self,
         key: FlowKey,
         cause: RedirectCause,
-        outcome: &'static str,
         report: AgentReport,
     ) {
         if let Some(left_out) = self.limiter.admit() {
@@ -109,7 +144,7 @@
             let cause = cause.name();
             info!(
                 flow = %key,
-                outcome,
+                outcome = "dropped",
                 cause,
                 busy,
                 slots,
--- a/components/model/src/flow_model/network.rs
+++ b/components/model/src/flow_model/network.rs
@@ -176,7 +176,7 @@
                     let delay = CALLER_DELAY;
                     self.send_datagram(ModelDatagram::ToCaller { packet }, delay);
                 }
-                TrackerAction::Refuse(key, _) | TrackerAction::Reset(key, _) => self.refuse(key),
+                TrackerAction::Refuse(key, _) | TrackerAction::Reset(key, ..) => self.refuse(key),
                 TrackerAction::AnnounceOwner(to, key) => {
                     let delay = delay_between(centre, to.ip().octets()[1] - 1);
                     let datagram = ModelDatagram::Owner {
