--- a/tests/platform_roles.rs
+++ b/tests/platform_roles/main.rs
@@ -1,5 +1,7 @@
 //! The platform roles as processes.
 
+mod open_flows;
+
 use std::{
     fs,
     net::{
@@ -88,6 +90,8 @@
     packets: SocketAddrV4,
     /// Address at which packets of an agent's server arrive.
     outgoing: SocketAddrV4,
+    /// Address of an agent's server.
+    backend: SocketAddrV4,
     /// Folder of the settings file, removed when the value is dropped.
     _folder: TempDir,
 }
@@ -161,6 +165,7 @@
         heartbeats: ready,
         packets,
         outgoing: packets,
+        backend: packets,
         _folder: folder,
     }
 }
@@ -176,14 +181,14 @@
     let ready = SocketAddrV4::new(ip, free_port());
     let heartbeats = SocketAddrV4::new(ip, free_port());
     let outgoing = SocketAddrV4::new(ip, free_port());
+    let backend = SocketAddrV4::new(ip, free_port());
     let settings = format!(
         "[node]\nname = 'a'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
          packets = '{ip}:{packet_port}'\nready = '{ready}'\ngrace_s = '6'\n\
          [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
-         [backend]\naddress = '{ip}:{}'\nservice = 's'\noutgoing = '{outgoing}'\n\
+         [backend]\naddress = '{backend}'\nservice = 's'\noutgoing = '{outgoing}'\n\
          heartbeats = '{heartbeats}'\nreuse_s = '2'\n",
         store.address(),
-        free_port(),
     );
     fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
     RoleProcess {
@@ -194,6 +199,7 @@
         heartbeats,
         packets: SocketAddrV4::new(ip, packet_port),
         outgoing,
+        backend,
         _folder: folder,
     }
 }
@@ -206,6 +212,13 @@
         .unwrap()
 }
 
+/// Returns the body of a heartbeat of the server at this address.
+fn heartbeat_body(address: &str, run: u64, sequence: u64, state: &str) -> String {
+    format!(
+        r#"{{"Service":"s","Address":"{address}","Zone":"north","Version":"v1","Slots":2,"State":"{state}","ColdRemainingMs":0,"Sequence":{sequence},"born":{run}}}"#
+    )
+}
+
 impl RoleProcess {
     /// Returns the HTTP status of the readiness endpoint; `None` if it can't be read.
     async fn status(&self) -> Option<u16> {
@@ -219,19 +232,23 @@
 
     /// Sends a heartbeat of the agent's server in this run and state.
     async fn send_heartbeat(&self, run: u64, sequence: u64, state: &str) {
-        let body = format!(
-            r#"{{"Service":"s","Address":"127.0.0.1:1","Zone":"north","Version":"v1","Slots":2,"State":"{state}","ColdRemainingMs":0,"Sequence":{sequence},"born":{run}}}"#
-        );
+        let body = heartbeat_body("127.0.0.1:1", run, sequence, state);
+        let response = self.call("PUT", &format!("i-{run}"), &body).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+
+    /// Makes a call of a backend server with this id, and returns the response.
+    async fn call(&self, method: &str, id: &str, body: &str) -> String {
         let mut stream = TcpStream::connect(self.heartbeats).await.unwrap();
         let request = format!(
-            "PUT /carobdrum/instances/i-{run} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\
+            "{method} /carobdrum/instances/{id} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\
              Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len(),
         );
         stream.write_all(request.as_bytes()).await.unwrap();
         let mut response = String::new();
         stream.read_to_string(&mut response).await.unwrap();
-        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        response
     }
 
     async fn wait_for_status(&self, status: u16) {
