Refuse only the first copy of an opening packet, while it is the only one

Cause: an agent at the end of the candidates refuses an opening packet by a reset if its header doesn't say that it was delivered. The header knows nothing of other copies: a retransmission was refused although the first copy had opened the flow, as soon as the agent that took it was no candidate any more (it drains, it is paused after a returned packet), and the first copy was refused although its server had got the second one. Balancers refuse first copies only; agents had no such rule.

Change: a retransmission, and a packet that its server returns after 150 ms or more, count as delivered, and are dropped at the end of the candidates. A caller sends its first retransmission after 200 ms, so before that the first copy is the only one and its refusal is true.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -42,6 +42,9 @@
 /// doesn't continue counts as load.
 const ACCEPT_TIMEOUT: Millis = Millis(60);
 
+/// Time for which the first copy of an opening packet is the only one: callers retransmit it after 200 ms.
+const FIRST_COPY_LIFETIME: Millis = Millis(150);
+
 /// Time after which a caller has abandoned a flow that didn't open.
 const OPEN_TIMEOUT: Millis = Millis(1_600);
 
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -3,8 +3,9 @@
 use carobdrum_core::Millis;
 
 use super::{
-    FlowTracker,
-    ACCEPT_SEQUENCE_SPAN, //
+    FlowTracker, //
+    ACCEPT_SEQUENCE_SPAN,
+    FIRST_COPY_LIFETIME,
 };
 use crate::{
     connection::{
@@ -211,6 +212,8 @@
         }
         let mut header = entry.header.clone();
         if packet.is_open() {
+            let has_later_copy = now.since(entry.first_used) >= FIRST_COPY_LIFETIME;
+            header.delivered |= packet.is_retransmission() || has_later_copy;
             self.return_pause.note_return(now);
             self.remove_flow(packet.key);
             header.best = header
--- a/components/flows/src/request/flow_packet.rs
+++ b/components/flows/src/request/flow_packet.rs
@@ -42,4 +42,10 @@
     pub fn is_open(&self) -> bool {
         matches!(self.kind, PacketKind::Open { .. })
     }
+
+    /// Returns whether the packet is a retransmission of an opening packet, so that a server may have
+    /// got an earlier copy.
+    pub fn is_retransmission(&self) -> bool {
+        matches!(self.kind, PacketKind::Open { retransmission } if retransmission > 0)
+    }
 }
--- a/components/flows/src/request/forward_header.rs
+++ b/components/flows/src/request/forward_header.rs
@@ -33,8 +33,8 @@
     pub best: Option<BestOffer>,
     /// Whether the packet is on its way to the agent of the best offer.
     pub assigned: bool,
-    /// Whether the opening packet was already delivered to a backend server, so that the flow must
-    /// not be refused.
+    /// Whether a backend server may have got a copy of the opening packet, so that the flow must not
+    /// be refused.
     pub delivered: bool,
     /// Agents to which the owner of the flow announces itself, because later packets may not find
     /// it otherwise.
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -313,6 +313,29 @@
     ));
 }
 
+/// Guards against the reset of a flow that a later copy of its opening packet has opened, when the server
+/// returns the first one late.
+#[rstest]
+#[case::before_the_first_retransmission(0, Millis(100), true)]
+#[case::after_the_first_retransmission(0, Millis(200), false)]
+#[case::of_a_retransmission(1, Millis(100), false)]
+fn a_returned_opening_packet_is_refused_only_while_it_is_the_only_copy(
+    #[case] retransmission: u8,
+    #[case] returned_at: Millis,
+    #[case] is_refused: bool,
+) {
+    let mut tracker = tracker();
+    let opening = packet(1, PacketKind::Open { retransmission });
+    forward(&mut tracker, &opening, header(&[]), Millis(0));
+    let returned = FlowPacket {
+        returned: true,
+        ..opening
+    };
+    let actions = backend(&mut tracker, &returned, returned_at);
+    let refused = |action: &TrackerAction| matches!(action, TrackerAction::Refuse(..));
+    assert_eq!(actions.iter().any(refused), is_refused, "{actions:?}");
+}
+
 /// Guards against lost packets when several of a flow were delivered before the server returned the
 /// first one.
 #[test]
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -82,8 +82,8 @@
     /// Whether the packet was sent to `best_agent` because no further candidate is asked.
     #[prost(bool, tag = "10")]
     pub assigned: bool,
-    /// Whether the packet was already delivered to a backend server, so that the flow must not be
-    /// refused.
+    /// Whether a backend server may have got a copy of the opening packet, so that the flow must not
+    /// be refused.
     #[prost(bool, tag = "11")]
     pub delivered: bool,
     /// The packet as the caller sent it.
