Ignore heartbeats of servers on other VMs

Cause: an agent didn't compare the address in a heartbeat with its own server. A heartbeat of another server, which may call the next node when its own agent doesn't acknowledge in time, counted as a new run of the agent's server: all its open flows were reset, the service was that of the other server, and the own server's next heartbeat made the run contested, so that it got no new flows (accepts=false busy=0, as in the record of the incident).

That this happened in the users' runs is suspected, not proved: the record has no agent's log.

Change: a heartbeat that names an address on neither the agent's nor its server's VM is answered with 421, so that its sender doesn't take it for acknowledged, and changes nothing. IP addresses are compared, as the port is the server's own affair.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -72,6 +72,8 @@
 pub struct TrackerSettings {
     /// Address at which the agent receives forwarded packets.
     pub address: SocketAddrV4,
+    /// Address of the backend server.
+    pub server: SocketAddrV4,
     /// Data centre of the agent.
     pub centre: CompactString,
     /// Service of the backend server until a heartbeat of the server names one.
@@ -169,6 +171,9 @@
         sent: Millis,
         now: Millis,
     ) -> HeartbeatOutcome {
+        if heartbeat.is_from_elsewhere([self.settings.server, self.settings.address]) {
+            return HeartbeatOutcome::Foreign;
+        }
         let cold_remaining = heartbeat.cold_remaining;
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
--- a/components/flows/src/process/heartbeat_outcome.rs
+++ b/components/flows/src/process/heartbeat_outcome.rs
@@ -15,11 +15,16 @@
     Contested,
     /// The heartbeat repeats a known one, or its run has deregistered.
     Stale,
+    /// The heartbeat comes from a server on another VM, and says nothing about the agent's own one.
+    Foreign,
 }
 
 impl HeartbeatOutcome {
     /// Returns whether the state of the heartbeat is that of the server from now on.
     pub fn is_applied(self) -> bool {
-        !matches!(self, HeartbeatOutcome::Contested | HeartbeatOutcome::Stale)
+        matches!(
+            self,
+            HeartbeatOutcome::Continued | HeartbeatOutcome::Started | HeartbeatOutcome::Replaced
+        )
     }
 }
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -14,7 +14,8 @@
     process::{
         BackendHeartbeat,
         BackendState,
-        ColdBudget, //
+        ColdBudget,
+        HeartbeatOutcome, //
     },
     request::ForwardHeader,
     FlowPacket,
@@ -37,6 +38,7 @@
     tracker,
     ACTIVITY_TIMEOUT,
     CENTRE, //
+    SERVICE,
 };
 
 /// Time for which a delivered opening packet counts as load before the caller continues the flow.
@@ -537,6 +539,28 @@
     forward(tracker, &acknowledgement, header(&[]), now);
 }
 
+/// Guards against an agent that takes the heartbeat of a server on another VM for a new run of its own
+/// one: it would reset that server's flows, or count the own run as contested.
+#[test]
+fn a_heartbeat_of_another_server_changes_nothing() {
+    let mut tracker = tracker();
+    serve_flow(&mut tracker, 1, Millis(0));
+    let foreign = BackendHeartbeat {
+        id: "i-9".into(),
+        address: Some(agent(9)),
+        started_ms: 9,
+        service: "other".into(),
+        ..heartbeat(1, BackendState::Draining)
+    };
+    let outcome = tracker.handle_heartbeat(foreign, Millis(100));
+    assert_eq!(outcome, HeartbeatOutcome::Foreign);
+    let mut actions = Vec::new();
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions, []);
+    assert!(tracker.report(Millis(100)).accepts);
+    assert_eq!(tracker.service(), SERVICE);
+}
+
 /// Guards against callers that wait until their deadline for a server that was restarted: their
 /// next request would go into a flow that nobody holds.
 #[test]
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -45,6 +45,11 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, number), 8_000)
 }
 
+/// Returns the address of the server beside agent 0.
+pub(crate) fn server() -> SocketAddrV4 {
+    SocketAddrV4::new(*agent(0).ip(), 9_000)
+}
+
 pub(crate) fn config(version: u64) -> SiteConfig {
     config_with(version, None)
 }
@@ -84,6 +89,7 @@
 pub(crate) fn heartbeat(sequence: u64, state: BackendState) -> BackendHeartbeat {
     BackendHeartbeat {
         id: "i-1".into(),
+        address: Some(server()),
         started_ms: 1,
         sequence,
         service: SERVICE.into(),
@@ -113,6 +119,7 @@
 fn start_tracker() -> FlowTracker {
     let settings = TrackerSettings {
         address: agent(0),
+        server: server(),
         centre: CENTRE.into(),
         service: SERVICE.into(),
         activity_timeout: ACTIVITY_TIMEOUT,
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -189,6 +189,7 @@
     let reuse = Millis((backend.reuse_s * 1_000.0) as u64);
     TrackerSettings {
         address: settings.node.packets,
+        server: backend.address,
         centre: settings.node.data_centre.clone(),
         service: backend.service.clone(),
         activity_timeout: reuse.since(REUSE_MARGIN),
@@ -299,6 +300,9 @@
         if outcome != HeartbeatOutcome::Continued {
             info!(%id, started_ms, sequence, ?outcome, "heartbeat of a run that isn't the known one");
         }
+        if outcome == HeartbeatOutcome::Foreign {
+            return StatusCode::MISDIRECTED_REQUEST;
+        }
         if outcome.is_applied() {
             self.writer.update(Some(service), reply.is_leaving);
         }
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -217,6 +217,7 @@
     fn new_tracker(&self, centre: u8, address: SocketAddrV4) -> FlowTracker {
         let settings = TrackerSettings {
             address,
+            server: address,
             centre: centre_name(centre),
             service: SERVICE.into(),
             activity_timeout: ACTIVITY_TIMEOUT,
@@ -298,6 +299,7 @@
         agent.heartbeats += 1;
         let heartbeat = BackendHeartbeat {
             id: format_compact!("i-{index}-{}", agent.incarnation),
+            address: None,
             started_ms: u64::from(agent.incarnation) + 1,
             sequence: agent.heartbeats,
             service: SERVICE.into(),
