Reset the flows of a leaving server only once it has ended

Cause: an agent that was stopped took the deregistration of its server for its end and reset all flows that the server had served. A server deregisters first and ends then, or some seconds later when it got no answer; the flows that are idle during the drain are open until then.

Change: an agent that is shutting down beside a leaving server connects to the server's address every 300 ms; once the connection is refused, nothing listens there, and the flows are reset as before. Until then packets go to the server, and the wait for open flows and its limit are as before.

The test resets_open_flows_when_it_stops_after_its_server expected the wrong reset: its case of a server that has left only deregistered it. It is replaced by resets_open_flows_when_its_server_has_ended with four cases, which compares the whole action.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -186,7 +186,7 @@
             self.return_pause.clear();
         }
         if had_heartbeat && outcome == HeartbeatOutcome::Started {
-            self.note_server_ended(ResetCause::Restarted);
+            self.mark_flows_lost(ResetCause::Restarted);
         }
         self.cold.set_remaining(cold_remaining, sent, now);
         self.load.set_slots(slots);
@@ -210,17 +210,17 @@
     }
 
     /// Stops accepting new flows, for a graceful shutdown.
-    ///
-    /// The platform stops an agent after its server has ended, if the server has deregistered.
     pub fn stop(&mut self) {
         self.stopping = true;
-        if self.liveness.is_deregistered() {
-            self.note_server_ended(ResetCause::Ended);
-        }
+    }
+
+    /// Records that the server has ended. A server that has only deregistered may still hold flows.
+    pub fn note_server_ended(&mut self) {
+        self.mark_flows_lost(ResetCause::Ended);
     }
 
     /// Marks the flows of a server that has ended for [`FlowTracker::reset_lost_flows`].
-    fn note_server_ended(&mut self, cause: ResetCause) {
+    fn mark_flows_lost(&mut self, cause: ResetCause) {
         let flows = self.flows.iter();
         let open = flows.filter(|(_, entry)| entry.is_certainly_open());
         self.lost_flows.extend(open.map(|(key, _)| (*key, cause)));
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -140,11 +140,6 @@
         self.deregistered || draining
     }
 
-    /// Returns whether the server has deregistered.
-    pub fn is_deregistered(&self) -> bool {
-        self.deregistered
-    }
-
     /// Records a packet that the server sent, at `sent` or later, for a flow that it holds.
     pub fn note_activity(&mut self, sent: Millis) {
         if !self.deregistered {
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -623,21 +623,31 @@
 }
 
 /// Guards against idle flows that outlive their server: it leaves without ending them, and the
-/// caller's next request is lost. An agent that is stopped alone leaves them to its server.
+/// caller's next request is lost. Until the server has ended, its flows are left to it, whether or not
+/// it has deregistered.
 #[rstest]
-#[case::server_has_left(true)]
-#[case::server_still_runs(false)]
-fn resets_open_flows_when_it_stops_after_its_server(#[case] has_left: bool) {
+#[case::server_has_left(true, true)]
+#[case::server_has_crashed(false, true)]
+#[case::server_is_about_to_end(true, false)]
+#[case::server_still_runs(false, false)]
+fn resets_open_flows_when_its_server_has_ended(
+    #[case] has_deregistered: bool,
+    #[case] has_ended: bool,
+) {
     let mut tracker = tracker();
     serve_flow(&mut tracker, 1, Millis(0));
-    if has_left {
+    if has_deregistered {
         assert!(tracker.deregister("i-1"));
     }
     tracker.stop();
+    if has_ended {
+        tracker.note_server_ended();
+    }
     let mut actions = Vec::new();
     tracker.reset_lost_flows(&mut actions);
-    assert_eq!(actions.len(), usize::from(has_left));
-    assert_eq!(tracker.open_flows(), usize::from(!has_left));
+    let reset = TrackerAction::Reset(key(1), 100, ResetCause::Ended);
+    assert_eq!(actions, if has_ended { vec![reset] } else { vec![] });
+    assert_eq!(tracker.open_flows(), usize::from(!has_ended));
 }
 
 /// Guards against flows that are refused because the agent learns of a change after the balancer:
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -94,6 +94,8 @@
     Heartbeat(BackendHeartbeat, Millis, oneshot::Sender<BackendOutcome>),
     /// The backend server with this identity deregisters; it isn't applied if another one is known.
     Deregister(CompactString, oneshot::Sender<BackendOutcome>),
+    /// The backend server has ended.
+    ServerEnded,
     /// The process is shutting down; the reply is sent when no flow is open.
     Stop(oneshot::Sender<()>),
 }
@@ -211,9 +213,12 @@
             }
             AgentUpdate::Stop(answer) => {
                 self.tracker.stop();
-                self.reset_lost_flows();
                 self.shutdown_answer = Some(answer);
             }
+            AgentUpdate::ServerEnded => {
+                self.tracker.note_server_ended();
+                self.reset_lost_flows();
+            }
         }
         self.report_change(now);
     }
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -5,6 +5,7 @@
         Cell,
         RefCell, //
     },
+    io,
     net::SocketAddrV4,
     rc::Rc,
     time::Duration, //
@@ -36,11 +37,15 @@
     ResultExt, //
 };
 use tokio::{
+    net::TcpStream,
     sync::{
         mpsc,
         oneshot, //
     },
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 use tracing::{
     debug,
@@ -87,6 +92,12 @@
 /// the shutdown.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Interval between probes whether the server of an agent that is shutting down has ended.
+const SERVER_PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time limit of such a probe.
+const SERVER_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time limit for ending the lease during a graceful shutdown.
 const LEASE_END_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -142,7 +153,7 @@
     serve_readiness(node.ready).await?;
     let requests = BackendRequests {
         updates: updates.clone(),
-        writer,
+        writer: writer.clone(),
         ticks: TickHistory::start(),
     };
     serve_backend(backend.heartbeats, requests).await?;
@@ -154,10 +165,14 @@
             changed = file.changed(&mut context.reload) => apply_settings(&changed, &updates).await,
         }
     }
-    info!("agent shutting down");
+    let is_leaving = writer.record.borrow().is_leaving;
+    info!(is_leaving, "agent shutting down");
     let (answer, flows_ended) = oneshot::channel();
     if updates.send(AgentUpdate::Stop(answer)).await.is_ok() {
         let grace = Duration::from_secs_f64(settings.node.grace_s).saturating_sub(GRACE_MARGIN);
+        if is_leaving {
+            tokio::task::spawn_local(report_server_end(server, updates));
+        }
         let ended = timeout(grace, flows_ended).await.is_ok();
         info!(ended, "wait for open flows is over");
     }
@@ -173,6 +188,25 @@
     Ok(())
 }
 
+/// Tells the traffic thread when a server that is leaving has ended, since its flows are lost from then
+/// on. The platform stops an agent about when its server ends.
+async fn report_server_end(server: SocketAddrV4, updates: mpsc::Sender<AgentUpdate>) {
+    while !has_ended(server).await {
+        sleep(SERVER_PROBE_INTERVAL).await;
+    }
+    info!(%server, "backend server has ended");
+    if updates.send(AgentUpdate::ServerEnded).await.is_err() {
+        warn!("end of the backend server not applied: the traffic thread has ended");
+    }
+}
+
+/// Returns whether nothing listens at the address of a server on the same VM.
+async fn has_ended(server: SocketAddrV4) -> bool {
+    let connected = timeout(SERVER_PROBE_TIMEOUT, TcpStream::connect(server)).await;
+    let is_refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    matches!(connected, Ok(Err(error)) if is_refused(&error))
+}
+
 /// Sends changed settings to the traffic thread.
 async fn apply_settings(settings: &FlowSettings, updates: &mpsc::Sender<AgentUpdate>) {
     let Some(backend) = &settings.backend else {
