Pass a server's reset on only for flows that it holds

Cause: an opening packet that its server doesn't answer within 60 ms, and each retransmission, may reach a second server. Only the server whose acceptance the caller acknowledges holds the flow, but the agents of the others passed on whatever their servers sent for it. When the entry of the second agent had expired and a later packet came to it through another balancer, its server answered the data of a flow that had ended for it by a reset, and the caller took it.

Change: an agent passes a reset on only for a flow that is open or closed at its server; otherwise it drops it, and later packets go to the next candidate. An agent that was restarted doesn't know its server's flows, so a caller whose flow ended meanwhile gets silence in place of the reset: silence breaks no flow.

--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -158,6 +158,10 @@
             self.handle_returned(packet, now, actions);
             return;
         }
+        if packet.kind == PacketKind::Reset && !self.is_held(packet.key) {
+            self.drop_server_reset(packet.key, actions);
+            return;
+        }
         actions.push(TrackerAction::ToCaller);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
             return;
@@ -190,6 +194,27 @@
         }
     }
 
+    /// Returns whether the server is known to hold a flow, or to have held it until its end.
+    fn is_held(&self, key: FlowKey) -> bool {
+        let stage = self.flows.get(&key).map(|entry| &entry.stage);
+        matches!(stage, Some(FlowStage::Open | FlowStage::Closed))
+    }
+
+    /// Drops a reset of the server for a flow that may be open at another one: several servers get the
+    /// opening packet if the first one doesn't answer in time.
+    fn drop_server_reset(&mut self, key: FlowKey, actions: &mut Vec<TrackerAction>) {
+        if let Some(entry) = self.flows.get_mut(&key) {
+            if !matches!(entry.stage, FlowStage::Redirected(_)) {
+                entry.stage = FlowStage::NotHeld;
+            }
+            entry.opening_packet = None;
+            if entry.request_started.take().is_some() {
+                self.load.end();
+            }
+        }
+        actions.push(TrackerAction::Drop(key, RedirectCause::NotHeld));
+    }
+
     /// Adds a response of the server to its failure rate.
     pub fn record_response(&mut self, failed: bool, now: Millis) {
         self.failure_rate.record(failed, now);
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -622,6 +622,34 @@
     }
 }
 
+/// Guards against the reset of a flow by a server that got a copy of its opening packet and never held
+/// it, while another server does.
+#[rstest]
+#[case::holds_the_flow(true, true)]
+#[case::only_accepted_it(true, false)]
+#[case::is_unknown(false, false)]
+fn a_reset_of_the_server_reaches_the_caller_only_if_it_holds_the_flow(
+    #[case] is_accepted: bool,
+    #[case] is_opened: bool,
+) {
+    let mut tracker = tracker();
+    if is_accepted {
+        forward(&mut tracker, &open_packet(1), header(&[]), Millis(0));
+        backend(&mut tracker, &packet(1, PacketKind::Accept), Millis(1));
+    }
+    if is_opened {
+        forward(
+            &mut tracker,
+            &packet(1, PacketKind::Data),
+            header(&[]),
+            Millis(2),
+        );
+    }
+    let actions = backend(&mut tracker, &packet(1, PacketKind::Reset), Millis(3));
+    let is_passed_on = actions.contains(&TrackerAction::ToCaller);
+    assert_eq!(is_passed_on, is_opened, "{actions:?}");
+}
+
 /// Guards against idle flows that outlive their server: it leaves without ending them, and the
 /// caller's next request is lost. Until the server has ended, its flows are left to it, whether or not
 /// it has deregistered.
