Tell flows of the same endpoints apart by the server's sequence numbers

Cause: an agent knew a flow by its two addresses only. While the entry of an earlier flow remained (15 s), packets of a later flow from the same caller's port, which was open at another server, were delivered here; the server returned them, and since it had served the earlier flow, the agent reset the later one. An acknowledgement of a second server's number was told from the own one by a distance of 2^20, which fails once in 4,096 times.

Evidence: a_later_flow_of_the_same_port_is_not_reset_by_the_server_of_the_earlier_one failed before.

Change: an entry keeps the numbers that its server has used in the flow. A packet that acknowledges none of them isn't of this flow and goes to the next candidate; another first number shows a new flow at the same server, as a_later_flow_of_the_same_port_is_served_by_the_same_server checks. A server's repeated acceptance after a restart of its agent no longer makes the agent the owner.

A case of resets_a_returned_flow_only_if_the_server_has_served_it acknowledged 100 bytes that its server never sent; it acknowledges the acceptance now.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 
+use super::SequenceWindow;
 use crate::request::ForwardHeader;
 
 /// Age from which a flow counts as long. Flows of one request are shorter.
@@ -19,10 +20,7 @@
 pub enum FlowStage {
     /// The opening packet was delivered to the server, and no later packet of the caller has
     /// confirmed the flow.
-    Opening {
-        /// First sequence number of the server; `None` until it has accepted the flow.
-        server_sequence: Option<u32>,
-    },
+    Opening,
     /// The server holds the flow.
     Open,
     /// A later packet of an unknown flow was delivered; the server returns it if it doesn't hold
@@ -53,6 +51,8 @@
     pub server_done: bool,
     /// The opening packet, kept for a redirect until the server has answered it.
     pub opening_packet: Option<Bytes>,
+    /// Sequence numbers of the server; `None` if the agent hasn't seen it accept the flow.
+    pub server_window: Option<SequenceWindow>,
     /// Sequence number that the caller expects next; that of a reset.
     pub caller_expects: u32,
     /// Whether the server has sent more than the acceptance of the flow, so that it certainly held
@@ -70,6 +70,7 @@
     /// Creates the entry of a flow whose first packet at this agent arrived at `now`.
     pub fn new(stage: FlowStage, header: ForwardHeader, now: Millis) -> FlowEntry {
         FlowEntry {
+            server_window: None,
             caller_expects: 0,
             is_served: false,
             first_used: now,
@@ -100,6 +101,30 @@
         uninformed
     }
 
+    /// Records that the server has accepted the flow with this sequence number. Another number than
+    /// before shows that a new flow has the same endpoints.
+    pub fn note_accepted(&mut self, sequence: u32) {
+        let window = self.server_window.as_ref();
+        if window.is_some_and(|window| window.first() == sequence) {
+            return;
+        }
+        self.server_window = Some(SequenceWindow::new(sequence));
+        if matches!(self.stage, FlowStage::NotHeld | FlowStage::Redirected(_)) {
+            return;
+        }
+        self.stage = FlowStage::Opening;
+        self.is_served = false;
+        self.caller_done = false;
+        self.server_done = false;
+    }
+
+    /// Returns whether a caller's packet that acknowledges this number belongs to the flow that the
+    /// server accepted, as far as the agent can tell.
+    pub fn is_continued_by(&self, acknowledged: u32) -> bool {
+        let window = self.server_window.as_ref();
+        window.is_none_or(|window| window.is_acknowledged_by(acknowledged))
+    }
+
     /// Returns whether the server held the flow until now and would have answered its packets. No
     /// other server can hold it then.
     pub fn is_certainly_open(&self) -> bool {
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -60,10 +60,6 @@
 /// Limit of the agents that one packet passes; more are taken for a loop.
 const MAX_HOPS: u8 = 32;
 
-/// Width of the acknowledgement window that follows a server's first sequence number: a number in
-/// it shows that the caller continues the flow that this server accepted.
-const ACCEPT_SEQUENCE_SPAN: u32 = 1 << 20;
-
 /// Slots of a server that has not sent a heartbeat yet.
 const DEFAULT_SLOTS: u32 = 2;
 
@@ -228,8 +224,7 @@
 
     /// Returns the number of flows that are open, or whose opening packet was delivered.
     pub fn open_flows(&self) -> usize {
-        let open =
-            |entry: &&FlowEntry| matches!(entry.stage, FlowStage::Open | FlowStage::Opening { .. });
+        let open = |entry: &&FlowEntry| matches!(entry.stage, FlowStage::Open | FlowStage::Opening);
         self.flows.values().filter(open).count()
     }
 
@@ -298,7 +293,7 @@
         self.flows.retain(|_, entry| {
             let idle = now.since(entry.last_used);
             let timeout = match entry.stage {
-                FlowStage::Opening { .. } => OPEN_TIMEOUT,
+                FlowStage::Opening => OPEN_TIMEOUT,
                 FlowStage::Unverified | FlowStage::NotHeld | FlowStage::Closed => CLOSED_RETENTION,
                 FlowStage::Open | FlowStage::Redirected(_) => idle_timeout,
             };
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -4,7 +4,6 @@
 
 use super::{
     FlowTracker, //
-    ACCEPT_SEQUENCE_SPAN,
     FIRST_COPY_LIFETIME,
 };
 use crate::{
@@ -41,13 +40,11 @@
         };
         entry.last_used = now;
         let is_held = match entry.stage {
-            FlowStage::Opening {
-                server_sequence: Some(first),
-            } => packet.acknowledged.wrapping_sub(first) < ACCEPT_SEQUENCE_SPAN,
-            FlowStage::Opening {
-                server_sequence: None,
-            } => false,
-            FlowStage::Open | FlowStage::Unverified | FlowStage::Closed => true,
+            FlowStage::Opening if entry.server_window.is_none() => false,
+            // A caller's reset need not acknowledge anything.
+            FlowStage::Opening | FlowStage::Open | FlowStage::Unverified | FlowStage::Closed => {
+                packet.kind == PacketKind::Reset || entry.is_continued_by(packet.acknowledged)
+            }
             FlowStage::NotHeld => false,
             FlowStage::Redirected(to) => {
                 header.rest.retain(|candidate| *candidate != to);
@@ -63,7 +60,7 @@
             redirect_later(packet.key, header, cause, actions);
             return;
         }
-        if matches!(entry.stage, FlowStage::Opening { .. }) {
+        if matches!(entry.stage, FlowStage::Opening) {
             entry.stage = FlowStage::Open;
         }
         entry.header = header;
@@ -169,10 +166,15 @@
         entry.last_used = now;
         entry.opening_packet = None;
         entry.is_served |= packet.kind != PacketKind::Accept;
-        match (&mut entry.stage, packet.kind) {
-            (FlowStage::Opening { server_sequence }, PacketKind::Accept) => {
-                *server_sequence = Some(packet.sequence);
-                self.return_pause.clear();
+        if let Some(window) = &mut entry.server_window {
+            window.extend(packet.sequence, packet.data_len);
+        }
+        match (&entry.stage, packet.kind) {
+            (stage, PacketKind::Accept) => {
+                if *stage == FlowStage::Opening {
+                    self.return_pause.clear();
+                }
+                entry.note_accepted(packet.sequence);
             }
             (_, PacketKind::Reset) => entry.stage = FlowStage::Closed,
             (FlowStage::Unverified, _) => entry.stage = FlowStage::Open,
@@ -253,10 +255,8 @@
                 actions,
             );
         } else {
-            let is_held_elsewhere = matches!(
-                entry.stage,
-                FlowStage::Opening { .. } | FlowStage::Redirected(_)
-            );
+            let is_held_elsewhere =
+                matches!(entry.stage, FlowStage::Opening | FlowStage::Redirected(_));
             if !is_held_elsewhere {
                 if entry.stage == FlowStage::Open {
                     // The server held the flow and has lost it, so it may have restarted.
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -45,7 +45,7 @@
         header.delivered |= packet.is_retransmission();
         if let Some(entry) = self.flows.get_mut(&key) {
             match entry.stage {
-                FlowStage::Opening { .. } | FlowStage::Open => {
+                FlowStage::Opening | FlowStage::Open => {
                     entry.last_used = now;
                     // Another service may use the address of a server that has been silent.
                     actions.push(if self.liveness.is_active(now) {
@@ -134,9 +134,7 @@
         if header.hops > 1 || header.delivered {
             actions.push(TrackerAction::AnnounceOwner(header.balancer, key));
         }
-        let stage = FlowStage::Opening {
-            server_sequence: None,
-        };
+        let stage = FlowStage::Opening;
         let mut entry = FlowEntry::new(stage, header, now);
         entry.request_started = Some(now);
         entry.opening_packet = Some(bytes.clone());
@@ -174,9 +172,10 @@
             actions.push(action);
             return;
         };
-        let is_held = self.flows.get(&key).is_some_and(|entry| {
-            matches!(entry.stage, FlowStage::Opening { .. } | FlowStage::Open)
-        });
+        let is_held = self
+            .flows
+            .get(&key)
+            .is_some_and(|entry| matches!(entry.stage, FlowStage::Opening | FlowStage::Open));
         if !is_held {
             let entry = FlowEntry::new(FlowStage::Redirected(to), header.clone(), now);
             self.flows.insert(key, entry);
@@ -201,9 +200,7 @@
             let Some(entry) = self.flows.get_mut(&key) else {
                 continue;
             };
-            if matches!(entry.stage, FlowStage::Opening { .. })
-                && entry.request_started.take().is_some()
-            {
+            if matches!(entry.stage, FlowStage::Opening) && entry.request_started.take().is_some() {
                 self.load.end();
             }
             let Some(opening_packet) = entry.opening_packet.take() else {
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod flow_tracker;
 mod load_estimate;
 mod return_pause;
+mod sequence_window;
 mod tracker_action;
 mod wait_limit;
 
@@ -19,6 +20,7 @@
 };
 pub use load_estimate::LoadEstimate;
 pub use return_pause::ReturnPause;
+pub use sequence_window::SequenceWindow;
 pub use tracker_action::{
     RedirectCause,
     ResetCause, //
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -603,7 +603,7 @@
         open_flow(&mut tracker, 1, Millis(0));
     }
     let request = FlowPacket {
-        acknowledged: 100,
+        acknowledged: if is_served { 100 } else { 1 },
         ..packet(1, PacketKind::Data)
     };
     forward(&mut tracker, &request, header(&[1]), Millis(100));
@@ -650,6 +650,45 @@
     assert_eq!(is_passed_on, is_opened, "{actions:?}");
 }
 
+/// Guards against the reset of a flow that another server holds, by the server of an earlier flow of the
+/// same caller's port: it returns the packets, which it doesn't know.
+#[test]
+fn a_later_flow_of_the_same_port_is_not_reset_by_the_server_of_the_earlier_one() {
+    let mut tracker = tracker();
+    serve_flow(&mut tracker, 1, Millis(0));
+    let request = FlowPacket {
+        acknowledged: 0x4000_0000,
+        ..data(1, PacketKind::Data)
+    };
+    let actions = forward(&mut tracker, &request, header(&[1]), Millis(500));
+    assert_eq!(redirected_to(&actions), Some(agent(1)), "{actions:?}");
+    let own = FlowPacket {
+        acknowledged: 100,
+        ..data(1, PacketKind::Data)
+    };
+    let actions = forward(&mut tracker, &own, header(&[1]), Millis(600));
+    assert!(delivers(&actions), "{actions:?}");
+}
+
+/// Guards against lost packets of a flow whose caller's port had another flow at the same server before.
+#[test]
+fn a_later_flow_of_the_same_port_is_served_by_the_same_server() {
+    let mut tracker = tracker();
+    serve_flow(&mut tracker, 1, Millis(0));
+    forward(&mut tracker, &open_packet(1), header(&[1]), Millis(500));
+    let accepted = FlowPacket {
+        sequence: 0x4000_0000,
+        ..packet(1, PacketKind::Accept)
+    };
+    backend(&mut tracker, &accepted, Millis(501));
+    let request = FlowPacket {
+        acknowledged: 0x4000_0001,
+        ..data(1, PacketKind::Data)
+    };
+    let actions = forward(&mut tracker, &request, header(&[1]), Millis(502));
+    assert!(delivers(&actions), "{actions:?}");
+}
+
 /// Guards against idle flows that outlive their server: it leaves without ending them, and the
 /// caller's next request is lost. Until the server has ended, its flows are left to it, whether or not
 /// it has deregistered.
