Refuse no opening packet that may have waited while its caller sent copies

Cause: a process that didn't run for 150 ms or more, on a busy machine or while it was paused, took the first copy of an opening packet out of its socket as if it had just arrived, and refused it when no candidate was left. The caller had sent the second copy meanwhile, which may have opened the flow through others. The processes that then refused it weren't the one that had been paused, if the packet went on.

Evidence: with the calls as before the change, the cases may_have_waited of an_opening_packet_that_has_waited_is_not_refused and refuses_no_opening_packet_that_has_waited can't be expressed: the tracker and the router didn't know the arrival. Both refuse when the arrival is given as now (cases just_arrived).

A packet that may have waited for 150 ms counts as one of several copies.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -42,9 +42,6 @@
 /// doesn't continue counts as load.
 const ACCEPT_TIMEOUT: Millis = Millis(60);
 
-/// Time for which the first copy of an opening packet is the only one: callers retransmit it after 200 ms.
-const FIRST_COPY_LIFETIME: Millis = Millis(150);
-
 /// Time after which a caller has abandoned a flow that didn't open.
 const OPEN_TIMEOUT: Millis = Millis(1_600);
 
@@ -259,13 +256,28 @@
     ///
     /// `bytes` is the packet itself, kept in case an opening packet has to be redirected later.
     pub fn handle_forwarded(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &Bytes,
+        header: ForwardHeader,
+        now: Millis,
+        actions: &mut Vec<TrackerAction>,
+    ) {
+        self.handle_late_forwarded(packet, bytes, header, now, now, actions);
+    }
+
+    /// Decides about a packet of a caller that arrived at `arrived` or later and that may have waited
+    /// since in a socket, as it does while the process is paused.
+    pub fn handle_late_forwarded(
         &mut self,
         packet: &FlowPacket,
         bytes: &Bytes,
         mut header: ForwardHeader,
+        arrived: Millis,
         now: Millis,
         actions: &mut Vec<TrackerAction>,
     ) {
+        header.delivered |= packet.may_have_other_copies(now.since(arrived));
         header.hops = header.hops.saturating_add(1);
         if header.hops > MAX_HOPS {
             actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -2,10 +2,7 @@
 
 use carobdrum_core::Millis;
 
-use super::{
-    FlowTracker, //
-    FIRST_COPY_LIFETIME,
-};
+use super::FlowTracker;
 use crate::{
     connection::{
         FlowEntry,
@@ -239,8 +236,7 @@
         }
         let mut header = entry.header.clone();
         if packet.is_open() {
-            let has_later_copy = now.since(entry.first_used) >= FIRST_COPY_LIFETIME;
-            header.delivered |= packet.is_retransmission() || has_later_copy;
+            header.delivered |= packet.may_have_other_copies(now.since(entry.first_used));
             self.return_pause.note_return(now);
             self.remove_flow(packet.key);
             header.best = header
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -42,7 +42,6 @@
         actions: &mut Vec<TrackerAction>,
     ) {
         let key = packet.key;
-        header.delivered |= packet.is_retransmission();
         if let Some(entry) = self.flows.get_mut(&key) {
             match entry.stage {
                 FlowStage::Opening | FlowStage::Open => {
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -58,7 +58,21 @@
         }
     }
 
-    /// Decides about a packet of a caller.
+    /// Decides about a packet of a caller that arrived at `arrived` or later and that may have waited
+    /// since in a socket. If a caller may have sent further copies meanwhile, the flow isn't refused.
+    pub fn route_late(&mut self, packet: &FlowPacket, arrived: Millis, now: Millis) -> RouteAction {
+        let may_be_delivered = packet.may_have_other_copies(now.since(arrived));
+        match self.route(packet, now) {
+            RouteAction::Refuse(cause) if may_be_delivered => RouteAction::Drop(cause),
+            RouteAction::Forward { to, mut header } => {
+                header.delivered = may_be_delivered;
+                RouteAction::Forward { to, header }
+            }
+            action => action,
+        }
+    }
+
+    /// Decides about a packet of a caller that has just arrived.
     pub fn route(&mut self, packet: &FlowPacket, now: Millis) -> RouteAction {
         let forged = packet.kind == PacketKind::Accept || packet.returned;
         if forged {
--- a/components/flows/src/request/flow_packet.rs
+++ b/components/flows/src/request/flow_packet.rs
@@ -1,7 +1,13 @@
 //! Fields of a packet on which the decisions depend.
 
+use carobdrum_core::Millis;
+
 use super::FlowKey;
 
+/// Time for which the first copy of an opening packet is the only one: callers send the next one after
+/// 200 ms.
+const FIRST_COPY_LIFETIME: Millis = Millis(150);
+
 /// Role of a packet in its flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PacketKind {
@@ -43,9 +49,12 @@
         matches!(self.kind, PacketKind::Open { .. })
     }
 
-    /// Returns whether the packet is a retransmission of an opening packet, so that a server may have
-    /// got an earlier copy.
-    pub fn is_retransmission(&self) -> bool {
-        matches!(self.kind, PacketKind::Open { retransmission } if retransmission > 0)
+    /// Returns whether the packet, at this age, is an opening packet of which a server may have got
+    /// another copy.
+    pub fn may_have_other_copies(&self, age: Millis) -> bool {
+        match self.kind {
+            PacketKind::Open { retransmission } => retransmission > 0 || age >= FIRST_COPY_LIFETIME,
+            _ => false,
+        }
     }
 }
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
     connection::{
@@ -338,6 +339,30 @@
     assert_eq!(actions.iter().any(refused), is_refused, "{actions:?}");
 }
 
+/// Guards against the reset of a flow that a later copy of its opening packet has opened, by an agent that
+/// was paused while the first one waited in its socket.
+#[rstest]
+#[case::just_arrived(Millis(900), true)]
+#[case::may_have_waited(Millis(850), false)]
+fn an_opening_packet_that_has_waited_is_not_refused(
+    #[case] arrived: Millis,
+    #[case] is_refused: bool,
+) {
+    let mut tracker = tracker();
+    tracker.stop();
+    let mut actions = Vec::new();
+    tracker.handle_late_forwarded(
+        &open_packet(1),
+        &Bytes::from_static(b"packet"),
+        header(&[]),
+        arrived,
+        Millis(1_000),
+        &mut actions,
+    );
+    let refused = |action: &TrackerAction| matches!(action, TrackerAction::Refuse(..));
+    assert_eq!(actions.iter().any(refused), is_refused, "{actions:?}");
+}
+
 /// Guards against lost packets when several of a flow were delivered before the server returned the
 /// first one.
 #[test]
--- a/components/flows/tests/routing.rs
+++ b/components/flows/tests/routing.rs
@@ -23,6 +23,8 @@
     open_packet,
     packet,
     router, //
+    CENTRE,
+    SERVICE,
 };
 
 /// Time after which an agent that doesn't answer is certainly suspect.
@@ -40,6 +42,29 @@
     }
 }
 
+/// Guards against the reset of a flow that a later copy of its opening packet has opened, by a balancer that
+/// was paused while the first one waited in its socket.
+#[rstest]
+#[case::just_arrived(Millis(900), true)]
+#[case::may_have_waited(Millis(850), false)]
+fn refuses_no_opening_packet_that_has_waited(#[case] arrived: Millis, #[case] is_refused: bool) {
+    let now = Millis(1_000);
+    let mut router = router(0);
+    let action = router.route_late(&open_packet(1), arrived, now);
+    assert_eq!(matches!(action, RouteAction::Refuse(_)), is_refused);
+    let record = AgentRecord {
+        address: agent(0),
+        centre: CENTRE.into(),
+        service: SERVICE.into(),
+        is_leaving: false,
+    };
+    router.agents.insert(record, now);
+    let action = router.route_late(&open_packet(1), arrived, now);
+    assert!(
+        matches!(action, RouteAction::Forward { header, .. } if header.delivered != is_refused)
+    );
+}
+
 /// Guards against an opening packet that is lost because one of its later candidates is dead.
 #[test]
 fn excludes_silent_agents_from_candidates_of_opening_packets() {
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -122,6 +122,8 @@
     outgoing: UdpEndpoint,
     /// Last time at which no packet of the server was waiting. What is read later was sent later.
     drained_at: Millis,
+    /// The same for packets of callers.
+    forwards_drained_at: Millis,
     reporter: AgentReporter,
     actions: Vec<TrackerAction>,
     shutdown_answer: Option<oneshot::Sender<()>>,
@@ -150,6 +152,7 @@
             packets: UdpEndpoint::open(address).await?,
             outgoing: UdpEndpoint::open(outgoing).await?,
             drained_at: Millis(0),
+            forwards_drained_at: Millis(0),
             reporter: AgentReporter::new(address),
             actions: Vec::new(),
             shutdown_answer: None,
@@ -250,6 +253,7 @@
         let now = self.clock.now();
         for _ in 0..BATCH {
             let Some((bytes, from)) = self.packets.receive() else {
+                self.forwards_drained_at = now;
                 return;
             };
             let bytes = Bytes::copy_from_slice(bytes);
@@ -294,8 +298,9 @@
             self.log.arrived(packet.key, &attempt);
         }
         let mut actions = std::mem::take(&mut self.actions);
+        let arrived = self.forwards_drained_at;
         self.tracker
-            .handle_forwarded(&packet, &bytes, header, now, &mut actions);
+            .handle_late_forwarded(&packet, &bytes, header, arrived, now, &mut actions);
         if packet.is_open() {
             self.note_opening(packet.key, hops, &actions, now);
         }
@@ -448,6 +453,9 @@
         if self.outgoing.is_drained() {
             self.drained_at = now;
         }
+        if self.packets.is_drained() {
+            self.forwards_drained_at = now;
+        }
         let unsent = self.packets.unsent + self.outgoing.unsent;
         self.metrics
             .unsent
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -93,6 +93,8 @@
     address: SocketAddrV4,
     callers: UdpEndpoint,
     agents: UdpEndpoint,
+    /// Last time at which no packet of a caller was waiting. What is read later arrived later.
+    drained_at: Millis,
     metrics: NodeMetrics,
     log: FlowLog,
     spans: HopSpans,
@@ -114,6 +116,7 @@
             address,
             callers: UdpEndpoint::open(packets).await?,
             agents: UdpEndpoint::open(address).await?,
+            drained_at: Millis(0),
             metrics,
             log: FlowLog::new(),
             spans: HopSpans::default(),
@@ -159,6 +162,7 @@
         let now = self.clock.now();
         for _ in 0..BATCH {
             let Some((bytes, from)) = self.callers.receive() else {
+                self.drained_at = now;
                 return;
             };
             let packet = match decode_caller_packet(bytes) {
@@ -170,7 +174,7 @@
                 }
             };
             let bytes = Bytes::copy_from_slice(bytes);
-            let action = self.router.route(&packet, now);
+            let action = self.router.route_late(&packet, self.drained_at, now);
             self.act(action, packet.key, packet.is_open(), bytes);
         }
     }
@@ -273,6 +277,9 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        if self.callers.is_drained() {
+            self.drained_at = now;
+        }
         let unsent = self.callers.unsent + self.agents.unsent;
         self.metrics
             .unsent
