--- a/tests/platform_roles/main.rs
+++ b/tests/platform_roles/main.rs
@@ -1,24 +1,16 @@
 //! The platform roles as processes.
 
+mod fake_balancer;
 mod open_flows;
+mod role_process;
 
 use std::{
     fs,
     net::{
         Ipv4Addr,
         SocketAddrV4,
-        TcpListener,
         UdpSocket, //
     },
-    path::Path,
-    process::{
-        Child,
-        Command, //
-    },
-    sync::atomic::{
-        AtomicU32,
-        Ordering, //
-    },
     time::Duration,
 };
 
@@ -40,10 +32,7 @@
         MAX_SNAPSHOT_LEN, //
     },
 };
-use futures_util::{
-    SinkExt,
-    StreamExt, //
-};
+use futures_util::StreamExt;
 use prost::Message;
 use rand::{
     rngs::SmallRng,
@@ -51,12 +40,8 @@
     SeedableRng, //
 };
 use rstest::rstest;
-use tempfile::TempDir;
 use tokio::{
-    io::{
-        AsyncReadExt,
-        AsyncWriteExt, //
-    },
+    io::AsyncWriteExt,
     net::TcpStream,
     time::{
         sleep,
@@ -68,218 +53,20 @@
     LengthDelimitedCodec, //
 };
 
-/// Time limit for a process to start, to stop, or to read its settings.
-const STATE_TIMEOUT: Duration = Duration::from_secs(6);
-
-/// Name of the settings file in the folder of a process.
-const SETTINGS_FILE: &str = "settings.toml";
-
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-
-const CONFIG: &str = r#"{"Version":1,"Routes":[],"Services":[],"Limits":{}}"#;
-
-/// A platform role that runs as a process, which is killed when the value is dropped.
-struct RoleProcess {
-    child: Child,
-    ip: Ipv4Addr,
-    ready: SocketAddrV4,
-    peer_port: u16,
-    /// Address to which the server of an agent sends heartbeats.
-    heartbeats: SocketAddrV4,
-    /// Address at which packets of callers or balancers arrive.
-    packets: SocketAddrV4,
-    /// Address at which packets of an agent's server arrive.
-    outgoing: SocketAddrV4,
-    /// Address of an agent's server.
-    backend: SocketAddrV4,
-    /// Folder of the settings file, removed when the value is dropped.
-    _folder: TempDir,
-}
-
-impl Drop for RoleProcess {
-    fn drop(&mut self) {
-        // The process may already have exited.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Ports that are handed out by [`free_port`]: below those that the system gives to sockets without a
-/// port of their own, so that none is taken before its process binds it.
-const FIRST_PORT: u32 = 12_000;
-const PORT_COUNT: u32 = 20_000;
-
-/// Distance of the first ports of two test runs at the same time, which differ in their process IDs.
-const PORTS_PER_RUN: u32 = 101;
-
-/// Returns a port that is free for TCP and UDP, another one with each call.
-fn free_port() -> u16 {
-    static HANDED_OUT: AtomicU32 = AtomicU32::new(0);
-    let is_free = |port: &u16| {
-        let at = (Ipv4Addr::LOCALHOST, *port);
-        TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok()
-    };
-    let ports = std::iter::repeat_with(|| {
-        let number = HANDED_OUT.fetch_add(1, Ordering::Relaxed);
-        let start = std::process::id().wrapping_mul(PORTS_PER_RUN);
-        (FIRST_PORT + start.wrapping_add(number) % PORT_COUNT) as u16
-    });
-    let mut ports = ports.take(PORT_COUNT as usize);
-    ports.find(is_free).expect("no port is free")
-}
-
-async fn start_store() -> LeaseServer {
-    let store = LeaseServer::start(Ipv4Addr::LOCALHOST).await.unwrap();
-    store.put("op/config", CONFIG);
-    store
-}
-
-fn start_balancer(store: &LeaseServer) -> RoleProcess {
-    start_balancer_at(store, Ipv4Addr::LOCALHOST, free_port(), &[])
-}
-
-/// Starts a balancer with these peers.
-fn start_balancer_at(
-    store: &LeaseServer,
-    ip: Ipv4Addr,
-    peer_port: u16,
-    peers: &[Ipv4Addr],
-) -> RoleProcess {
-    let folder = TempDir::new().unwrap();
-    let ready = SocketAddrV4::new(ip, free_port());
-    let packets = SocketAddrV4::new(ip, free_port());
-    let peers: Vec<String> = peers.iter().map(|peer| format!("'{peer}:1'")).collect();
-    let peers = peers.join(",");
-    let settings = format!(
-        "[node]\nname = 'b'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
-         packets = '{packets}'\nready = '{ready}'\ngrace_s = '6'\npeers = [{peers}]\n\
-         [store]\naddress = '{}'\nmin_lease_ms = 1000\n",
-        store.address(),
-    );
-    fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
-    RoleProcess {
-        child: spawn("balancer", folder.path()),
-        ip,
-        ready,
-        peer_port,
-        heartbeats: ready,
-        packets,
-        outgoing: packets,
-        backend: packets,
-        _folder: folder,
-    }
-}
-
-fn start_agent(store: &LeaseServer) -> RoleProcess {
-    start_agent_at(store, free_port(), free_port())
-}
-
-/// Starts an agent that receives packets on `packet_port`.
-fn start_agent_at(store: &LeaseServer, packet_port: u16, peer_port: u16) -> RoleProcess {
-    let folder = TempDir::new().unwrap();
-    let ip = Ipv4Addr::LOCALHOST;
-    let ready = SocketAddrV4::new(ip, free_port());
-    let heartbeats = SocketAddrV4::new(ip, free_port());
-    let outgoing = SocketAddrV4::new(ip, free_port());
-    let backend = SocketAddrV4::new(ip, free_port());
-    let settings = format!(
-        "[node]\nname = 'a'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
-         packets = '{ip}:{packet_port}'\nready = '{ready}'\ngrace_s = '6'\n\
-         [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
-         [backend]\naddress = '{backend}'\nservice = 's'\noutgoing = '{outgoing}'\n\
-         heartbeats = '{heartbeats}'\nreuse_s = '2'\n",
-        store.address(),
-    );
-    fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
-    RoleProcess {
-        child: spawn("agent", folder.path()),
-        ip,
-        ready,
-        peer_port,
-        heartbeats,
-        packets: SocketAddrV4::new(ip, packet_port),
-        outgoing,
-        backend,
-        _folder: folder,
-    }
-}
-
-fn spawn(role: &str, folder: &Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_carobdrum"))
-        .args(["platform", role, "--settings"])
-        .arg(folder.join(SETTINGS_FILE))
-        .spawn()
-        .unwrap()
-}
-
-/// Returns the body of a heartbeat of the server at this address.
-fn heartbeat_body(address: &str, run: u64, sequence: u64, state: &str) -> String {
-    format!(
-        r#"{{"Service":"s","Address":"{address}","Zone":"north","Version":"v1","Slots":2,"State":"{state}","ColdRemainingMs":0,"Sequence":{sequence},"born":{run}}}"#
-    )
-}
-
-impl RoleProcess {
-    /// Returns the HTTP status of the readiness endpoint; `None` if it can't be read.
-    async fn status(&self) -> Option<u16> {
-        let mut stream = TcpStream::connect(self.ready).await.ok()?;
-        let request = "GET /carobdrum/readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        stream.write_all(request.as_bytes()).await.ok()?;
-        let mut response = String::new();
-        stream.read_to_string(&mut response).await.ok()?;
-        response.split(' ').nth(1)?.parse().ok()
-    }
-
-    /// Sends a heartbeat of the agent's server in this run and state.
-    async fn send_heartbeat(&self, run: u64, sequence: u64, state: &str) {
-        let body = heartbeat_body("127.0.0.1:1", run, sequence, state);
-        let response = self.call("PUT", &format!("i-{run}"), &body).await;
-        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
-    }
-
-    /// Makes a call of a backend server with this id, and returns the response.
-    async fn call(&self, method: &str, id: &str, body: &str) -> String {
-        let mut stream = TcpStream::connect(self.heartbeats).await.unwrap();
-        let request = format!(
-            "{method} /carobdrum/instances/{id} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\
-             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len(),
-        );
-        stream.write_all(request.as_bytes()).await.unwrap();
-        let mut response = String::new();
-        stream.read_to_string(&mut response).await.unwrap();
-        response
-    }
-
-    async fn wait_for_status(&self, status: u16) {
-        let wait = async {
-            while self.status().await != Some(status) {
-                sleep(POLL_INTERVAL).await;
-            }
-        };
-        timeout(STATE_TIMEOUT, wait)
-            .await
-            .expect("status not reached in time");
-    }
-
-    fn signal(&self, signal: i32) {
-        let pid = i32::try_from(self.child.id()).unwrap();
-        // SAFETY: the process is a child that has not been waited for.
-        let status = unsafe { libc::kill(pid, signal) };
-        assert_eq!(status, 0);
-    }
-
-    async fn wait_for_exit(&mut self) {
-        let wait = async {
-            while self.child.try_wait().unwrap().is_none() {
-                sleep(POLL_INTERVAL).await;
-            }
-        };
-        timeout(STATE_TIMEOUT, wait)
-            .await
-            .expect("process did not exit in time");
-    }
-}
+use crate::{
+    fake_balancer::FakeBalancer,
+    role_process::{
+        free_port,
+        start_agent,
+        start_agent_at,
+        start_balancer,
+        start_balancer_at,
+        start_store,
+        RoleProcess,
+        POLL_INTERVAL,
+        STATE_TIMEOUT, //
+    },
+};
 
 /// Guards against a process that exits on SIGHUP instead of reading its settings again.
 #[tokio::test]
@@ -351,87 +138,6 @@
     agent.wait_for_exit().await;
 }
 
-/// A balancer in the test, which shows its revision to an agent and serves a snapshot.
-struct FakeBalancer {
-    socket: tokio::net::UdpSocket,
-    snapshots: tokio::net::TcpListener,
-}
-
-impl FakeBalancer {
-    async fn start(ip: Ipv4Addr, peer_port: u16) -> FakeBalancer {
-        FakeBalancer {
-            socket: tokio::net::UdpSocket::bind((ip, peer_port)).await.unwrap(),
-            snapshots: tokio::net::TcpListener::bind((ip, peer_port))
-                .await
-                .unwrap(),
-        }
-    }
-
-    /// Returns a probe that shows this revision.
-    fn probe(&self, revision: u64) -> Vec<u8> {
-        let own = match self.socket.local_addr().unwrap() {
-            std::net::SocketAddr::V4(own) => own,
-            std::net::SocketAddr::V6(own) => panic!("{own} is no IPv4 address"),
-        };
-        FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
-            balancer: address_to_number(own),
-            revision,
-        }))
-    }
-
-    /// Shows a revision to the agent until it reports `least` or a newer one.
-    async fn show_until(&self, agent: SocketAddrV4, revision: u64, least: u64) {
-        let probe = self.probe(revision);
-        let wait = async {
-            let mut buffer = [0; 2_048];
-            loop {
-                self.socket.send_to(&probe, agent).await.unwrap();
-                let received = timeout(POLL_INTERVAL, self.socket.recv(&mut buffer)).await;
-                let Ok(Ok(length)) = received else {
-                    continue;
-                };
-                let report = FlowDatagram::decode(&buffer[..length]).unwrap();
-                if matches!(report.body, Some(FlowBody::Report(report)) if report.revision >= least)
-                {
-                    return;
-                }
-                sleep(POLL_INTERVAL).await;
-            }
-        };
-        timeout(STATE_TIMEOUT, wait)
-            .await
-            .expect("the agent must report the revision in time");
-    }
-
-    /// Returns whether the agent's next report says that it accepts new flows.
-    async fn asks_whether_accepting(&self, agent: SocketAddrV4) -> bool {
-        let mut buffer = [0; 2_048];
-        // Reports that were sent before are read first.
-        while self.socket.try_recv(&mut buffer).is_ok() {}
-        let probe = self.probe(0);
-        self.socket.send_to(&probe, agent).await.unwrap();
-        let received = timeout(STATE_TIMEOUT, self.socket.recv(&mut buffer)).await;
-        let length = received.expect("no report in time").unwrap();
-        match FlowDatagram::decode(&buffer[..length]).unwrap().body {
-            Some(FlowBody::Report(report)) => report.accepts,
-            body => panic!("no report: {body:?}"),
-        }
-    }
-
-    /// Sends a snapshot of this revision to the next process that connects.
-    async fn serve_snapshot(&self, revision: u64) {
-        let (stream, _) = self.snapshots.accept().await.unwrap();
-        let snapshot = SiteSnapshot {
-            version: revision,
-            revision,
-            ..SiteSnapshot::default()
-        };
-        let mut stream = Framed::new(stream, LengthDelimitedCodec::new());
-        let bytes = Bytes::from(snapshot.encode_to_vec());
-        stream.send(bytes).await.unwrap();
-    }
-}
-
 /// Guards against agents that lag behind their balancers, which are the only ones that tell them of
 /// a change: the balancer that showed it first may be gone, and the store may be silent.
 #[rstest]
--- a/tests/platform_roles/open_flows.rs
+++ b/tests/platform_roles/open_flows.rs
@@ -27,7 +27,7 @@
     time::timeout, //
 };
 
-use crate::{
+use crate::role_process::{
     free_port,
     heartbeat_body,
     start_agent_at,
