Deliver no packet of an unknown flow to a server that can't hold it

Cause: an agent delivered each later packet of a flow that it didn't know to its server, to be told whether the server holds it. While the owner's agent was away, the first packet of a flow passed up to sixteen agents and reached as many servers, none of which could hold it.

Evidence: three cases of an_unknown_flow_is_delivered_only_if_the_server_may_hold_it failed before.

Change: an agent knows whether it has seen all flows of its server: it was running when the server's run began, or has run for the longest lifetime of a flow. It then passes a packet of an unknown flow on at once. Only agents that were restarted beside a running server still ask it. So that no entry is missing, entries of accepted flows are kept for 5 s without a caller's packet in place of 1.6 s, those of idle flows for 5 s longer, and a server's return of one copy no longer removes a flow that it holds by another.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -31,6 +31,7 @@
         BackendHeartbeat,
         BackendLiveness,
         ColdBudget,
+        FlowCoverage,
         HeartbeatOutcome,
         OwnerCache, //
     },
@@ -45,7 +46,8 @@
 /// Time after which a caller has abandoned a flow that didn't open.
 const OPEN_TIMEOUT: Millis = Millis(1_600);
 
-/// Time for which packets of a closed flow are still delivered to its server.
+/// Time for which packets of a closed flow, or of one that the caller hasn't continued, are still delivered
+/// to its server.
 const CLOSED_RETENTION: Millis = Millis(5_000);
 
 /// Time without a packet of the flow after which its request no longer counts as load.
@@ -90,6 +92,7 @@
     service: CompactString,
     config: Option<Arc<SiteConfig>>,
     liveness: BackendLiveness,
+    coverage: FlowCoverage,
     cold: ColdBudget,
     load: LoadEstimate,
     flows: HashMap<FlowKey, FlowEntry>,
@@ -107,12 +110,14 @@
 
 impl FlowTracker {
     /// Creates a tracker without flows, which accepts none before the first heartbeat of its server.
-    pub fn new(settings: TrackerSettings, now: Millis) -> FlowTracker {
+    /// `started_unix_ms` is the start of the process as Unix time in milliseconds.
+    pub fn new(settings: TrackerSettings, started_unix_ms: u64, now: Millis) -> FlowTracker {
         FlowTracker {
             centre: name_hash(&settings.centre),
             service: settings.service.clone(),
             config: None,
             liveness: BackendLiveness::new(settings.activity_timeout),
+            coverage: FlowCoverage::new(started_unix_ms, now),
             cold: ColdBudget::new(now),
             load: LoadEstimate::new(DEFAULT_SLOTS),
             flows: HashMap::new(),
@@ -170,6 +175,7 @@
         let cold_remaining = heartbeat.cold_remaining;
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
+        let started_ms = heartbeat.started_ms;
         let had_heartbeat = self.liveness.is_confirmed();
         let outcome = self.liveness.handle_heartbeat(heartbeat, sent, now);
         if !outcome.is_applied() {
@@ -178,6 +184,13 @@
         if outcome != HeartbeatOutcome::Continued {
             self.return_pause.clear();
         }
+        match outcome {
+            HeartbeatOutcome::Started if had_heartbeat => self.coverage.note_new_run(),
+            HeartbeatOutcome::Started | HeartbeatOutcome::Replaced => {
+                self.coverage.note_run(started_ms)
+            }
+            _ => {}
+        }
         if had_heartbeat && outcome == HeartbeatOutcome::Started {
             self.mark_flows_lost(ResetCause::Restarted);
         }
@@ -295,17 +308,19 @@
         self.owners.insert(key, owner, now);
     }
 
-    /// Removes flows that have been idle too long, and the load of idle requests.
+    /// Removes flows that have been idle longer than the configuration allows them to be, and the load of
+    /// idle requests.
     pub fn expire(&mut self, now: Millis) {
         let idle_timeout = self.config.as_ref().map_or(CLOSED_RETENTION, |config| {
-            config.idle_timeout.max(CLOSED_RETENTION)
+            config.idle_timeout.plus(CLOSED_RETENTION)
         });
         self.owners.expire(now, self.settings.flow_lifetime);
         let load = &mut self.load;
         self.flows.retain(|_, entry| {
             let idle = now.since(entry.last_used);
             let timeout = match entry.stage {
-                FlowStage::Opening => OPEN_TIMEOUT,
+                FlowStage::Opening if entry.server_window.is_none() => OPEN_TIMEOUT,
+                FlowStage::Opening => CLOSED_RETENTION,
                 FlowStage::Unverified | FlowStage::NotHeld | FlowStage::Closed => CLOSED_RETENTION,
                 FlowStage::Open | FlowStage::Redirected(_) => idle_timeout,
             };
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -31,8 +31,13 @@
             redirect_later(packet.key, header, RedirectCause::Followed, actions);
             return;
         }
+        let knows_all = self.coverage.is_complete(self.settings.flow_lifetime, now);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
-            self.deliver_unverified(packet.key, header, now, actions);
+            if knows_all {
+                redirect_later(packet.key, header, RedirectCause::NotHeld, actions);
+            } else {
+                self.deliver_unverified(packet.key, header, now, actions);
+            }
             return;
         };
         entry.last_used = now;
@@ -235,6 +240,12 @@
             return;
         }
         let mut header = entry.header.clone();
+        let is_held = entry.stage == FlowStage::Open || entry.server_window.is_some();
+        if packet.may_have_other_copies(Millis(0)) && is_held {
+            // The server holds the flow by another copy.
+            actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
+            return;
+        }
         if packet.is_open() {
             header.delivered |= packet.may_have_other_copies(now.since(entry.first_used));
             self.return_pause.note_return(now);
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod candidate_ranking;
 mod cold_budget;
 mod drop_cause;
+mod flow_coverage;
 mod flow_router;
 mod heartbeat_outcome;
 mod name_hash;
@@ -25,6 +26,7 @@
 pub use backend_liveness::BackendLiveness;
 pub use cold_budget::ColdBudget;
 pub use drop_cause::DropCause;
+pub use flow_coverage::FlowCoverage;
 pub use flow_router::FlowRouter;
 pub use heartbeat_outcome::HeartbeatOutcome;
 pub use name_hash::name_hash;
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -38,6 +38,7 @@
     packet,
     tracker,
     ACTIVITY_TIMEOUT,
+    AGENT_STARTED_MS,
     CENTRE, //
     SERVICE,
 };
@@ -363,6 +364,37 @@
     assert_eq!(actions.iter().any(refused), is_refused, "{actions:?}");
 }
 
+/// Guards against packets of a flow that reach other servers while its own agent is down: an agent that knows
+/// all flows of its server delivers none of another flow.
+#[rstest]
+#[case::restarted_beside_its_server(AGENT_STARTED_MS - 5_000, None, Millis(100), true)]
+#[case::started_with_its_server(AGENT_STARTED_MS - 400, None, Millis(100), false)]
+#[case::server_restarted_beside_it(1, Some(2), Millis(100), false)]
+#[case::has_run_for_the_lifetime_of_a_flow(1, None, Millis(60_000), false)]
+fn an_unknown_flow_is_delivered_only_if_the_server_may_hold_it(
+    #[case] server_started_ms: u64,
+    #[case] restarted_ms: Option<u64>,
+    #[case] now: Millis,
+    #[case] is_delivered: bool,
+) {
+    let mut tracker = support::new_tracker(20.0);
+    for started_ms in [Some(server_started_ms), restarted_ms]
+        .into_iter()
+        .flatten()
+    {
+        let first = heartbeat_of("i-1", started_ms, 1);
+        assert!(tracker.handle_heartbeat(first, Millis(0)).is_applied());
+    }
+    let actions = forward(
+        &mut tracker,
+        &packet(1, PacketKind::Data),
+        header(&[1]),
+        now,
+    );
+    assert_eq!(delivers(&actions), is_delivered, "{actions:?}");
+    assert_eq!(redirected_to(&actions).is_some(), !is_delivered);
+}
+
 /// Guards against lost packets when several of a flow were delivered before the server returned the
 /// first one.
 #[test]
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -38,6 +38,8 @@
 pub(crate) const CENTRE: &str = "north";
 pub(crate) const SERVICE: &str = "lookup";
 pub(crate) const ACTIVITY_TIMEOUT: Millis = Millis(1_900);
+/// Start of agent 0 as Unix time: later than that of its server.
+pub(crate) const AGENT_STARTED_MS: u64 = 1_000_000;
 pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 pub(crate) const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 7_000);
 
@@ -127,7 +129,7 @@
         cold_slack: 5.0,
         flow_lifetime: Millis(60_000),
     };
-    FlowTracker::new(settings, Millis(0))
+    FlowTracker::new(settings, AGENT_STARTED_MS, Millis(0))
 }
 
 pub(crate) fn key(caller: u16) -> FlowKey {
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -3,7 +3,11 @@
 use std::{
     net::SocketAddrV4,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
 };
 
 use bytes::Bytes;
@@ -144,7 +148,7 @@
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
         Ok(AgentTraffic {
-            tracker: FlowTracker::new(settings, BootClock.now()),
+            tracker: FlowTracker::new(settings, unix_time_ms(), BootClock.now()),
             clock: BootClock,
             revision_sender,
             address,
@@ -488,6 +492,12 @@
     }
 }
 
+/// Returns the time of day in milliseconds; zero if it is before 1970.
+fn unix_time_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Returns which retransmission of the opening packet this is; zero for the first copy.
 fn retransmission_of(bytes: &[u8]) -> u8 {
     match decode_caller_packet(bytes).map(|packet| packet.kind) {
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -225,7 +225,7 @@
             cold_slack: 5.0,
             flow_lifetime: FLOW_LIFETIME,
         };
-        let mut tracker = FlowTracker::new(settings, self.now);
+        let mut tracker = FlowTracker::new(settings, u64::MAX, self.now);
         tracker.set_config(self.config.clone(), self.now);
         tracker
     }
