--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -10,7 +10,8 @@
     connection::{
         wait_limit_us,
         RedirectCause,
-        ResetCause, //
+        ResetCause,
+        SequenceWindow, //
     },
     process::{
         BackendHeartbeat,
@@ -727,6 +728,21 @@
     assert!(delivers(&actions), "{actions:?}");
 }
 
+/// Guards against a flow that is lost once its server has sent more bytes than there are sequence numbers.
+#[test]
+fn a_flow_outlives_its_sequence_numbers() {
+    let first = 0xffff_0000_u32;
+    let mut window = SequenceWindow::new(first);
+    let mut sequence = first.wrapping_add(1);
+    for _ in 0..(6_u64 << 30) / 60_000 {
+        window.extend(sequence, 60_000);
+        sequence = sequence.wrapping_add(60_000);
+        assert!(window.is_acknowledged_by(sequence));
+        assert!(window.is_acknowledged_by(sequence.wrapping_sub(60_000)));
+        assert!(!window.is_acknowledged_by(sequence.wrapping_add(100_000)));
+    }
+}
+
 /// Guards against lost packets of a flow whose caller's port had another flow at the same server before.
 #[test]
 fn a_later_flow_of_the_same_port_is_served_by_the_same_server() {
