Lead a caller's abort past servers that only got a copy of its opening packet

Cause: since the window of sequence numbers was added, a caller's reset was delivered to any server that had accepted the flow, whatever it acknowledged, so that it could end there and not reach the server that holds the flow.

Evidence: an_abort_of_the_caller_passes_a_server_that_does_not_hold_the_flow failed before.

Change: only a flow that is open, closed or unknown at the server takes a reset with any number.

Measured: the tests of flows and model pass.

--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -42,9 +42,11 @@
         };
         entry.last_used = now;
         let is_held = match entry.stage {
-            FlowStage::Opening if entry.server_window.is_none() => false,
-            // A caller's reset need not acknowledge anything.
-            FlowStage::Opening | FlowStage::Open | FlowStage::Unverified | FlowStage::Closed => {
+            FlowStage::Opening => {
+                entry.server_window.is_some() && entry.is_continued_by(packet.acknowledged)
+            }
+            FlowStage::Open | FlowStage::Unverified | FlowStage::Closed => {
+                // A caller's reset need not acknowledge anything.
                 packet.kind == PacketKind::Reset || entry.is_continued_by(packet.acknowledged)
             }
             FlowStage::NotHeld => false,
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -743,6 +743,21 @@
     }
 }
 
+/// Guards against an abort that reaches a server which only got a copy of the opening packet, in place of the
+/// one that holds the flow.
+#[test]
+fn an_abort_of_the_caller_passes_a_server_that_does_not_hold_the_flow() {
+    let mut tracker = tracker();
+    forward(&mut tracker, &open_packet(1), header(&[]), Millis(0));
+    backend(&mut tracker, &packet(1, PacketKind::Accept), Millis(1));
+    let abort = FlowPacket {
+        acknowledged: 0x4000_0000,
+        ..packet(1, PacketKind::Reset)
+    };
+    let actions = forward(&mut tracker, &abort, header(&[1]), Millis(2));
+    assert_eq!(redirected_to(&actions), Some(agent(1)), "{actions:?}");
+}
+
 /// Guards against lost packets of a flow whose caller's port had another flow at the same server before.
 #[test]
 fn a_later_flow_of_the_same_port_is_served_by_the_same_server() {
