Wait for the end of a server in the soak

Ending a server cancelled its tasks without waiting for them, so that their sockets may close later.

Change: a server's end returns when its tasks have ended. No check changes.

--- a/tests/platform_soak/soak_server.rs
+++ b/tests/platform_soak/soak_server.rs
@@ -85,7 +85,9 @@
     /// Ends the server a little later.
     pub(crate) async fn end(&mut self) {
         sleep(LINGER_DURATION).await;
-        self.server = None;
+        if let Some(server) = self.server.take() {
+            server.end().await;
+        }
         self.ends.push((self.settings.number, Instant::now()));
     }
 }
