Write the log line of an undelivered packet in one place

Cause: the lines of refused and of dropped packets were two copies that differ in one field, since the retransmission was added to the first one.

Change: one function has an optional retransmission. Fields, their order and the texts of the lines are the same; a dropped packet has no retransmission, as before.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -405,8 +405,8 @@
                 TrackerAction::Refuse(key, cause) => {
                     NodeMetrics::count(&self.metrics.refused, cause.name());
                     let report = self.tracker.report(self.clock.now());
-                    self.log
-                        .opening_refused(key, cause, retransmission_of(bytes), report);
+                    let refused = Some(retransmission_of(bytes));
+                    self.log.not_delivered(key, cause, refused, report);
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, 0), to);
                 }
@@ -420,7 +420,7 @@
                 TrackerAction::Drop(key, cause) => {
                     NodeMetrics::count(&self.metrics.dropped, cause.name());
                     let report = self.tracker.report(self.clock.now());
-                    self.log.not_delivered(key, cause, report);
+                    self.log.not_delivered(key, cause, None, report);
                 }
             }
         }
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -109,43 +109,23 @@
         }
     }
 
-    pub(crate) fn opening_refused(
-        &mut self,
-        key: FlowKey,
-        cause: RedirectCause,
-        retransmission: u8,
-        report: AgentReport,
-    ) {
-        if let Some(left_out) = self.limiter.admit() {
-            let (busy, slots, revision) = (report.busy, report.slots, report.revision);
-            let cause = cause.name();
-            info!(
-                flow = %key,
-                outcome = "refused",
-                cause,
-                retransmission,
-                busy,
-                slots,
-                revision,
-                left_out,
-                "packet not delivered"
-            );
-        }
-    }
-
+    /// Logs a packet that goes to no server. `refused` is the retransmission that a refused opening packet
+    /// is, zero for the first copy; `None` if the packet is dropped.
     pub(crate) fn not_delivered(
         &mut self,
         key: FlowKey,
         cause: RedirectCause,
+        refused: Option<u8>,
         report: AgentReport,
     ) {
         if let Some(left_out) = self.limiter.admit() {
             let (busy, slots, revision) = (report.busy, report.slots, report.revision);
-            let cause = cause.name();
+            let outcome = refused.map_or("dropped", |_| "refused");
             info!(
                 flow = %key,
-                outcome = "dropped",
-                cause,
+                outcome,
+                cause = cause.name(),
+                retransmission = refused,
                 busy,
                 slots,
                 revision,
