Log how long an undelivered packet may have waited

A first copy isn't refused if it may have waited 150 ms, and the log didn't show that time, so that a packet that was dropped for it and one that never arrived looked the same.

The line about an undelivered packet has waited_ms.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -406,7 +406,8 @@
                     NodeMetrics::count(&self.metrics.refused, cause.name());
                     let report = self.tracker.report(self.clock.now());
                     let refused = Some(retransmission_of(bytes));
-                    self.log.not_delivered(key, cause, refused, report);
+                    self.log
+                        .not_delivered(key, cause, refused, self.forwards_wait(), report);
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, 0), to);
                 }
@@ -420,12 +421,18 @@
                 TrackerAction::Drop(key, cause) => {
                     NodeMetrics::count(&self.metrics.dropped, cause.name());
                     let report = self.tracker.report(self.clock.now());
-                    self.log.not_delivered(key, cause, None, report);
+                    self.log
+                        .not_delivered(key, cause, None, self.forwards_wait(), report);
                 }
             }
         }
     }
 
+    /// Returns the longest time for which a packet of a caller that is read now may have waited.
+    fn forwards_wait(&self) -> Millis {
+        self.clock.now().since(self.forwards_drained_at)
+    }
+
     fn caller_port(&self, key: FlowKey) -> SocketAddrV4 {
         SocketAddrV4::new(*key.caller.ip(), self.address.port())
     }
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -110,12 +110,14 @@
     }
 
     /// Logs a packet that goes to no server. `refused` is the retransmission that a refused opening packet
-    /// is, zero for the first copy; `None` if the packet is dropped.
+    /// is, zero for the first copy; `None` if the packet is dropped. `waited` is the longest time for which
+    /// it may have waited in the socket.
     pub(crate) fn not_delivered(
         &mut self,
         key: FlowKey,
         cause: RedirectCause,
         refused: Option<u8>,
+        waited: Millis,
         report: AgentReport,
     ) {
         if let Some(left_out) = self.limiter.admit() {
@@ -126,6 +128,7 @@
                 outcome,
                 cause = cause.name(),
                 retransmission = refused,
+                waited_ms = waited.0,
                 busy,
                 slots,
                 revision,
