Take sockets as drained when they are opened

Callers saw: a first opening packet that reached an agent or a balancer right after its start, and that no server could serve, got no reset; the caller waited for its own timeout (1.4 s).

Cause: the time at which the socket was last empty began at zero, and the first tick sets it. A packet that is read before that tick counted as one that had waited since the machine's start, and such a packet isn't refused.

Change: the time begins when the sockets are opened, before which none can have arrived. The same for balancers and for the packets of backend servers.

Test: the_first_packet_of_a_ready_agent_is_refused starts 24 agents at once.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -147,16 +147,18 @@
         metrics: NodeMetrics,
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
+        let clock = BootClock;
+        let opened_at = clock.now();
         Ok(AgentTraffic {
-            tracker: FlowTracker::new(settings, unix_time_ms(), BootClock.now()),
-            clock: BootClock,
+            tracker: FlowTracker::new(settings, unix_time_ms(), opened_at),
+            clock,
             revision_sender,
             address,
             backend,
             packets: UdpEndpoint::open(address).await?,
             outgoing: UdpEndpoint::open(outgoing).await?,
-            drained_at: Millis(0),
-            forwards_drained_at: Millis(0),
+            drained_at: opened_at,
+            forwards_drained_at: opened_at,
             reporter: AgentReporter::new(address),
             actions: Vec::new(),
             shutdown_answer: None,
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -109,14 +109,16 @@
         revision_sender: watch::Sender<PeerRevision>,
         metrics: NodeMetrics,
     ) -> Result<BalancerTraffic, NodeError> {
+        let clock = BootClock;
+        let opened_at = clock.now();
         Ok(BalancerTraffic {
-            clock: BootClock,
+            clock,
             revision_sender,
             router: FlowRouter::new(address, centre),
             address,
             callers: UdpEndpoint::open(packets).await?,
             agents: UdpEndpoint::open(address).await?,
-            drained_at: Millis(0),
+            drained_at: opened_at,
             metrics,
             log: FlowLog::new(),
             spans: HopSpans::default(),
--- a/tests/platform_roles/open_flows.rs
+++ b/tests/platform_roles/open_flows.rs
@@ -24,6 +24,7 @@
 use rstest::rstest;
 use tokio::{
     net::UdpSocket,
+    task::JoinSet,
     time::timeout, //
 };
 
@@ -49,6 +50,11 @@
 /// Time for which a caller waits for a reset that must not come.
 const QUIET_DURATION: Duration = Duration::from_millis(700);
 
+/// Number of agents that are started at once, as an order of events at the start is seldom met.
+const STARTED_AGENTS: usize = 24;
+
+const READY_POLL_INTERVAL: Duration = Duration::from_micros(100);
+
 /// An agent, with a caller, a balancer and a backend server around it.
 struct FlowSite {
     agent: RoleProcess,
@@ -60,11 +66,17 @@
 
 impl FlowSite {
     async fn start() -> FlowSite {
+        let site = FlowSite::start_unready().await;
+        site.agent.wait_for_status(200).await;
+        site
+    }
+
+    /// Starts an agent without waiting until it is ready.
+    async fn start_unready() -> FlowSite {
         let store = LeaseServer::start(Ipv4Addr::LOCALHOST).await.unwrap();
         store.put("op/config", CONFIG);
         let port = free_port();
         let agent = start_agent_at(&store, port, free_port());
-        agent.wait_for_status(200).await;
         FlowSite {
             caller: UdpSocket::bind((CALLER_IP, port)).await.unwrap(),
             balancer: UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap(),
@@ -158,6 +170,22 @@
     assert_eq!(site.is_reset().await, is_refused);
 }
 
+/// Guards against the loss of an opening packet that reaches an agent as soon as it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_first_packet_of_a_ready_agent_is_refused() {
+    let mut attempts = JoinSet::new();
+    for _ in 0..STARTED_AGENTS {
+        attempts.spawn(async {
+            let site = FlowSite::start_unready().await;
+            site.agent.poll_for_status(200, READY_POLL_INTERVAL).await;
+            site.forward(flags::SYN, 0, &[]).await;
+            site.is_reset().await
+        });
+    }
+    let refused = attempts.join_all().await;
+    assert_eq!(refused, [true; STARTED_AGENTS]);
+}
+
 /// Guards against the reset of all flows of a server whose agent gets the heartbeat of another one.
 #[tokio::test]
 async fn a_heartbeat_of_another_server_resets_no_flow() {
--- a/tests/platform_roles/role_process.rs
+++ b/tests/platform_roles/role_process.rs
@@ -218,9 +218,14 @@
     }
 
     pub(crate) async fn wait_for_status(&self, status: u16) {
+        self.poll_for_status(status, POLL_INTERVAL).await;
+    }
+
+    /// Waits for a status that it reads in this interval.
+    pub(crate) async fn poll_for_status(&self, status: u16, interval: Duration) {
         let wait = async {
             while self.status().await != Some(status) {
-                sleep(POLL_INTERVAL).await;
+                sleep(interval).await;
             }
         };
         timeout(STATE_TIMEOUT, wait)
