Report readiness only once the sockets for packets are open

Callers saw: an opening packet that reached an agent as soon as it was ready was lost.

Cause: the control thread answered the readiness request while the traffic thread was still to open its sockets. For balancers the same could happen, though they also wait for the configuration.

Change: the daemon waits for the traffic thread's sockets before it serves readiness and heartbeats.

--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -11,7 +11,6 @@
     time::Duration, //
 };
 
-use carobdrum_control::spawn_thread;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
     process::{
@@ -63,12 +62,12 @@
     node_context::{
         flow_lifetime,
         run_control,
+        spawn_traffic,
         NodeContext, //
     },
     node_error::{
         ActorSnafu,
         NoBackendSnafu,
-        StartSnafu,
         TrafficEndedSnafu, //
     },
     settings_file::SettingsFile,
@@ -128,12 +127,14 @@
     let (server, outgoing) = (backend.address, backend.outgoing);
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
-    let traffic = spawn_thread("traffic", move || async move {
+    spawn_traffic(move |opened| async move {
         let traffic =
             AgentTraffic::open(tracker, server, outgoing, revision_sender, metrics).await?;
+        // The control thread may have ended.
+        let _ = opened.send(());
         traffic.run(receiver, in_force).await
-    });
-    traffic.context(StartSnafu)?;
+    })
+    .await?;
     let record = AgentRecord {
         address: node.packets,
         centre: node.data_centre.clone(),
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -7,7 +7,6 @@
     time::Duration, //
 };
 
-use carobdrum_control::spawn_thread;
 use carobdrum_flows::process::AgentRecord;
 use carobdrum_platform::{
     parse_agent_entry,
@@ -17,7 +16,6 @@
 };
 use carobdrum_settings::NodeSettings;
 use http::StatusCode;
-use snafu::ResultExt;
 use tokio::{
     sync::{
         mpsc,
@@ -35,12 +33,10 @@
     http_port::serve_requests,
     node_context::{
         run_control,
+        spawn_traffic,
         NodeContext, //
     },
-    node_error::{
-        StartSnafu,
-        TrafficEndedSnafu, //
-    },
+    node_error::TrafficEndedSnafu,
     settings_file::SettingsFile,
     site_state::SiteState,
     store_watch::{
@@ -87,12 +83,14 @@
     let address = SocketAddrV4::new(node.ip, node.peer_port);
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
-    let traffic = spawn_thread("traffic", move || async move {
+    spawn_traffic(move |opened| async move {
         let traffic =
             BalancerTraffic::open(packets, address, &centre, revision_sender, metrics).await?;
+        // The control thread may have ended.
+        let _ = opened.send(());
         traffic.run(receiver, in_force).await
-    });
-    traffic.context(StartSnafu)?;
+    })
+    .await?;
     let state = context.state.clone();
     let ready = Rc::new(ReadyState {
         state: state.clone(),
--- a/components/forwarder/src/process/node_context.rs
+++ b/components/forwarder/src/process/node_context.rs
@@ -8,6 +8,7 @@
     time::Duration, //
 };
 
+use carobdrum_control::spawn_thread;
 use carobdrum_core::Millis;
 use carobdrum_flows::version::SiteConfig;
 use carobdrum_platform::OPERATOR_PREFIX;
@@ -17,14 +18,20 @@
 };
 use carobdrum_telemetry::MetricsServer;
 use prometheus_client::registry::Registry;
-use snafu::ResultExt;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
 use tokio::{
     signal::unix::{
         signal,
         Signal,
         SignalKind, //
     },
-    sync::watch,
+    sync::{
+        oneshot,
+        watch, //
+    },
     task::LocalSet, //
 };
 
@@ -36,7 +43,8 @@
     },
     node_error::{
         MetricsSnafu,
-        StartSnafu, //
+        StartSnafu,
+        TrafficEndedSnafu, //
     },
     site_state::SiteState,
     snapshot_port::serve_snapshots,
@@ -144,3 +152,20 @@
         .context(StartSnafu)?;
     LocalSet::new().block_on(&runtime, control)
 }
+
+/// Spawns the traffic thread of a daemon, and waits until its `work` has sent that the sockets are open. A
+/// daemon that is ready loses no packet.
+///
+/// # Errors
+///
+/// Returns [`NodeError::Start`] if the thread can't be started, and [`NodeError::TrafficEnded`] if it
+/// ends without open sockets.
+pub(crate) async fn spawn_traffic<W, F>(work: W) -> Result<(), NodeError>
+where
+    W: FnOnce(oneshot::Sender<()>) -> F + Send + 'static,
+    F: Future<Output = Result<(), NodeError>>,
+{
+    let (sender, opened) = oneshot::channel();
+    spawn_thread("traffic", move || work(sender)).context(StartSnafu)?;
+    opened.await.ok().context(TrafficEndedSnafu)
+}
