Try no port while a test spawns a process

Seen: 'Address already in use' in 3 of 20 and 1 of 30 runs of the_first_packet_of_a_ready_agent_is_refused, on ports that had just been tried.

Cause: a process that is being spawned holds copies of all sockets of the test until it executes its program, also of one that another thread has just bound to try a port. The port stays taken.

Change: a lock is held while a port is tried and while a process is spawned.

--- a/tests/platform_roles/role_process.rs
+++ b/tests/platform_roles/role_process.rs
@@ -13,9 +13,12 @@
         Child,
         Command, //
     },
-    sync::atomic::{
-        AtomicU32,
-        Ordering, //
+    sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        Mutex, //
     },
     time::Duration,
 };
@@ -78,9 +81,14 @@
 /// Distance of the first ports of two test runs at the same time, which differ in their process IDs.
 pub(crate) const PORTS_PER_RUN: u32 = 101;
 
+/// Held while a process is spawned, and while a port is tried: a process that is being spawned holds copies
+/// of all sockets, so that a port tried at the time is still taken afterwards.
+static SPAWNING: Mutex<()> = Mutex::new(());
+
 /// Returns a port that is free for TCP and UDP, another one with each call.
 pub(crate) fn free_port() -> u16 {
     static HANDED_OUT: AtomicU32 = AtomicU32::new(0);
+    let _spawning = SPAWNING.lock();
     let is_free = |port: &u16| {
         let at = (Ipv4Addr::LOCALHOST, *port);
         TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok()
@@ -171,6 +179,7 @@
 }
 
 pub(crate) fn spawn(role: &str, folder: &Path) -> Child {
+    let _spawning = SPAWNING.lock();
     Command::new(env!("CARGO_BIN_EXE_carobdrum"))
         .args(["platform", role, "--settings"])
         .arg(folder.join(SETTINGS_FILE))
