Evacuate in the demo only once every flow has had a response

Seen: demo_breaks_no_flow_elsewhere failed once beside load (KNOWN-RED), with one flow broken outside of the evacuated data centre.

Cause: a broken flow is told by the server of its latest response. A flow whose first request was in progress when its data centre was evacuated has none, and counted as one that broke elsewhere.

Change: the load run shows how many of its open flows have had a response, and the demo waits for all of them before it evacuates; the evacuation keeps its length. The check of the test is unchanged.

A flow that opens while the evacuation spreads could still be told wrongly; not seen.

--- a/components/caller/src/lib.rs
+++ b/components/caller/src/lib.rs
@@ -17,6 +17,7 @@
     CloseReason, //
 };
 pub use process::{
+    AnsweredFlows,
     BrokenFlow,
     LatencySummary,
     LoadBuilder,
--- a/components/caller/src/process/flow_slot.rs
+++ b/components/caller/src/process/flow_slot.rs
@@ -29,7 +29,8 @@
     },
     process::{
         flow_log::FlowLog,
-        LoadCanceller, //
+        AnsweredFlows, //
+        LoadCanceller,
     },
 };
 
@@ -42,6 +43,7 @@
 pub(crate) struct HeldFlow {
     pub(crate) flow: CallerFlow,
     log: Arc<FlowLog>,
+    answered: AnsweredFlows,
     retired: Notify,
     is_retired: AtomicBool,
     is_break_recorded: AtomicBool,
@@ -62,6 +64,9 @@
     /// Records the backend server that sent the latest response.
     pub(crate) fn record_target(&self, target: &str) {
         let mut last = self.target.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.is_empty() && !target.is_empty() {
+            self.answered.add();
+        }
         if *last != target {
             *last = target.into();
         }
@@ -79,12 +84,23 @@
     }
 }
 
+impl Drop for HeldFlow {
+    fn drop(&mut self) {
+        let target = self.target.get_mut();
+        if !target.unwrap_or_else(PoisonError::into_inner).is_empty() {
+            self.answered.remove();
+        }
+    }
+}
+
 /// State that all slots of a run share.
 pub(crate) struct SlotContext {
     /// Address of the service.
     pub(crate) address: SocketAddr,
     /// Counts of opened and broken flows.
     pub(crate) log: Arc<FlowLog>,
+    /// Number of flows that have had a response.
+    pub(crate) answered: AnsweredFlows,
     /// Limits the handshakes that run concurrently.
     pub(crate) handshakes: Semaphore,
     /// Signals the end of the run.
@@ -160,6 +176,7 @@
             Some(Arc::new(HeldFlow {
                 flow,
                 log: context.log.clone(),
+                answered: context.answered.clone(),
                 retired: Notify::new(),
                 is_retired: AtomicBool::new(false),
                 is_break_recorded: AtomicBool::new(false),
--- a/components/caller/src/process/load_run.rs
+++ b/components/caller/src/process/load_run.rs
@@ -41,6 +41,7 @@
             PlannedRequest,
             RequestPlan, //
         },
+        AnsweredFlows,
         LoadBuilder,
         LoadCanceller, //
         LoadError,
@@ -67,6 +68,7 @@
 pub struct LoadRun {
     settings: LoadBuilder,
     canceller: LoadCanceller,
+    answered: AnsweredFlows,
 }
 
 impl LoadRun {
@@ -87,6 +89,7 @@
         LoadRun {
             settings,
             canceller: LoadCanceller::new(),
+            answered: AnsweredFlows::new(),
         }
     }
 
@@ -95,6 +98,11 @@
         self.canceller.clone()
     }
 
+    /// Returns the number of flows that have had a response.
+    pub fn answered_flows(&self) -> AnsweredFlows {
+        self.answered.clone()
+    }
+
     /// Sends the load and verifies every response.
     ///
     /// # Errors
@@ -111,6 +119,7 @@
         let context = Arc::new(SlotContext {
             address: self.settings.address,
             log: Arc::new(FlowLog::new(pacer.start())),
+            answered: self.answered.clone(),
             handshakes: Semaphore::new(MAX_CONCURRENT_HANDSHAKES),
             canceller: flows_canceller.clone(),
         });
--- a/components/caller/src/process/mod.rs
+++ b/components/caller/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! Types whose lifetime is one load run.
 
+mod answered_flows;
 mod flow_log;
 mod flow_slot;
 mod load_builder;
@@ -12,6 +13,7 @@
 mod request_mix;
 mod request_plan;
 
+pub use answered_flows::AnsweredFlows;
 pub use flow_log::BrokenFlow;
 pub use load_builder::{
     LoadBuilder,
--- a/components/caller/tests/caller/load_run.rs
+++ b/components/caller/tests/caller/load_run.rs
@@ -13,6 +13,7 @@
     RequestMix, //
 };
 use rstest::rstest;
+use tokio::time::timeout;
 
 use crate::plain_server::{
     stream_chunk,
@@ -115,6 +116,27 @@
     assert_eq!(report.wrong_answers, 0);
 }
 
+/// Guards against a broken flow whose server is unknown, although all flows were to have had a response.
+#[tokio::test]
+async fn answered_flows_name_their_server() {
+    let mut server = PlainServer::start();
+    let run = load_of(&server).flows(4).rate(Some(200.0));
+    let run = run.build().unwrap();
+    let (stop, answered) = (run.stop_signal(), run.answered_flows());
+    let running = tokio::spawn(run.run());
+    answered.wait_for(4).await;
+    server.restart_without_state().await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    stop.stop();
+    let report = running.await.unwrap().unwrap();
+    assert!(report.flows_broken > 0);
+    for flow in &report.broken_flows {
+        assert_eq!(flow.target, "plain-1", "{flow:?}");
+    }
+    let is_ended = timeout(Duration::ZERO, answered.wait_for(1)).await.is_err();
+    assert!(is_ended, "a flow that has ended is counted");
+}
+
 /// Guards against settings that exceed the bounds of a load.
 #[rstest]
 #[case::flows(|load: LoadBuilder| load.flows(0))]
--- a/src/cmd/demo/demo_script.rs
+++ b/src/cmd/demo/demo_script.rs
@@ -5,14 +5,17 @@
     time::Duration, //
 };
 
+use carobdrum_caller::AnsweredFlows;
 use carobdrum_core::version::CentreState;
 use carobdrum_store::{
     ApplyOutcome,
     StoreClient,
     TableEdit, //
 };
+use snafu::OptionExt;
 use tokio::time::{
     sleep,
+    timeout,
     Instant, //
 };
 
@@ -31,13 +34,13 @@
         demo_routes, //
     },
     metrics_probe::read_metric,
-    DemoError,
+    DemoError, FLOWS,
 };
 
 /// Fraction of the duration after which the data centre is evacuated.
 const EVACUATION_START: f64 = 0.3;
-/// Fraction of the duration after which the data centre is restored.
-const EVACUATION_END: f64 = 0.65;
+/// Fraction of the duration for which the data centre is evacuated.
+const EVACUATION_LENGTH: f64 = 0.35;
 /// Longest time until the processes reach an expected state.
 const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Interval at which the metrics of the processes are polled.
@@ -105,21 +108,27 @@
         .await
     }
 
-    /// Evacuates a data centre and restores it, while the load runs for `duration`.
+    /// Evacuates a data centre and restores it, while the load runs for `duration`. It evacuates once all
+    /// flows have had a response, since that names the server of a flow.
     ///
     /// # Errors
     ///
     /// Returns [`DemoError::Store`] or [`DemoError::StateTimeout`].
-    pub(super) async fn run(&self, duration: Duration) -> Result<ScriptOutcome, DemoError> {
+    pub(super) async fn run(
+        &self,
+        duration: Duration,
+        answered: AnsweredFlows,
+    ) -> Result<ScriptOutcome, DemoError> {
         let start = Instant::now();
         for server in &self.platform.servers {
             server.server.reset_stats();
         }
         tokio::time::sleep_until(start + duration.mul_f64(EVACUATION_START)).await;
+        wait_for_answers(&answered).await?;
         let imbalance = self.imbalance();
         let evacuated_at = start.elapsed();
         let evacuation_delay = self.apply(CentreState::Out, "data centre out").await?;
-        tokio::time::sleep_until(start + duration.mul_f64(EVACUATION_END)).await;
+        tokio::time::sleep_until(start + evacuated_at + duration.mul_f64(EVACUATION_LENGTH)).await;
         let restoration_delay = self.apply(CentreState::In, "data centre back").await?;
         Ok(ScriptOutcome {
             evacuated_at,
@@ -179,6 +188,14 @@
     }
 }
 
+async fn wait_for_answers(answered: &AnsweredFlows) -> Result<(), DemoError> {
+    let waiting = timeout(CONVERGENCE_TIMEOUT, answered.wait_for(FLOWS));
+    waiting.await.ok().context(StateTimeoutSnafu {
+        what: "every flow has had a response",
+        limit: CONVERGENCE_TIMEOUT,
+    })
+}
+
 async fn all_at_least(addresses: &[SocketAddrV4], name: &str, expected: f64) -> bool {
     for address in addresses {
         let found = read_metric(*address, name).await;
--- a/src/cmd/demo/mod.rs
+++ b/src/cmd/demo/mod.rs
@@ -115,8 +115,9 @@
         .seed(args.seed)
         .build()?;
     let stop = load.stop_signal();
+    let answered = load.answered_flows();
     let edits = async {
-        let outcome = script.run(duration).await;
+        let outcome = script.run(duration, answered).await;
         if outcome.is_err() {
             stop.stop();
         }
