--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -50,6 +50,7 @@
 };
 
 use crate::{
+    unix_millis,
     ConfigMessage,
     KeyWrapper,
     PublishedState, //
@@ -79,8 +80,10 @@
 /// Upper bound of the random delay of the first read, which spreads the reads of processes that
 /// start together.
 const MAX_START_DELAY: Duration = Duration::from_millis(100);
-/// Interval, before jitter, between rotations of the key ring.
+/// Age, before jitter, at which the key ring is rotated.
 const ROTATION_INTERVAL: Duration = Duration::from_secs(24 * 60 * 60);
+/// Delay of another attempt after the key ring couldn't be rotated.
+const ROTATION_RETRY_DELAY: Duration = Duration::from_secs(60);
 
 /// What a process does at the store besides reading the configuration and the key ring at its
 /// start.
@@ -214,6 +217,7 @@
         let mut entry = self.client.read_key(KEY_RING_KEY).await?;
         if entry.is_none() {
             let ring = self.wrapper.initial_ring(&mut self.random);
+            let ring = ring.created_ms(unix_millis());
             let wrapped = self.wrapper.wrap(&ring, &mut self.random);
             if self.client.write_key_cas(KEY_RING_KEY, wrapped, 0).await? {
                 info!("created the first key ring");
@@ -366,38 +370,58 @@
         }
     }
 
-    /// Rotates the key ring periodically. If several entry points try at once, compare-and-swap
-    /// lets one succeed.
+    /// Rotates the key ring whenever it is old enough. If several entry points try at once,
+    /// compare-and-swap lets one succeed.
     async fn rotate_keys(mut self) {
+        // The age of a ring of an earlier release isn't known; it counts from here.
+        let start = unix_millis();
         loop {
-            sleep(ROTATION_INTERVAL.mul_f64(self.random.random_range(1.0..1.1))).await;
-            if let Err(error) = self.rotate_once().await {
-                info!(%error, "cannot rotate the key ring");
-            }
+            let interval = ROTATION_INTERVAL.mul_f64(self.random.random_range(1.0..1.1));
+            let wait = match self.rotate_if_due(start, interval).await {
+                Ok(wait) => wait,
+                Err(error) => {
+                    info!(%error, "cannot rotate the key ring");
+                    ROTATION_RETRY_DELAY
+                }
+            };
+            sleep(wait).await;
         }
     }
 
-    async fn rotate_once(&mut self) -> Result<(), StoreError> {
+    /// Rotates the key ring if it is older than `interval`, and returns the time until the next attempt.
+    async fn rotate_if_due(
+        &mut self,
+        start: u64,
+        interval: Duration,
+    ) -> Result<Duration, StoreError> {
         let Some(entry) = self.client.read_key(KEY_RING_KEY).await? else {
-            return Ok(());
+            return Ok(ROTATION_RETRY_DELAY);
         };
         let Ok(ring) = self.wrapper.unwrap(&entry.value) else {
-            return Ok(());
+            return Ok(ROTATION_RETRY_DELAY);
         };
-        let current = self.state.borrow().key_version();
-        if ring.version() != current {
-            return Ok(());
+        let created = ring.creation_ms().unwrap_or(start);
+        let age = Duration::from_millis(unix_millis().saturating_sub(created));
+        if age < interval {
+            return Ok(interval - age);
+        }
+        let adopted = self
+            .state
+            .wait_for(|state| state.key_version() == ring.version());
+        if timeout(ROTATION_RETRY_DELAY, adopted).await.is_err() {
+            return Ok(ROTATION_RETRY_DELAY);
         }
         let rotated = self.wrapper.rotate(&ring, &mut self.random);
+        let rotated = rotated.created_ms(unix_millis());
         let wrapped = self.wrapper.wrap(&rotated, &mut self.random);
         if self
             .client
             .write_key_cas(KEY_RING_KEY, wrapped, entry.index)
             .await?
         {
-            info!(version = rotated.version(), "key ring rotated");
+            info!(version = rotated.version(), ?age, "key ring rotated");
         }
-        Ok(())
+        Ok(interval)
     }
 
     fn offer_version(&self, version: ConfigVersion) {
--- a/components/control/src/version/key_wrapper.rs
+++ b/components/control/src/version/key_wrapper.rs
@@ -51,6 +51,9 @@
 struct StoredRing {
     version: u32,
     issuing: u8,
+    /// Unix time in milliseconds; earlier releases don't write it.
+    #[serde(default)]
+    created_ms: Option<u64>,
     keys: Vec<StoredKey>,
 }
 
@@ -107,6 +110,7 @@
         let stored = StoredRing {
             version: ring.version(),
             issuing: ring.issuing(),
+            created_ms: ring.creation_ms(),
             keys: keys.collect(),
         };
         let mut sealed = serde_json::to_vec(&stored).expect("numbers can be serialised as JSON");
@@ -144,7 +148,7 @@
             .keys
             .iter()
             .map(|key| FleetKey::new(key.phase, key.secret));
-        Ok(KeyRing::new(stored.version, stored.issuing, keys))
+        Ok(KeyRing::new(stored.version, stored.issuing, keys).created_ms(stored.created_ms))
     }
 
     /// # Panics
--- a/components/core/src/version/key_ring.rs
+++ b/components/core/src/version/key_ring.rs
@@ -17,6 +17,7 @@
 pub struct KeyRing {
     version: u32,
     issuing: u8,
+    created_ms: Option<u64>,
     keys: Vec<FleetKey>,
     codecs: Vec<FlowCodec>,
 }
@@ -34,11 +35,24 @@
         KeyRing {
             version,
             issuing: issuing & 3,
+            created_ms: None,
             keys,
             codecs,
         }
     }
 
+    /// Sets the time at which the ring was created, as Unix time in milliseconds.
+    pub fn created_ms(mut self, time: impl Into<Option<u64>>) -> KeyRing {
+        self.created_ms = time.into();
+        self
+    }
+
+    /// Returns the time at which the ring was created, as Unix time in milliseconds; `None` if it isn't
+    /// known.
+    pub fn creation_ms(&self) -> Option<u64> {
+        self.created_ms
+    }
+
     /// Returns the version of the ring, which grows with every rotation.
     pub fn version(&self) -> u32 {
         self.version
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -15,7 +15,10 @@
     CallerRequest,
     CloseReason, //
 };
-use carobdrum_control::KeyWrapper;
+use carobdrum_control::{
+    unix_millis,
+    KeyWrapper, //
+};
 use carobdrum_standins::{
     PortMode,
     ServiceTime,
@@ -31,6 +34,9 @@
 };
 use rstest::rstest;
 
+/// Store key of the key ring.
+const KEYS: &str = "carobdrum/test/keys";
+
 /// Time limit for an accepted edit to be in force at all processes.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -250,7 +256,6 @@
 /// Guards against flows that break, and packets that balancers drop, when the fleet key is rotated.
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_survive_key_rotations() {
-    const KEYS: &str = "carobdrum/test/keys";
     let site = start_two_centres(66).await;
     let old = site.connect().await;
     let wrapper = KeyWrapper::new(&[0x5a; 32]);
@@ -280,6 +285,31 @@
     }
 }
 
+/// Guards against a key ring that is never rotated, because its age starts anew with each new holder of the
+/// entry point.
+#[rstest]
+#[case::old(27, 2)]
+#[case::recent(23, 1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_holder_rotates_an_old_key_ring(#[case] age_h: u64, #[case] version: u32) {
+    let mut site = TestSite::start(71 + version as u8, 1).await;
+    let wrapper = KeyWrapper::new(&[0x5a; 32]);
+    let mut random = StdRng::seed_from_u64(68);
+    let age = Duration::from_secs(age_h * 3_600).as_millis() as u64;
+    let ring = wrapper.initial_ring(&mut random);
+    let ring = ring.created_ms(unix_millis() - age);
+    site.store.set_value(KEYS, wrapper.wrap(&ring, &mut random));
+    site.apply(&site.routes(), POOLS).await;
+    site.add_balancer("galway-a");
+    tokio::time::sleep(IN_FORCE_LIMIT).await;
+    let wrapped = site.store.value(KEYS).expect("no key ring in the store");
+    let found = wrapper.unwrap(&wrapped);
+    assert_eq!(
+        found.expect("cannot unwrap the key ring").version(),
+        version
+    );
+}
+
 /// Guards against an agent that uses a renewed certificate only after a restart.
 #[tokio::test(flavor = "multi_thread")]
 async fn renewed_certificate_is_used_without_a_restart() {
