Wait for requests around a fault rather than for a time alone

Cause: twelve callers send one request after another for a fixed time, so their number follows the processor time that the test gets.

Change: each phase before and after the fault lasts as long as before and until 51 requests have succeeded in it, at most 10 s. The check of more than 100 stays, and now there must be load on both sides of the fault, which the test didn't ask before. For this the progress of a load run also counts successes (LoadProgress, which takes in AnsweredFlows).

--- a/components/caller/src/lib.rs
+++ b/components/caller/src/lib.rs
@@ -17,12 +17,12 @@
     CloseReason, //
 };
 pub use process::{
-    AnsweredFlows,
     BrokenFlow,
     LatencySummary,
     LoadBuilder,
     LoadCanceller,
     LoadError,
+    LoadProgress,
     LoadReport,
     LoadRun,
     NamedCount,
--- a/components/caller/src/process/flow_slot.rs
+++ b/components/caller/src/process/flow_slot.rs
@@ -29,8 +29,8 @@
     },
     process::{
         flow_log::FlowLog,
-        AnsweredFlows, //
         LoadCanceller,
+        LoadProgress, //
     },
 };
 
@@ -43,7 +43,7 @@
 pub(crate) struct HeldFlow {
     pub(crate) flow: CallerFlow,
     log: Arc<FlowLog>,
-    answered: AnsweredFlows,
+    progress: LoadProgress,
     retired: Notify,
     is_retired: AtomicBool,
     is_break_recorded: AtomicBool,
@@ -65,7 +65,7 @@
     pub(crate) fn record_target(&self, target: &str) {
         let mut last = self.target.lock().unwrap_or_else(PoisonError::into_inner);
         if last.is_empty() && !target.is_empty() {
-            self.answered.add();
+            self.progress.add_answered_flow();
         }
         if *last != target {
             *last = target.into();
@@ -88,7 +88,7 @@
     fn drop(&mut self) {
         let target = self.target.get_mut();
         if !target.unwrap_or_else(PoisonError::into_inner).is_empty() {
-            self.answered.remove();
+            self.progress.remove_answered_flow();
         }
     }
 }
@@ -99,8 +99,8 @@
     pub(crate) address: SocketAddr,
     /// Counts of opened and broken flows.
     pub(crate) log: Arc<FlowLog>,
-    /// Number of flows that have had a response.
-    pub(crate) answered: AnsweredFlows,
+    /// Progress of the run.
+    pub(crate) progress: LoadProgress,
     /// Limits the handshakes that run concurrently.
     pub(crate) handshakes: Semaphore,
     /// Signals the end of the run.
@@ -176,7 +176,7 @@
             Some(Arc::new(HeldFlow {
                 flow,
                 log: context.log.clone(),
-                answered: context.answered.clone(),
+                progress: context.progress.clone(),
                 retired: Notify::new(),
                 is_retired: AtomicBool::new(false),
                 is_break_recorded: AtomicBool::new(false),
--- a/components/caller/src/process/load_run.rs
+++ b/components/caller/src/process/load_run.rs
@@ -41,10 +41,10 @@
             PlannedRequest,
             RequestPlan, //
         },
-        AnsweredFlows,
         LoadBuilder,
         LoadCanceller, //
         LoadError,
+        LoadProgress,
         LoadReport,
     },
     request::{
@@ -68,7 +68,7 @@
 pub struct LoadRun {
     settings: LoadBuilder,
     canceller: LoadCanceller,
-    answered: AnsweredFlows,
+    progress: LoadProgress,
 }
 
 impl LoadRun {
@@ -89,7 +89,7 @@
         LoadRun {
             settings,
             canceller: LoadCanceller::new(),
-            answered: AnsweredFlows::new(),
+            progress: LoadProgress::new(),
         }
     }
 
@@ -98,9 +98,9 @@
         self.canceller.clone()
     }
 
-    /// Returns the number of flows that have had a response.
-    pub fn answered_flows(&self) -> AnsweredFlows {
-        self.answered.clone()
+    /// Returns the progress of the run, which can be read while it runs.
+    pub fn progress(&self) -> LoadProgress {
+        self.progress.clone()
     }
 
     /// Sends the load and verifies every response.
@@ -119,7 +119,7 @@
         let context = Arc::new(SlotContext {
             address: self.settings.address,
             log: Arc::new(FlowLog::new(pacer.start())),
-            answered: self.answered.clone(),
+            progress: self.progress.clone(),
             handshakes: Semaphore::new(MAX_CONCURRENT_HANDSHAKES),
             canceller: flows_canceller.clone(),
         });
@@ -130,6 +130,7 @@
             plan: self.settings.plan(),
             slots,
             repeats: self.settings.repeats,
+            progress: self.progress.clone(),
         });
         let tally = self.run_workers(&shared).await?;
         let elapsed = shared.pacer.start().elapsed();
@@ -206,6 +207,7 @@
     plan: RequestPlan,
     slots: Arc<[FlowSlot]>,
     repeats: u32,
+    progress: LoadProgress,
 }
 
 impl LoadWorker {
@@ -299,6 +301,7 @@
 
     fn record_success(&self, response: &CallerResponse, due: Instant, tally: &mut LoadTally) {
         let second = self.pacer.start().elapsed().as_secs() as usize;
+        self.progress.add_success();
         tally.record_success(due.elapsed(), second, response.body.len());
         if let Some(target) = response.target() {
             tally.record_target(target);
--- a/components/caller/tests/caller/load_run.rs
+++ b/components/caller/tests/caller/load_run.rs
@@ -122,18 +122,20 @@
     let mut server = PlainServer::start();
     let run = load_of(&server).flows(4).rate(Some(200.0));
     let run = run.build().unwrap();
-    let (stop, answered) = (run.stop_signal(), run.answered_flows());
+    let (stop, progress) = (run.stop_signal(), run.progress());
     let running = tokio::spawn(run.run());
-    answered.wait_for(4).await;
+    progress.wait_for_answered_flows(4).await;
     server.restart_without_state().await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     stop.stop();
     let report = running.await.unwrap().unwrap();
+    assert_eq!(progress.succeeded(), report.succeeded);
     assert!(report.flows_broken > 0);
     for flow in &report.broken_flows {
         assert_eq!(flow.target, "plain-1", "{flow:?}");
     }
-    let is_ended = timeout(Duration::ZERO, answered.wait_for(1)).await.is_err();
+    let waiting = progress.wait_for_answered_flows(1);
+    let is_ended = timeout(Duration::ZERO, waiting).await.is_err();
     assert!(is_ended, "a flow that has ended is counted");
 }
 
--- a/src/cmd/demo/demo_script.rs
+++ b/src/cmd/demo/demo_script.rs
@@ -5,7 +5,7 @@
     time::Duration, //
 };
 
-use carobdrum_caller::AnsweredFlows;
+use carobdrum_caller::LoadProgress;
 use carobdrum_core::version::CentreState;
 use carobdrum_store::{
     ApplyOutcome,
@@ -117,14 +117,14 @@
     pub(super) async fn run(
         &self,
         duration: Duration,
-        answered: AnsweredFlows,
+        progress: LoadProgress,
     ) -> Result<ScriptOutcome, DemoError> {
         let start = Instant::now();
         for server in &self.platform.servers {
             server.server.reset_stats();
         }
         tokio::time::sleep_until(start + duration.mul_f64(EVACUATION_START)).await;
-        wait_for_answers(&answered).await?;
+        wait_for_answers(&progress).await?;
         let imbalance = self.imbalance();
         let evacuated_at = start.elapsed();
         let evacuation_delay = self.apply(CentreState::Out, "data centre out").await?;
@@ -188,9 +188,10 @@
     }
 }
 
-async fn wait_for_answers(answered: &AnsweredFlows) -> Result<(), DemoError> {
-    let waiting = timeout(CONVERGENCE_TIMEOUT, answered.wait_for(FLOWS));
-    waiting.await.ok().context(StateTimeoutSnafu {
+async fn wait_for_answers(progress: &LoadProgress) -> Result<(), DemoError> {
+    let answered = progress.wait_for_answered_flows(FLOWS as u64);
+    let answered = timeout(CONVERGENCE_TIMEOUT, answered).await;
+    answered.ok().context(StateTimeoutSnafu {
         what: "every flow has had a response",
         limit: CONVERGENCE_TIMEOUT,
     })
--- a/src/cmd/demo/mod.rs
+++ b/src/cmd/demo/mod.rs
@@ -115,9 +115,9 @@
         .seed(args.seed)
         .build()?;
     let stop = load.stop_signal();
-    let answered = load.answered_flows();
+    let progress = load.progress();
     let edits = async {
-        let outcome = script.run(duration, answered).await;
+        let outcome = script.run(duration, progress).await;
         if outcome.is_err() {
             stop.stop();
         }
--- a/tests/process_faults/main.rs
+++ b/tests/process_faults/main.rs
@@ -11,6 +11,7 @@
     BrokenFlow,
     CallerRequest,
     LoadBuilder,
+    LoadProgress,
     LoadReport,
     RequestMix, //
 };
@@ -22,6 +23,7 @@
 };
 use tokio::time::{
     sleep,
+    timeout,
     Instant, //
 };
 
@@ -36,6 +38,10 @@
 const FABRIC_UPDATE_DELAY: Duration = Duration::from_millis(500);
 /// Time for which a load runs before and after a fault.
 const STEADY_DURATION: Duration = Duration::from_millis(1_500);
+/// Requests that must succeed in each of these two phases.
+const STEADY_REQUESTS: u64 = 51;
+/// Time limit of such a phase.
+const STEADY_LIMIT: Duration = Duration::from_secs(10);
 /// Time limit for a change to be in force at all processes (guarantees P4, P8 and P10).
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -45,11 +51,11 @@
     fault: impl std::future::Future<Output = ()>,
 ) -> LoadReport {
     let run = load.build().expect("invalid load settings");
-    let canceller = run.stop_signal();
+    let (canceller, progress) = (run.stop_signal(), run.progress());
     let running = tokio::spawn(run.run());
-    sleep(STEADY_DURATION).await;
+    run_steadily(&progress).await;
     fault.await;
-    sleep(STEADY_DURATION).await;
+    run_steadily(&progress).await;
     canceller.stop();
     running
         .await
@@ -57,6 +63,14 @@
         .expect("load failed")
 }
 
+/// Waits for the steady duration, and until a number of requests have succeeded since.
+async fn run_steadily(progress: &LoadProgress) {
+    let expected = progress.succeeded() + STEADY_REQUESTS;
+    let served = timeout(STEADY_LIMIT, progress.wait_for_succeeded(expected));
+    let (served, ()) = tokio::join!(served, sleep(STEADY_DURATION));
+    served.expect("too few requests succeeded in time");
+}
+
 /// Checks that callers saw no failure, and that no recorded request ran twice.
 fn check_no_failures(site: &ProcessSite, report: &LoadReport) {
     assert_eq!(report.wrong_answers, 0, "{:?}", report.wrong_examples);
