--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -217,7 +217,7 @@
         let mut entry = self.client.read_key(KEY_RING_KEY).await?;
         if entry.is_none() {
             let ring = self.wrapper.initial_ring(&mut self.random);
-            let ring = ring.created_ms(unix_millis());
+            let ring = ring.with_creation_ms(unix_millis());
             let wrapped = self.wrapper.wrap(&ring, &mut self.random);
             if self.client.write_key_cas(KEY_RING_KEY, wrapped, 0).await? {
                 info!("created the first key ring");
@@ -412,7 +412,7 @@
             return Ok(ROTATION_RETRY_DELAY);
         }
         let rotated = self.wrapper.rotate(&ring, &mut self.random);
-        let rotated = rotated.created_ms(unix_millis());
+        let rotated = rotated.with_creation_ms(unix_millis());
         let wrapped = self.wrapper.wrap(&rotated, &mut self.random);
         if self
             .client
--- a/components/control/src/version/key_wrapper.rs
+++ b/components/control/src/version/key_wrapper.rs
@@ -148,7 +148,7 @@
             .keys
             .iter()
             .map(|key| FleetKey::new(key.phase, key.secret));
-        Ok(KeyRing::new(stored.version, stored.issuing, keys).created_ms(stored.created_ms))
+        Ok(KeyRing::new(stored.version, stored.issuing, keys).with_creation_ms(stored.created_ms))
     }
 
     /// # Panics
--- a/components/core/src/version/key_ring.rs
+++ b/components/core/src/version/key_ring.rs
@@ -42,7 +42,7 @@
     }
 
     /// Sets the time at which the ring was created, as Unix time in milliseconds.
-    pub fn created_ms(mut self, time: impl Into<Option<u64>>) -> KeyRing {
+    pub fn with_creation_ms(mut self, time: impl Into<Option<u64>>) -> KeyRing {
         self.created_ms = time.into();
         self
     }
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -297,7 +297,7 @@
     let mut random = StdRng::seed_from_u64(68);
     let age = Duration::from_secs(age_h * 3_600).as_millis() as u64;
     let ring = wrapper.initial_ring(&mut random);
-    let ring = ring.created_ms(unix_millis() - age);
+    let ring = ring.with_creation_ms(unix_millis() - age);
     site.store.set_value(KEYS, wrapper.wrap(&ring, &mut random));
     site.apply(&site.routes(), POOLS).await;
     site.add_balancer("galway-a");
