Keep the time at which a socket was drained with the socket

Three copies of one rule (agents for the packets of callers and of the server, balancers for those of callers): begin with the time of opening, set it when a read finds nothing, set it when a tick finds nothing. UdpEndpoint has the rule now. The daemons' wait for open sockets takes what opens and what runs, so that only one place tells of the opening, and the agent reads the time of day by unix_millis, which it had written again.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -3,14 +3,11 @@
 use std::{
     net::SocketAddrV4,
     sync::Arc,
-    time::{
-        Duration,
-        SystemTime,
-        UNIX_EPOCH, //
-    },
+    time::Duration, //
 };
 
 use bytes::Bytes;
+use carobdrum_control::unix_millis;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
     process::{
@@ -124,10 +121,6 @@
     backend: SocketAddrV4,
     packets: UdpEndpoint,
     outgoing: UdpEndpoint,
-    /// Last time at which no packet of the server was waiting. What is read later was sent later.
-    drained_at: Millis,
-    /// The same for packets of callers.
-    forwards_drained_at: Millis,
     reporter: AgentReporter,
     actions: Vec<TrackerAction>,
     shutdown_answer: Option<oneshot::Sender<()>>,
@@ -147,18 +140,14 @@
         metrics: NodeMetrics,
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
-        let clock = BootClock;
-        let opened_at = clock.now();
         Ok(AgentTraffic {
-            tracker: FlowTracker::new(settings, unix_time_ms(), opened_at),
-            clock,
+            tracker: FlowTracker::new(settings, unix_millis(), BootClock.now()),
+            clock: BootClock,
             revision_sender,
             address,
             backend,
             packets: UdpEndpoint::open(address).await?,
             outgoing: UdpEndpoint::open(outgoing).await?,
-            drained_at: opened_at,
-            forwards_drained_at: opened_at,
             reporter: AgentReporter::new(address),
             actions: Vec::new(),
             shutdown_answer: None,
@@ -258,8 +247,7 @@
     fn read_forwards(&mut self) {
         let now = self.clock.now();
         for _ in 0..BATCH {
-            let Some((bytes, from)) = self.packets.receive() else {
-                self.forwards_drained_at = now;
+            let Some((bytes, from)) = self.packets.receive(now) else {
                 return;
             };
             let bytes = Bytes::copy_from_slice(bytes);
@@ -304,7 +292,7 @@
             self.log.arrived(packet.key, &attempt);
         }
         let mut actions = std::mem::take(&mut self.actions);
-        let arrived = self.forwards_drained_at;
+        let arrived = self.packets.drained_at();
         self.tracker
             .handle_late_forwarded(&packet, &bytes, header, arrived, now, &mut actions);
         if packet.is_open() {
@@ -337,8 +325,8 @@
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
         for _ in 0..BATCH {
-            let Some((bytes, _)) = self.outgoing.receive() else {
-                self.drained_at = now;
+            let sent = self.outgoing.drained_at();
+            let Some((bytes, _)) = self.outgoing.receive(now) else {
                 break;
             };
             let packet = match decode_backend_packet(bytes) {
@@ -352,7 +340,7 @@
             if packet.returned {
                 clear_internal_fields(bytes);
             } else {
-                self.tracker.note_activity(self.drained_at);
+                self.tracker.note_activity(sent);
             }
             if packet.kind == PacketKind::Reset && !packet.returned {
                 self.log
@@ -432,7 +420,7 @@
 
     /// Returns the longest time for which a packet of a caller that is read now may have waited.
     fn forwards_wait(&self) -> Millis {
-        self.clock.now().since(self.forwards_drained_at)
+        self.clock.now().since(self.packets.drained_at())
     }
 
     fn caller_port(&self, key: FlowKey) -> SocketAddrV4 {
@@ -463,12 +451,8 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
-        if self.outgoing.is_drained() {
-            self.drained_at = now;
-        }
-        if self.packets.is_drained() {
-            self.forwards_drained_at = now;
-        }
+        self.outgoing.check_drained(now);
+        self.packets.check_drained(now);
         let unsent = self.packets.unsent + self.outgoing.unsent;
         self.metrics
             .unsent
@@ -501,12 +485,6 @@
     }
 }
 
-/// Returns the time of day in milliseconds; zero if it is before 1970.
-fn unix_time_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
-}
-
 /// Returns which retransmission of the opening packet this is; zero for the first copy.
 fn retransmission_of(bytes: &[u8]) -> u8 {
     match decode_caller_packet(bytes).map(|packet| packet.kind) {
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -93,8 +93,6 @@
     address: SocketAddrV4,
     callers: UdpEndpoint,
     agents: UdpEndpoint,
-    /// Last time at which no packet of a caller was waiting. What is read later arrived later.
-    drained_at: Millis,
     metrics: NodeMetrics,
     log: FlowLog,
     spans: HopSpans,
@@ -109,16 +107,13 @@
         revision_sender: watch::Sender<PeerRevision>,
         metrics: NodeMetrics,
     ) -> Result<BalancerTraffic, NodeError> {
-        let clock = BootClock;
-        let opened_at = clock.now();
         Ok(BalancerTraffic {
-            clock,
+            clock: BootClock,
             revision_sender,
             router: FlowRouter::new(address, centre),
             address,
             callers: UdpEndpoint::open(packets).await?,
             agents: UdpEndpoint::open(address).await?,
-            drained_at: opened_at,
             metrics,
             log: FlowLog::new(),
             spans: HopSpans::default(),
@@ -163,8 +158,7 @@
     fn read_callers(&mut self) {
         let now = self.clock.now();
         for _ in 0..BATCH {
-            let Some((bytes, from)) = self.callers.receive() else {
-                self.drained_at = now;
+            let Some((bytes, from)) = self.callers.receive(now) else {
                 return;
             };
             let packet = match decode_caller_packet(bytes) {
@@ -176,7 +170,9 @@
                 }
             };
             let bytes = Bytes::copy_from_slice(bytes);
-            let action = self.router.route_late(&packet, self.drained_at, now);
+            let action = self
+                .router
+                .route_late(&packet, self.callers.drained_at(), now);
             self.act(action, packet.key, packet.is_open(), bytes);
         }
     }
@@ -222,7 +218,7 @@
     fn read_agents(&mut self) {
         let now = self.clock.now();
         for _ in 0..BATCH {
-            let Some((bytes, from)) = self.agents.receive() else {
+            let Some((bytes, from)) = self.agents.receive(now) else {
                 return;
             };
             let body = FlowDatagram::decode(&*bytes)
@@ -279,9 +275,7 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
-        if self.callers.is_drained() {
-            self.drained_at = now;
-        }
+        self.callers.check_drained(now);
         let unsent = self.callers.unsent + self.agents.unsent;
         self.metrics
             .unsent
--- a/components/forwarder/src/connection/udp_endpoint.rs
+++ b/components/forwarder/src/connection/udp_endpoint.rs
@@ -9,12 +9,14 @@
     },
 };
 
+use carobdrum_core::Millis;
 use socket2::SockRef;
 use tokio::net::UdpSocket;
 use tracing::debug;
 
 use crate::process::{
     node_error::BindSnafu,
+    BootClock,
     NodeError, //
 };
 use snafu::ResultExt;
@@ -28,6 +30,8 @@
     socket: UdpSocket,
     port: u16,
     buffer: Box<[u8; MAX_DATAGRAM_LEN]>,
+    /// Last time at which no datagram was waiting. What is read later arrived later.
+    drained_at: Millis,
     /// Number of datagrams that the system didn't accept.
     pub(crate) unsent: u64,
 }
@@ -35,11 +39,14 @@
 impl UdpEndpoint {
     /// Opens a socket at `address`.
     pub(crate) async fn open(address: SocketAddrV4) -> Result<UdpEndpoint, NodeError> {
+        // Before the socket is bound, no datagram can arrive.
+        let drained_at = BootClock.now();
         let socket = UdpSocket::bind(address).await;
         Ok(UdpEndpoint {
             socket: socket.context(BindSnafu { address })?,
             port: address.port(),
             buffer: Box::new([0; MAX_DATAGRAM_LEN]),
+            drained_at,
             unsent: 0,
         })
     }
@@ -54,25 +61,34 @@
         self.socket.readable().await
     }
 
-    /// Returns whether no datagram is waiting. It asks the system, as the runtime may not have seen
-    /// what arrived while the process was paused.
-    pub(crate) fn is_drained(&self) -> bool {
+    /// Returns the last time at which no datagram was known to wait.
+    pub(crate) fn drained_at(&self) -> Millis {
+        self.drained_at
+    }
+
+    /// Checks at `now` whether no datagram is waiting. It asks the system, as the runtime may not have
+    /// seen what arrived while the process was paused.
+    pub(crate) fn check_drained(&mut self, now: Millis) {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(&self.socket).peek(&mut byte);
-        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        if peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+            self.drained_at = now;
+        }
     }
 
-    /// Reads a datagram, if one is waiting. The system reports an earlier datagram that couldn't be
-    /// delivered as an error of a later read, which is therefore repeated.
-    pub(crate) fn receive(&mut self) -> Option<(&mut [u8], SocketAddrV4)> {
+    /// Reads a datagram, if one is waiting at `now`. The system reports an earlier datagram that couldn't
+    /// be delivered as an error of a later read, which is therefore repeated.
+    pub(crate) fn receive(&mut self, now: Millis) -> Option<(&mut [u8], SocketAddrV4)> {
         loop {
             match self.socket.try_recv_from(&mut self.buffer[..]) {
                 Ok((len, SocketAddr::V4(from))) => return Some((&mut self.buffer[..len], from)),
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
                 Err(error) => {
-                    debug!(%error, port = self.port, "datagram not read");
+                    if error.kind() != io::ErrorKind::WouldBlock {
+                        debug!(%error, port = self.port, "datagram not read");
+                    }
+                    self.drained_at = now;
                     return None;
                 }
             }
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -127,13 +127,10 @@
     let (server, outgoing) = (backend.address, backend.outgoing);
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
-    spawn_traffic(move |opened| async move {
-        let traffic =
-            AgentTraffic::open(tracker, server, outgoing, revision_sender, metrics).await?;
-        // The control thread may have ended.
-        let _ = opened.send(());
-        traffic.run(receiver, in_force).await
-    })
+    spawn_traffic(
+        move || AgentTraffic::open(tracker, server, outgoing, revision_sender, metrics),
+        move |traffic| traffic.run(receiver, in_force),
+    )
     .await?;
     let record = AgentRecord {
         address: node.packets,
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -83,13 +83,12 @@
     let address = SocketAddrV4::new(node.ip, node.peer_port);
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
-    spawn_traffic(move |opened| async move {
-        let traffic =
-            BalancerTraffic::open(packets, address, &centre, revision_sender, metrics).await?;
-        // The control thread may have ended.
-        let _ = opened.send(());
-        traffic.run(receiver, in_force).await
-    })
+    spawn_traffic(
+        move || async move {
+            BalancerTraffic::open(packets, address, &centre, revision_sender, metrics).await
+        },
+        move |traffic| traffic.run(receiver, in_force),
+    )
     .await?;
     let state = context.state.clone();
     let ready = Rc::new(ReadyState {
--- a/components/forwarder/src/process/node_context.rs
+++ b/components/forwarder/src/process/node_context.rs
@@ -153,19 +153,28 @@
     LocalSet::new().block_on(&runtime, control)
 }
 
-/// Spawns the traffic thread of a daemon, and waits until its `work` has sent that the sockets are open. A
-/// daemon that is ready loses no packet.
+/// Spawns the traffic thread of a daemon, which runs `run` with what `open` returns, and waits until `open`
+/// has ended. A daemon whose sockets are open when it is ready loses no packet.
 ///
 /// # Errors
 ///
-/// Returns [`NodeError::Start`] if the thread can't be started, and [`NodeError::TrafficEnded`] if it
-/// ends without open sockets.
-pub(crate) async fn spawn_traffic<W, F>(work: W) -> Result<(), NodeError>
+/// Returns [`NodeError::Start`] if the thread can't be started, and [`NodeError::TrafficEnded`] if
+/// `open` fails.
+pub(crate) async fn spawn_traffic<T, O, R>(
+    open: impl FnOnce() -> O + Send + 'static,
+    run: impl FnOnce(T) -> R + Send + 'static,
+) -> Result<(), NodeError>
 where
-    W: FnOnce(oneshot::Sender<()>) -> F + Send + 'static,
-    F: Future<Output = Result<(), NodeError>>,
+    O: Future<Output = Result<T, NodeError>>,
+    R: Future<Output = Result<(), NodeError>>,
 {
     let (sender, opened) = oneshot::channel();
-    spawn_thread("traffic", move || work(sender)).context(StartSnafu)?;
+    let work = move || async move {
+        let traffic = open().await?;
+        // The control thread may have ended.
+        let _ = sender.send(());
+        run(traffic).await
+    };
+    spawn_thread("traffic", work).context(StartSnafu)?;
     opened.await.ok().context(TrafficEndedSnafu)
 }
