Remove the load of a flow's request in one place

FlowEntry::abandon_request does it. A heartbeat of a new run is looked at once: what the agent knows of the flows and which flows are lost follow in the same arm.

No behaviour changes; the tests of flows and model pass.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 
-use super::SequenceWindow;
+use super::{
+    LoadEstimate,
+    SequenceWindow, //
+};
 use crate::request::ForwardHeader;
 
 /// Age from which a flow counts as long. Flows of one request are shorter.
@@ -101,6 +104,13 @@
         uninformed
     }
 
+    /// Removes the load of the request in progress, if there is one.
+    pub fn abandon_request(&mut self, load: &mut LoadEstimate) {
+        if self.request_started.take().is_some() {
+            load.end();
+        }
+    }
+
     /// Records that the server has accepted the flow with this sequence number. Another number than
     /// before shows that a new flow has the same endpoints.
     pub fn note_accepted(&mut self, sequence: u32) {
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -185,15 +185,15 @@
             self.return_pause.clear();
         }
         match outcome {
-            HeartbeatOutcome::Started if had_heartbeat => self.coverage.note_new_run(),
+            HeartbeatOutcome::Started if had_heartbeat => {
+                self.coverage.note_new_run();
+                self.mark_flows_lost(ResetCause::Restarted);
+            }
             HeartbeatOutcome::Started | HeartbeatOutcome::Replaced => {
                 self.coverage.note_run(started_ms)
             }
             _ => {}
         }
-        if had_heartbeat && outcome == HeartbeatOutcome::Started {
-            self.mark_flows_lost(ResetCause::Restarted);
-        }
         self.cold.set_remaining(cold_remaining, sent, now);
         self.load.set_slots(slots);
         self.service = service;
@@ -325,19 +325,16 @@
                 FlowStage::Open | FlowStage::Redirected(_) => idle_timeout,
             };
             let is_kept = idle < timeout;
-            if (!is_kept || idle >= REQUEST_IDLE_TIMEOUT) && entry.request_started.take().is_some()
-            {
-                load.end();
+            if !is_kept || idle >= REQUEST_IDLE_TIMEOUT {
+                entry.abandon_request(load);
             }
             is_kept
         });
     }
 
     fn remove_flow(&mut self, key: FlowKey) {
-        if let Some(entry) = self.flows.remove(&key) {
-            if entry.request_started.is_some() {
-                self.load.end();
-            }
+        if let Some(mut entry) = self.flows.remove(&key) {
+            entry.abandon_request(&mut self.load);
         }
     }
 }
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -93,8 +93,8 @@
             }
             _ => false,
         };
-        if is_closing && entry.request_started.take().is_some() {
-            self.load.end();
+        if is_closing {
+            entry.abandon_request(&mut self.load);
         }
         actions.push(TrackerAction::Deliver);
     }
@@ -194,8 +194,8 @@
         }
         if packet.kind == PacketKind::Finish {
             entry.server_done = true;
-            if entry.close_if_done() && entry.request_started.take().is_some() {
-                self.load.end();
+            if entry.close_if_done() {
+                entry.abandon_request(&mut self.load);
             }
         }
     }
@@ -214,9 +214,7 @@
                 entry.stage = FlowStage::NotHeld;
             }
             entry.opening_packet = None;
-            if entry.request_started.take().is_some() {
-                self.load.end();
-            }
+            entry.abandon_request(&mut self.load);
         }
         actions.push(TrackerAction::Drop(key, RedirectCause::NotHeld));
     }
@@ -272,9 +270,7 @@
                     self.cold.mark_unknown(now);
                 }
                 entry.stage = FlowStage::NotHeld;
-                if entry.request_started.take().is_some() {
-                    self.load.end();
-                }
+                entry.abandon_request(&mut self.load);
             }
             redirect_later(packet.key, header, RedirectCause::NotHeld, actions);
         }
@@ -293,9 +289,7 @@
             return;
         };
         entry.stage = FlowStage::NotHeld;
-        if entry.request_started.take().is_some() {
-            self.load.end();
-        }
+        entry.abandon_request(&mut self.load);
         actions.push(TrackerAction::Reset(key, entry.caller_expects, cause));
     }
 }
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -199,8 +199,8 @@
             let Some(entry) = self.flows.get_mut(&key) else {
                 continue;
             };
-            if matches!(entry.stage, FlowStage::Opening) && entry.request_started.take().is_some() {
-                self.load.end();
+            if matches!(entry.stage, FlowStage::Opening) {
+                entry.abandon_request(&mut self.load);
             }
             let Some(opening_packet) = entry.opening_packet.take() else {
                 continue;
