Don't rotate the key ring once the process stops

Found on reading the whole change: the wait for the adoption of the ring also ended when its channel closed, and the ring was then rotated although this process hadn't adopted it. The channel closes only when the process stops, which no test can time; by reading only.

--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -408,7 +408,8 @@
         let adopted = self
             .state
             .wait_for(|state| state.key_version() == ring.version());
-        if timeout(ROTATION_RETRY_DELAY, adopted).await.is_err() {
+        // The channel closes when the process stops.
+        if !matches!(timeout(ROTATION_RETRY_DELAY, adopted).await, Ok(Ok(_))) {
             return Ok(ROTATION_RETRY_DELAY);
         }
         let rotated = self.wrapper.rotate(&ring, &mut self.random);
