--- a/tests/platform_soak/soak_caller.rs
+++ b/tests/platform_soak/soak_caller.rs
@@ -11,6 +11,7 @@
 use carobdrum_platform_standins::{
     flags,
     EndpointPacket, //
+    NUMBER_SHIFT,
 };
 use tokio::{
     net::UdpSocket,
@@ -52,9 +53,6 @@
 const MAX_REQUESTS: u16 = 4;
 const MAX_PAUSE_MS: u64 = 1_800;
 
-/// Bits of a server's sequence numbers below its number.
-const NUMBER_SHIFT: u32 = 20;
-
 /// A reset that the system sent for an open flow.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FlowReset {
