Try other balancers for a caller that doesn't answer

The agent sends a response through the balancer that delivered the caller's latest datagram, and through another one only if that has sent a datagram since. If the balancer stops and the flow is the agent's only one, nothing is sent since: the caller waits, the agent's retransmissions go to the closed socket, until the caller's keep-alive packet after 5 s names a new balancer and the next, doubled retransmission timeout has passed. The list of balancers is a type of its own. The platform's roles send no responses and don't use this code.

--- a/components/agent/src/connection/caller_table.rs
+++ b/components/agent/src/connection/caller_table.rs
@@ -6,6 +6,12 @@
 };
 
 use carobdrum_core::Millis;
+use tracing::info;
+
+use super::{
+    BalancerList,
+    CallerSilence, //
+};
 
 /// Route of the responses to one caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,18 +27,8 @@
     service_ip: Ipv4Addr,
     last_use: u32,
     route: CallerRoute,
-}
-
-/// Time without a datagram from a balancer after which another balancer is used, if that has sent
-/// one since.
-const BALANCER_TIMEOUT: Millis = Millis(1_000);
-/// Number of balancer sockets at which those silent for longer than [`BALANCER_TIMEOUT`] are
-/// removed.
-const MAX_BALANCERS: usize = 8_192;
-
-struct BalancerEntry {
-    balancer: SocketAddrV4,
-    last_received: Millis,
+    /// Set while the caller hasn't answered a response.
+    silence: Option<CallerSilence>,
 }
 
 /// Bounded table of callers, sorted by caller and service address.
@@ -40,13 +36,14 @@
 /// When it is full, the callers without a datagram for longest are removed. A removed caller gets
 /// responses again after its next datagram. If a caller's balancer is silent, the balancer that
 /// sent a datagram last is used instead: any balancer can send to any caller, and a caller that
-/// waits without sending would otherwise get no further response.
+/// waits without sending would otherwise get no further response. If the caller doesn't answer,
+/// the known balancers are used one after another, because its balancer may be gone and no other
+/// need have sent a datagram since.
 pub(crate) struct CallerTable {
     capacity: usize,
     uses: u32,
     entries: Vec<CallerEntry>,
-    /// Sorted by address.
-    balancers: Vec<BalancerEntry>,
+    balancers: BalancerList,
 }
 
 impl CallerTable {
@@ -56,19 +53,20 @@
             capacity: capacity.max(1),
             uses: 0,
             entries: Vec::new(),
-            balancers: Vec::new(),
+            balancers: BalancerList::default(),
         }
     }
 
     /// Records that a datagram of `caller` arrived by `route`.
     pub(crate) fn record(&mut self, now: Millis, caller: SocketAddrV4, route: CallerRoute) {
         self.uses = self.uses.wrapping_add(1);
-        self.record_balancer(now, route.balancer);
+        self.balancers.record(now, route.balancer);
         let service_ip = *route.service_address.ip();
         match self.find(caller, service_ip) {
             Ok(index) => {
                 let entry = &mut self.entries[index];
                 entry.route = route;
+                entry.silence = None;
                 entry.last_use = self.uses;
             }
             Err(_) => {
@@ -79,62 +77,40 @@
                     service_ip,
                     last_use: self.uses,
                     route,
+                    silence: None,
                 };
                 self.entries.insert(index, entry);
             }
         }
     }
 
-    /// Returns the route for responses to `caller`, or `None` if the caller isn't in the table.
+    /// Returns the route for a response that is sent to `caller` now, or `None` if the caller isn't in
+    /// the table.
     pub(crate) fn route(
-        &self,
+        &mut self,
         now: Millis,
         caller: SocketAddrV4,
         service_ip: Ipv4Addr,
     ) -> Option<CallerRoute> {
         let index = self.find(caller, service_ip).ok()?;
-        let route = self.entries[index].route;
-        let last_received = self.last_received_at(route.balancer);
-        if now.since(last_received) < BALANCER_TIMEOUT {
-            return Some(route);
-        }
-        let latest = self
-            .balancers
-            .iter()
-            .max_by_key(|entry| entry.last_received);
-        let balancer = match latest {
-            Some(latest) if latest.last_received > last_received => latest.balancer,
-            _ => route.balancer,
+        let entry = &mut self.entries[index];
+        let route = entry.route;
+        let silence = entry.silence.get_or_insert(CallerSilence::new(now));
+        let has_moved = silence.send(now);
+        let balancer = match silence.moves() {
+            0 => self.balancers.active(now, route.balancer),
+            moves => self.balancers.alternative(route.balancer, moves - 1),
         };
-        Some(CallerRoute { balancer, ..route })
-    }
-
-    fn record_balancer(&mut self, now: Millis, balancer: SocketAddrV4) {
-        match self.find_balancer(balancer) {
-            Ok(index) => self.balancers[index].last_received = now,
-            Err(_) => {
-                if self.balancers.len() >= MAX_BALANCERS {
-                    self.balancers
-                        .retain(|entry| now.since(entry.last_received) < BALANCER_TIMEOUT);
-                }
-                let index = self.find_balancer(balancer).unwrap_or_else(|index| index);
-                let entry = BalancerEntry {
-                    balancer,
-                    last_received: now,
-                };
-                self.balancers.insert(index, entry);
-            }
+        // A caller that is gone leaves one line and not one for each balancer.
+        if has_moved && silence.moves() == 1 {
+            info!(
+                %caller,
+                from = %route.balancer,
+                to = %balancer,
+                "silent response path moved to another balancer"
+            );
         }
-    }
-
-    fn last_received_at(&self, balancer: SocketAddrV4) -> Millis {
-        let found = self.find_balancer(balancer);
-        found.map_or(Millis(0), |index| self.balancers[index].last_received)
-    }
-
-    fn find_balancer(&self, balancer: SocketAddrV4) -> Result<usize, usize> {
-        self.balancers
-            .binary_search_by_key(&balancer, |entry| entry.balancer)
+        Some(CallerRoute { balancer, ..route })
     }
 
     fn find(&self, caller: SocketAddrV4, service_ip: Ipv4Addr) -> Result<usize, usize> {
--- a/components/agent/src/connection/mod.rs
+++ b/components/agent/src/connection/mod.rs
@@ -1,5 +1,7 @@
 //! The tunnel to balancers, connection IDs, and connections to the backend server.
 
+mod balancer_list;
+mod caller_silence;
 mod caller_table;
 mod flow_issuer;
 mod redirect_table;
@@ -8,6 +10,8 @@
 mod tunnel_socket;
 mod tunnel_state;
 
+use balancer_list::BalancerList;
+use caller_silence::CallerSilence;
 pub(crate) use caller_table::{
     CallerRoute,
     CallerTable, //
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -413,3 +413,46 @@
         .expect("request failed");
     assert!(response.body == carobdrum_standins::body_chunk(9, 0, 400_000));
 }
+
+/// Guards against a caller that gets no response before it sends a keep-alive packet, because the agent's only flow
+/// sends nothing while the balancer that forwarded its request stops: none of those that are left has sent the agent
+/// anything since.
+#[rstest]
+#[case::one_stopped(74, 1)]
+#[case::two_stopped(75, 2)]
+#[tokio::test(flavor = "multi_thread")]
+async fn only_caller_gets_its_response_after_its_balancer_stopped(
+    #[case] net: u8,
+    #[case] stopped: usize,
+) {
+    let mut site = TestSite::start(net, 1).await;
+    site.apply(&site.routes(), POOLS).await;
+    for _ in 0..=stopped {
+        site.add_balancer("galway-a");
+    }
+    site.add_agent("galway-a");
+    let flow = site.connect().await;
+    // The balancers send to the agent one after another; the last one is left.
+    for index in (0..=stopped).rev() {
+        wait_until_forwarded(&site, &flow, index).await;
+    }
+    site.servers[0].set_service_time(ServiceTime::Fixed(Duration::from_secs(2)));
+    let path = "/bytes/400000?seed=9";
+    let response = tokio::spawn(async move { flow.request(CallerRequest::get(path)).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.fabric.set_balancers([site.balancer_ip(stopped)]);
+    for index in 0..stopped {
+        let balancer = site.balancers[index].take();
+        let balancer = balancer.expect("balancer is not running");
+        tokio::task::spawn_blocking(move || balancer.stop())
+            .await
+            .expect("stopping the balancer panicked");
+    }
+    // The server works for 2 s, and the caller's next keep-alive packet is due 5 s after its request.
+    let response = tokio::time::timeout(Duration::from_secs(4), response).await;
+    let response = response
+        .expect("no response within 2 s after the server sent it")
+        .expect("request task panicked")
+        .expect("request failed");
+    assert!(response.body == carobdrum_standins::body_chunk(9, 0, 400_000));
+}
