Name the owner of a flow that breaks before its first response

Cause: the demo told the data centre of a broken flow by its latest response. Change: the fabric relay shows the datagrams of callers to an observer; the demo keeps the connection ID of the latest handshake on each port and opens it with the fleet's key ring, so that a broken flow without a response names the server that owns it. Each flow has a socket of its own there. The demo's check is unchanged.

--- a/components/caller/src/connection/caller_client.rs
+++ b/components/caller/src/connection/caller_client.rs
@@ -246,6 +246,12 @@
         }
     }
 
+    /// Returns the local port, or 0 if the system can't tell it.
+    pub(crate) fn local_port(&self) -> u16 {
+        let address = self.endpoint.local_addr();
+        address.map_or(0, |address| address.port())
+    }
+
     /// Waits until all flows are closed and their peers notified, but no longer than `limit`.
     pub async fn wait_idle(&self, limit: Duration) {
         // A flow that is still open after `limit` is closed when its last handle is dropped.
--- a/components/caller/src/process/flow_log.rs
+++ b/components/caller/src/process/flow_log.rs
@@ -32,7 +32,8 @@
     pub at_ms: u64,
     /// Why it ended, as text.
     pub cause: CompactString,
-    /// Backend server of the latest response on the flow; empty if there was none.
+    /// Backend server of the latest response on the flow, or the one that owned it if there was none;
+    /// empty if neither is known.
     pub target: CompactString,
 }
 
--- a/components/caller/src/process/flow_slot.rs
+++ b/components/caller/src/process/flow_slot.rs
@@ -9,6 +9,7 @@
         },
         Arc,
         Mutex,
+        OnceLock,
         PoisonError, //
     },
     time::Duration,
@@ -29,6 +30,7 @@
     },
     process::{
         flow_log::FlowLog,
+        load_builder::OwnerFn,
         LoadCanceller,
         LoadProgress, //
     },
@@ -48,6 +50,9 @@
     is_retired: AtomicBool,
     is_break_recorded: AtomicBool,
     target: Mutex<CompactString>,
+    local_port: u16,
+    find_owner: OwnerFn,
+    owner: OnceLock<CompactString>,
 }
 
 impl HeldFlow {
@@ -80,7 +85,18 @@
             return;
         }
         let target = self.target.lock().unwrap_or_else(PoisonError::into_inner);
-        self.log.record_break(cause, target.clone());
+        let server = match target.as_str() {
+            "" => self.owner(),
+            _ => &target,
+        };
+        self.log.record_break(cause, server.clone());
+    }
+
+    /// Returns the server that owned the flow at the first call, which must come before another flow
+    /// is opened on the local port.
+    fn owner(&self) -> &CompactString {
+        self.owner
+            .get_or_init(|| (self.find_owner)(self.local_port))
     }
 }
 
@@ -105,6 +121,8 @@
     pub(crate) handshakes: Semaphore,
     /// Signals the end of the run.
     pub(crate) canceller: LoadCanceller,
+    /// Finds the server of a flow by its local port.
+    pub(crate) owner: OwnerFn,
 }
 
 /// Keeps one flow open during a run.
@@ -162,6 +180,8 @@
             () = held.retired.notified() => {}
             () = context.canceller.wait() => {}
         }
+        // A request in progress may record the break later.
+        held.owner();
         self.state.send_replace(None);
     }
 }
@@ -181,6 +201,9 @@
                 is_retired: AtomicBool::new(false),
                 is_break_recorded: AtomicBool::new(false),
                 target: Mutex::default(),
+                local_port: client.local_port(),
+                find_owner: context.owner.clone(),
+                owner: OnceLock::new(),
             }))
         }
         Err(error) => {
--- a/components/caller/src/process/load_builder.rs
+++ b/components/caller/src/process/load_builder.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use snafu::{
     ensure,
     Snafu, //
@@ -44,6 +45,9 @@
 /// Most retries of a request.
 const MAX_RETRIES: u32 = 20;
 
+/// Function that returns the name of the server that owns the latest flow of a local port.
+pub(super) type OwnerFn = Arc<dyn Fn(u16) -> CompactString + Send + Sync>;
+
 /// Reasons why a load run can't be started or completed.
 #[derive(Debug, Snafu)]
 pub enum LoadError {
@@ -90,6 +94,7 @@
     pub(super) repeats: u32,
     pub(super) seed: u64,
     pub(super) stream: StreamFn,
+    pub(super) owner: OwnerFn,
 }
 
 impl LoadBuilder {
@@ -119,6 +124,7 @@
             repeats: 3,
             seed: 1,
             stream: Arc::new(stream),
+            owner: Arc::new(|_| CompactString::default()),
         }
     }
 
@@ -204,6 +210,17 @@
         self
     }
 
+    /// Sets how the server of a broken flow without a response is found: `owner` returns its name, or
+    /// an empty text, for a local port on which the flow was the latest. By default it isn't found.
+    /// With fewer sockets than flows, several flows have the same port.
+    pub fn owner(
+        mut self,
+        owner: impl Fn(u16) -> CompactString + Send + Sync + 'static,
+    ) -> LoadBuilder {
+        self.owner = Arc::new(owner);
+        self
+    }
+
     /// Validates the settings and creates the run.
     ///
     /// # Errors
--- a/components/caller/src/process/load_run.rs
+++ b/components/caller/src/process/load_run.rs
@@ -122,6 +122,7 @@
             progress: self.progress.clone(),
             handshakes: Semaphore::new(MAX_CONCURRENT_HANDSHAKES),
             canceller: flows_canceller.clone(),
+            owner: self.settings.owner.clone(),
         });
         let slots: Arc<[FlowSlot]> = (0..self.settings.flows).map(|_| FlowSlot::new()).collect();
         let keepers = spawn_keepers(&slots, &clients, &context);
--- a/components/caller/tests/caller/load_run.rs
+++ b/components/caller/tests/caller/load_run.rs
@@ -12,6 +12,7 @@
     LoadRun,
     RequestMix, //
 };
+use compact_str::format_compact;
 use rstest::rstest;
 use tokio::time::timeout;
 
@@ -139,6 +140,39 @@
     assert!(is_ended, "a flow that has ended is counted");
 }
 
+/// Guards against a broken flow whose server is unknown because it had no response.
+#[tokio::test]
+async fn flows_without_a_response_name_their_owner() {
+    let mut server = PlainServer::start();
+    let client = CallerClient::builder(SERVER_NAME)
+        .root_der(server.certificate.clone())
+        .unwrap()
+        .keep_alive(Some(Duration::from_millis(100)));
+    let run = LoadRun::builder(client, server.address, stream_chunk)
+        .flows(4)
+        .rate(Some(0.5))
+        .owner(|port| format_compact!("owner of {port}"))
+        .build()
+        .unwrap();
+    let stop = run.stop_signal();
+    let running = tokio::spawn(run.run());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    server.restart_without_state().await;
+    // The flows notice the restart when they send their next keep-alive packet.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    stop.stop();
+    let report = running.await.unwrap().unwrap();
+    let mut owners: Vec<_> = report
+        .broken_flows
+        .iter()
+        .map(|flow| &flow.target)
+        .collect();
+    owners.retain(|owner| owner.starts_with("owner of "));
+    owners.sort();
+    owners.dedup();
+    assert!(owners.len() >= 3, "{:?}", report.broken_flows);
+}
+
 /// Guards against settings that exceed the bounds of a load.
 #[rstest]
 #[case::flows(|load: LoadBuilder| load.flows(0))]
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -35,7 +35,8 @@
     DaemonEvent,
     EventSink,
     ProcessClock,
-    StoreRole, //
+    StoreRole,
+    KEY_RING_KEY, //
 };
 pub use version::{
     KeyWrapper,
--- a/components/control/src/process/mod.rs
+++ b/components/control/src/process/mod.rs
@@ -34,5 +34,6 @@
 pub use stop_signal::wait_for_stop;
 pub use store_task::{
     spawn_store,
-    StoreRole, //
+    StoreRole,
+    KEY_RING_KEY, //
 };
--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -58,8 +58,8 @@
 
 /// Prefix of the entry points' keys; the data centre and a number follow.
 const ENTRY_POINT_PREFIX: &str = "entry/";
-/// Key of the wrapped key ring.
-const KEY_RING_KEY: &str = "keys";
+/// Key of the wrapped key ring in the store.
+pub const KEY_RING_KEY: &str = "keys";
 /// Entry points of a data centre. Two, so that one remains when the other fails; not more, because
 /// each holds a watch, which the store counts as a call.
 const ENTRY_POINTS_PER_CENTRE: u32 = 2;
--- a/components/standins/src/fabric/relay_settings.rs
+++ b/components/standins/src/fabric/relay_settings.rs
@@ -5,17 +5,22 @@
         Ipv4Addr,
         SocketAddrV4, //
     },
+    sync::Arc,
     time::Duration, //
 };
 
+/// Function that is called with the address of a caller and a datagram that it sent.
+pub(crate) type ObserverFn = Arc<dyn Fn(SocketAddrV4, &[u8]) + Send + Sync>;
+
 /// Settings of the relay, with a method to change each default.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct RelaySettings {
     pub(crate) services: Vec<SocketAddrV4>,
     pub(crate) balancers: Vec<Ipv4Addr>,
     pub(crate) seed: u64,
     pub(crate) max_callers: usize,
     pub(crate) idle_timeout: Duration,
+    pub(crate) observer: ObserverFn,
 }
 
 impl RelaySettings {
@@ -31,6 +36,7 @@
             seed: 1,
             max_callers: 4096,
             idle_timeout: Duration::from_secs(60),
+            observer: Arc::new(|_, _| {}),
         }
     }
 
@@ -52,4 +58,14 @@
         self.idle_timeout = idle_timeout;
         self
     }
+
+    /// Sets a function that is called with the address of the caller and the datagram, for each that
+    /// a caller sends and before any fault; by default nothing is called.
+    pub fn observer(
+        mut self,
+        observe: impl Fn(SocketAddrV4, &[u8]) + Send + Sync + 'static,
+    ) -> RelaySettings {
+        self.observer = Arc::new(observe);
+        self
+    }
 }
--- a/components/standins/src/fabric/relay_shared.rs
+++ b/components/standins/src/fabric/relay_shared.rs
@@ -33,6 +33,7 @@
         CopyDelays,
         RelayFaults, //
     },
+    relay_settings::ObserverFn,
     RelayCounts,
     RelaySettings, //
 };
@@ -43,6 +44,7 @@
     seed: AtomicU64,
     max_callers: u64,
     idle_timeout: Duration,
+    observer: ObserverFn,
     forwarded: AtomicU64,
     returned: AtomicU64,
     lost: AtomicU64,
@@ -76,6 +78,7 @@
             seed: AtomicU64::new(settings.seed),
             max_callers: settings.max_callers as u64,
             idle_timeout: settings.idle_timeout,
+            observer: settings.observer,
             forwarded: AtomicU64::new(0),
             returned: AtomicU64::new(0),
             lost: AtomicU64::new(0),
@@ -113,6 +116,11 @@
         self.idle_timeout
     }
 
+    /// Calls the observer with a datagram of a caller.
+    pub(crate) fn observe(&self, caller: SocketAddrV4, datagram: &[u8]) {
+        (self.observer)(caller, datagram);
+    }
+
     /// Counts one more caller, unless the limit is reached, and returns whether it was counted.
     pub(crate) fn reserve_caller(&self) -> bool {
         let reserved = self.callers.fetch_add(1, Ordering::Relaxed) < self.max_callers;
--- a/components/standins/src/fabric/service_port.rs
+++ b/components/standins/src/fabric/service_port.rs
@@ -108,6 +108,7 @@
 
 impl ServicePort {
     async fn forward(&mut self, caller: SocketAddrV4, datagram: &[u8]) {
+        self.shared.observe(caller, datagram);
         let Some(at) = self.caller_index(caller).await else {
             self.shared.count_dropped();
             return;
--- a/components/standins/tests/fabric_relay.rs
+++ b/components/standins/tests/fabric_relay.rs
@@ -6,6 +6,10 @@
         SocketAddr,
         SocketAddrV4, //
     },
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::{
         Duration,
         Instant, //
@@ -102,6 +106,27 @@
     }
 }
 
+/// Guards against an observer that misses datagrams or gets the address of the relay.
+#[tokio::test]
+async fn observer_gets_the_datagrams_of_callers() {
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let recorder = seen.clone();
+    let setup = start(move |settings| {
+        let recorder = recorder.clone();
+        settings.observer(move |caller, datagram| {
+            let mut seen = recorder.lock().unwrap();
+            seen.push((caller.port(), datagram.to_vec()));
+        })
+    })
+    .await;
+    setup.exchange(7).await.unwrap();
+    setup.relay.set_loss(1.0);
+    assert_eq!(setup.exchange(8).await, None);
+    let port = caller_address(&setup.caller).port();
+    let seen = seen.lock().unwrap();
+    assert_eq!(*seen, [(port, vec![7]), (port, vec![8])]);
+}
+
 /// Guards against a relay that keeps a flow on one balancer, which would hide faults of balancers,
 /// and against responses that reach another caller.
 #[tokio::test]
--- a/src/cmd/demo/demo_error.rs
+++ b/src/cmd/demo/demo_error.rs
@@ -8,6 +8,7 @@
     ClientError,
     LoadError, //
 };
+use carobdrum_control::WrapError;
 use carobdrum_standins::StandinError;
 use carobdrum_store::StoreError;
 use snafu::Snafu;
@@ -37,6 +38,9 @@
     /// An edit of the tables failed.
     #[snafu(display("can't edit the tables: {source}"), context(false))]
     Store { source: StoreError },
+    /// The fleet's key ring can't be read.
+    #[snafu(display("key ring: {source}"), context(false))]
+    KeyRing { source: WrapError },
     /// An edit of the tables was refused, although only the demo edits them.
     #[snafu(display("edit of the tables refused: version {in_force} is in force"))]
     EditRefused {
--- a/src/cmd/demo/demo_files.rs
+++ b/src/cmd/demo/demo_files.rs
@@ -11,6 +11,7 @@
 pub(super) struct DemoFiles {
     folder: TempDir,
     certificate: CompactString,
+    secret: [u8; 32],
 }
 
 impl DemoFiles {
@@ -24,11 +25,12 @@
         let files = DemoFiles {
             folder: TempDir::with_prefix("carobdrum-demo-")?,
             certificate: signed.cert.pem().into(),
+            secret: rand::random(),
         };
         std::fs::write(files.certificate_file(), files.certificate.as_bytes())?;
         std::fs::write(files.key_file(), signed.signing_key.serialize_pem())?;
-        let secret: [u8; 32] = rand::random();
-        let digits: String = secret.iter().map(|byte| format!("{byte:02x}")).collect();
+        let digits = files.secret.iter().map(|byte| format!("{byte:02x}"));
+        let digits: String = digits.collect();
         std::fs::write(files.secret_file(), digits)?;
         Ok(files)
     }
@@ -38,6 +40,11 @@
         &self.certificate
     }
 
+    /// Returns the bootstrap secret.
+    pub(super) fn secret(&self) -> &[u8; 32] {
+        &self.secret
+    }
+
     /// Returns the path of the certificate.
     pub(super) fn certificate_file(&self) -> PathBuf {
         self.folder.path().join("certificate.pem")
--- a/src/cmd/demo/demo_platform.rs
+++ b/src/cmd/demo/demo_platform.rs
@@ -26,6 +26,7 @@
         SERVICE,
         SLOTS, //
     },
+    flow_ids::FlowIds,
     DemoError,
 };
 
@@ -47,6 +48,8 @@
     pub(super) store: StoreServer,
     /// Stand-ins of the backend servers.
     pub(super) servers: Vec<DemoServer>,
+    /// Connection IDs of the callers' flows.
+    pub(super) flow_ids: FlowIds,
     /// Relays datagrams to the balancers until it is dropped.
     _fabric: FabricRelay,
 }
@@ -63,7 +66,11 @@
     ) -> Result<DemoPlatform, DemoError> {
         let store = StoreServer::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
         let balancers = (0..BALANCER_CENTRES.len()).map(|index| addresses.balancer(index));
-        let settings = RelaySettings::new([addresses.service()], balancers).seed(seed);
+        let flow_ids = FlowIds::default();
+        let recorder = flow_ids.clone();
+        let settings = RelaySettings::new([addresses.service()], balancers)
+            .seed(seed)
+            .observer(move |caller, packet| recorder.record(caller, packet));
         let mut servers = Vec::new();
         for data_centre in CENTRES {
             for number in 1..=SERVERS_PER_CENTRE {
@@ -73,6 +80,7 @@
         Ok(DemoPlatform {
             store,
             servers,
+            flow_ids,
             _fabric: FabricRelay::start(settings)?,
         })
     }
--- a/src/cmd/demo/demo_report.rs
+++ b/src/cmd/demo/demo_report.rs
@@ -53,7 +53,7 @@
     pub(super) config_in_force_ms: u64,
     #[serde(skip)]
     load: CompactString,
-    /// The broken flows; `target` is empty if a flow had no response yet.
+    /// The broken flows; `target` is empty if no agent had accepted a flow yet.
     broken: Vec<BrokenFlow>,
 }
 
--- a/src/cmd/demo/demo_script.rs
+++ b/src/cmd/demo/demo_script.rs
@@ -6,7 +6,14 @@
 };
 
 use carobdrum_caller::LoadProgress;
-use carobdrum_core::version::CentreState;
+use carobdrum_control::{
+    KeyWrapper,
+    KEY_RING_KEY, //
+};
+use carobdrum_core::version::{
+    CentreState,
+    KeyRing, //
+};
 use carobdrum_store::{
     ApplyOutcome,
     StoreClient,
@@ -108,6 +115,28 @@
         .await
     }
 
+    /// Waits for the key ring of the fleet and returns it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DemoError::Store`], [`DemoError::KeyRing`] or [`DemoError::StateTimeout`].
+    pub(super) async fn key_ring(&self, secret: &[u8; 32]) -> Result<KeyRing, DemoError> {
+        let read = async {
+            loop {
+                if let Some(entry) = self.client.read_key(KEY_RING_KEY).await? {
+                    return Ok::<_, DemoError>(entry);
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        let read = timeout(CONVERGENCE_TIMEOUT, read).await.ok();
+        let entry = read.context(StateTimeoutSnafu {
+            what: "the key ring is in the store",
+            limit: CONVERGENCE_TIMEOUT,
+        })??;
+        Ok(KeyWrapper::new(secret).unwrap(&entry.value)?)
+    }
+
     /// Evacuates a data centre and restores it, while the load runs for `duration`. It evacuates once all
     /// flows have had a response, since that names the server of a flow.
     ///
--- a/src/cmd/demo/mod.rs
+++ b/src/cmd/demo/mod.rs
@@ -9,6 +9,8 @@
 mod demo_report;
 mod demo_script;
 mod demo_tables;
+mod flow_ids;
+mod flow_owners;
 mod metrics_probe;
 
 use std::time::Duration;
@@ -41,7 +43,8 @@
         demo_files::DemoFiles,
         demo_platform::DemoPlatform,
         demo_report::DemoReport,
-        demo_script::DemoScript, //
+        demo_script::DemoScript,
+        flow_owners::FlowOwners, //
     },
     print,
     CommandError, //
@@ -92,7 +95,13 @@
     // The daemons start their own threads and must not be started inside a runtime.
     let daemons = DemoDaemons::start(&addresses, &files, &platform)?;
     let script = DemoScript::new(&platform, &daemons, addresses.service());
-    let report = runtime.block_on(run_load(args, &files, &script));
+    let load = async {
+        script.apply_first_version().await?;
+        let keys = script.key_ring(files.secret()).await?;
+        let owners = FlowOwners::new(&addresses, &platform, keys);
+        run_load(args, &files, &script, owners).await
+    };
+    let report = runtime.block_on(load);
     daemons.stop();
     report
 }
@@ -101,13 +110,16 @@
     args: &DemoArgs,
     files: &DemoFiles,
     script: &DemoScript<'_>,
+    owners: FlowOwners,
 ) -> Result<DemoReport, DemoError> {
-    script.apply_first_version().await?;
     let duration = Duration::from_secs(args.seconds);
     let client = CallerClient::builder(SERVER_NAME).root_pem(files.certificate())?;
     let load = LoadRun::builder(client, script.service().into(), body_chunk)
         .duration(duration)
         .flows(FLOWS)
+        // A socket for each flow, because the owner of a flow is found by its port.
+        .sockets(FLOWS)
+        .owner(move |port| owners.server(port))
         .rate(Some(RATE))
         .large_len(LARGE_LEN)
         .timeout(REQUEST_TIMEOUT)
