Claim the loopback addresses of tests

Four runs of site_faults at a time: 48 of 48 failed with "Address already in use". Change: LoopbackRange claims all addresses 127.N.x.y by a listener; each of these tests takes its old N if it is free and the next one otherwise. The in-process tests keep their claim until the process ends, because the threads of a daemon outlive its handle: with claims that ended with the test, 16 tests failed in three runs side by side. The control server's tests use free ports.

--- a/components/balancer/tests/common/test_deployment.rs
+++ b/components/balancer/tests/common/test_deployment.rs
@@ -40,7 +40,10 @@
     ProcessSettings,
     StoreSettings, //
 };
-use carobdrum_standins::StoreServer;
+use carobdrum_standins::{
+    LoopbackRange,
+    StoreServer, //
+};
 use carobdrum_store::{
     ApplyOutcome,
     StoreClient,
@@ -76,7 +79,8 @@
 
 const DEPLOYMENT: &str = "test";
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-const FIRST_IP: Ipv4Addr = Ipv4Addr::new(127, 40, 0, 0);
+/// Second octet of the addresses of the first deployment.
+const FIRST_OCTET: u8 = 40;
 
 /// Waits until `holds` returns true; `what` describes the condition in the failure message.
 pub(crate) async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
@@ -90,9 +94,9 @@
     }
 }
 
-/// A store and its tables, at the addresses 127.40.`number`.x.
+/// A store and its tables, at addresses of their own.
 pub(crate) struct TestDeployment {
-    number: u8,
+    net: u8,
     pub(crate) store: StoreServer,
     client: StoreClient,
     pub(crate) config: ConfigVersion,
@@ -102,14 +106,17 @@
 impl TestDeployment {
     /// Starts a store and applies the first version of the tables.
     pub(crate) async fn start(number: u8) -> TestDeployment {
-        let store = StoreServer::start(address(number, 5, 8500).into())
+        let range = LoopbackRange::claim(FIRST_OCTET + number).unwrap();
+        // The threads of a balancer end some time after its handle is dropped.
+        let net = range.keep();
+        let store = StoreServer::start(address(net, 5, 8500).into())
             .await
             .unwrap();
         let client = StoreClient::new(store.address(), DEPLOYMENT);
         let secret_file = NamedTempFile::new().unwrap();
         std::fs::write(secret_file.path(), "5a".repeat(32)).unwrap();
         let mut deployment = TestDeployment {
-            number,
+            net,
             store,
             client,
             config: ConfigVersion::default(),
@@ -189,7 +196,7 @@
 
     /// Returns an address of the deployment.
     pub(crate) fn address(&self, host: u8, port: u16) -> SocketAddrV4 {
-        address(self.number, host, port)
+        address(self.net, host, port)
     }
 
     /// Returns the connection ID of a flow of `service` that `agent` owns.
@@ -219,9 +226,8 @@
     }
 }
 
-fn address(number: u8, host: u8, port: u16) -> SocketAddrV4 {
-    let [first, second, ..] = FIRST_IP.octets();
-    SocketAddrV4::new(Ipv4Addr::new(first, second, number, host), port)
+fn address(net: u8, host: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, net, 0, host), port)
 }
 
 fn pools(galway: CentreState) -> PoolTable {
--- a/components/control/tests/control_server.rs
+++ b/components/control/tests/control_server.rs
@@ -2,7 +2,10 @@
 //! read.
 
 use std::{
-    net::SocketAddrV4,
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
     time::Duration, //
 };
 
@@ -56,14 +59,14 @@
 }
 
 /// Starts a server that answers each request with `len` bytes.
-async fn start(ip: &str, len: usize) -> SocketAddrV4 {
-    let address = SocketAddrV4::new(ip.parse().unwrap(), 7400);
-    let listener = TcpListener::bind(address).await.unwrap();
+async fn start(len: usize) -> SocketAddrV4 {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let port = listener.local_addr().unwrap().port();
     tokio::spawn(serve_control(listener, key(), move |_| async move {
         let json = "x".repeat(len);
         ControlMessage::new(ControlBody::Status(StatusReply { json }))
     }));
-    address
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
 }
 
 fn request() -> ControlMessage {
@@ -73,7 +76,7 @@
 /// Guards against random bytes that end the server or that it answers.
 #[tokio::test]
 async fn random_bytes_get_no_answer() {
-    let address = start("127.42.0.1", 10).await;
+    let address = start(10).await;
     let mut random = SmallRng::seed_from_u64(42);
     for len in [1, 4, 5, 100, 5_000] {
         let mut stream = TcpStream::connect(address).await.unwrap();
@@ -98,7 +101,7 @@
 /// Guards against idle peers that use up all connections of the server.
 #[tokio::test]
 async fn idle_connections_are_closed() {
-    let address = start("127.42.0.2", 10).await;
+    let address = start(10).await;
     let mut idle = Vec::new();
     for _ in 0..MAX_CONNECTIONS {
         let mut stream = TcpStream::connect(address).await.unwrap();
@@ -119,7 +122,7 @@
 async fn connection_of_a_peer_that_does_not_read_is_closed() {
     const ANSWERS: usize = 16;
     const ANSWER_LEN: usize = 1 << 20;
-    let address = start("127.42.0.3", ANSWER_LEN).await;
+    let address = start(ANSWER_LEN).await;
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(64 * 1_024).unwrap();
     let mut stream = socket.connect(address.into()).await.unwrap();
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod fabric;
+mod loopback_range;
 mod port_mode;
 mod port_switch;
 mod standin_error;
@@ -24,6 +25,7 @@
     RelayCounts,
     RelaySettings, //
 };
+pub use loopback_range::LoopbackRange;
 pub use port_mode::PortMode;
 pub use standin_error::StandinError;
 pub use store::{
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,6 +40,7 @@
     BackendServer,
     BackendSettings,
     FabricRelay,
+    LoopbackRange,
     RelaySettings,
     StoreServer, //
 };
@@ -70,9 +71,12 @@
 }
 
 impl TestSite {
-    /// Starts the store, the fabric and `servers` backend servers; tests that run at the same time
-    /// need different values of `net`, the second octet of the addresses.
+    /// Starts the store, the fabric and `servers` backend servers. `net` is the second octet of the
+    /// addresses, unless another test has it.
     pub(crate) async fn start(net: u8, servers: usize) -> TestSite {
+        let range = LoopbackRange::claim(net).expect("no loopback addresses are free");
+        // The threads of a daemon end some time after its handle is dropped.
+        let net = range.keep();
         let files = tempfile::tempdir().expect("cannot create a temporary directory");
         write_certificate(files.path());
         std::fs::write(files.path().join("secret.hex"), "5a".repeat(32))
--- a/tests/daemon_commands.rs
+++ b/tests/daemon_commands.rs
@@ -15,14 +15,18 @@
     }, //
 };
 
-use carobdrum_standins::StoreServer;
+use carobdrum_standins::{
+    LoopbackRange,
+    StoreServer, //
+};
 use tempfile::TempDir;
 
 /// Time limit for a process to reach a state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Copies the example and replaces its addresses with a range used by no other test.
-fn copy_example(store: SocketAddr) -> TempDir {
+/// Copies the example and replaces its addresses with those of a claimed range.
+fn copy_example(store: SocketAddr, range: &LoopbackRange) -> TempDir {
+    let prefix = format!("127.{}.", range.octet());
     let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/gazetteer");
     let copy = tempfile::tempdir().unwrap();
     for entry in std::fs::read_dir(example).unwrap() {
@@ -30,7 +34,7 @@
         let text = std::fs::read_to_string(&path).unwrap();
         let text = text
             .replace("127.10.0.9:8500", &store.to_string())
-            .replace("127.10.", "127.46.");
+            .replace("127.10.", &prefix);
         std::fs::write(copy.path().join(path.file_name().unwrap()), text).unwrap();
     }
     copy
@@ -92,7 +96,10 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     let store = runtime.block_on(StoreServer::start(address)).unwrap();
-    let copy = copy_example(store.address());
+    let range = LoopbackRange::claim(46).unwrap();
+    let balancer_address = format!("127.{}.1.1:7000", range.octet());
+    let agent_address = format!("127.{}.2.1:7000", range.octet());
+    let copy = copy_example(store.address(), &range);
     let folder = copy.path();
     let store_address = store.address().to_string();
     let apply = [
@@ -125,23 +132,25 @@
     };
     let deadline = Instant::now() + STATE_TIMEOUT;
     loop {
-        let output = status("127.46.1.1:7000");
+        let output = status(&balancer_address);
         let text = String::from_utf8(output.stdout).unwrap();
         let lines: Vec<&str> = text.lines().collect();
         // The agent gets its slots from the version in force.
         let expected = [
-            "version 1 at 20",
-            "balancer balancer-1 galway-a 127.46.1.1:7000 warm",
-            "agent placename-api-1 galway-a 127.46.2.1:7000 cold slots=2 ",
+            "version 1 at 20".to_owned(),
+            format!("balancer balancer-1 galway-a {balancer_address} warm"),
+            format!("agent placename-api-1 galway-a {agent_address} cold slots=2 "),
         ];
-        let mut pairs = lines.iter().zip(expected);
-        if lines.len() == expected.len() && pairs.all(|(line, start)| line.starts_with(start)) {
+        let mut pairs = lines.iter().zip(&expected);
+        if lines.len() == expected.len()
+            && pairs.all(|(line, start)| line.starts_with(start.as_str()))
+        {
             break;
         }
         assert!(Instant::now() < deadline, "{text}");
         std::thread::sleep(Duration::from_millis(100));
     }
-    let of_agent = status("127.46.2.1:7000");
+    let of_agent = status(&agent_address);
     assert!(
         of_agent.stdout.starts_with(b"version 1 at 20"),
         "{of_agent:?}"
@@ -149,7 +158,7 @@
 
     assert_eq!(agent.stop().code(), Some(0));
     assert_eq!(balancer.stop().code(), Some(0));
-    let after = status("127.46.1.1:7000");
+    let after = status(&balancer_address);
     let stderr = String::from_utf8(after.stderr).unwrap();
     assert_eq!(
         (after.status.code(), stderr.lines().count()),
--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -50,12 +50,12 @@
 async fn run_seed(seed: u64, set: FaultSet) {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut site = SoakSite::start(seed).await;
+    let base = site.base_octet();
     sleep(RECOVERY_DURATION).await;
     let faults = async {
         inject_faults(&mut site, set, &mut random, FAULT_DURATION).await;
         site
     };
-    let base = soak_site::base_octet(seed);
     let (mut site, under_faults) = tokio::join!(faults, run_callers(base, 0, FAULT_DURATION));
     site.end_faults().await;
     sleep(RECOVERY_DURATION).await;
--- a/tests/platform_soak/soak_site.rs
+++ b/tests/platform_soak/soak_site.rs
@@ -23,6 +23,7 @@
     ServerLog,
     StoreMode, //
 };
+use carobdrum_standins::LoopbackRange;
 use tempfile::TempDir;
 use tokio::time::{
     sleep,
@@ -50,11 +51,6 @@
 pub(crate) const BALANCER_NET: u8 = 1;
 const AGENT_NET: u8 = 2;
 
-/// Returns the second octet of all addresses of a run, which keeps the addresses of runs separate.
-pub(crate) fn base_octet(seed: u64) -> u8 {
-    20 + (seed % 200) as u8
-}
-
 /// A platform role that runs as a process.
 pub(crate) struct SoakProcess {
     role: &'static str,
@@ -71,6 +67,8 @@
     pub(crate) log: ServerLog,
     version: u64,
     folder: TempDir,
+    /// Declared last, so that it is free only when nothing listens in it any more.
+    range: LoopbackRange,
 }
 
 impl SoakProcess {
@@ -123,7 +121,9 @@
 impl SoakSite {
     /// Starts the store, the servers and all processes.
     pub(crate) async fn start(seed: u64) -> SoakSite {
-        let base = base_octet(seed);
+        // Processes of runs with the same seed have the same addresses, unless another test has them.
+        let range = LoopbackRange::claim(20 + (seed % 200) as u8).unwrap();
+        let base = range.octet();
         let store = LeaseServer::start(Ipv4Addr::LOCALHOST).await.unwrap();
         let mut site = SoakSite {
             processes: Vec::new(),
@@ -132,6 +132,7 @@
             version: 0,
             folder: TempDir::new().unwrap(),
             store,
+            range,
         };
         site.change_config();
         for number in 1..=BALANCERS {
@@ -162,6 +163,11 @@
         site
     }
 
+    /// Returns the second octet of all addresses of the run.
+    pub(crate) fn base_octet(&self) -> u8 {
+        self.range.octet()
+    }
+
     fn add(&mut self, role: &'static str, settings: String) {
         self.processes.push(SoakProcess {
             role,
