Test that a slow response keeps to a balancer that forwards

Cause: the rule of that acknowledgements before a slow response aren't unanswered responses had no test. Change: a caller whose keep-alive packet has been acknowledged gets its response of 7 s through the live balancer, though another one, which has stopped, was heard before; the comment names the case.

--- a/components/agent/src/connection/caller_silence.rs
+++ b/components/agent/src/connection/caller_silence.rs
@@ -31,8 +31,9 @@
     /// balancer.
     ///
     /// If most of the time was a pause, it starts anew once: what was sent before the pause may have
-    /// been acknowledgements only, which a caller that waits for its response doesn't answer. The
-    /// pauses between probes after a loss double, so none covers that much of the time.
+    /// been the acknowledgement of a keep-alive packet, which a caller that waits for its response
+    /// doesn't answer. The pauses between probes after a loss double, so none covers that much of the
+    /// time.
     pub(crate) fn send(&mut self, now: Millis) -> bool {
         let waited = now.since(self.since);
         let pause = now.since(self.last_sent);
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -457,6 +457,32 @@
     assert!(response.body == carobdrum_standins::body_chunk(9, 0, 400_000));
 }
 
+/// Guards against a slow response that leaves a balancer that forwards, and goes by one that has stopped, because its
+/// caller has sent nothing while it waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_response_goes_by_the_balancer_that_forwarded_its_request() {
+    let mut site = TestSite::start(77, 1).await;
+    site.apply(&site.routes(), POOLS).await;
+    site.add_balancer("galway-a");
+    site.add_balancer("galway-a");
+    site.add_agent("galway-a");
+    let flow = site.connect().await;
+    wait_until_forwarded(&site, &flow, 1).await;
+    let stopped = site.balancers[1].take().expect("balancer is not running");
+    tokio::task::spawn_blocking(move || stopped.stop())
+        .await
+        .expect("stopping the balancer panicked");
+    wait_until_forwarded(&site, &flow, 0).await;
+    site.servers[0].set_service_time(ServiceTime::Fixed(Duration::from_secs(7)));
+    // The caller sends a keep-alive packet after 5 s; it doesn't answer the acknowledgement.
+    let start = Instant::now();
+    let response = flow.request(CallerRequest::get("/bytes/400000?seed=9"));
+    let response = response.await.expect("request failed");
+    let delay = start.elapsed() - Duration::from_secs(7);
+    assert!(delay < Duration::from_millis(500), "{delay:?} late");
+    assert!(response.body == carobdrum_standins::body_chunk(9, 0, 400_000));
+}
+
 /// Guards against a planned stop of a balancer that waits for a slow store for longer than its limit of 500 ms.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_store_does_not_delay_the_stop_of_a_balancer() {
