Give the agent's flow server and flow task files of their own

Cause: traffic_thread.rs held three things of different life spans in 463 lines: the thread, the acceptance of flows, and one flow. Change: FlowServer stands in process/flow_server.rs, FlowTask, which lives for a connection, in connection/flow_task.rs.

--- a/components/agent/src/connection/mod.rs
+++ b/components/agent/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod caller_silence;
 mod caller_table;
 mod flow_issuer;
+mod flow_task;
 mod redirect_table;
 mod reset_key;
 mod server_connector;
@@ -17,6 +18,11 @@
     CallerTable, //
 };
 pub(crate) use flow_issuer::FlowIssuer;
+pub(crate) use flow_task::{
+    FlowTask,
+    H3_NO_ERROR,
+    LINGER_TIMEOUT, //
+};
 pub(crate) use redirect_table::RedirectTable;
 pub(crate) use reset_key::ResetKey;
 pub(crate) use server_connector::{
--- a/components/agent/src/process/mod.rs
+++ b/components/agent/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod announce_actor;
 mod control_thread;
 mod flow_endpoint;
+mod flow_server;
 mod tls_files;
 mod traffic_thread;
 
--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -15,13 +15,10 @@
     RetryBudget, //
 };
 use carobdrum_settings::AgentSettings;
-use carobdrum_telemetry::TraceContext;
 use carobdrum_wire::TunnelKey;
 use quinn::{
     AsyncUdpSocket,
-    Endpoint,
-    Incoming,
-    VarInt, //
+    Endpoint, //
 };
 use snafu::ResultExt;
 use tokio::{
@@ -30,17 +27,10 @@
         mpsc,
         watch, //
     },
-    task::{
-        spawn_local,
-        JoinSet, //
-    },
-    time::{
-        sleep,
-        timeout, //
-    },
+    task::spawn_local,
+    time::timeout, //
 };
 use tracing::{
-    debug,
     info,
     warn, //
 };
@@ -51,6 +41,7 @@
         open_endpoint,
         server_config, //
     },
+    flow_server::FlowServer,
     tls_files::TlsFiles,
     AgentError,
     AgentMetrics,
@@ -75,21 +66,10 @@
 const QUEUE_LEN_PER_SLOT: usize = 16;
 /// Minimum capacity of the queue.
 const MIN_QUEUE_LEN: usize = 64;
-/// Number of unfinished handshakes above which callers must validate their address.
-const MAX_UNFINISHED_HANDSHAKES: usize = 64;
-/// Time limit of a handshake.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time that a connection stays open for acknowledgements unless the caller closes it: enough for
-/// several retransmissions at the round-trip times of one region.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between checks of the certificate files for changes.
 const CERTIFICATE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval between updates of the published load, which is a mean over about a second.
 const LOAD_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum length of a request's header section, in bytes.
-const MAX_HEAD_LEN: u64 = 16 * 1024;
-/// Error code for closing a connection without an error (RFC 9114).
-const H3_NO_ERROR: VarInt = VarInt::from_u32(0x100);
 
 pub(crate) struct TrafficParts {
     pub(crate) settings: AgentSettings,
@@ -263,201 +243,3 @@
         }
     }
 }
-
-/// Accepts flows and serves their requests.
-struct FlowServer {
-    endpoint: Endpoint,
-    handler: Rc<RequestHandler>,
-    shared: Arc<AgentShared>,
-    metrics: AgentMetrics,
-    published: watch::Receiver<PublishedState>,
-    stopped: watch::Receiver<bool>,
-}
-
-impl FlowServer {
-    async fn run(mut self, drain: Duration) {
-        let handshakes = Rc::new(());
-        let mut flows = JoinSet::new();
-        loop {
-            let incoming = tokio::select! {
-                incoming = self.endpoint.accept() => incoming,
-                _ = self.stopped.wait_for(|stop| *stop) => break,
-                Some(_) = flows.join_next() => continue,
-            };
-            let Some(incoming) = incoming else {
-                break;
-            };
-            self.admit(incoming, &handshakes, &mut flows);
-        }
-        self.drain(flows, drain).await;
-    }
-
-    /// Accepts or refuses a new flow, or asks its caller to validate the address.
-    fn admit(&self, incoming: Incoming, handshakes: &Rc<()>, flows: &mut JoinSet<()>) {
-        let unfinished = Rc::strong_count(handshakes) - 1;
-        let unvalidated =
-            unfinished > MAX_UNFINISHED_HANDSHAKES && !incoming.remote_address_validated();
-        if unvalidated && incoming.may_retry() {
-            self.metrics.retries_asked.inc();
-            // The retry can't fail, because `may_retry` was checked.
-            let _ = incoming.retry();
-            return;
-        }
-        if !self.shared.has_room() || !self.shared.add_connection() {
-            incoming.refuse();
-            return;
-        }
-        let flow = FlowTask {
-            handler: Rc::clone(&self.handler),
-            shared: Arc::clone(&self.shared),
-            metrics: self.metrics.clone(),
-            published: self.published.clone(),
-            stopped: self.stopped.clone(),
-        };
-        let handshake = Rc::clone(handshakes);
-        flows.spawn_local(flow.serve(incoming, handshake));
-    }
-
-    /// Waits for the flows to end for at most `limit`, and refuses new ones meanwhile.
-    async fn drain(self, mut flows: JoinSet<()>, limit: Duration) {
-        let refuse = async {
-            while let Some(incoming) = self.endpoint.accept().await {
-                incoming.refuse();
-            }
-        };
-        let ended = async { while flows.join_next().await.is_some() {} };
-        let work = async {
-            tokio::select! {
-                () = ended => {}
-                () = refuse => {}
-            }
-        };
-        if timeout(limit, work).await.is_err() {
-            warn!(
-                connections = self.shared.connections(),
-                "drain timeout expired"
-            );
-        }
-        self.endpoint.close(H3_NO_ERROR, b"planned stop");
-        let _ = timeout(LINGER_TIMEOUT, self.endpoint.wait_idle()).await;
-    }
-}
-
-/// One flow of a caller.
-struct FlowTask {
-    handler: Rc<RequestHandler>,
-    shared: Arc<AgentShared>,
-    metrics: AgentMetrics,
-    published: watch::Receiver<PublishedState>,
-    stopped: watch::Receiver<bool>,
-}
-
-impl FlowTask {
-    async fn serve(self, incoming: Incoming, handshake: Rc<()>) {
-        let trace = TraceContext::from_flow(&incoming.orig_dst_cid());
-        self.metrics
-            .connections
-            .set(i64::from(self.shared.connections()));
-        let mut stopped = self.stopped.clone();
-        let accepted = tokio::select! {
-            accepted = accept(incoming) => accepted,
-            // No request has arrived yet, so the caller can safely use another agent.
-            _ = stopped.wait_for(|stop| *stop) => None,
-        };
-        if let Some(connection) = accepted {
-            drop(handshake);
-            self.serve_requests(connection, trace).await;
-        }
-        self.shared.remove_connection();
-        self.metrics
-            .connections
-            .set(i64::from(self.shared.connections()));
-    }
-
-    async fn serve_requests(&self, connection: quinn::Connection, trace: TraceContext) {
-        let mut builder = h3::server::builder();
-        builder.max_field_section_size(MAX_HEAD_LEN);
-        let built = builder.build(h3_quinn::Connection::new(connection.clone()));
-        let mut http: h3::server::Connection<_, bytes::Bytes> = match built.await {
-            Ok(http) => http,
-            Err(error) => {
-                debug!(%error, "HTTP/3 setup failed");
-                return;
-            }
-        };
-        let mut requests = JoinSet::new();
-        let mut stopped = self.stopped.clone();
-        let mut published = self.published.clone();
-        let mut draining = false;
-        loop {
-            let resolver = tokio::select! {
-                accepted = http.accept() => match accepted {
-                    Ok(Some(resolver)) => resolver,
-                    // The stream of requests ends after GOAWAY, once the last request has ended.
-                    Ok(None) => break,
-                    Err(error) => {
-                        debug!(%error, "flow ended");
-                        break;
-                    }
-                },
-                _ = stopped.wait_for(|stop| *stop), if !draining => {
-                    draining = true;
-                    if http.shutdown(0).await.is_err() {
-                        break;
-                    }
-                    continue;
-                }
-                // The flows of an evacuated data centre are closed.
-                _ = published.wait_for(|state| self.shared.is_evacuated_in(state)) => {
-                    connection.close(H3_NO_ERROR, b"data centre taken out");
-                    break;
-                }
-                Some(_) = requests.join_next() => continue,
-                () = sleep(LINGER_TIMEOUT), if draining && requests.is_empty() => break,
-            };
-            let handler = Rc::clone(&self.handler);
-            let closed = connection.clone();
-            requests.spawn_local(async move {
-                let serving = async {
-                    match resolver.resolve_request().await {
-                        Ok((request, stream)) => handler.serve(request, stream, trace).await,
-                        Err(error) => debug!(%error, "malformed request"),
-                    }
-                };
-                // Requests of a closed flow are cancelled, because their responses can't be
-                // delivered.
-                tokio::select! {
-                    () = serving => {}
-                    _ = closed.closed() => {}
-                }
-            });
-        }
-        while requests.join_next().await.is_some() {}
-        // While the flow is polled, new requests are rejected as not processed. Closing the flow
-        // now would drop data that the caller hasn't acknowledged. A caller that has all its
-        // responses closes the flow itself after GOAWAY.
-        let reject = async { while let Ok(Some(_)) = http.accept().await {} };
-        let _ = timeout(LINGER_TIMEOUT, async {
-            tokio::join!(reject, connection.closed())
-        })
-        .await;
-    }
-}
-
-async fn accept(incoming: Incoming) -> Option<quinn::Connection> {
-    let connecting = match incoming.accept() {
-        Ok(connecting) => connecting,
-        Err(error) => {
-            debug!(%error, "cannot accept flow");
-            return None;
-        }
-    };
-    match timeout(HANDSHAKE_TIMEOUT, connecting).await {
-        Ok(Ok(connection)) => Some(connection),
-        Ok(Err(error)) => {
-            debug!(%error, "handshake failed");
-            None
-        }
-        Err(_) => None,
-    }
-}
