--- a/components/agent/src/request/mod.rs
+++ b/components/agent/src/request/mod.rs
@@ -1,8 +1,11 @@
 //! Handling of requests, from admission to the response.
 
 mod keyed_request;
+mod ledger_guard;
+mod request_body;
 mod request_handler;
 mod request_run;
+mod response_recorder;
 mod simple_response;
 mod slot_scheduler;
 
--- a/components/agent/src/request/request_run.rs
+++ b/components/agent/src/request/request_run.rs
@@ -1,18 +1,10 @@
 //! Admission of a request and its forwarding to the backend server.
 
-use std::{
-    future::Future,
-    io, //
-};
+use std::future::Future;
 
-use bytes::{
-    Buf,
-    Bytes, //
-};
+use bytes::Bytes;
 use carobdrum_core::{
     request::{
-        FinalOutcome,
-        RecordedResponse,
         RequestOutcome,
         RequestResult, //
     },
@@ -22,54 +14,48 @@
     hop_span,
     HopKind, //
 };
-use compact_str::CompactString;
-use futures_util::TryStreamExt;
 use h3::error::Code;
 use http::{
     header::{
         HeaderValue,
         CONNECTION,
-        CONTENT_LENGTH,
         HOST,
         TRANSFER_ENCODING,
         UPGRADE, //
     },
     HeaderMap,
     HeaderName,
-    Method,
     Request,
     Response,
     StatusCode,
     Uri,
     Version, //
 };
-use http_body_util::{
-    BodyExt,
-    Empty,
-    StreamBody, //
-};
+use http_body_util::BodyExt;
 use hyper::{
-    body::{
-        Frame,
-        Incoming, //
-    },
-    client::conn::http1::SendRequest,
-};
-use tokio::{
-    sync::mpsc,
-    time::timeout_at, //
+    body::Incoming,
+    client::conn::http1::SendRequest, //
 };
+use tokio::time::timeout_at;
 use tracing::{
     debug,
     Instrument, //
 };
 
 use super::{
+    ledger_guard::LedgerGuard,
+    request_body::{
+        empty_body,
+        may_have_body,
+        stream_body,
+        BodyStream, //
+    },
     request_handler::{
         is_idempotent,
         refuse,
         RequestContext, //
     },
+    response_recorder::ResponseRecorder,
     simple_response::{
         simple_response,
         RunState, //
@@ -80,15 +66,10 @@
 };
 use crate::{connection::ServerBody, process::RequestEnd};
 
-/// Maximum body length of a response that is recorded under an idempotency key, in bytes.
-const MAX_RECORDED_LEN: usize = 64 * 1024;
-/// Maximum number of queued parts of a request's body.
-const BODY_QUEUE_LEN: usize = 4;
 /// Maximum number of attempts of an idempotent request, including the first.
 const MAX_ATTEMPTS: u32 = 2;
 
 type ResponseStream = h3::server::RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
-type BodyStream = h3::server::RequestStream<h3_quinn::RecvStream, Bytes>;
 
 /// Reason why the server returned no response.
 enum RunFailure {
@@ -344,92 +325,6 @@
     }
 }
 
-/// Records the outcome of an idempotency key when its request ends in any way.
-struct LedgerGuard<'a> {
-    handler: &'a RequestHandler,
-    sequence: Option<u64>,
-    sent: bool,
-}
-
-impl<'a> LedgerGuard<'a> {
-    fn new(handler: &'a RequestHandler, sequence: Option<u64>) -> LedgerGuard<'a> {
-        LedgerGuard {
-            handler,
-            sequence,
-            sent: false,
-        }
-    }
-
-    fn mark_sent(&mut self) {
-        self.sent = true;
-    }
-
-    fn complete(mut self, outcome: FinalOutcome) {
-        if let Some(sequence) = self.sequence.take() {
-            let now = self.handler.now();
-            let ledger = &self.handler.parts.ledger;
-            ledger.with(|ledger| ledger.complete(now, sequence, outcome));
-        }
-    }
-}
-
-impl Drop for LedgerGuard<'_> {
-    fn drop(&mut self) {
-        let Some(sequence) = self.sequence.take() else {
-            return;
-        };
-        let now = self.handler.now();
-        let sent = self.sent;
-        self.handler.parts.ledger.with(|ledger| {
-            if sent {
-                ledger.complete(now, sequence, FinalOutcome::Unknown)
-            } else {
-                ledger.release(sequence)
-            }
-        });
-    }
-}
-
-/// Copies a response that is to be recorded under an idempotency key.
-struct ResponseRecorder {
-    recorded: Option<RecordedResponse>,
-}
-
-impl ResponseRecorder {
-    fn new(status: StatusCode, headers: &HeaderMap, sequence: Option<u64>) -> ResponseRecorder {
-        let recorded = sequence.map(|_| RecordedResponse {
-            status: status.as_u16(),
-            headers: record_headers(&end_to_end(headers)),
-            body: Vec::new(),
-        });
-        ResponseRecorder { recorded }
-    }
-
-    fn add(&mut self, data: &[u8]) {
-        let Some(recorded) = &mut self.recorded else {
-            return;
-        };
-        if recorded.body.len() + data.len() > MAX_RECORDED_LEN {
-            self.recorded = None;
-        } else {
-            recorded.body.extend_from_slice(data);
-        }
-    }
-
-    fn outcome(self) -> FinalOutcome {
-        self.recorded
-            .map_or(FinalOutcome::NotKept, FinalOutcome::Kept)
-    }
-}
-
-fn record_headers(headers: &HeaderMap) -> Vec<(CompactString, CompactString)> {
-    let texts = headers.iter().filter_map(|(name, value)| {
-        let value = value.to_str().ok()?;
-        Some((name.as_str().into(), value.into()))
-    });
-    texts.collect()
-}
-
 async fn send_on_response_stream(
     mut response_stream: ResponseStream,
     response: Response<Bytes>,
@@ -449,46 +344,6 @@
     }
 }
 
-/// Returns whether a request may have a body, which can be sent only once.
-fn may_have_body(request: &Request<()>) -> bool {
-    let declared = request.headers().get(CONTENT_LENGTH);
-    match declared {
-        Some(length) => length != "0",
-        None => !matches!(
-            *request.method(),
-            Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS
-        ),
-    }
-}
-
-fn empty_body() -> ServerBody {
-    Empty::new().map_err(|never| match never {}).boxed_unsync()
-}
-
-/// Converts the caller's body for the server. An incomplete body ends with an error, so that the
-/// server doesn't take a part for the whole.
-fn stream_body(mut body: BodyStream) -> ServerBody {
-    let (sender, receiver) = mpsc::channel::<io::Result<Bytes>>(BODY_QUEUE_LEN);
-    tokio::task::spawn_local(async move {
-        loop {
-            let part = match body.recv_data().await {
-                Ok(Some(mut data)) => Ok(data.copy_to_bytes(data.remaining())),
-                Ok(None) => return,
-                Err(error) => Err(io::Error::other(error)),
-            };
-            let last = part.is_err();
-            if sender.send(part).await.is_err() || last {
-                return;
-            }
-        }
-    });
-    let parts = futures_util::stream::unfold(receiver, |mut receiver| async move {
-        let part = receiver.recv().await?;
-        Some((part, receiver))
-    });
-    StreamBody::new(parts.map_ok(Frame::data)).boxed_unsync()
-}
-
 /// Returns path and query, the form that HTTP/1.1 requires in requests to an origin server.
 fn origin_form(uri: &Uri) -> Uri {
     uri.path_and_query()
@@ -497,7 +352,7 @@
 }
 
 /// Copies the headers without those that apply to one connection only (RFC 9110, section 7.6.1).
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
     const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
     let mut filtered = headers.clone();
