Check that each answered request ran

Change: a load report counts the correct responses to requests whose runs the server counts; the check asks that as many ran, and no more than those and the ones of unknown outcome. The evacuated centre gets the load of the others.

--- a/components/caller/src/process/load_report.rs
+++ b/components/caller/src/process/load_report.rs
@@ -47,6 +47,9 @@
     pub requests: u64,
     /// Requests with a correct response.
     pub succeeded: u64,
+    /// Those of them whose runs the server counts.
+    #[serde(default)]
+    pub recorded: u64,
     /// Requests without a response after all attempts, including those of unknown outcome.
     pub failed: u64,
     /// Failed requests by the error of their last attempt.
--- a/components/caller/src/process/load_run.rs
+++ b/components/caller/src/process/load_run.rs
@@ -236,7 +236,8 @@
             let is_last = repeat == self.repeats;
             let (label, retry_delay) = match outcome {
                 AttemptOutcome::Correct(response) => {
-                    return self.record_success(&response, due, tally)
+                    tally.recorded += u64::from(planned.is_recorded());
+                    return self.record_success(&response, due, tally);
                 }
                 AttemptOutcome::Wrong(mismatch) => return tally.record_mismatch(mismatch),
                 AttemptOutcome::Permanent { label } => return tally.record_failure(&label),
--- a/components/caller/src/process/load_tally.rs
+++ b/components/caller/src/process/load_tally.rs
@@ -33,6 +33,8 @@
     pub(crate) unknown: u64,
     /// Retries: attempts after the first of each request.
     pub(crate) repeats: u64,
+    /// Correct responses to requests whose runs the server counts.
+    pub(crate) recorded: u64,
     succeeded: u64,
     failed: Vec<NamedCount>,
     wrong: u64,
@@ -56,6 +58,7 @@
             refused: 0,
             unknown: 0,
             repeats: 0,
+            recorded: 0,
             succeeded: 0,
             failed: Vec::new(),
             wrong: 0,
@@ -104,6 +107,7 @@
         self.refused += other.refused;
         self.unknown += other.unknown;
         self.repeats += other.repeats;
+        self.recorded += other.recorded;
         self.succeeded += other.succeeded;
         self.wrong += other.wrong;
         NamedCount::merge_into(&mut self.failed, &other.failed);
@@ -123,6 +127,7 @@
             seconds: elapsed.as_secs_f64(),
             requests: self.requests,
             succeeded: self.succeeded,
+            recorded: self.recorded,
             failed: self.failed.iter().map(|cause| cause.count).sum(),
             failed_by_cause: self.failed,
             refused_not_run: self.refused,
--- a/components/caller/src/process/request_plan.rs
+++ b/components/caller/src/process/request_plan.rs
@@ -64,6 +64,13 @@
     expected: ExpectedBody,
 }
 
+impl PlannedRequest {
+    /// Returns whether the server counts the runs of the request.
+    pub(crate) fn is_recorded(&self) -> bool {
+        matches!(self.expected, ExpectedBody::Any)
+    }
+}
+
 /// Generates the requests of a load.
 pub(crate) struct RequestPlan {
     /// Shares of the request kinds.
--- a/tests/process_faults/main.rs
+++ b/tests/process_faults/main.rs
@@ -12,8 +12,7 @@
     CallerRequest,
     LoadBuilder,
     LoadProgress,
-    LoadReport,
-    RequestMix, //
+    LoadReport, //
 };
 use carobdrum_core::version::CentreState;
 use carobdrum_standins::{
@@ -215,9 +214,8 @@
         .wait_for_metric("targets", |found| found == 4.0)
         .await;
     site.fabric.set_balancers(site.balancer_ips());
-    let load = site.load().request_mix(RequestMix::default());
     let mut late = 0;
-    let report = load_during(load, async {
+    let report = load_during(site.load(), async {
         let sent = Instant::now();
         let number = f64::from(site.apply(CentreState::Out).await);
         for balancer in &site.balancers {
--- a/tests/process_faults/process_site.rs
+++ b/tests/process_faults/process_site.rs
@@ -254,7 +254,8 @@
         service_address(self.number).into()
     }
 
-    /// Checks that no recorded request ran more than once.
+    /// Checks that each recorded request with a response ran, and that none ran more than once or
+    /// without one, except those of unknown outcome.
     pub(crate) fn check_runs(&self, report: &LoadReport) {
         let runs: Vec<_> = self.servers.iter().flat_map(BackendServer::runs).collect();
         let repeated = runs.iter().filter(|entry| entry.runs != 1).count();
@@ -270,6 +271,13 @@
             runs.len(),
             "requests ran at more than one server"
         );
+        let expected = report.recorded..=report.recorded + report.unknown;
+        assert!(
+            expected.contains(&(names.len() as u64)),
+            "{} requests ran: {report:?}",
+            names.len()
+        );
+        assert!(report.recorded > 0, "no request was recorded");
     }
 
     fn spawn(&self, role: &'static str, name: &str, ip: Ipv4Addr, settings: &str) -> SiteDaemon {
