--- a/components/agent/src/connection/balancer_list.rs
+++ b/components/agent/src/connection/balancer_list.rs
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Returns `balancer`, or if it is silent the one that has sent a datagram since, the latest
-    /// first.
+    /// Returns `balancer`, or if it is silent and another one has sent a datagram since, the one that
+    /// sent the latest.
     pub(crate) fn active(&self, now: Millis, balancer: SocketAddrV4) -> SocketAddrV4 {
         let last_received = self.last_received_at(balancer);
         if now.since(last_received) < BALANCER_TIMEOUT {
--- a/components/standins/src/loopback_range.rs
+++ b/components/standins/src/loopback_range.rs
@@ -15,8 +15,9 @@
 
 /// Number of second octets that can be claimed, from 1.
 const OCTETS: u8 = 254;
-/// Third and fourth octet and port at which a claim listens.
+/// Third and fourth octet of the address at which a claim listens.
 const CLAIM_HOST: [u8; 2] = [255, 254];
+/// Port at which a claim listens.
 const CLAIM_PORT: u16 = 7_999;
 
 /// The addresses `127.N.x.y` with one second octet N, which no other process or test has as long as
