Let the flow server clone the flow task that it starts

Cause: FlowServer and FlowTask had the same five fields, copied one by one for each accepted flow. Change: the server keeps a task and clones it.

--- a/components/agent/src/connection/flow_task.rs
+++ b/components/agent/src/connection/flow_task.rs
@@ -41,6 +41,7 @@
 pub(crate) const H3_NO_ERROR: VarInt = VarInt::from_u32(0x100);
 
 /// One flow of a caller.
+#[derive(Clone)]
 pub(crate) struct FlowTask {
     pub(crate) handler: Rc<RequestHandler>,
     pub(crate) shared: Arc<AgentShared>,
--- a/components/agent/src/process/flow_server.rs
+++ b/components/agent/src/process/flow_server.rs
@@ -2,33 +2,23 @@
 
 use std::{
     rc::Rc,
-    sync::Arc,
     time::Duration, //
 };
 
-use carobdrum_control::PublishedState;
 use quinn::{
     Endpoint,
     Incoming, //
 };
 use tokio::{
-    sync::watch,
     task::JoinSet,
     time::timeout, //
 };
 use tracing::warn;
 
-use super::{
-    AgentMetrics,
-    AgentShared, //
-};
-use crate::{
-    connection::{
-        FlowTask,
-        H3_NO_ERROR,
-        LINGER_TIMEOUT, //
-    },
-    request::RequestHandler,
+use crate::connection::{
+    FlowTask,
+    H3_NO_ERROR,
+    LINGER_TIMEOUT, //
 };
 
 /// Number of unfinished handshakes above which callers must validate their address.
@@ -37,11 +27,8 @@
 /// Accepts flows and serves their requests.
 pub(super) struct FlowServer {
     pub(super) endpoint: Endpoint,
-    pub(super) handler: Rc<RequestHandler>,
-    pub(super) shared: Arc<AgentShared>,
-    pub(super) metrics: AgentMetrics,
-    pub(super) published: watch::Receiver<PublishedState>,
-    pub(super) stopped: watch::Receiver<bool>,
+    /// What each accepted flow gets a clone of.
+    pub(super) flow: FlowTask,
 }
 
 impl FlowServer {
@@ -52,7 +39,7 @@
         loop {
             let incoming = tokio::select! {
                 incoming = self.endpoint.accept() => incoming,
-                _ = self.stopped.wait_for(|stop| *stop) => break,
+                _ = self.flow.stopped.wait_for(|stop| *stop) => break,
                 Some(_) = flows.join_next() => continue,
             };
             let Some(incoming) = incoming else {
@@ -69,22 +56,17 @@
         let unvalidated =
             unfinished > MAX_UNFINISHED_HANDSHAKES && !incoming.remote_address_validated();
         if unvalidated && incoming.may_retry() {
-            self.metrics.retries_asked.inc();
+            self.flow.metrics.retries_asked.inc();
             // The retry can't fail, because `may_retry` was checked.
             let _ = incoming.retry();
             return;
         }
-        if !self.shared.has_room() || !self.shared.add_connection() {
+        let shared = &self.flow.shared;
+        if !shared.has_room() || !shared.add_connection() {
             incoming.refuse();
             return;
         }
-        let flow = FlowTask {
-            handler: Rc::clone(&self.handler),
-            shared: Arc::clone(&self.shared),
-            metrics: self.metrics.clone(),
-            published: self.published.clone(),
-            stopped: self.stopped.clone(),
-        };
+        let flow = self.flow.clone();
         let handshake = Rc::clone(handshakes);
         flows.spawn_local(flow.serve(incoming, handshake));
     }
@@ -105,7 +87,7 @@
         };
         if timeout(limit, work).await.is_err() {
             warn!(
-                connections = self.shared.connections(),
+                connections = self.flow.shared.connections(),
                 "drain timeout expired"
             );
         }
--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -50,6 +50,7 @@
 use crate::{
     connection::{
         ControlDatagram,
+        FlowTask,
         ServerConnector,
         TunnelSocket,
         TunnelState, //
@@ -144,14 +145,14 @@
         published.clone(),
     ));
     info!(%address, "agent accepts flows");
-    let server = FlowServer {
-        endpoint,
+    let flow = FlowTask {
         handler,
         shared,
         metrics,
         published,
         stopped,
     };
+    let server = FlowServer { endpoint, flow };
     let drain = Duration::from_millis(u64::from(settings.drain_timeout_ms));
     server.run(drain).await;
     Ok(())
