--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -209,6 +209,14 @@
         stopping.await.expect("stopping the agent panicked");
     }
 
+    /// Stops balancer `index` gracefully and waits until it has stopped.
+    pub(crate) async fn stop_balancer(&mut self, index: usize) {
+        let balancer = self.balancers[index].take();
+        let balancer = balancer.expect("balancer is not running");
+        let stopping = tokio::task::spawn_blocking(move || balancer.stop());
+        stopping.await.expect("stopping the balancer panicked");
+    }
+
     /// Opens a flow, trying for 10 s while the site starts up.
     pub(crate) async fn connect(&self) -> CallerFlow {
         self.connect_when(|_| true).await
--- a/tests/site_faults.rs
+++ b/tests/site_faults.rs
@@ -205,12 +205,7 @@
     for index in 0..3 {
         site.add_balancer("galway-a");
         tokio::time::sleep(Duration::from_millis(700)).await;
-        let old = site.balancers[index]
-            .take()
-            .expect("balancer is not running");
-        tokio::task::spawn_blocking(move || old.stop())
-            .await
-            .expect("stopping the balancer panicked");
+        site.stop_balancer(index).await;
         let live: Vec<_> = (0..site.balancers.len())
             .filter(|&at| site.balancers[at].is_some())
             .map(|at| site.balancer_ip(at))
@@ -392,10 +387,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     site.servers[0].set_service_time(ServiceTime::Fixed(Duration::ZERO));
     site.fabric.set_balancers([site.balancer_ip(1)]);
-    let stopped = site.balancers[0].take().expect("balancer is not running");
-    tokio::task::spawn_blocking(move || stopped.stop())
-        .await
-        .expect("stopping the balancer panicked");
+    site.stop_balancer(0).await;
     let start = Instant::now();
     while start.elapsed() < Duration::from_secs(4) {
         busy.request(CallerRequest::get("/bytes/9?seed=1"))
@@ -442,11 +434,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     site.fabric.set_balancers([site.balancer_ip(stopped)]);
     for index in 0..stopped {
-        let balancer = site.balancers[index].take();
-        let balancer = balancer.expect("balancer is not running");
-        tokio::task::spawn_blocking(move || balancer.stop())
-            .await
-            .expect("stopping the balancer panicked");
+        site.stop_balancer(index).await;
     }
     // The server works for 2 s, and the caller's next keep-alive packet is due 5 s after its request.
     let response = tokio::time::timeout(Duration::from_secs(4), response).await;
@@ -468,10 +456,7 @@
     site.add_agent("galway-a");
     let flow = site.connect().await;
     wait_until_forwarded(&site, &flow, 1).await;
-    let stopped = site.balancers[1].take().expect("balancer is not running");
-    tokio::task::spawn_blocking(move || stopped.stop())
-        .await
-        .expect("stopping the balancer panicked");
+    site.stop_balancer(1).await;
     wait_until_forwarded(&site, &flow, 0).await;
     site.servers[0].set_service_time(ServiceTime::Fixed(Duration::from_secs(7)));
     // The caller sends a keep-alive packet after 5 s; it doesn't answer the acknowledgement.
@@ -491,12 +476,9 @@
     site.store.set_delay(Duration::from_secs(10));
     // Each of them has a call to the store under way.
     tokio::time::sleep(Duration::from_secs(1)).await;
-    for balancer in &mut site.balancers {
-        let balancer = balancer.take().expect("balancer is not running");
+    for index in 0..site.balancers.len() {
         let start = Instant::now();
-        tokio::task::spawn_blocking(move || balancer.stop())
-            .await
-            .expect("stopping the balancer panicked");
+        site.stop_balancer(index).await;
         let elapsed = start.elapsed();
         assert!(elapsed < Duration::from_millis(900), "{elapsed:?}");
     }
