--- a/components/core/src/field_schema.rs
+++ b/components/core/src/field_schema.rs
@@ -14,6 +14,8 @@
         /// Largest allowed number.
         max: u32,
     },
+    /// `true` or `false`.
+    Boolean,
     /// One of these words.
     Choice(&'static [&'static str]),
     /// An IPv4 address.
--- a/components/core/src/parsed_file.rs
+++ b/components/core/src/parsed_file.rs
@@ -344,6 +344,7 @@
                 Value::Array(Vec::new())
             }
             FieldKind::Number { min, .. } => Value::Integer(i64::from(min)),
+            FieldKind::Boolean => Value::Boolean(false),
             FieldKind::Choice(words) => Value::String(words.first().copied().unwrap_or("").into()),
             FieldKind::Ip4 => Value::String(unique_ip.to_string()),
             FieldKind::Address4 | FieldKind::Address => {
@@ -366,6 +367,9 @@
         let is_allowed = (i64::from(min)..=i64::from(max)).contains(&number);
         return is_allowed.then_some(Value::Integer(number));
     }
+    if let (FieldKind::Boolean, DeValue::Boolean(flag)) = (kind, value) {
+        return Some(Value::Boolean(*flag));
+    }
     let DeValue::String(text) = value else {
         return None;
     };
@@ -397,6 +401,7 @@
         FieldKind::Text => "a text".into(),
         FieldKind::TextList => "a list of texts".into(),
         FieldKind::Number { min, max } => format_compact!("a whole number from {min} to {max}"),
+        FieldKind::Boolean => "true or false".into(),
         FieldKind::Choice(words) => list_names(words.iter().copied()),
         FieldKind::Ip4 => "an IPv4 address".into(),
         FieldKind::Address4 => "an IPv4 address with a port, such as `192.0.2.1:443`".into(),
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -81,6 +81,10 @@
     pub cold_slack: f64,
     /// Longest lifetime of a flow, for which the announcements of owners are kept.
     pub flow_lifetime: Millis,
+    /// Whether open flows that no server holds are searched for and reset.
+    pub reset_lost: bool,
+    /// Whether requests on open flows wait while more urgent ones need the slots.
+    pub schedule_requests: bool,
 }
 
 /// Flows of the backend server beside an agent, and the state of that server.
--- a/components/flows/src/lib.rs
+++ b/components/flows/src/lib.rs
@@ -16,7 +16,8 @@
 };
 pub use process::{
     FlowRouter,
-    RouteAction, //
+    RouteAction,
+    RouterOptions, //
 };
 pub use request::{
     FlowKey,
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -18,7 +18,8 @@
     AgentTable,
     DropCause,
     OwnerCache,
-    RouteAction, //
+    RouteAction,
+    RouterOptions, //
 };
 use crate::{
     process::flow_router::flow_candidates::owner_services,
@@ -39,6 +40,8 @@
     pub agents: AgentTable,
     /// Owners of flows that are not at their first candidate.
     pub owners: OwnerCache,
+    /// Optional features.
+    pub options: RouterOptions,
     address: SocketAddrV4,
     /// Hash of the data centre's name.
     centre: u32,
@@ -52,12 +55,18 @@
             config: None,
             agents: AgentTable::default(),
             owners: OwnerCache::default(),
+            options: RouterOptions::default(),
             address,
             centre: name_hash(centre),
             ranking: CandidateRanking::default(),
         }
     }
 
+    /// Returns the address at which agents reply.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
     /// Decides about a packet of a caller that arrived at `arrived` or later and that may have waited
     /// since in a socket. If a caller may have sent further copies meanwhile, the flow isn't refused.
     pub fn route_late(&mut self, packet: &FlowPacket, arrived: Millis, now: Millis) -> RouteAction {
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -15,6 +15,7 @@
 mod owner_cache;
 mod report_schedule;
 mod route_action;
+mod router_options;
 
 pub use agent_record::AgentRecord;
 pub use agent_report::AgentReport;
@@ -33,3 +34,4 @@
 pub use owner_cache::OwnerCache;
 pub use report_schedule::ReportSchedule;
 pub use route_action::RouteAction;
+pub use router_options::RouterOptions;
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -128,6 +128,8 @@
         cold_factor: 1.5,
         cold_slack: 5.0,
         flow_lifetime: Millis(60_000),
+        reset_lost: false,
+        schedule_requests: false,
     };
     FlowTracker::new(settings, AGENT_STARTED_MS, Millis(0))
 }
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -99,18 +99,18 @@
 }
 
 impl BalancerTraffic {
-    /// Opens the sockets: `packets` for callers, `address` for agents.
+    /// Opens the sockets: `packets` for callers, the address of `router` for agents.
     pub(crate) async fn open(
         packets: SocketAddrV4,
-        address: SocketAddrV4,
-        centre: &str,
+        router: FlowRouter,
         revision_sender: watch::Sender<PeerRevision>,
         metrics: NodeMetrics,
     ) -> Result<BalancerTraffic, NodeError> {
+        let address = router.address();
         Ok(BalancerTraffic {
             clock: BootClock,
             revision_sender,
-            router: FlowRouter::new(address, centre),
+            router,
             address,
             callers: UdpEndpoint::open(packets).await?,
             agents: UdpEndpoint::open(address).await?,
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -228,6 +228,8 @@
         cold_factor: backend.cold_factor,
         cold_slack: backend.cold_slack,
         flow_lifetime: flow_lifetime(&settings.node),
+        reset_lost: settings.flows.reset_lost,
+        schedule_requests: settings.flows.schedule_requests,
     }
 }
 
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -7,7 +7,11 @@
     time::Duration, //
 };
 
-use carobdrum_flows::process::AgentRecord;
+use carobdrum_flows::{
+    process::AgentRecord,
+    FlowRouter,
+    RouterOptions, //
+};
 use carobdrum_platform::{
     parse_agent_entry,
     NodeRequest,
@@ -79,14 +83,17 @@
     let mut context = NodeContext::start(node).await?;
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let traffic_updates = updates.clone();
-    let (packets, centre) = (node.packets, node.data_centre.clone());
+    let packets = node.packets;
     let address = SocketAddrV4::new(node.ip, node.peer_port);
+    let mut router = FlowRouter::new(address, &node.data_centre);
+    router.options = RouterOptions {
+        reset_lost: settings.flows.reset_lost,
+        weigh_servers: settings.flows.weigh_servers,
+    };
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
     spawn_traffic(
-        move || async move {
-            BalancerTraffic::open(packets, address, &centre, revision_sender, metrics).await
-        },
+        move || BalancerTraffic::open(packets, router, revision_sender, metrics),
         move |traffic| traffic.run(receiver, in_force),
     )
     .await?;
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -224,6 +224,8 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             flow_lifetime: FLOW_LIFETIME,
+            reset_lost: false,
+            schedule_requests: false,
         };
         let mut tracker = FlowTracker::new(settings, u64::MAX, self.now);
         tracker.set_config(self.config.clone(), self.now);
--- a/components/settings/src/flow_settings.rs
+++ b/components/settings/src/flow_settings.rs
@@ -13,6 +13,11 @@
     Deserializer, //
 };
 
+use crate::{
+    flow_options::OPTIONS_SCHEMA,
+    FlowOptions, //
+};
+
 /// Longest time in the settings, in milliseconds: one hour.
 const MAX_TIME_MS: u32 = 3_600_000;
 
@@ -61,6 +66,7 @@
     FieldSchema::required("node", FieldKind::Section(NODE_SCHEMA)),
     FieldSchema::optional("backend", FieldKind::Section(BACKEND_SCHEMA)),
     FieldSchema::required("store", FieldKind::Section(STORE_SCHEMA)),
+    FieldSchema::optional("flows", FieldKind::Section(OPTIONS_SCHEMA)),
 ];
 
 /// Settings of a process that forwards opaque flows.
@@ -73,6 +79,9 @@
     pub backend: Option<BackendSettings>,
     /// Where the store of the users' platform is.
     pub store: LeaseStoreSettings,
+    /// Optional features; all are off if absent.
+    #[serde(default)]
+    pub flows: FlowOptions,
 }
 
 /// Identity and addresses of a process.
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -3,6 +3,7 @@
 mod agent_settings;
 mod balancer_settings;
 mod file_check;
+mod flow_options;
 mod flow_settings;
 mod process_settings;
 mod settings_error;
@@ -11,6 +12,7 @@
 pub use agent_settings::AgentSettings;
 pub use balancer_settings::BalancerSettings;
 pub use file_check::read_bounded;
+pub use flow_options::FlowOptions;
 pub use flow_settings::{
     BackendSettings,
     FlowSettings,
--- a/components/settings/tests/settings_files.rs
+++ b/components/settings/tests/settings_files.rs
@@ -7,6 +7,7 @@
     read_balancer,
     read_flow_settings,
     read_secret,
+    FlowOptions,
     LogFormat,
     SettingsError, //
 };
@@ -172,3 +173,18 @@
     let settings = read_flow_settings(&path).expect("both times have defaults");
     assert!((settings.node.flow_lifetime_s - 60.0).abs() < f64::EPSILON);
 }
+
+/// Guards against an optional feature that is on although the settings don't name it, and against a
+/// word in place of a boolean that is read as one.
+#[test]
+fn options_of_flows_are_off_unless_named() {
+    let (_kept, path) = folder(&format!("{FLOW_NODE}{FLOW_STORE}"));
+    let settings = read_flow_settings(&path).expect("the section is optional");
+    assert_eq!(settings.flows, FlowOptions::default());
+    let text = format!("{FLOW_NODE}{FLOW_STORE}[flows]\nreset_lost = true\n");
+    let (_kept, path) = folder(&text);
+    let settings = read_flow_settings(&path).expect("booleans are allowed");
+    assert!(settings.flows.reset_lost && !settings.flows.weigh_servers);
+    let (_kept, path) = folder(&text.replace("true", "'yes'"));
+    assert!(read_flow_settings(&path).is_err());
+}
