--- a/components/core/src/lib.rs
+++ b/components/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod millis;
 mod name_rule;
 mod parsed_file;
+mod schema_checker;
 
 pub use field_schema::{
     FieldKind,
--- a/components/core/src/process/member_protocol.rs
+++ b/components/core/src/process/member_protocol.rs
@@ -1,7 +1,9 @@
 //! The membership protocol of a balancer.
 
+mod heartbeats;
 mod merging;
 mod probing;
+mod protocol_builder;
 mod spreading;
 
 use std::net::SocketAddrV4;
@@ -11,15 +13,14 @@
     Rng, //
 };
 
+pub use protocol_builder::ProtocolBuilder;
+
 use super::{
-    heartbeat_assignment::balancers_digest,
     ByteBudget,
     ByteClass,
     FailureDetector,
     FetchSchedule,
     GossipQueue,
-    Heartbeat,
-    HeartbeatAck,
     HeartbeatAssignment,
     HeartbeatMonitor,
     MemberAction,
@@ -137,67 +138,6 @@
 /// Number of bytes reserved for the fields of a message other than its records.
 const MESSAGE_FIELDS_LEN: usize = 40;
 
-/// Collects the settings of a [`MemberProtocol`].
-#[derive(Clone, Debug)]
-pub struct ProtocolBuilder {
-    own_record: MemberRecord,
-    rng: SmallRng,
-    bootstrap: Vec<SocketAddrV4>,
-    rate: u32,
-    bulk_rate: u32,
-}
-
-impl ProtocolBuilder {
-    /// Sets the addresses at which other balancers are found; none by default.
-    pub fn bootstrap(mut self, addresses: impl IntoIterator<Item = SocketAddrV4>) -> Self {
-        self.bootstrap = addresses.into_iter().collect();
-        self
-    }
-
-    /// Sets the rates of control bytes sent in datagrams and in bulk syncs, in bytes per second;
-    /// 3,072 and 1,024 by default.
-    pub fn rates(mut self, rate: u32, bulk_rate: u32) -> Self {
-        self.rate = rate;
-        self.bulk_rate = bulk_rate;
-        self
-    }
-
-    /// Returns the protocol, which starts with its first tick.
-    pub fn build(self) -> MemberProtocol {
-        let mut protocol = MemberProtocol {
-            own_record: self.own_record,
-            rng: self.rng,
-            bootstrap: self.bootstrap,
-            list: MemberList::default(),
-            queue: GossipQueue::default(),
-            detector: FailureDetector::default(),
-            monitor: HeartbeatMonitor::default(),
-            assignment: HeartbeatAssignment::default(),
-            peers: PeerChoice::default(),
-            peers_epoch: 0,
-            versions: FetchSchedule::default(),
-            keys: FetchSchedule::default(),
-            datagram_budget: ByteBudget::new(self.rate, DATAGRAM_BURST),
-            bulk_budget: ByteBudget::new(self.bulk_rate, BULK_BURST),
-            verifications: Vec::new(),
-            reported_dead: Vec::new(),
-            timers: ProtocolTimers::default(),
-            bootstrap_interval: MIN_BOOTSTRAP_INTERVAL,
-            joined: false,
-            evacuates_centre: false,
-            first_mismatch: None,
-            mismatches: 0,
-            next_check: 0,
-            fast_checks: 0,
-            actions: Vec::new(),
-        };
-        protocol.list.merge(Millis(0), protocol.own_record.clone());
-        protocol.queue.push(protocol.own_record.address);
-        protocol.refresh_peers();
-        protocol
-    }
-}
-
 /// Times at which periodic work is due next, and of the last tick, message and change.
 #[derive(Clone, Debug, Default)]
 struct ProtocolTimers {
@@ -256,13 +196,7 @@
 impl MemberProtocol {
     /// Creates a builder of the protocol of the balancer with `own_record`.
     pub fn builder(own_record: MemberRecord, rng: SmallRng) -> ProtocolBuilder {
-        ProtocolBuilder {
-            own_record,
-            rng,
-            bootstrap: Vec::new(),
-            rate: DEFAULT_DATAGRAM_RATE,
-            bulk_rate: DEFAULT_BULK_RATE,
-        }
+        ProtocolBuilder::new(own_record, rng)
     }
 
     /// Adds addresses at which other balancers are found.
@@ -441,65 +375,4 @@
             PeerMessage::HeartbeatAck(_) => {}
         }
     }
-
-    fn on_heartbeat(
-        &mut self,
-        now: Millis,
-        from: SocketAddrV4,
-        version: u32,
-        heartbeat: Heartbeat,
-    ) {
-        if let Some(record) = heartbeat.member {
-            if record.address == from {
-                self.apply_record(now, record, false);
-            }
-        }
-        self.observe_key_version(now, heartbeat.key_version, from);
-        self.monitor.record_heartbeat(now, from, version);
-        let mut ack = self.ack_for(from, Some(heartbeat.balancers_digest));
-        let held = self.list.find(from);
-        if held.is_some_and(|record| record.incarnation < heartbeat.incarnation) {
-            ack.sequence = 0;
-        }
-        if let Some(record) = held.filter(|record| record.incarnation > heartbeat.incarnation) {
-            ack.disputed_record = Some(record.message_copy());
-        }
-        self.send(
-            now,
-            ByteClass::Liveness,
-            from,
-            PeerMessage::HeartbeatAck(ack),
-        );
-    }
-
-    /// Returns the ack for an agent. It assigns balancers if `digest`, the digest of those that the
-    /// agent uses, differs from that of the assignment; without a digest it assigns none.
-    fn ack_for(&self, agent: SocketAddrV4, digest: Option<u32>) -> HeartbeatAck {
-        let mut ack = HeartbeatAck {
-            key_version: self.keys.current(),
-            ..HeartbeatAck::default()
-        };
-        let Some(record) = self.list.find(agent) else {
-            return ack;
-        };
-        ack.sequence = record.sequence;
-        ack.disputed_record = self.record_to_refute(agent);
-        if let Some(digest) = digest {
-            let choice = self.assignment.choose(record);
-            if balancers_digest(&choice) != digest {
-                ack.balancers = choice;
-            }
-        }
-        ack
-    }
-
-    /// Returns the record held of a member, if it is a failure report that the member should
-    /// refute.
-    fn record_to_refute(&self, address: SocketAddrV4) -> Option<MemberRecord> {
-        let record = self.list.find(address)?;
-        record
-            .state
-            .is_failure_report()
-            .then(|| record.message_copy())
-    }
 }
