--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -19,6 +19,8 @@
 mod table_edit;
 mod undo_edit;
 mod version_apply;
+mod version_keys;
+mod version_store;
 mod version_watch;
 
 pub use apply_outcome::ApplyOutcome;
--- a/components/store/src/store_client.rs
+++ b/components/store/src/store_client.rs
@@ -1,22 +1,19 @@
 //! Client of the store.
 
+mod sessions;
+
 use std::{
     net::SocketAddr,
     time::Duration, //
 };
 
 use bytes::Bytes;
-use carobdrum_core::version::ConfigVersion;
 use compact_str::{
     format_compact,
     CompactString, //
 };
 use http::Method;
-use serde::{
-    de::DeserializeOwned,
-    Deserialize, //
-};
-use serde_json::json;
+use serde::de::DeserializeOwned;
 use snafu::{
     ensure,
     ResultExt, //
@@ -26,25 +23,16 @@
     store_error::{
         InvalidKeySnafu,
         MalformedResponseSnafu,
-        MalformedVersionSnafu,
-        NoSuchVersionSnafu,
         ValueTooLargeSnafu, //
     },
     store_request::{
         StoreRequest, //
         StoreResponse,
     },
-    version_apply::VersionApply,
-    ApplyOutcome,
     KeyEntry,
     KeyWatch,
     RetryPlan,
-    SessionEnd,
-    StoreError,
-    StoredVersion,
-    TableEdit,
-    UndoEdit,
-    VersionWatch, //
+    StoreError, //
 };
 
 /// Longest value, in bytes; the platform states a limit of 1 MB.
@@ -59,9 +47,6 @@
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(50);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Key that holds the version in force.
-pub(crate) const CURRENT_VERSION_KEY: &str = "tables/current";
-
 /// Client of the store for one deployment.
 ///
 /// Keys are given without the prefix of the deployment.
@@ -73,13 +58,6 @@
     retry: RetryPlan,
 }
 
-/// Body of the response to the creation of a session.
-#[derive(Deserialize)]
-struct CreatedSession {
-    #[serde(rename = "ID")]
-    id: CompactString,
-}
-
 impl StoreClient {
     /// Creates a client; no connection is made yet.
     pub fn new(address: SocketAddr, deployment: impl Into<CompactString>) -> StoreClient {
@@ -109,119 +87,6 @@
         &self.retry
     }
 
-    /// Reads the version in force; `None` if there is none yet.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] of the request, or [`StoreError::MalformedVersion`].
-    pub async fn read_version(&self) -> Result<Option<StoredVersion>, StoreError> {
-        let Some(entry) = self.read_key(CURRENT_VERSION_KEY).await? else {
-            return Ok(None);
-        };
-        let version = parse_version(&entry)?;
-        let index = entry.index;
-        Ok(Some(StoredVersion { version, index }))
-    }
-
-    /// Waits until the version in force is newer than `index`, but at most for `wait`.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] of the request, or [`StoreError::MalformedVersion`].
-    pub async fn watch_version(
-        &self,
-        index: u64,
-        wait: Duration,
-    ) -> Result<VersionWatch, StoreError> {
-        let watch = self.watch_key(CURRENT_VERSION_KEY, index, wait).await?;
-        let version = watch.entry.as_ref().map(parse_version).transpose()?;
-        let index = watch.index;
-        Ok(VersionWatch { index, version })
-    }
-
-    /// Applies an edit: copies the version in force to the history and replaces it by
-    /// compare-and-swap.
-    ///
-    /// If the response to a write is lost, the versions in the store show whether the edit took
-    /// effect. It never takes effect twice.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError::InvalidTables`] or [`StoreError::ValueTooLarge`] for an edit that
-    /// can't be applied, [`StoreError::OutcomeUnknown`] if a write may have taken effect and the
-    /// retries ran out, and the error of the last attempt otherwise.
-    pub async fn apply_version(&self, edit: TableEdit) -> Result<ApplyOutcome, StoreError> {
-        VersionApply::new(self, edit).run().await
-    }
-
-    /// Makes a new version from the tables of an older one. The numeric ids of services and data
-    /// centres stay those of the version in force.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError::NoSuchVersion`] if the store doesn't have the older version, and the
-    /// errors of [`StoreClient::apply_version`].
-    pub async fn undo(&self, undo: UndoEdit) -> Result<ApplyOutcome, StoreError> {
-        let number = undo.to_number;
-        let older = self.read_version_number(number).await?;
-        let Some(older) = older else {
-            return NoSuchVersionSnafu { number }.fail();
-        };
-        let edit = TableEdit::new(undo.base, older.routes, older.pools)
-            .author(undo.author)
-            .comment(undo.comment)
-            .edit_id(undo.edit_id);
-        self.apply_version(edit).await
-    }
-
-    /// Returns the versions from the one in force backwards, at most `limit`.
-    ///
-    /// The list ends before the newest version that was removed from the history.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] of the requests, or [`StoreError::MalformedVersion`].
-    pub async fn history(&self, limit: usize) -> Result<Vec<ConfigVersion>, StoreError> {
-        let Some(current) = self.read_version().await? else {
-            return Ok(Vec::new());
-        };
-        let newest = current.version.number;
-        let mut versions = vec![current.version];
-        for number in (1..newest).rev().take(limit.saturating_sub(1)) {
-            match self.read_history(number).await? {
-                Some(version) => versions.push(version),
-                None => break,
-            }
-        }
-        versions.truncate(limit);
-        Ok(versions)
-    }
-
-    /// Reads a version by its number, whether it is in force or in the history.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] of the requests, or [`StoreError::MalformedVersion`].
-    pub async fn read_version_number(
-        &self,
-        number: u32,
-    ) -> Result<Option<ConfigVersion>, StoreError> {
-        let current = self.read_version().await?.map(|stored| stored.version);
-        match current {
-            Some(current) if current.number == number => Ok(Some(current)),
-            _ => self.read_history(number).await,
-        }
-    }
-
-    /// Reads a replaced version from the history.
-    pub(crate) async fn read_history(
-        &self,
-        number: u32,
-    ) -> Result<Option<ConfigVersion>, StoreError> {
-        let entry = self.read_key(&history_key(number)).await?;
-        entry.as_ref().map(parse_version).transpose()
-    }
-
     /// Reads a key; `None` if it doesn't exist.
     ///
     /// # Errors
@@ -327,54 +192,6 @@
         parse_body(&response.await?.body)
     }
 
-    /// Creates a session that ends when it isn't renewed within `ttl`, and returns its id.
-    ///
-    /// The lock delay is zero: what a holder of keys does is idempotent or protected by
-    /// compare-and-swap, so the next holder needn't wait.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] of the request. The store rejects a `ttl` below its own minimum,
-    /// which is 10 s unless configured otherwise.
-    pub async fn create_session(
-        &self,
-        ttl: Duration,
-        end: SessionEnd,
-    ) -> Result<CompactString, StoreError> {
-        let body = json!({
-            "TTL": format_compact!("{}ms", ttl.as_millis()),
-            "Behavior": end.behavior(),
-            "LockDelay": "0s",
-        });
-        let path = "/v1/session/create".into();
-        let body = Bytes::from(body.to_string());
-        let response = self.send(Method::PUT, path, body, self.timeout).await?;
-        let created: CreatedSession = parse_body(&response.body)?;
-        Ok(created.id)
-    }
-
-    /// Renews a session. Returns whether it still exists.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] of the request.
-    pub async fn renew_session(&self, session: &str) -> Result<bool, StoreError> {
-        let path = format_compact!("/v1/session/renew/{session}");
-        let response = self.send(Method::PUT, path, Bytes::new(), self.timeout);
-        Ok(response.await?.exists)
-    }
-
-    /// Ends a session; its keys are treated as its [`SessionEnd`] says.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] of the request.
-    pub async fn destroy_session(&self, session: &str) -> Result<(), StoreError> {
-        let path = format_compact!("/v1/session/destroy/{session}");
-        let response = self.send(Method::PUT, path, Bytes::new(), self.timeout);
-        response.await.map(drop)
-    }
-
     async fn write(&self, key: &str, query: &str, value: Bytes) -> Result<bool, StoreError> {
         check_len(key, value.len())?;
         let path = self.kv_path(key, query)?;
@@ -425,22 +242,6 @@
     }
 }
 
-/// Returns the key of a replaced version.
-pub(crate) fn history_key(number: u32) -> CompactString {
-    format_compact!("tables/history/{number}")
-}
-
-/// Parses the version in an entry.
-///
-/// # Errors
-///
-/// Returns [`StoreError::MalformedVersion`] if the value isn't a version.
-pub(crate) fn parse_version(entry: &KeyEntry) -> Result<ConfigVersion, StoreError> {
-    let parsed = serde_json::from_slice(&entry.value);
-    let key = entry.key.as_str();
-    parsed.context(MalformedVersionSnafu { key })
-}
-
 /// Checks the length of a value against the limit of the store.
 ///
 /// # Errors
--- a/components/store/src/version_apply.rs
+++ b/components/store/src/version_apply.rs
@@ -16,12 +16,7 @@
 };
 
 use crate::{
-    store_client::{
-        check_len,
-        history_key,
-        parse_version,
-        CURRENT_VERSION_KEY, //
-    },
+    store_client::check_len,
     store_error::{
         ContendedSnafu,
         HistoryMismatchSnafu,
@@ -29,6 +24,11 @@
         MalformedVersionSnafu,
         OutcomeUnknownSnafu,
     },
+    version_keys::{
+        history_key,
+        parse_version,
+        CURRENT_VERSION_KEY, //
+    },
     ApplyOutcome,
     ConflictReport,
     KeyEntry,
