--- a/components/control/src/process/store_task.rs
+++ b/components/control/src/process/store_task.rs
@@ -4,6 +4,9 @@
 //! these addresses in order to join the fleet. Only entry points watch the store; all others get
 //! new versions and key rings from their peers.
 
+mod entry_point;
+mod key_rotation;
+
 use std::{
     net::SocketAddrV4,
     sync::Arc,
@@ -18,18 +21,12 @@
 use carobdrum_store::{
     KeyEntry,
     RetryPlan,
-    SessionEnd,
     StoreClient,
     StoreError, //
 };
-use compact_str::{
-    format_compact,
-    CompactString, //
-};
 use ractor::ActorRef;
 use rand::{
     rngs::StdRng,
-    Rng,
     SeedableRng, //
 };
 use tokio::{
@@ -38,13 +35,9 @@
         Notify, //
     },
     task::JoinHandle,
-    time::{
-        sleep,
-        timeout, //
-    },
+    time::sleep, //
 };
 use tracing::{
-    debug,
     info,
     warn, //
 };
@@ -60,19 +53,6 @@
 const ENTRY_POINT_PREFIX: &str = "entry/";
 /// Key of the wrapped key ring in the store.
 pub const KEY_RING_KEY: &str = "keys";
-/// Entry points of a data centre. Two, so that one remains when the other fails; not more, because
-/// each holds a watch, which the store counts as a call.
-const ENTRY_POINTS_PER_CENTRE: u32 = 2;
-/// Time after which an entry point that isn't renewed becomes vacant.
-const LEASE_TTL: Duration = Duration::from_secs(15);
-/// Interval between renewals of the lease: three attempts within [`LEASE_TTL`].
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval, before jitter, between a balancer's checks for a vacant entry point. With 530
-/// balancers this makes 18 reads per second.
-const VACANCY_CHECK_INTERVAL: Duration = Duration::from_secs(30);
-/// The same interval while the balancer knows no other balancer. The entry points that it has read
-/// may be those of balancers that no longer run.
-const ISOLATED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which the store answers a blocking query even without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -80,11 +60,6 @@
 /// Upper bound of the random delay of the first read, which spreads the reads of processes that
 /// start together.
 const MAX_START_DELAY: Duration = Duration::from_millis(100);
-/// Age, before jitter, at which the key ring is rotated.
-const ROTATION_INTERVAL: Duration = Duration::from_secs(24 * 60 * 60);
-/// Delay of another attempt after the key ring couldn't be rotated.
-const ROTATION_RETRY_DELAY: Duration = Duration::from_secs(60);
-
 /// What a process does at the store besides reading the configuration and the key ring at its
 /// start.
 pub enum StoreRole {
@@ -231,105 +206,6 @@
         Ok(())
     }
 
-    /// Becomes an entry point whenever one is vacant in this data centre, until the shutdown.
-    async fn hold_entry_point(
-        mut self,
-        entry_points: watch::Sender<Vec<SocketAddrV4>>,
-        isolated: watch::Receiver<bool>,
-        mut stopped: watch::Receiver<bool>,
-    ) {
-        let mut plan = RetryPlan::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
-        while !*stopped.borrow() {
-            let wait = match self
-                .try_become_entry_point(&entry_points, &mut stopped)
-                .await
-            {
-                Ok(()) => {
-                    plan.reset();
-                    self.record_success();
-                    let interval = if *isolated.borrow() {
-                        ISOLATED_CHECK_INTERVAL
-                    } else {
-                        VACANCY_CHECK_INTERVAL
-                    };
-                    interval.mul_f64(self.random.random_range(0.5..1.5))
-                }
-                Err(error) => self.record_failure(&mut plan, &error),
-            };
-            let _ = timeout(wait, stopped.wait_for(|stop| *stop)).await;
-        }
-    }
-
-    /// Takes a vacant entry point, if there is one, and holds it until its lease is lost or the
-    /// shutdown starts.
-    async fn try_become_entry_point(
-        &mut self,
-        entry_points: &watch::Sender<Vec<SocketAddrV4>>,
-        stopped: &mut watch::Receiver<bool>,
-    ) -> Result<(), StoreError> {
-        let prefix = format_compact!("{ENTRY_POINT_PREFIX}{}/", self.process.data_centre);
-        let found = self.read_entry_points(entry_points).await?;
-        let is_held = |entry: &&KeyEntry| entry.session.is_some() && entry.key.contains(&*prefix);
-        let held = found.iter().filter(is_held).count();
-        if held >= ENTRY_POINTS_PER_CENTRE as usize {
-            return Ok(());
-        }
-        let session = self
-            .client
-            .create_session(LEASE_TTL, SessionEnd::Delete)
-            .await?;
-        for number in 0..ENTRY_POINTS_PER_CENTRE {
-            let key = format_compact!("{prefix}{number}");
-            let value = self.process.address.to_string();
-            if self.client.acquire_key(&key, value, &session).await? {
-                info!(%key, "became an entry point");
-                self.read_entry_points(entry_points).await?;
-                tokio::select! {
-                    ended = self.serve_entry_point(&session) => return ended,
-                    _ = stopped.wait_for(|stop| *stop) => {}
-                }
-                break;
-            }
-        }
-        self.client.destroy_session(&session).await
-    }
-
-    /// Renews the lease, watches the version and the key ring, and rotates the key ring. Fencing
-    /// isn't needed: a holder that hasn't noticed the loss of its lease only reads and publishes
-    /// the same data once more, and writes the key ring by compare-and-swap.
-    async fn serve_entry_point(&mut self, session: &CompactString) -> Result<(), StoreError> {
-        let renewal = self.clone().renew(session.clone());
-        let versions = self.clone().watch_versions();
-        let keys = self.clone().watch_keys();
-        let rotation = self.clone().rotate_keys();
-        tokio::select! {
-            ended = renewal => ended,
-            () = versions => Ok(()),
-            () = keys => Ok(()),
-            () = rotation => Ok(()),
-        }
-    }
-
-    async fn renew(self, session: CompactString) -> Result<(), StoreError> {
-        let mut failures = 0;
-        loop {
-            sleep(RENEWAL_INTERVAL).await;
-            match self.client.renew_session(&session).await {
-                Ok(true) => failures = 0,
-                Ok(false) => {
-                    info!("entry point lost: its lease has expired");
-                    return Ok(());
-                }
-                // During an outage the store can't give the entry point to another balancer, so it
-                // is kept.
-                Err(error) => {
-                    failures += 1;
-                    debug!(%error, failures, "cannot renew the lease of the entry point");
-                }
-            }
-        }
-    }
-
     async fn watch_versions(mut self) {
         let mut plan = RetryPlan::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
         let mut index = 0;
@@ -370,61 +246,6 @@
         }
     }
 
-    /// Rotates the key ring whenever it is old enough. If several entry points try at once,
-    /// compare-and-swap lets one succeed.
-    async fn rotate_keys(mut self) {
-        // The age of a ring of an earlier release isn't known; it counts from here.
-        let start = unix_millis();
-        loop {
-            let interval = ROTATION_INTERVAL.mul_f64(self.random.random_range(1.0..1.1));
-            let wait = match self.rotate_if_due(start, interval).await {
-                Ok(wait) => wait,
-                Err(error) => {
-                    info!(%error, "cannot rotate the key ring");
-                    ROTATION_RETRY_DELAY
-                }
-            };
-            sleep(wait).await;
-        }
-    }
-
-    /// Rotates the key ring if it is older than `interval`, and returns the time until the next attempt.
-    async fn rotate_if_due(
-        &mut self,
-        start: u64,
-        interval: Duration,
-    ) -> Result<Duration, StoreError> {
-        let Some(entry) = self.client.read_key(KEY_RING_KEY).await? else {
-            return Ok(ROTATION_RETRY_DELAY);
-        };
-        let Ok(ring) = self.wrapper.unwrap(&entry.value) else {
-            return Ok(ROTATION_RETRY_DELAY);
-        };
-        let created = ring.creation_ms().unwrap_or(start);
-        let age = Duration::from_millis(unix_millis().saturating_sub(created));
-        if age < interval {
-            return Ok(interval - age);
-        }
-        let adopted = self
-            .state
-            .wait_for(|state| state.key_version() == ring.version());
-        // The channel closes when the process stops.
-        if !matches!(timeout(ROTATION_RETRY_DELAY, adopted).await, Ok(Ok(_))) {
-            return Ok(ROTATION_RETRY_DELAY);
-        }
-        let rotated = self.wrapper.rotate(&ring, &mut self.random);
-        let rotated = rotated.with_creation_ms(unix_millis());
-        let wrapped = self.wrapper.wrap(&rotated, &mut self.random);
-        if self
-            .client
-            .write_key_cas(KEY_RING_KEY, wrapped, entry.index)
-            .await?
-        {
-            info!(version = rotated.version(), ?age, "key ring rotated");
-        }
-        Ok(interval)
-    }
-
     fn offer_version(&self, version: ConfigVersion) {
         // The cast fails only if the actor has ended because the process is stopping.
         let _ = self
