--- a/components/settings/src/file_check.rs
+++ b/components/settings/src/file_check.rs
@@ -1,10 +1,6 @@
 //! Checks of the files that settings name.
 
-use std::{
-    fs::File,
-    io::Read,
-    path::Path, //
-};
+use std::path::Path;
 
 use carobdrum_core::ParsedFile;
 use compact_str::{
@@ -17,37 +13,16 @@
     CertificateDer,
     PrivateKeyDer, //
 };
-use snafu::ResultExt;
 
 use crate::{
-    read_secret,
-    settings_error::{
-        NotAFileSnafu,
-        UnreadableSnafu, //
-    },
+    bounded_file::read_bounded,
+    secret_file::read_secret,
     SettingsError, //
 };
 
 /// Longest certificate chain or key that is read, in bytes.
 const MAX_PEM_BYTES: usize = 1024 * 1024;
 
-/// Reads a regular file up to one byte beyond `max_bytes`, so that the caller can detect a file
-/// that is too long. Pipes and devices are rejected, because reading them may never end.
-///
-/// # Errors
-///
-/// Returns [`SettingsError::Unreadable`] or [`SettingsError::NotAFile`].
-pub fn read_bounded(path: &Path, max_bytes: usize) -> Result<Vec<u8>, SettingsError> {
-    let metadata = std::fs::metadata(path).context(UnreadableSnafu { path })?;
-    snafu::ensure!(metadata.is_file(), NotAFileSnafu { path });
-    let file = File::open(path).context(UnreadableSnafu { path })?;
-    let mut bytes = Vec::new();
-    file.take(max_bytes as u64 + 1)
-        .read_to_end(&mut bytes)
-        .context(UnreadableSnafu { path })?;
-    Ok(bytes)
-}
-
 /// Adds a fault unless the file at `path` contains a bootstrap secret.
 pub(crate) fn check_secret(field: &str, path: &Path, file: &mut ParsedFile) {
     if let Err(error) = read_secret(path) {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -2,16 +2,18 @@
 
 mod agent_settings;
 mod balancer_settings;
+mod bounded_file;
 mod file_check;
 mod flow_options;
 mod flow_settings;
 mod process_settings;
+mod secret_file;
 mod settings_error;
 mod settings_text;
 
 pub use agent_settings::AgentSettings;
 pub use balancer_settings::BalancerSettings;
-pub use file_check::read_bounded;
+pub use bounded_file::read_bounded;
 pub use flow_options::FlowOptions;
 pub use flow_settings::{
     BackendSettings,
@@ -25,10 +27,8 @@
     ProcessSettings,
     StoreSettings, //
 };
-pub use settings_error::{
-    read_secret,
-    SettingsError, //
-};
+pub use secret_file::read_secret;
+pub use settings_error::SettingsError;
 pub use settings_text::{
     parse_flow_settings,
     read_agent,
--- a/components/settings/src/settings_text.rs
+++ b/components/settings/src/settings_text.rs
@@ -12,7 +12,7 @@
 use crate::{
     agent_settings::AGENT_SCHEMA,
     balancer_settings::BALANCER_SCHEMA,
-    file_check::read_bounded,
+    bounded_file::read_bounded,
     flow_settings::FLOW_SCHEMA,
     settings_error::FaultySnafu,
     AgentSettings,
