--- a/src/cmd/command_error.rs
+++ b/src/cmd/command_error.rs
@@ -34,8 +34,8 @@
 use snafu::Snafu;
 
 use crate::cmd::{
-    demo::DemoError,
-    tables::describe_changes, //
+    change_summary::describe_changes,
+    demo::DemoError, //
 };
 
 /// Exit code of a command that failed.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod balancer;
+mod change_summary;
 mod check;
 mod check_set;
 mod command_error;
--- a/src/cmd/tables/check.rs
+++ b/src/cmd/tables/check.rs
@@ -10,10 +10,10 @@
 use crate::{
     cli::TablesCheckArgs,
     cmd::{
+        change_summary::describe_changes,
         print,
         tables::{
             block_on, //
-            describe_changes,
             table_files::EditedTables,
         },
         CommandError, //
--- a/src/cmd/tables/history.rs
+++ b/src/cmd/tables/history.rs
@@ -9,11 +9,11 @@
 use crate::{
     cli::HistoryArgs,
     cmd::{
+        change_summary::describe_changes,
         print,
         tables::{
             block_on, //
             client_of,
-            describe_changes,
             show::summarise,
         },
         CommandError, //
--- a/src/cmd/tables/mod.rs
+++ b/src/cmd/tables/mod.rs
@@ -13,8 +13,7 @@
 use carobdrum_core::OneLine;
 use carobdrum_store::{
     StoreClient,
-    StoreError,
-    TableChanges, //
+    StoreError, //
 };
 use compact_str::{
     format_compact,
@@ -57,26 +56,6 @@
     }
 }
 
-/// Returns the names of the changed routes, pools and data centres, or `no changes`.
-pub(crate) fn describe_changes(changes: &TableChanges) -> CompactString {
-    let mut text = CompactString::default();
-    let groups = [
-        ("routes", &changes.routes),
-        ("pools", &changes.pools),
-        ("data centres", &changes.data_centres),
-    ];
-    for (kind, names) in groups {
-        if !names.is_empty() {
-            let start = if text.is_empty() { "" } else { "; " };
-            text.push_str(&format_compact!("{start}{kind} {}", names.join(", ")));
-        }
-    }
-    if text.is_empty() {
-        text.push_str("no changes");
-    }
-    text
-}
-
 fn client_of(args: &StoreArgs) -> StoreClient {
     StoreClient::new(args.store, args.deployment.as_str())
 }
