--- /dev/null
+++ b/components/forwarder/src/connection/agent_update.rs
@@ -0,0 +1,37 @@
+//! Messages from the control thread to the traffic thread of an agent.
+
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    process::{
+        BackendHeartbeat,
+        HeartbeatOutcome, //
+    },
+    TrackerSettings,
+};
+use compact_str::CompactString;
+use tokio::sync::oneshot;
+
+/// Message of the control thread to the traffic thread of an agent.
+#[derive(Debug)]
+pub(crate) enum AgentUpdate {
+    /// The settings have changed.
+    Settings(TrackerSettings),
+    /// A heartbeat that the backend server sent at this time or later; the reply tells whether it was
+    /// applied.
+    Heartbeat(BackendHeartbeat, Millis, oneshot::Sender<BackendOutcome>),
+    /// The backend server with this identity deregisters; it isn't applied if another one is known.
+    Deregister(CompactString, oneshot::Sender<BackendOutcome>),
+    /// The backend server has ended.
+    ServerEnded,
+    /// The process is shutting down; the reply is sent when no flow is open.
+    Stop(oneshot::Sender<()>),
+}
+
+/// What became of a request of the backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BackendOutcome {
+    /// Whether it was applied, and if not, why.
+    pub(crate) outcome: HeartbeatOutcome,
+    /// Whether the server is shutting down or has deregistered, as far as the agent knows now.
+    pub(crate) is_leaving: bool,
+}
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent_reporter;
 mod agent_traffic;
+mod agent_update;
 mod balancer_traffic;
 mod flow_log;
 mod header_codec;
@@ -9,8 +10,8 @@
 mod peer_revision;
 mod udp_endpoint;
 
-pub(crate) use agent_traffic::{
-    AgentTraffic,
+pub(crate) use agent_traffic::AgentTraffic;
+pub(crate) use agent_update::{
     AgentUpdate,
     BackendOutcome, //
 };
