--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FlowDatagram {
     /// Content of the datagram; absent if its kind is unknown to this version of the software.
-    #[prost(oneof = "FlowBody", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "FlowBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<FlowBody>,
 }
 
@@ -44,6 +44,15 @@
     /// Asks an agent for a report.
     #[prost(message, tag = "4")]
     Probe(ReportProbe),
+    /// Tells a balancer that no candidate of a later packet holds its flow.
+    #[prost(message, tag = "5")]
+    NotFound(FlowNotFound),
+    /// Asks an agent which flows its server certainly doesn't hold.
+    #[prost(message, tag = "6")]
+    Query(FlowQuery),
+    /// Answer to such a query.
+    #[prost(message, tag = "7")]
+    QueryReply(FlowQueryReply),
 }
 
 /// A caller's packet with the state of its forwarding.
@@ -154,6 +163,54 @@
     pub revision: u64,
 }
 
+/// A later packet whose flow no candidate holds; the last candidate sends it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct FlowNotFound {
+    /// Address of the caller.
+    #[prost(fixed64, tag = "1")]
+    pub caller: u64,
+    /// Address that the caller opened the flow to.
+    #[prost(fixed64, tag = "2")]
+    pub service: u64,
+    /// Acknowledgement number of the packet.
+    #[prost(fixed32, tag = "3")]
+    pub acknowledged: u32,
+}
+
+/// Asks an agent which flows its server certainly doesn't hold.
+#[derive(Clone, PartialEq, Message)]
+pub struct FlowQuery {
+    /// Number of the query, which the reply repeats.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Balancer that asks, and to which the reply goes.
+    #[prost(fixed64, tag = "2")]
+    pub balancer: u64,
+    /// The flows, with the acknowledgement numbers of their callers.
+    #[prost(message, repeated, tag = "3")]
+    pub flows: Vec<FlowNotFound>,
+}
+
+/// Answer to a [`FlowQuery`].
+#[derive(Clone, PartialEq, Message)]
+pub struct FlowQueryReply {
+    /// Number of the query.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Agent that answers.
+    #[prost(fixed64, tag = "2")]
+    pub agent: u64,
+    /// Positions in the query of the flows that the agent's server certainly doesn't hold.
+    #[prost(uint32, repeated, tag = "3")]
+    pub absent: Vec<u32>,
+    /// Highest store revision of the configuration that the agent knows of.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+    /// Digest of the flows as the agent read them, so that a damaged query has no effect.
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
+}
+
 /// Returns the address from which [`address_to_number`] made a number.
 pub fn address_from_number(number: u64) -> SocketAddrV4 {
     let ip = Ipv4Addr::from((number >> 16) as u32);
