--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -141,6 +141,15 @@
         self.stage == FlowStage::Open && self.is_served
     }
 
+    /// Returns whether the server may hold the flow after the entry has been removed.
+    pub fn may_be_held(&self) -> bool {
+        match self.stage {
+            FlowStage::Open | FlowStage::Closed => true,
+            FlowStage::Opening => self.server_window.is_some(),
+            FlowStage::Unverified | FlowStage::NotHeld | FlowStage::Redirected(_) => false,
+        }
+    }
+
     /// Closes the flow if both ends have finished; returns whether it did.
     pub fn close_if_done(&mut self) -> bool {
         let done = self.caller_done && self.server_done;
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -2,6 +2,7 @@
 
 mod later;
 mod opening;
+mod query;
 
 use std::{
     collections::VecDeque,
@@ -19,6 +20,7 @@
     FlowEntry,
     FlowStage,
     LoadEstimate,
+    RecentFlows,
     RedirectCause,
     ResetCause,
     ReturnPause, //
@@ -107,6 +109,8 @@
     /// Owners of flows for which this agent is an anchor.
     owners: OwnerCache,
     return_pause: ReturnPause,
+    /// Flows that the server may hold although no entry shows it.
+    recent_flows: RecentFlows,
     /// Flows of a server that has ended, which are to be reset.
     lost_flows: Vec<(FlowKey, ResetCause)>,
     stopping: bool,
@@ -129,6 +133,7 @@
             failure_rate: FailureRate::default(),
             owners: OwnerCache::default(),
             return_pause: ReturnPause::default(),
+            recent_flows: RecentFlows::default(),
             lost_flows: Vec::new(),
             stopping: false,
             settings,
@@ -146,7 +151,11 @@
     }
 
     /// Applies changed settings. A service that the server has named takes precedence over theirs.
-    pub fn set_settings(&mut self, settings: TrackerSettings) {
+    pub fn set_settings(&mut self, settings: TrackerSettings, now: Millis) {
+        if !self.settings.reset_lost {
+            // Nothing has been recorded so far.
+            self.recent_flows.note_gap(now);
+        }
         if self.liveness.service().is_none() {
             self.service = settings.service.clone();
         }
@@ -179,7 +188,7 @@
         let cold_remaining = heartbeat.cold_remaining;
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
-        let started_ms = heartbeat.started_ms;
+        let (started_ms, sequence) = (heartbeat.started_ms, heartbeat.sequence);
         let had_heartbeat = self.liveness.is_confirmed();
         let outcome = self.liveness.handle_heartbeat(heartbeat, sent, now);
         if !outcome.is_applied() {
@@ -194,7 +203,7 @@
                 self.mark_flows_lost(ResetCause::Restarted);
             }
             HeartbeatOutcome::Started | HeartbeatOutcome::Replaced => {
-                self.coverage.note_run(started_ms)
+                self.coverage.note_run(started_ms, sequence)
             }
             _ => {}
         }
@@ -231,6 +240,7 @@
 
     /// Marks the flows of a server that has ended for [`FlowTracker::reset_lost_flows`].
     fn mark_flows_lost(&mut self, cause: ResetCause) {
+        self.recent_flows.clear();
         let flows = self.flows.iter();
         let open = flows.filter(|(_, entry)| entry.is_certainly_open());
         self.lost_flows.extend(open.map(|(key, _)| (*key, cause)));
@@ -254,11 +264,16 @@
             accepts: self.exclusion_cause(now).is_none(),
             busy: self.load.busy(),
             slots: self.load.slots(),
-            revision: self.config.as_ref().map_or(0, |config| config.revision),
+            revision: self.revision(),
             is_confirmed: self.liveness.is_confirmed(),
         }
     }
 
+    /// Returns the store revision of the configuration in force; zero before the first one.
+    pub fn revision(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.revision)
+    }
+
     /// Returns the data centre of the agent.
     pub fn centre(&self) -> &CompactString {
         &self.settings.centre
@@ -319,8 +334,11 @@
             config.idle_timeout.plus(CLOSED_RETENTION)
         });
         self.owners.expire(now, self.settings.flow_lifetime);
+        self.recent_flows.expire(now, self.settings.flow_lifetime);
         let load = &mut self.load;
-        self.flows.retain(|_, entry| {
+        let recent_flows = &mut self.recent_flows;
+        let reset_lost = self.settings.reset_lost;
+        self.flows.retain(|key, entry| {
             let idle = now.since(entry.last_used);
             let timeout = match entry.stage {
                 FlowStage::Opening if entry.server_window.is_none() => OPEN_TIMEOUT,
@@ -332,6 +350,9 @@
             if !is_kept || idle >= REQUEST_IDLE_TIMEOUT {
                 entry.abandon_request(load);
             }
+            if !is_kept && reset_lost && entry.may_be_held() {
+                recent_flows.insert(*key, entry.last_used);
+            }
             is_kept
         });
     }
@@ -339,6 +360,7 @@
     fn remove_flow(&mut self, key: FlowKey) {
         if let Some(mut entry) = self.flows.remove(&key) {
             entry.abandon_request(&mut self.load);
+            self.note_removed(key, &entry);
         }
     }
 }
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -28,13 +28,13 @@
         actions: &mut Vec<TrackerAction>,
     ) {
         if self.follow_owner(packet, &mut header, now) {
-            redirect_later(packet.key, header, RedirectCause::Followed, actions);
+            self.redirect_later(packet, header, RedirectCause::Followed, actions);
             return;
         }
         let knows_all = self.coverage.is_complete(self.settings.flow_lifetime, now);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
             if knows_all {
-                redirect_later(packet.key, header, RedirectCause::NotHeld, actions);
+                self.redirect_later(packet, header, RedirectCause::NotHeld, actions);
             } else {
                 self.deliver_unverified(packet.key, header, now, actions);
             }
@@ -61,7 +61,7 @@
                 FlowStage::Redirected(_) => RedirectCause::Followed,
                 _ => RedirectCause::NotHeld,
             };
-            redirect_later(packet.key, header, cause, actions);
+            self.redirect_later(packet, header, cause, actions);
             return;
         }
         if matches!(entry.stage, FlowStage::Opening) {
@@ -155,6 +155,7 @@
         now: Millis,
         actions: &mut Vec<TrackerAction>,
     ) {
+        self.note_server_packet(packet, now);
         if packet.returned {
             self.handle_returned(packet, now, actions);
             return;
@@ -272,7 +273,7 @@
                 entry.stage = FlowStage::NotHeld;
                 entry.abandon_request(&mut self.load);
             }
-            redirect_later(packet.key, header, RedirectCause::NotHeld, actions);
+            self.redirect_later(packet, header, RedirectCause::NotHeld, actions);
         }
     }
 
@@ -292,24 +293,28 @@
         entry.abandon_request(&mut self.load);
         actions.push(TrackerAction::Reset(key, entry.caller_expects, cause));
     }
-}
 
-fn redirect_later(
-    key: FlowKey,
-    mut header: ForwardHeader,
-    cause: RedirectCause,
-    actions: &mut Vec<TrackerAction>,
-) {
-    if header.rest.is_empty() {
-        actions.push(TrackerAction::Drop(key, RedirectCause::NotHeld));
-        return;
+    /// Sends a packet that isn't the server's to its next candidate; without one, drops it and reports
+    /// its flow to the balancer.
+    fn redirect_later(
+        &self,
+        packet: &FlowPacket,
+        mut header: ForwardHeader,
+        cause: RedirectCause,
+        actions: &mut Vec<TrackerAction>,
+    ) {
+        if header.rest.is_empty() {
+            actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
+            self.report_not_found(packet, header.balancer, actions);
+            return;
+        }
+        let to = header.rest.remove(0);
+        actions.push(TrackerAction::Redirect {
+            key: packet.key,
+            to,
+            header,
+            stored: None,
+            cause,
+        });
     }
-    let to = header.rest.remove(0);
-    actions.push(TrackerAction::Redirect {
-        key,
-        to,
-        header,
-        stored: None,
-        cause,
-    });
 }
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod flow_entry;
 mod flow_tracker;
 mod load_estimate;
+mod recent_flows;
 mod return_pause;
 mod sequence_window;
 mod tracker_action;
@@ -19,6 +20,7 @@
     TrackerSettings, //
 };
 pub use load_estimate::LoadEstimate;
+pub use recent_flows::RecentFlows;
 pub use return_pause::ReturnPause;
 pub use sequence_window::SequenceWindow;
 pub use tracker_action::{
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -7,7 +7,8 @@
 
 use crate::request::{
     FlowKey,
-    ForwardHeader, //
+    ForwardHeader,
+    QueriedFlow, //
 };
 
 /// Reason for which an agent redirects, refuses or drops a packet.
@@ -107,6 +108,8 @@
     Reset(FlowKey, u32, ResetCause),
     /// Tell a balancer or another agent that this agent owns the flow.
     AnnounceOwner(SocketAddrV4, FlowKey),
+    /// Tell a balancer that no candidate holds the flow of a later packet.
+    NotFound(SocketAddrV4, QueriedFlow),
     /// Send nothing; report that the server's response began after this time.
     ResponseStarted(FlowKey, Millis),
     /// Drop the packet without an answer.
--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -138,6 +138,8 @@
     loaded: bool,
     /// Index from which the search for agents to probe continues.
     next_probe: usize,
+    /// Start of the last complete listing of the store.
+    confirmed_since: Option<Millis>,
 }
 
 impl AgentTable {
@@ -295,6 +297,33 @@
         Some(changed)
     }
 
+    /// Returns the agents that may hold flows of these services, given as hashes of their names; `None`
+    /// stands for all services.
+    pub fn possible_owners(&self, services: Option<&[u32]>) -> Vec<SocketAddrV4> {
+        let is_listed =
+            |state: &&AgentState| services.is_none_or(|listed| listed.contains(&state.service));
+        let owners = self.agents.iter().filter(is_listed);
+        owners.map(|state| state.record.address).collect()
+    }
+
+    /// Returns the agents whose servers have sent them no heartbeat yet. Until then an agent that was
+    /// restarted reports the service of its settings, which may not be that of its server.
+    pub(crate) fn unconfirmed(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        let states = self.agents.iter();
+        let unconfirmed = states.filter(|state| !state.report.is_confirmed);
+        unconfirmed.map(|state| state.record.address)
+    }
+
+    /// Records that the table agrees with a complete listing of the store that was started at `since`.
+    pub fn note_confirmed(&mut self, since: Millis) {
+        self.confirmed_since = self.confirmed_since.max(Some(since));
+    }
+
+    /// Returns the start of the last complete listing of the store; `None` before the first one.
+    pub fn confirmed_since(&self) -> Option<Millis> {
+        self.confirmed_since
+    }
+
     /// Returns whether the table was ever filled: from the store, by a peer or by an agent's
     /// report.
     pub fn is_loaded(&self) -> bool {
--- /dev/null
+++ b/components/flows/src/process/lost_flow_search.rs
@@ -0,0 +1,369 @@
+//! Search of a balancer for flows that no live server holds.
+
+mod flow_search;
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    net::SocketAddrV4,
+};
+
+use carobdrum_core::Millis;
+use hashbrown::HashMap;
+
+use self::flow_search::{
+    FlowSearch,
+    SEARCH_TIMEOUT, //
+};
+use super::{
+    OwnerLookup,
+    QueryBudget,
+    QueryReply,
+    SearchAction,
+    SearchEnd, //
+};
+use crate::request::{
+    FlowKey,
+    QueriedFlow, //
+};
+
+/// Interval between queries to the same agent.
+const QUERY_INTERVAL: Millis = Millis(20);
+
+/// Limit of the flows that are searched for at a time.
+const MAX_SEARCHES: usize = 4_096;
+
+/// Limit of the agents of all searches together, which bounds the memory to about 5 MB.
+const MAX_ANSWERS: usize = 131_072;
+
+/// Limit of the agents of one search. More can't be asked before the search ends.
+const MAX_OWNERS: usize = 1_600;
+
+/// Limit of the flows of a query: 25 bytes each, so that the datagram fits into one frame.
+const MAX_QUERY_FLOWS: usize = 48;
+
+/// A query whose reply counts.
+#[derive(Debug)]
+struct OpenQuery {
+    id: u64,
+    agent: SocketAddrV4,
+    sent: Millis,
+    /// Numbers of the searches, in the order of their flows in the query.
+    serials: Vec<u64>,
+    digest: u64,
+}
+
+/// Agents that may hold flows, by the address that the flows were opened to.
+type OwnersByAddress = HashMap<SocketAddrV4, Vec<SocketAddrV4>>;
+
+/// Search of a balancer for flows that no live server holds, which it resets.
+///
+/// A flow is reset only once every agent that may hold it has shown in this search that its server
+/// doesn't, the list of agents was read from the store after the search began, and no process has shown a
+/// newer configuration. The server that holds a flow did so before the search, so the order of the
+/// answers doesn't matter.
+#[derive(Debug)]
+pub struct LostFlowSearch {
+    is_enabled: bool,
+    /// Searches in the order of their numbers.
+    searches: Vec<FlowSearch>,
+    /// Number of the search for each flow.
+    serials: HashMap<FlowKey, u64>,
+    next_serial: u64,
+    /// Queries in the order of their numbers.
+    queries: VecDeque<OpenQuery>,
+    next_id: u64,
+    budget: QueryBudget,
+    next_tick: Millis,
+    /// Last agent that was asked before the budget was used up, and after which the next round begins.
+    last_asked: Option<SocketAddrV4>,
+    listing_wanted: Option<Millis>,
+}
+
+impl LostFlowSearch {
+    /// Creates the state without flows. `seed` is a random number from which queries are numbered, so
+    /// that replies to an earlier process at the same address aren't taken for replies to this one.
+    pub fn new(is_enabled: bool, seed: u64) -> LostFlowSearch {
+        LostFlowSearch {
+            is_enabled,
+            searches: Vec::new(),
+            serials: HashMap::new(),
+            next_serial: 0,
+            queries: VecDeque::new(),
+            // The numbers grow and never wrap.
+            next_id: seed >> 1,
+            budget: QueryBudget::default(),
+            next_tick: Millis(0),
+            last_asked: None,
+            listing_wanted: None,
+        }
+    }
+
+    /// Returns the number of flows that are searched for.
+    pub fn len(&self) -> usize {
+        self.searches.len()
+    }
+
+    /// Returns whether no flow is searched for.
+    pub fn is_empty(&self) -> bool {
+        self.searches.is_empty()
+    }
+
+    /// Returns the time for which a newer list of agents is needed; `None` until a search needs one.
+    pub fn listing_wanted(&self) -> Option<Millis> {
+        self.listing_wanted
+    }
+
+    /// Returns when [`LostFlowSearch::tick`] is due next; `None` if no flow is searched for.
+    pub fn next_tick(&self) -> Option<Millis> {
+        (!self.searches.is_empty()).then_some(self.next_tick)
+    }
+
+    /// Begins the search for a flow that no candidate holds, unless it goes on already; returns whether
+    /// it does.
+    pub fn begin(
+        &mut self,
+        flow: QueriedFlow,
+        lookup: OwnerLookup<'_>,
+        now: Millis,
+        actions: &mut Vec<SearchAction>,
+    ) -> bool {
+        if !self.is_enabled {
+            return false;
+        }
+        if let Some(search) = self.find(flow.key) {
+            let is_same = search.flow == flow;
+            if search.has_ended(now) {
+                let end = end_cause(search, lookup);
+                self.end(flow.key, end, actions);
+            } else if is_same {
+                return false;
+            } else {
+                self.end(flow.key, SearchEnd::Continued, actions);
+            }
+        }
+        if self.searches.len() >= MAX_SEARCHES {
+            actions.push(SearchAction::End(flow.key, SearchEnd::Limit));
+            return false;
+        }
+        let owners = lookup.owners(flow.key.service_address, now);
+        let answers: usize = self.searches.iter().map(FlowSearch::owner_count).sum();
+        if owners.len() > MAX_OWNERS || answers + owners.len() > MAX_ANSWERS {
+            actions.push(SearchAction::End(flow.key, SearchEnd::Limit));
+            return false;
+        }
+        if owners.is_empty() {
+            actions.push(SearchAction::End(flow.key, SearchEnd::NoAgent));
+            return false;
+        }
+        if self.searches.is_empty() {
+            self.next_tick = self.next_tick.max(now);
+        }
+        let mut search = FlowSearch::new(self.next_serial, flow, now);
+        search.set_owners(&owners);
+        self.serials.insert(flow.key, self.next_serial);
+        self.next_serial += 1;
+        self.searches.push(search);
+        true
+    }
+
+    /// Ends the search for a flow whose caller has opened it anew or has reset it.
+    pub fn note_reopened(&mut self, key: FlowKey, actions: &mut Vec<SearchAction>) {
+        self.end(key, SearchEnd::Reopened, actions);
+    }
+
+    /// Ends the search for a flow whose owner has announced itself.
+    pub fn note_owner(&mut self, key: FlowKey, actions: &mut Vec<SearchAction>) {
+        self.end(key, SearchEnd::Found, actions);
+    }
+
+    /// Applies the reply of an agent that was received from the address `from`. Only the first reply to
+    /// an open query of this process counts, and only if its agent has read the flows that were asked for.
+    pub fn handle_reply(
+        &mut self,
+        from: SocketAddrV4,
+        reply: &QueryReply,
+        lookup: OwnerLookup<'_>,
+        now: Millis,
+        actions: &mut Vec<SearchAction>,
+    ) {
+        let Ok(index) = self
+            .queries
+            .binary_search_by_key(&reply.id, |query| query.id)
+        else {
+            return;
+        };
+        let query = &self.queries[index];
+        if query.agent != reply.agent || from != reply.agent || query.digest != reply.digest {
+            return;
+        }
+        let count = query.serials.len();
+        let is_listed = |position: &u32| (*position as usize) < count;
+        if !reply.absent.iter().all(is_listed) {
+            return;
+        }
+        let Some(query) = self.queries.remove(index) else {
+            return;
+        };
+        let is_outdated = lookup
+            .config
+            .is_none_or(|config| config.revision < reply.revision);
+        if now.since(query.sent) >= SEARCH_TIMEOUT || is_outdated {
+            return;
+        }
+        let mut owners = OwnersByAddress::new();
+        for position in &reply.absent {
+            let serial = query.serials[*position as usize];
+            if let Ok(index) = self.index_of(serial) {
+                self.searches[index].note_absent(query.agent);
+                self.decide(index, lookup, &mut owners, now, actions);
+            }
+        }
+    }
+
+    /// Resets the flows that no agent holds, ends the searches that have taken too long, and asks the
+    /// agents that haven't answered.
+    pub fn tick(&mut self, lookup: OwnerLookup<'_>, now: Millis, actions: &mut Vec<SearchAction>) {
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now.plus(QUERY_INTERVAL);
+        let is_open = |query: &OpenQuery| now.since(query.sent) < SEARCH_TIMEOUT;
+        while self.queries.front().is_some_and(|query| !is_open(query)) {
+            self.queries.pop_front();
+        }
+        let mut owners = OwnersByAddress::new();
+        for index in (0..self.searches.len()).rev() {
+            let search = &self.searches[index];
+            if search.has_ended(now) {
+                let end = end_cause(search, lookup);
+                self.end(search.flow.key, end, actions);
+            } else {
+                self.decide(index, lookup, &mut owners, now, actions);
+            }
+        }
+        self.send_queries(now, actions);
+    }
+
+    /// Resets the flow of the search at `index`, if it is certainly lost.
+    fn decide(
+        &mut self,
+        index: usize,
+        lookup: OwnerLookup<'_>,
+        owners: &mut OwnersByAddress,
+        now: Millis,
+        actions: &mut Vec<SearchAction>,
+    ) {
+        let search = &mut self.searches[index];
+        let address = search.flow.key.service_address;
+        let owners = owners
+            .entry(address)
+            .or_insert_with(|| lookup.owners(address, now));
+        search.set_owners(owners);
+        let is_pending = search.owner_count() == 0 || search.pending_agent().is_some();
+        if search.has_ended(now) || is_pending || !lookup.is_config_current() {
+            return;
+        }
+        if lookup.agents.confirmed_since() < Some(search.began) {
+            self.listing_wanted = self.listing_wanted.max(Some(search.began));
+            return;
+        }
+        actions.push(SearchAction::Reset {
+            flow: search.flow,
+            agents: search.owner_count(),
+            time: now.since(search.began),
+        });
+        let key = search.flow.key;
+        self.remove(key);
+    }
+
+    fn send_queries(&mut self, now: Millis, actions: &mut Vec<SearchAction>) {
+        let mut due: BTreeMap<SocketAddrV4, Vec<usize>> = BTreeMap::new();
+        for (index, search) in self.searches.iter().enumerate() {
+            for agent in search.due_agents(now) {
+                let indices = due.entry(agent).or_default();
+                if indices.len() < MAX_QUERY_FLOWS {
+                    indices.push(index);
+                }
+            }
+        }
+        // While the budget is too small for all agents, the rounds take turns.
+        let is_next = |agent: &SocketAddrV4| self.last_asked.is_none_or(|last| *agent > last);
+        let (next, others): (Vec<_>, Vec<_>) = due.into_iter().partition(|entry| is_next(&entry.0));
+        self.last_asked = None;
+        let mut last = None;
+        for (agent, indices) in next.into_iter().chain(others) {
+            if !self.budget.take(now) {
+                self.last_asked = last;
+                return;
+            }
+            last = Some(agent);
+            self.send_query(agent, &indices, now, actions);
+        }
+    }
+
+    fn send_query(
+        &mut self,
+        agent: SocketAddrV4,
+        indices: &[usize],
+        now: Millis,
+        actions: &mut Vec<SearchAction>,
+    ) {
+        let id = self.next_id;
+        self.next_id += 1;
+        let mut flows = Vec::with_capacity(indices.len());
+        let mut serials = Vec::with_capacity(indices.len());
+        for index in indices {
+            let search = &mut self.searches[*index];
+            search.note_asked(agent, now);
+            flows.push(search.flow);
+            serials.push(search.serial);
+        }
+        self.queries.push_back(OpenQuery {
+            id,
+            agent,
+            sent: now,
+            serials,
+            digest: QueriedFlow::digest(&flows),
+        });
+        actions.push(SearchAction::Query { agent, id, flows });
+    }
+
+    fn find(&self, key: FlowKey) -> Option<&FlowSearch> {
+        let index = self.index_of(*self.serials.get(&key)?).ok()?;
+        Some(&self.searches[index])
+    }
+
+    fn index_of(&self, serial: u64) -> Result<usize, usize> {
+        self.searches
+            .binary_search_by_key(&serial, |search| search.serial)
+    }
+
+    fn end(&mut self, key: FlowKey, end: SearchEnd, actions: &mut Vec<SearchAction>) {
+        if self.remove(key) {
+            actions.push(SearchAction::End(key, end));
+        }
+    }
+
+    fn remove(&mut self, key: FlowKey) -> bool {
+        let Some(serial) = self.serials.remove(&key) else {
+            return false;
+        };
+        if let Ok(index) = self.index_of(serial) {
+            self.searches.remove(index);
+        }
+        true
+    }
+}
+
+/// Returns why a search that has taken too long didn't lead to a reset.
+fn end_cause(search: &FlowSearch, lookup: OwnerLookup<'_>) -> SearchEnd {
+    match search.pending_agent() {
+        Some(agent) => SearchEnd::Unanswered(agent),
+        None if search.owner_count() == 0 => SearchEnd::NoAgent,
+        None if !lookup.is_config_current() => SearchEnd::Outdated,
+        None => SearchEnd::Unlisted,
+    }
+}
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -11,11 +11,16 @@
 mod flow_coverage;
 mod flow_router;
 mod heartbeat_outcome;
+mod lost_flow_search;
 mod name_hash;
 mod owner_cache;
+mod owner_lookup;
+mod query_budget;
+mod query_reply;
 mod report_schedule;
 mod route_action;
 mod router_options;
+mod search_action;
 
 pub use agent_record::AgentRecord;
 pub use agent_report::AgentReport;
@@ -30,8 +35,16 @@
 pub use flow_coverage::FlowCoverage;
 pub use flow_router::FlowRouter;
 pub use heartbeat_outcome::HeartbeatOutcome;
+pub use lost_flow_search::LostFlowSearch;
 pub use name_hash::name_hash;
 pub use owner_cache::OwnerCache;
+pub use owner_lookup::OwnerLookup;
+pub use query_budget::QueryBudget;
+pub use query_reply::QueryReply;
 pub use report_schedule::ReportSchedule;
 pub use route_action::RouteAction;
 pub use router_options::RouterOptions;
+pub use search_action::{
+    SearchAction,
+    SearchEnd, //
+};
--- /dev/null
+++ b/components/flows/src/process/owner_lookup.rs
@@ -0,0 +1,53 @@
+//! Agents that may hold a flow, as a balancer knows them.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+
+use super::{
+    name_hash,
+    AgentTable, //
+};
+use crate::version::SiteConfig;
+
+/// What a balancer knows of the agents that may hold a flow.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerLookup<'a> {
+    /// Configuration in force; `None` before the first one.
+    pub config: Option<&'a SiteConfig>,
+    /// Known agents.
+    pub agents: &'a AgentTable,
+    /// Highest configuration revision that another process has shown.
+    pub newest_revision: u64,
+}
+
+impl OwnerLookup<'_> {
+    /// Returns the agents that may hold a flow to this address at `now`, sorted: those of the services
+    /// to which its route leads or led, or all agents while these services aren't known. Agents that
+    /// don't accept flows or don't answer are included.
+    pub fn owners(&self, service_address: SocketAddrV4, now: Millis) -> Vec<SocketAddrV4> {
+        let services = self.services(service_address, now);
+        let mut owners = self.agents.possible_owners(services.as_deref());
+        owners.extend(self.agents.unconfirmed());
+        owners.sort_unstable();
+        owners.dedup();
+        owners
+    }
+
+    fn services(&self, service_address: SocketAddrV4, now: Millis) -> Option<Vec<u32>> {
+        let config = self
+            .config
+            .filter(|config| now >= config.history_complete_at)?;
+        let route = config.route(service_address)?;
+        let names = route.shares.iter().map(|share| &share.service);
+        let former = config.former_services.services(service_address, now);
+        Some(names.chain(former).map(|name| name_hash(name)).collect())
+    }
+
+    /// Returns whether no process has shown a newer configuration than the one in force here. Under a
+    /// newer one the flow may have opened at a service that isn't known here yet.
+    pub fn is_config_current(&self) -> bool {
+        let revision = self.config.map(|config| config.revision);
+        revision.is_some_and(|revision| revision >= self.newest_revision)
+    }
+}
--- a/components/flows/src/request/mod.rs
+++ b/components/flows/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod flow_key;
 mod flow_packet;
 mod forward_header;
+mod queried_flow;
 
 pub use flow_key::FlowKey;
 pub use flow_packet::{
@@ -13,3 +14,4 @@
     BestOffer,
     ForwardHeader, //
 };
+pub use queried_flow::QueriedFlow;
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -139,7 +139,7 @@
     fn apply(&mut self, update: AgentUpdate) {
         let now = self.clock.now();
         match update {
-            AgentUpdate::Settings(settings) => self.tracker.set_settings(settings),
+            AgentUpdate::Settings(settings) => self.tracker.set_settings(settings, now),
             AgentUpdate::Heartbeat(heartbeat, sent, answer) => {
                 let outcome = self.tracker.handle_late_heartbeat(heartbeat, sent, now);
                 // The requester may have stopped waiting.
--- a/components/forwarder/src/connection/agent_traffic/received_packets.rs
+++ b/components/forwarder/src/connection/agent_traffic/received_packets.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
+    process::QueryReply,
+    request::QueriedFlow,
     FlowKey,
     PacketKind, //
     TrackerAction,
@@ -21,6 +23,7 @@
     address_from_number,
     FlowBody,
     FlowDatagram,
+    FlowQuery,
     ForwardedPacket, //
 };
 use prost::Message;
@@ -33,6 +36,10 @@
         decode_owner, //
     },
     peer_revision::raise_peer_revision,
+    query_codec::{
+        decode_flows,
+        encode_reply, //
+    },
 };
 
 /// Maximum number of datagrams read from one socket before the other sources are served.
@@ -58,11 +65,38 @@
                     let (key, agent) = decode_owner(&owner);
                     self.tracker.record_owner(key, agent, now);
                 }
+                Some(FlowBody::Query(query)) => self.answer_query(&query, now),
                 _ => debug!(%from, "datagram dropped: not for an agent"),
             }
         }
     }
 
+    /// Answers a balancer that searches for lost flows.
+    fn answer_query(&mut self, query: &FlowQuery, now: Millis) {
+        let Some(flows) = decode_flows(query) else {
+            self.metrics.malformed.inc();
+            return;
+        };
+        let balancer = address_from_number(query.balancer);
+        let mut absent = None;
+        self.run_tracker(|tracker, actions| {
+            absent = tracker.answer_query(balancer, &flows, now, actions);
+        });
+        let Some(absent) = absent else {
+            return;
+        };
+        debug!(%balancer, id = query.id, flows = flows.len(), absent = absent.len(), "query answered");
+        let seen = self.revision_sender.borrow().revision;
+        let reply = QueryReply {
+            id: query.id,
+            agent: self.address,
+            absent,
+            revision: self.tracker.revision().max(seen),
+            digest: QueriedFlow::digest(&flows),
+        };
+        self.packets.send(&encode_reply(reply), balancer);
+    }
+
     fn handle_forwarded(&mut self, forwarded: ForwardedPacket, now: Millis) {
         let packet = match decode_caller_packet(&forwarded.packet) {
             Ok(packet) => packet,
--- a/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
+++ b/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
@@ -23,7 +23,10 @@
 
 use super::AgentTraffic;
 use crate::{
-    connection::header_codec::encode_forward,
+    connection::{
+        header_codec::encode_forward,
+        query_codec::encode_flow, //
+    },
     process::NodeMetrics, //
 };
 
@@ -70,6 +73,11 @@
                     self.packets.send(&reset_packet(key, sequence), to);
                 }
                 TrackerAction::AnnounceOwner(to, key) => self.announce_owner(to, key),
+                TrackerAction::NotFound(balancer, flow) => {
+                    let not_found =
+                        FlowDatagram::encode_body(FlowBody::NotFound(encode_flow(&flow)));
+                    self.packets.send(&not_found, balancer);
+                }
                 TrackerAction::Drop(key, cause) => {
                     NodeMetrics::count(&self.metrics.dropped, cause.name());
                     let report = self.tracker.report(self.clock.now());
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -1,5 +1,7 @@
 //! Traffic thread of a balancer.
 
+mod lost_flows;
+
 use std::{
     net::SocketAddrV4,
     sync::Arc,
@@ -11,7 +13,8 @@
 use carobdrum_flows::{
     process::{
         AgentRecord,
-        AgentReport, //
+        AgentReport,
+        LostFlowSearch, //
     },
     version::SiteConfig,
     FlowKey,
@@ -39,6 +42,8 @@
     },
     time::{
         interval,
+        sleep_until,
+        Instant,
         MissedTickBehavior, //
     },
 };
@@ -89,7 +94,10 @@
     clock: BootClock,
     /// Publishes the highest configuration revision of another process.
     revision_sender: watch::Sender<PeerRevision>,
+    /// Publishes the time for which a new list of agents is wanted from the store.
+    listing_wanted: watch::Sender<Option<Millis>>,
     router: FlowRouter,
+    search: LostFlowSearch,
     address: SocketAddrV4,
     callers: UdpEndpoint,
     agents: UdpEndpoint,
@@ -104,12 +112,15 @@
         packets: SocketAddrV4,
         router: FlowRouter,
         revision_sender: watch::Sender<PeerRevision>,
+        listing_wanted: watch::Sender<Option<Millis>>,
         metrics: NodeMetrics,
     ) -> Result<BalancerTraffic, NodeError> {
         let address = router.address();
         Ok(BalancerTraffic {
             clock: BootClock,
             revision_sender,
+            listing_wanted,
+            search: LostFlowSearch::new(router.options.reset_lost, rand::random()),
             router,
             address,
             callers: UdpEndpoint::open(packets).await?,
@@ -129,6 +140,9 @@
         let mut ticks = interval(PROBE_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            let next_search = self.search.next_tick();
+            let wait = next_search.map_or(Millis(0), |due| due.since(self.clock.now()));
+            let search_due = Instant::now() + Duration::from_millis(wait.0);
             tokio::select! {
                 _ = self.callers.readable() => self.read_callers(),
                 _ = self.agents.readable() => self.read_agents(),
@@ -140,6 +154,7 @@
                     Ok(()) => self.router.config = config.borrow_and_update().clone(),
                     Err(_) => return Ok(()),
                 },
+                () = sleep_until(search_due), if next_search.is_some() => self.check_searches(),
                 _ = ticks.tick() => self.tick(),
             }
         }
@@ -170,6 +185,7 @@
                 }
             };
             let bytes = Bytes::copy_from_slice(bytes);
+            self.note_caller_packet(&packet);
             let action = self
                 .router
                 .route_late(&packet, self.callers.drained_at(), now);
@@ -254,8 +270,13 @@
                 Some(FlowBody::Owner(owner)) => {
                     let (key, agent) = decode_owner(&owner);
                     self.router.owners.insert(key, agent, now);
+                    if !self.search.is_empty() {
+                        self.run_search(|search, _, actions| search.note_owner(key, actions));
+                    }
                 }
-                _ => debug!(%from, "datagram dropped: no report and no owner announcement"),
+                Some(FlowBody::NotFound(not_found)) => self.search_flow(&not_found, now),
+                Some(FlowBody::QueryReply(reply)) => self.handle_query_reply(from, reply, now),
+                _ => debug!(%from, "datagram dropped: not for a balancer"),
             }
         }
     }
--- /dev/null
+++ b/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
@@ -0,0 +1,119 @@
+//! Search of a balancer for flows that no live server holds.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    process::{
+        LostFlowSearch,
+        OwnerLookup,
+        SearchAction, //
+    },
+    FlowPacket,
+    PacketKind, //
+};
+use carobdrum_platform::reset_packet;
+use carobdrum_wire::flow_datagram::{
+    FlowNotFound,
+    FlowQueryReply, //
+};
+
+use super::BalancerTraffic;
+use crate::{
+    connection::{
+        peer_revision::raise_peer_revision,
+        query_codec::{
+            decode_flow,
+            decode_reply,
+            encode_query, //
+        },
+    },
+    process::NodeMetrics, //
+};
+
+impl BalancerTraffic {
+    /// Begins the search for a flow that no candidate of its packet holds.
+    pub(super) fn search_flow(&mut self, not_found: &FlowNotFound, now: Millis) {
+        let Some(flow) = decode_flow(not_found) else {
+            self.metrics.malformed.inc();
+            return;
+        };
+        let mut began = false;
+        self.run_search(|search, lookup, actions| {
+            began = search.begin(flow, lookup, now, actions);
+        });
+        if began {
+            self.metrics.searched.inc();
+        }
+    }
+
+    /// Applies the reply of an agent to a query for flows.
+    pub(super) fn handle_query_reply(
+        &mut self,
+        from: SocketAddrV4,
+        reply: FlowQueryReply,
+        now: Millis,
+    ) {
+        raise_peer_revision(&self.revision_sender, reply.revision, *from.ip());
+        let reply = decode_reply(reply);
+        self.run_search(|search, lookup, actions| {
+            search.handle_reply(from, &reply, lookup, now, actions);
+        });
+    }
+
+    /// Ends the search for the flow of a caller's packet that shows that the caller has given it up.
+    pub(super) fn note_caller_packet(&mut self, packet: &FlowPacket) {
+        let is_reopened = packet.is_open() || packet.kind == PacketKind::Reset;
+        if is_reopened && !self.search.is_empty() {
+            self.run_search(|search, _, actions| search.note_reopened(packet.key, actions));
+        }
+    }
+
+    pub(super) fn check_searches(&mut self) {
+        let now = self.clock.now();
+        self.run_search(|search, lookup, actions| search.tick(lookup, now, actions));
+    }
+
+    /// Lets the search decide, and carries out its actions.
+    pub(super) fn run_search(
+        &mut self,
+        decide: impl FnOnce(&mut LostFlowSearch, OwnerLookup<'_>, &mut Vec<SearchAction>),
+    ) {
+        let lookup = OwnerLookup {
+            config: self.router.config.as_deref(),
+            agents: &self.router.agents,
+            newest_revision: self.revision_sender.borrow().revision,
+        };
+        let mut actions = Vec::new();
+        decide(&mut self.search, lookup, &mut actions);
+        for action in actions {
+            self.act_on_search(action);
+        }
+        let wanted = self.search.listing_wanted();
+        self.listing_wanted.send_if_modified(|known| {
+            let is_newer = wanted > *known;
+            *known = wanted.max(*known);
+            is_newer
+        });
+    }
+
+    fn act_on_search(&mut self, action: SearchAction) {
+        match action {
+            SearchAction::Query { agent, id, flows } => {
+                let query = encode_query(self.address, id, &flows);
+                self.agents.send(&query, agent);
+            }
+            SearchAction::Reset { flow, agents, time } => {
+                NodeMetrics::count(&self.metrics.ended_searches, "reset");
+                self.log.lost_flow_reset(flow.key, agents, time);
+                let to = SocketAddrV4::new(*flow.key.caller.ip(), self.caller_port());
+                self.callers
+                    .send(&reset_packet(flow.key, flow.acknowledged), to);
+            }
+            SearchAction::End(key, end) => {
+                NodeMetrics::count(&self.metrics.ended_searches, end.name());
+                self.log.search_ended(key, end);
+            }
+        }
+    }
+}
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -11,7 +11,8 @@
     },
     process::{
         AgentReport,
-        DropCause, //
+        DropCause,
+        SearchEnd, //
     },
     request::ForwardHeader,
     FlowKey, //
@@ -109,6 +110,21 @@
         }
     }
 
+    /// Logs the reset of a flow that none of `agents` agents held; the search took `time`.
+    pub(crate) fn lost_flow_reset(&mut self, key: FlowKey, agents: usize, time: Millis) {
+        if let Some(left_out) = self.limiter.admit() {
+            info!(flow = %key, agents, ms = time.0, left_out, "lost flow reset: no server holds it");
+        }
+    }
+
+    /// Logs a search for a flow that ended without a reset.
+    pub(crate) fn search_ended(&mut self, key: FlowKey, end: SearchEnd) {
+        if let Some(left_out) = self.limiter.admit() {
+            let (cause, agent) = (end.name(), end.agent().map(tracing::field::display));
+            info!(flow = %key, cause, agent, left_out, "search for a flow ended");
+        }
+    }
+
     /// Logs a packet that goes to no server. `refused` is the retransmission that a refused opening packet
     /// is, zero for the first copy; `None` if the packet is dropped. `waited` is the longest time for which
     /// it may have waited in the socket.
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -8,6 +8,7 @@
 mod header_codec;
 mod hop_spans;
 mod peer_revision;
+mod query_codec;
 mod udp_endpoint;
 
 pub(crate) use agent_traffic::AgentTraffic;
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -92,8 +92,9 @@
     };
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
+    let (listing_wanted, _) = watch::channel(None);
     spawn_traffic(
-        move || BalancerTraffic::open(packets, router, revision_sender, metrics),
+        move || BalancerTraffic::open(packets, router, revision_sender, listing_wanted, metrics),
         move |traffic| traffic.run(receiver, in_force),
     )
     .await?;
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -40,6 +40,10 @@
     pub(crate) redirected: Family<CauseLabel, Counter>,
     /// Packets dropped, by cause.
     pub(crate) dropped: Family<CauseLabel, Counter>,
+    /// Flows that a balancer has searched for.
+    pub(crate) searched: Counter,
+    /// Searches for flows that have ended, by outcome.
+    pub(crate) ended_searches: Family<CauseLabel, Counter>,
     /// Malformed datagrams.
     pub(crate) malformed: Counter,
     /// Datagrams that the system didn't accept.
@@ -64,6 +68,8 @@
             refused: Family::default(),
             redirected: Family::default(),
             dropped: Family::default(),
+            searched: Counter::default(),
+            ended_searches: Family::default(),
             malformed: Counter::default(),
             unsent: Gauge::default(),
             busy: Gauge::default(),
@@ -90,6 +96,16 @@
             m.redirected,
         );
         registry.register("dropped_packets", "Packets dropped", m.dropped);
+        registry.register(
+            "searched_flows",
+            "Flows whose owner was searched for",
+            m.searched,
+        );
+        registry.register(
+            "ended_searches",
+            "Searches for flows that have ended",
+            m.ended_searches,
+        );
         registry.register(
             "malformed_datagrams",
             "Datagrams that can't be read",
--- a/components/model/src/flow_model/network.rs
+++ b/components/model/src/flow_model/network.rs
@@ -192,7 +192,7 @@
                     self.agents[index].tracker.record_response(failed, now);
                     self.stats.failed_responses += u32::from(failed);
                 }
-                TrackerAction::Drop(..) => {}
+                TrackerAction::NotFound(..) | TrackerAction::Drop(..) => {}
             }
         }
     }
