--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -119,7 +119,11 @@
 }
 
 fn start_tracker() -> FlowTracker {
-    let settings = TrackerSettings {
+    FlowTracker::new(tracker_settings(), AGENT_STARTED_MS, Millis(0))
+}
+
+pub(crate) fn tracker_settings() -> TrackerSettings {
+    TrackerSettings {
         address: agent(0),
         server: server(),
         centre: CENTRE.into(),
@@ -130,8 +134,7 @@
         flow_lifetime: Millis(60_000),
         reset_lost: false,
         schedule_requests: false,
-    };
-    FlowTracker::new(settings, AGENT_STARTED_MS, Millis(0))
+    }
 }
 
 pub(crate) fn key(caller: u16) -> FlowKey {
