--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -2,15 +2,17 @@
 
 mod agent_reporter;
 mod agent_traffic;
+mod agent_update;
 mod balancer_traffic;
 mod flow_log;
 mod header_codec;
 mod hop_spans;
 mod peer_revision;
+mod query_codec;
 mod udp_endpoint;
 
-pub(crate) use agent_traffic::{
-    AgentTraffic,
+pub(crate) use agent_traffic::AgentTraffic;
+pub(crate) use agent_update::{
     AgentUpdate,
     BackendOutcome, //
 };
