--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -2,6 +2,7 @@
 
 mod later;
 mod opening;
+mod silence;
 
 use std::{
     collections::VecDeque,
@@ -14,6 +15,8 @@
 use compact_str::CompactString;
 use hashbrown::HashMap;
 
+pub use silence::ServerSilence;
+
 use super::{
     FailureRate,
     FlowEntry,
--- /dev/null
+++ b/components/flows/src/connection/flow_tracker/silence.rs
@@ -0,0 +1,32 @@
+//! Silence of the backend server, after which its end is looked for.
+
+use carobdrum_core::Millis;
+
+use super::FlowTracker;
+
+/// Silence of a backend server, which ends with its next heartbeat or packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerSilence {
+    /// Number of heartbeats and packets before it.
+    signs: u64,
+}
+
+impl FlowTracker {
+    /// Returns the silence of the server if no heartbeat and no packet has come for the activity timeout
+    /// while flows are open.
+    pub fn server_silence(&self, now: Millis) -> Option<ServerSilence> {
+        let signs = self.liveness.signs();
+        let is_silent = self.liveness.is_silent(now) && self.open_flows() > 0;
+        is_silent.then_some(ServerSilence { signs })
+    }
+
+    /// Records that the server has ended, as its address refused a connection during this silence; returns
+    /// false if the silence is over, as then another run of the server may hold the flows.
+    pub fn note_ended_in(&mut self, silence: ServerSilence) -> bool {
+        let is_silent = self.liveness.signs() == silence.signs;
+        if is_silent {
+            self.note_server_ended();
+        }
+        is_silent
+    }
+}
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -16,6 +16,7 @@
 };
 pub use flow_tracker::{
     FlowTracker,
+    ServerSilence,
     TrackerSettings, //
 };
 pub use load_estimate::LoadEstimate;
--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -13,7 +13,9 @@
 use super::{
     name_hash,
     AgentRecord,
-    AgentReport, //
+    AgentReport,
+    MemberUpdate,
+    RegisteredMembers, //
 };
 
 /// Time without an answer to a packet after which an agent is suspect.
@@ -136,6 +138,8 @@
     /// Agents of each service, as indices into `agents`, sorted by service.
     services: Vec<(u32, Vec<u32>)>,
     loaded: bool,
+    /// Agents that the store lists, also those that aren't in the table.
+    members: RegisteredMembers,
     /// Index from which the search for agents to probe continues.
     next_probe: usize,
 }
@@ -162,10 +166,49 @@
 
     /// Adds an agent, or updates it when its store entry was written again.
     pub fn insert(&mut self, record: AgentRecord, now: Millis) {
+        self.members.note_entry(&record);
         self.put(record, now);
         self.index();
     }
 
+    /// Applies what was read of the agents' registrations; returns the agents that count as gone from
+    /// now on.
+    pub fn apply_members(&mut self, update: MemberUpdate, now: Millis) -> Vec<SocketAddrV4> {
+        match update {
+            MemberUpdate::Listed(listing) => {
+                let gone = self.members.apply_listing(&listing);
+                self.replace(listing.entries, now);
+                return gone;
+            }
+            MemberUpdate::Registered(record) => self.members.note_registration(&record),
+            MemberUpdate::Unregistered(address) => self.members.remove_registration(address),
+            MemberUpdate::StoreFailed => self.members.note_failure(),
+        }
+        Vec::new()
+    }
+
+    /// Returns all agents that may hold flows of these services, given by the hashes of their names;
+    /// those of any service for `None`. They are the agents of the table, and registered ones whose
+    /// entry has not been missing for long enough to count as gone.
+    pub fn possible_owners(&self, services: Option<&[u32]>) -> Vec<SocketAddrV4> {
+        let known = self.agents.iter();
+        let known = known.map(|state| (state.record.address, state.service));
+        let mut owners: Vec<SocketAddrV4> = known
+            .chain(self.members.possible_owners())
+            .filter(|(_, service)| services.is_none_or(|services| services.contains(service)))
+            .map(|(address, _)| address)
+            .collect();
+        owners.sort_unstable();
+        owners.dedup();
+        owners
+    }
+
+    /// Returns the time at which the last complete and successful listing of the store was started;
+    /// `None` before the first one.
+    pub fn confirmed_since(&self) -> Option<Millis> {
+        self.members.confirmed_since()
+    }
+
     fn put(&mut self, record: AgentRecord, now: Millis) {
         match self.find(record.address) {
             Ok(index) => {
@@ -191,8 +234,9 @@
     pub fn discover(&mut self, record: AgentRecord, now: Millis) -> bool {
         let address = record.address;
         let Ok(index) = self.find(address) else {
-            self.insert(record, now);
-            self.mark_expired(address, now);
+            self.put(record, now);
+            self.index();
+            self.expire_entry(address, now);
             self.loaded = true;
             return true;
         };
@@ -213,6 +257,11 @@
 
     /// Marks the store entry of an agent as expired; the agent remains for as long as it answers.
     pub fn mark_expired(&mut self, address: SocketAddrV4, now: Millis) {
+        self.members.note_missing(address);
+        self.expire_entry(address, now);
+    }
+
+    fn expire_entry(&mut self, address: SocketAddrV4, now: Millis) {
         if let Ok(index) = self.find(address) {
             self.agents[index].expired_since.get_or_insert(now);
         }
@@ -236,7 +285,7 @@
 
     /// Returns the agents to probe now, in rotation: new ones, those that don't answer, those whose
     /// entries have expired, and recent candidates without a recent report. A probe counts as a
-    /// packet sent.
+    /// packet sent. Registered agents without an entry follow.
     pub fn next_probes(&mut self, now: Millis) -> Vec<SocketAddrV4> {
         let mut probes = Vec::new();
         let count = self.agents.len();
@@ -253,6 +302,12 @@
                 self.next_probe = index + 1;
             }
         }
+        let missing = self.members.next_probes(MAX_PROBES - probes.len(), now);
+        probes.extend(
+            missing
+                .into_iter()
+                .filter(|address| self.find(*address).is_err()),
+        );
         probes
     }
 
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -25,6 +25,9 @@
     last_activity: Millis,
     activity_timeout: Millis,
     deregistered: bool,
+    /// Number of heartbeats and packets, those of a deregistered server and stale ones included.
+    signs: u64,
+    last_sign: Millis,
 }
 
 impl BackendLiveness {
@@ -42,6 +45,8 @@
             last_activity: Millis(0),
             activity_timeout,
             deregistered: false,
+            signs: 0,
+            last_sign: Millis(0),
         }
     }
 
@@ -58,6 +63,7 @@
         sent: Millis,
         now: Millis,
     ) -> HeartbeatOutcome {
+        self.note_sign(sent);
         let Some(known) = &self.heartbeat else {
             self.apply(heartbeat, sent);
             return HeartbeatOutcome::Started;
@@ -142,11 +148,28 @@
 
     /// Records a packet that the server sent, at `sent` or later, for a flow that it holds.
     pub fn note_activity(&mut self, sent: Millis) {
+        self.note_sign(sent);
         if !self.deregistered {
             self.last_activity = self.last_activity.max(sent);
         }
     }
 
+    fn note_sign(&mut self, sent: Millis) {
+        self.signs += 1;
+        self.last_sign = self.last_sign.max(sent);
+    }
+
+    /// Returns whether neither a heartbeat nor a packet has come for the activity timeout, also if the
+    /// server has deregistered.
+    pub fn is_silent(&self, now: Millis) -> bool {
+        now.since(self.last_sign) >= self.activity_timeout
+    }
+
+    /// Returns the number of heartbeats and packets that have come from the server.
+    pub fn signs(&self) -> u64 {
+        self.signs
+    }
+
     /// Returns whether the server has shown activity recently enough that no other service can use
     /// its address.
     pub fn is_active(&self, now: Millis) -> bool {
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -11,8 +11,11 @@
 mod flow_coverage;
 mod flow_router;
 mod heartbeat_outcome;
+mod member_update;
 mod name_hash;
 mod owner_cache;
+mod registered_members;
+mod registration_cleanup;
 mod report_schedule;
 mod route_action;
 mod router_options;
@@ -30,8 +33,14 @@
 pub use flow_coverage::FlowCoverage;
 pub use flow_router::FlowRouter;
 pub use heartbeat_outcome::HeartbeatOutcome;
+pub use member_update::{
+    MemberListing,
+    MemberUpdate, //
+};
 pub use name_hash::name_hash;
 pub use owner_cache::OwnerCache;
+pub use registered_members::RegisteredMembers;
+pub use registration_cleanup::RegistrationCleanup;
 pub use report_schedule::ReportSchedule;
 pub use route_action::RouteAction;
 pub use router_options::RouterOptions;
--- /dev/null
+++ b/components/flows/src/process/registered_members.rs
@@ -0,0 +1,240 @@
+//! Agents that the store lists, and those whose entries are missing there.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+
+use super::{
+    name_hash,
+    AgentRecord,
+    MemberListing, //
+};
+
+/// Time for which an entry must be missing, while the store answers, until its agent counts as gone. An
+/// agent that lives writes its entry within about two seconds after the store's return.
+const MISSING_TIMEOUT: Millis = Millis(2_500);
+
+/// Longest time from the response to one listing to the next listing in which the store is taken to
+/// have answered throughout.
+const MAX_LISTING_GAP: Millis = Millis(1_000);
+
+/// Interval between probes of an agent whose entry is missing.
+const PROBE_INTERVAL: Millis = Millis(300);
+
+/// Number of these probes, after which the agent is left to the listings.
+const MAX_PROBES: u8 = 10;
+
+/// What the store shows of an agent's entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntryState {
+    Present,
+    /// Missing; `since` is the first of the listings without a gap that lacked it.
+    Missing {
+        since: Option<Millis>,
+    },
+    /// Missing for so long that the agent counts as gone.
+    Gone,
+}
+
+/// An agent that the store lists.
+#[derive(Clone, Debug)]
+struct MemberState {
+    address: SocketAddrV4,
+    /// Hash of the service's name.
+    service: u32,
+    is_registered: bool,
+    entry: EntryState,
+    probes: u8,
+    last_probe: Option<Millis>,
+}
+
+impl MemberState {
+    fn new(address: SocketAddrV4, service: u32) -> MemberState {
+        MemberState {
+            address,
+            service,
+            is_registered: false,
+            entry: EntryState::Missing { since: None },
+            probes: 0,
+            last_probe: None,
+        }
+    }
+
+    fn note_missing(&mut self) {
+        if self.entry == EntryState::Present {
+            self.entry = EntryState::Missing { since: None };
+            self.probes = 0;
+        }
+    }
+
+    fn is_missing(&self) -> bool {
+        matches!(self.entry, EntryState::Missing { .. })
+    }
+}
+
+/// Agents that may hold flows according to the store, sorted by address.
+///
+/// An agent has an entry with a lease and, unless its build is older, a registration without one. A
+/// registered agent without an entry counts until a series of listings has lacked the entry for
+/// `MISSING_TIMEOUT`. A failed request, or a pause between two listings in which nothing shows that the
+/// store answered, begins the series anew, since the agent may not have been able to write its entry.
+#[derive(Debug, Default)]
+pub struct RegisteredMembers {
+    members: Vec<MemberState>,
+    /// Response to the last listing; `None` before the first one and after a failed request.
+    last_listed: Option<Millis>,
+    confirmed_since: Option<Millis>,
+}
+
+impl RegisteredMembers {
+    /// Applies a complete list; returns the agents that count as gone from now on.
+    pub fn apply_listing(&mut self, listing: &MemberListing) -> Vec<SocketAddrV4> {
+        let is_continued = self
+            .last_listed
+            .is_some_and(|last| listing.started.since(last) <= MAX_LISTING_GAP);
+        let before = std::mem::take(&mut self.members);
+        let known = |address| {
+            let found = before.binary_search_by_key(&address, |member| member.address);
+            found.ok().map(|index| &before[index])
+        };
+        for record in &listing.registrations {
+            let mut member = MemberState::new(record.address, name_hash(&record.service));
+            member.is_registered = true;
+            if let Some(known) = known(record.address) {
+                member.entry = known.entry;
+                member.probes = known.probes;
+                member.last_probe = known.last_probe;
+            }
+            member.note_missing();
+            self.put(member);
+        }
+        for record in &listing.entries {
+            self.note_entry(record);
+        }
+        let mut gone = Vec::new();
+        for member in &mut self.members {
+            let EntryState::Missing { since } = &mut member.entry else {
+                continue;
+            };
+            match since.filter(|_| is_continued) {
+                Some(since) if listing.started.since(since) >= MISSING_TIMEOUT => {
+                    member.entry = EntryState::Gone;
+                    gone.push(member.address);
+                }
+                Some(_) => {}
+                None => *since = Some(listing.finished),
+            }
+        }
+        self.last_listed = Some(listing.finished);
+        self.confirmed_since = Some(listing.started);
+        gone
+    }
+
+    /// Records that a request to the store has failed.
+    pub fn note_failure(&mut self) {
+        self.last_listed = None;
+    }
+
+    /// Records that an agent's entry was written.
+    pub fn note_entry(&mut self, record: &AgentRecord) {
+        let service = name_hash(&record.service);
+        let mut member = MemberState::new(record.address, service);
+        member.entry = EntryState::Present;
+        if let Ok(index) = self.find(record.address) {
+            member.is_registered = self.members[index].is_registered;
+        }
+        self.put(member);
+    }
+
+    /// Records that an agent's entry was deleted or its lease has expired.
+    pub fn note_missing(&mut self, address: SocketAddrV4) {
+        let Ok(index) = self.find(address) else {
+            return;
+        };
+        self.members[index].note_missing();
+        self.remove_unlisted(index);
+    }
+
+    /// Records that an agent's registration was written.
+    pub fn note_registration(&mut self, record: &AgentRecord) {
+        let service = name_hash(&record.service);
+        match self.find(record.address) {
+            Ok(index) => {
+                let member = &mut self.members[index];
+                member.is_registered = true;
+                member.service = service;
+                if member.entry == EntryState::Gone {
+                    member.entry = EntryState::Missing { since: None };
+                }
+            }
+            Err(index) => {
+                let mut member = MemberState::new(record.address, service);
+                member.is_registered = true;
+                self.members.insert(index, member);
+            }
+        }
+    }
+
+    /// Records that an agent's registration was deleted.
+    pub fn remove_registration(&mut self, address: SocketAddrV4) {
+        if let Ok(index) = self.find(address) {
+            self.members[index].is_registered = false;
+            self.remove_unlisted(index);
+        }
+    }
+
+    /// Returns the agents that may hold flows, with the hashes of their services' names.
+    pub fn possible_owners(&self) -> impl Iterator<Item = (SocketAddrV4, u32)> + '_ {
+        let members = self.members.iter();
+        let possible = members.filter(|member| member.entry != EntryState::Gone);
+        possible.map(|member| (member.address, member.service))
+    }
+
+    /// Returns whether the entry of an agent is missing that doesn't count as gone yet.
+    pub fn is_unsettled(&self) -> bool {
+        self.members.iter().any(MemberState::is_missing)
+    }
+
+    /// Returns the time at which the last complete listing was started; `None` before the first one.
+    pub fn confirmed_since(&self) -> Option<Millis> {
+        self.confirmed_since
+    }
+
+    /// Returns at most `limit` agents to probe, as their entries are missing: one that lives reports
+    /// itself.
+    pub fn next_probes(&mut self, limit: usize, now: Millis) -> Vec<SocketAddrV4> {
+        let due = |member: &&mut MemberState| {
+            let recent = member
+                .last_probe
+                .is_some_and(|last_probe| now.since(last_probe) < PROBE_INTERVAL);
+            member.is_missing() && member.probes < MAX_PROBES && !recent
+        };
+        let members = self.members.iter_mut().filter(due).take(limit);
+        let probes = members.map(|member| {
+            member.probes += 1;
+            member.last_probe = Some(now);
+            member.address
+        });
+        probes.collect()
+    }
+
+    fn put(&mut self, member: MemberState) {
+        match self.find(member.address) {
+            Ok(index) => self.members[index] = member,
+            Err(index) => self.members.insert(index, member),
+        }
+    }
+
+    /// Removes a member of which the store lists nothing.
+    fn remove_unlisted(&mut self, index: usize) {
+        let member = &self.members[index];
+        if !member.is_registered && member.entry != EntryState::Present {
+            self.members.remove(index);
+        }
+    }
+
+    fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
+        self.members
+            .binary_search_by_key(&address, |member| member.address)
+    }
+}
--- /dev/null
+++ b/components/flows/src/process/registration_cleanup.rs
@@ -0,0 +1,138 @@
+//! Deletion of the registrations of agents that are gone.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+
+/// Registration of an agent whose entry is missing.
+#[derive(Clone, Copy, Debug)]
+struct LeftRegistration {
+    address: SocketAddrV4,
+    revision: u64,
+    due: Millis,
+}
+
+/// Decides when a balancer deletes the registration of an agent whose entry is missing: once it has been
+/// missing for the lifetime of a flow, after which the agent holds no flow from before, and after a
+/// random delay of up to the same time, so that one balancer of many usually deletes it for all.
+///
+/// A failed request to the store begins this time anew: the agent may not have been able to write its
+/// entry.
+#[derive(Debug)]
+pub struct RegistrationCleanup {
+    flow_lifetime: Millis,
+    /// Revisions of the registrations, sorted by address.
+    registrations: Vec<(SocketAddrV4, u64)>,
+    /// Agents that have an entry, sorted.
+    entries: Vec<SocketAddrV4>,
+    /// Sorted by address.
+    left: Vec<LeftRegistration>,
+}
+
+impl RegistrationCleanup {
+    /// Creates the state of a balancer that has read nothing yet. `flow_lifetime` is the longest lifetime of
+    /// a flow.
+    pub fn new(flow_lifetime: Millis) -> RegistrationCleanup {
+        RegistrationCleanup {
+            flow_lifetime,
+            registrations: Vec::new(),
+            entries: Vec::new(),
+            left: Vec::new(),
+        }
+    }
+
+    /// Applies a complete list: the agents that have an entry, and the revisions of the registrations.
+    pub fn apply_listing(
+        &mut self,
+        entries: impl IntoIterator<Item = SocketAddrV4>,
+        registrations: impl IntoIterator<Item = (SocketAddrV4, u64)>,
+    ) {
+        self.entries = entries.into_iter().collect();
+        self.entries.sort_unstable();
+        self.registrations = registrations.into_iter().collect();
+        self.registrations.sort_unstable();
+    }
+
+    /// Records that an agent's entry was written.
+    pub fn note_entry(&mut self, address: SocketAddrV4) {
+        if let Err(index) = self.entries.binary_search(&address) {
+            self.entries.insert(index, address);
+        }
+    }
+
+    /// Records that an agent's entry was deleted.
+    pub fn note_missing(&mut self, address: SocketAddrV4) {
+        if let Ok(index) = self.entries.binary_search(&address) {
+            self.entries.remove(index);
+        }
+    }
+
+    /// Records that an agent's registration was written at this revision.
+    pub fn note_registration(&mut self, address: SocketAddrV4, revision: u64) {
+        match self.find(address) {
+            Ok(index) => self.registrations[index].1 = revision,
+            Err(index) => self.registrations.insert(index, (address, revision)),
+        }
+    }
+
+    /// Records that an agent's registration was deleted.
+    pub fn remove_registration(&mut self, address: SocketAddrV4) {
+        if let Ok(index) = self.find(address) {
+            self.registrations.remove(index);
+        }
+    }
+
+    /// Records that a request to the store has failed.
+    pub fn note_failure(&mut self) {
+        self.left.clear();
+    }
+
+    /// Returns the registration to delete next, with its revision; `None` if none is due. `random` returns
+    /// a number from 0 to 1 for each agent whose entry has become missing.
+    pub fn next_due(
+        &mut self,
+        now: Millis,
+        mut random: impl FnMut() -> f64,
+    ) -> Option<(SocketAddrV4, u64)> {
+        let before = std::mem::take(&mut self.left);
+        let mut left = Vec::new();
+        for &(address, revision) in &self.registrations {
+            if !self.is_left(address, revision) {
+                continue;
+            }
+            let known = before.binary_search_by_key(&address, |item| item.address);
+            let known = known.ok().map(|index| before[index]);
+            left.push(match known.filter(|item| item.revision == revision) {
+                Some(item) => item,
+                None => {
+                    let delay = self.flow_lifetime.0 as f64 * random();
+                    LeftRegistration {
+                        address,
+                        revision,
+                        due: now.plus(self.flow_lifetime).plus(Millis(delay as u64)),
+                    }
+                }
+            });
+        }
+        let found = left.iter_mut().find(|item| item.due <= now);
+        let next = found.map(|item| {
+            // Tried again after the same time if the deletion fails.
+            item.due = now.plus(self.flow_lifetime);
+            (item.address, item.revision)
+        });
+        self.left = left;
+        next
+    }
+
+    /// Returns whether the registration is still at this revision and its agent's entry is missing.
+    pub fn is_left(&self, address: SocketAddrV4, revision: u64) -> bool {
+        let found = self.find(address);
+        let is_same = found.is_ok_and(|index| self.registrations[index].1 == revision);
+        is_same && self.entries.binary_search(&address).is_err()
+    }
+
+    fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
+        self.registrations
+            .binary_search_by_key(&address, |registration| registration.0)
+    }
+}
