--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -10,6 +10,7 @@
 use carobdrum_control::unix_millis;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
+    connection::ServerSilence,
     process::{
         BackendHeartbeat,
         HeartbeatOutcome, //
@@ -97,6 +98,10 @@
     Deregister(CompactString, oneshot::Sender<BackendOutcome>),
     /// The backend server has ended.
     ServerEnded,
+    /// Asks whether the server is silent while flows are open.
+    FindSilence(oneshot::Sender<Option<ServerSilence>>),
+    /// The server has ended in this silence.
+    EndedIn(ServerSilence),
     /// The process is shutting down; the reply is sent when no flow is open.
     Stop(oneshot::Sender<()>),
 }
@@ -213,6 +218,15 @@
                 self.tracker.stop();
                 self.shutdown_answer = Some(answer);
             }
+            AgentUpdate::FindSilence(answer) => {
+                let _ = answer.send(self.tracker.server_silence(now));
+                return;
+            }
+            AgentUpdate::EndedIn(silence) => {
+                if self.tracker.note_ended_in(silence) {
+                    self.reset_lost_flows();
+                }
+            }
             AgentUpdate::ServerEnded => {
                 self.tracker.note_server_ended();
                 self.reset_lost_flows();
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -11,7 +11,8 @@
 use carobdrum_flows::{
     process::{
         AgentRecord,
-        AgentReport, //
+        AgentReport,
+        MemberUpdate, //
     },
     version::SiteConfig,
     FlowKey,
@@ -81,6 +82,8 @@
     Agent(AgentRecord),
     /// The store entry of an agent has expired.
     Expired(SocketAddrV4),
+    /// What was read of the agents' registrations.
+    Members(MemberUpdate),
 }
 
 /// State of a balancer's traffic thread: its sockets and routing state.
@@ -89,6 +92,9 @@
     clock: BootClock,
     /// Publishes the highest configuration revision of another process.
     revision_sender: watch::Sender<PeerRevision>,
+    /// Publishes the time for which a listing of the agents is wanted.
+    #[expect(dead_code, reason = "the search for lost flows sends on it")]
+    listing_wanted: watch::Sender<Option<Millis>>,
     router: FlowRouter,
     address: SocketAddrV4,
     callers: UdpEndpoint,
@@ -104,12 +110,14 @@
         packets: SocketAddrV4,
         router: FlowRouter,
         revision_sender: watch::Sender<PeerRevision>,
+        listing_wanted: watch::Sender<Option<Millis>>,
         metrics: NodeMetrics,
     ) -> Result<BalancerTraffic, NodeError> {
         let address = router.address();
         Ok(BalancerTraffic {
             clock: BootClock,
             revision_sender,
+            listing_wanted,
             router,
             address,
             callers: UdpEndpoint::open(packets).await?,
@@ -151,6 +159,11 @@
             BalancerUpdate::Agents(records) => self.router.agents.replace(records, now),
             BalancerUpdate::Agent(record) => self.router.agents.insert(record, now),
             BalancerUpdate::Expired(address) => self.router.agents.mark_expired(address, now),
+            BalancerUpdate::Members(update) => {
+                for agent in self.router.agents.apply_members(update, now) {
+                    info!(%agent, "agent counts as gone: its entry is missing");
+                }
+            }
         }
         self.probe(now);
     }
--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -16,6 +16,7 @@
     ConfigTracker,
     KeyEvent,
     KeyWatcher,
+    ListingDemand,
     NodeError,
     SettingsFile, //
     WatchProgress,
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -5,9 +5,15 @@
         Cell,
         RefCell, //
     },
-    io,
     net::SocketAddrV4,
     rc::Rc,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc, //
+    },
     time::Duration, //
 };
 
@@ -36,15 +42,11 @@
     ResultExt, //
 };
 use tokio::{
-    net::TcpStream,
     sync::{
         mpsc,
         oneshot, //
     },
-    time::{
-        sleep,
-        timeout, //
-    },
+    time::timeout,
 };
 use tracing::{
     debug,
@@ -70,6 +72,11 @@
         NoBackendSnafu,
         TrafficEndedSnafu, //
     },
+    server_silence::{
+        has_ended,
+        report_server_end,
+        watch_silence, //
+    },
     settings_file::SettingsFile,
     tick_history::TickHistory,
     NodeError, //
@@ -91,12 +98,6 @@
 /// the shutdown.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// Interval between probes whether the server of an agent that is shutting down has ended.
-const SERVER_PROBE_INTERVAL: Duration = Duration::from_millis(300);
-
-/// Time limit of such a probe.
-const SERVER_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time limit for ending the lease during a graceful shutdown.
 const LEASE_END_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -138,9 +139,12 @@
         service: backend.service.clone(),
         is_leaving: false,
     };
+    let unregisters = Arc::new(AtomicBool::new(false));
     let arguments = LeaseArguments {
         store: settings.store.address,
         min_lease: Duration::from_millis(settings.store.min_lease_ms),
+        registers: settings.flows.reset_lost,
+        unregisters: unregisters.clone(),
     };
     let lease = spawn_lease(arguments).await.context(ActorSnafu)?;
     let writer = EntryWriter {
@@ -156,6 +160,10 @@
     };
     serve_backend(backend.heartbeats, requests).await?;
     context.follow_balancers(&settings);
+    if settings.flows.reset_lost {
+        let metrics = context.metrics.clone();
+        tokio::task::spawn_local(watch_silence(server, updates.clone(), metrics));
+    }
     loop {
         tokio::select! {
             _ = context.stop.recv() => break,
@@ -174,6 +182,10 @@
         let ended = timeout(grace, flows_ended).await.is_ok();
         info!(ended, "wait for open flows is over");
     }
+    let is_leaving = writer.record.borrow().is_leaving;
+    if settings.flows.reset_lost && is_leaving && has_ended(server).await {
+        unregisters.store(true, Ordering::Relaxed);
+    }
     // Without a response of the store, the entry expires with its lease.
     if lease
         .stop_and_wait(None, Some(LEASE_END_TIMEOUT))
@@ -186,25 +198,6 @@
     Ok(())
 }
 
-/// Tells the traffic thread when a server that is leaving has ended, since its flows are lost from then
-/// on. The platform stops an agent about when its server ends.
-async fn report_server_end(server: SocketAddrV4, updates: mpsc::Sender<AgentUpdate>) {
-    while !has_ended(server).await {
-        sleep(SERVER_PROBE_INTERVAL).await;
-    }
-    info!(%server, "backend server has ended");
-    if updates.send(AgentUpdate::ServerEnded).await.is_err() {
-        warn!("end of the backend server not applied: the traffic thread has ended");
-    }
-}
-
-/// Returns whether nothing listens at the address of a server on the same VM.
-async fn has_ended(server: SocketAddrV4) -> bool {
-    let connected = timeout(SERVER_PROBE_TIMEOUT, TcpStream::connect(server)).await;
-    let is_refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
-    matches!(connected, Ok(Err(error)) if is_refused(&error))
-}
-
 /// Sends changed settings to the traffic thread.
 async fn apply_settings(settings: &FlowSettings, updates: &mpsc::Sender<AgentUpdate>) {
     let Some(backend) = &settings.backend else {
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -1,22 +1,28 @@
 //! Balancer daemon.
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     net::SocketAddrV4,
     rc::Rc,
     time::Duration, //
 };
 
 use carobdrum_flows::{
-    process::AgentRecord,
+    process::{
+        AgentRecord,
+        MemberUpdate,
+        RegisteredMembers,
+        RegistrationCleanup, //
+    },
     FlowRouter,
     RouterOptions, //
 };
 use carobdrum_platform::{
-    parse_agent_entry,
-    NodeRequest,
-    StoreChange,
-    AGENT_PREFIX, //
+    NodeRequest, //
+    AGENT_PREFIX,
 };
 use carobdrum_settings::NodeSettings;
 use http::StatusCode;
@@ -27,20 +33,24 @@
     },
     time::sleep, //
 };
-use tracing::{
-    info,
-    warn, //
-};
+use tracing::info;
 
 use super::{
+    agent_events::{
+        AgentEvents,
+        ReadRegistrations, //
+    },
     config_tasks::query_peers,
     http_port::serve_requests,
     node_context::{
+        flow_lifetime,
         run_control,
         spawn_traffic,
         NodeContext, //
     },
     node_error::TrafficEndedSnafu,
+    node_metrics::NodeMetrics,
+    registration_cleaner::clean_registrations,
     settings_file::SettingsFile,
     site_state::SiteState,
     store_watch::{
@@ -92,8 +102,9 @@
     };
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
+    let (listing_sender, listing_wanted) = watch::channel(None);
     spawn_traffic(
-        move || BalancerTraffic::open(packets, router, revision_sender, metrics),
+        move || BalancerTraffic::open(packets, router, revision_sender, listing_sender, metrics),
         move |traffic| traffic.run(receiver, in_force),
     )
     .await?;
@@ -108,10 +119,27 @@
     // Agents' entries have no common revision by which peers could show that this process is
     // behind, so nothing is sent on this channel.
     let (unversioned, none) = watch::channel(PeerRevision::default());
-    let agents = KeyWatcher::new(settings.store.address, AGENT_PREFIX, none).urgent();
+    let store = settings.store.address;
+    let mut agents = KeyWatcher::new(store, AGENT_PREFIX, none).urgent();
+    let mut events = AgentEvents {
+        registrations: None,
+    };
+    if settings.flows.reset_lost {
+        let cleanup = RegistrationCleanup::new(flow_lifetime(node));
+        let cleanup = Rc::new(RefCell::new(cleanup));
+        agents = agents.on_demand(listing_wanted);
+        events.registrations = Some(ReadRegistrations {
+            members: RegisteredMembers::default(),
+            cleanup: cleanup.clone(),
+        });
+        let metrics = context.metrics.clone();
+        tokio::task::spawn_local(clean_registrations(store, cleanup, metrics));
+    }
     tokio::task::spawn_local(follow_agents(
         state.clone(),
         agents,
+        events,
+        context.metrics.clone(),
         updates.clone(),
         ready.clone(),
     ));
@@ -170,16 +198,27 @@
 async fn follow_agents(
     state: Rc<SiteState>,
     watcher: KeyWatcher,
+    mut events: AgentEvents,
+    metrics: NodeMetrics,
     updates: mpsc::Sender<BalancerUpdate>,
     ready: Rc<ReadyState>,
 ) {
     let handle = async |event| {
-        for update in agent_updates(event) {
+        let has_failed = matches!(event, KeyEvent::Failed);
+        if matches!(event, KeyEvent::All(..)) {
+            metrics.listings.inc();
+        }
+        for update in events.updates(event) {
             state.update_agents(|agents| note_agent(agents, &update));
             updates.send(update).await.ok()?;
         }
-        ready.agents.set(true);
-        Some(WatchProgress::of_agents(state.agent_count()))
+        if !has_failed {
+            ready.agents.set(true);
+        }
+        Some(WatchProgress {
+            is_unsettled: events.is_unsettled(),
+            ..WatchProgress::of_agents(state.agent_count())
+        })
     };
     watcher.run(handle).await;
 }
@@ -192,6 +231,10 @@
             agents.push(record.clone());
         }
         BalancerUpdate::Expired(address) => agents.retain(|known| known.address != *address),
+        BalancerUpdate::Members(MemberUpdate::Listed(listing)) => {
+            agents.clone_from(&listing.entries);
+        }
+        BalancerUpdate::Members(_) => {}
     }
 }
 
@@ -220,41 +263,3 @@
         }
     }
 }
-
-fn agent_updates(event: KeyEvent) -> Vec<BalancerUpdate> {
-    let read = |key: &str, value: &[u8]| {
-        let record = parse_agent_entry(key, value);
-        if record.is_none() {
-            warn!(key, "store entry of an agent is malformed");
-        }
-        record
-    };
-    match event {
-        KeyEvent::All(listing) => {
-            let items = listing.items.iter();
-            let records = items.filter_map(|item| read(&item.key, &item.value));
-            let records = records.collect();
-            info!(?records, "agents read from the store");
-            vec![BalancerUpdate::Agents(records)]
-        }
-        KeyEvent::Changes(changes) => {
-            let updates = changes.into_iter().filter_map(|change| match change {
-                StoreChange::Put(item) => {
-                    let record = read(&item.key, &item.value)?;
-                    info!(
-                        agent = %record.address,
-                        revision = item.revision,
-                        "store entry of an agent written"
-                    );
-                    Some(BalancerUpdate::Agent(record))
-                }
-                StoreChange::Deleted(key, revision) => {
-                    let address = key.strip_prefix(AGENT_PREFIX)?.parse().ok()?;
-                    info!(agent = %address, revision, "store entry of an agent deleted");
-                    Some(BalancerUpdate::Expired(address))
-                }
-            });
-            updates.collect()
-        }
-    }
-}
--- a/components/forwarder/src/process/config_tracker.rs
+++ b/components/forwarder/src/process/config_tracker.rs
@@ -82,12 +82,13 @@
         now: Millis,
     ) -> Option<Arc<SiteConfig>> {
         match event {
-            KeyEvent::All(listing) => self.apply_listing(listing, peer_revision, now),
+            KeyEvent::All(listing, _) => self.apply_listing(listing, peer_revision, now),
             KeyEvent::Changes(changes) => {
                 for change in changes {
                     self.apply_change(change, now);
                 }
             }
+            KeyEvent::Failed => {}
         }
         self.in_force(now)
     }
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -2,6 +2,13 @@
 
 use std::{
     net::SocketAddrV4,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc, //
+    },
     time::Duration, //
 };
 
@@ -9,8 +16,11 @@
 use carobdrum_platform::{
     agent_key,
     encode_agent_entry,
+    registration_key,
     StoreClient,
-    StoreError, //
+    StoreError,
+    StorePut,
+    StoreTransaction, //
 };
 use ractor::{
     Actor,
@@ -46,6 +56,10 @@
     pub(crate) store: SocketAddrV4,
     /// Shortest time to live that the store grants.
     pub(crate) min_lease: Duration,
+    /// Whether a registration without a lease is written with the entry.
+    pub(crate) registers: bool,
+    /// Whether the registration is deleted when the actor is stopped, since the server has ended.
+    pub(crate) unregisters: Arc<AtomicBool>,
 }
 
 /// State of a [`LeaseActor`].
@@ -56,6 +70,10 @@
     is_written: bool,
     lease_ttl: Duration,
     lease: Option<u64>,
+    registers: bool,
+    unregisters: Arc<AtomicBool>,
+    /// The registered agent, and the revision of its registration.
+    registration: Option<(SocketAddrV4, u64)>,
     backoff: StoreBackoff,
 }
 
@@ -91,6 +109,9 @@
             is_written: false,
             lease_ttl: LEASE_TTL.max(arguments.min_lease),
             lease: None,
+            registers: arguments.registers,
+            unregisters: arguments.unregisters,
+            registration: None,
             backoff: StoreBackoff::default(),
         })
     }
@@ -125,6 +146,9 @@
         _myself: ActorRef<LeaseMessage>,
         state: &mut LeaseState,
     ) -> Result<(), ActorProcessingErr> {
+        if state.unregister().await {
+            return Ok(());
+        }
         if let Some(lease) = state.lease.take() {
             if let Err(error) = state.client.end_lease(lease).await {
                 info!(%error, "lease not ended; it will expire");
@@ -168,6 +192,34 @@
         }
     }
 
+    /// Deletes the entry and the registration if the server has ended; returns whether it did. Then the
+    /// lease has no keys and needs no end. Both keys stay if the registration has changed, as another
+    /// process may serve the address.
+    async fn unregister(&mut self) -> bool {
+        let Some((address, revision)) = self.registration else {
+            return false;
+        };
+        if !self.unregisters.load(Ordering::Relaxed) {
+            return false;
+        }
+        let (entry, registration) = (agent_key(address), registration_key(address));
+        let transaction = StoreTransaction {
+            expected: &[(&registration, revision)],
+            deletes: &[&entry, &registration],
+            ..StoreTransaction::default()
+        };
+        match self.client.commit(&transaction).await {
+            Ok(_) => {
+                info!(agent = %address, "registration deleted: the server has ended");
+                true
+            }
+            Err(error) => {
+                info!(%error, "registration not deleted; a balancer will delete it");
+                false
+            }
+        }
+    }
+
     /// Writes the entry under `lease`, or under a new one.
     async fn write(&mut self, record: &AgentRecord, lease: Option<u64>) -> Result<u64, StoreError> {
         let value = encode_agent_entry(record)?;
@@ -176,7 +228,32 @@
             None => self.client.grant_lease(self.lease_ttl).await?,
         };
         let key = agent_key(record.address);
-        self.client.put(&key, &value, lease).await?;
+        if self.registers {
+            let registration = registration_key(record.address);
+            // The registration comes last, so that its revision is that of the store also if each write
+            // has one of its own.
+            let puts = [
+                StorePut {
+                    key: &key,
+                    value: &value,
+                    lease,
+                },
+                StorePut {
+                    key: &registration,
+                    value: &value,
+                    lease: 0,
+                },
+            ];
+            self.registration = None;
+            let transaction = StoreTransaction {
+                puts: &puts,
+                ..StoreTransaction::default()
+            };
+            let revision = self.client.commit(&transaction).await?;
+            self.registration = revision.map(|revision| (record.address, revision));
+        } else {
+            self.client.put(&key, &value, lease).await?;
+        }
         info!(
             agent = %record.address,
             service = %record.service,
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! The daemons and their control tasks, which run as long as the process.
 
+mod agent_events;
 mod agent_node;
 mod balancer_node;
 mod boot_clock;
@@ -8,9 +9,13 @@
 mod hedged_read;
 mod http_port;
 mod lease_actor;
+mod listing_demand;
+mod listing_requests;
 mod node_context;
 pub(crate) mod node_error;
 mod node_metrics;
+mod registration_cleaner;
+mod server_silence;
 mod settings_file;
 mod site_state;
 mod snapshot_codec;
@@ -23,6 +28,7 @@
 pub use balancer_node::run_balancer;
 pub(crate) use boot_clock::BootClock;
 pub use config_tracker::ConfigTracker;
+pub use listing_demand::ListingDemand;
 pub use node_error::NodeError;
 pub(crate) use node_metrics::NodeMetrics;
 pub use settings_file::SettingsFile;
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -50,6 +50,12 @@
     pub(crate) revision: Gauge,
     /// Known agents.
     pub(crate) agents: Gauge,
+    /// Registrations of agents that are gone, by what became of them at a balancer.
+    pub(crate) registrations: Family<CauseLabel, Counter>,
+    /// Complete listings of the agents' keys.
+    pub(crate) listings: Counter,
+    /// Probes of a silent server, by outcome.
+    pub(crate) probed_servers: Family<CauseLabel, Counter>,
     /// Time from a request to the first data of its response.
     pub(crate) response_time: Histogram,
 }
@@ -69,6 +75,9 @@
             busy: Gauge::default(),
             revision: Gauge::default(),
             agents: Gauge::default(),
+            registrations: Family::default(),
+            listings: Counter::default(),
+            probed_servers: Family::default(),
             response_time: Histogram::new(RESPONSE_TIME_BOUNDS),
         };
         let m = metrics.clone();
@@ -111,6 +120,21 @@
             m.revision,
         );
         registry.register("known_agents", "Agents that are known", m.agents);
+        registry.register(
+            "cleaned_registrations",
+            "Registrations of agents that are gone",
+            m.registrations,
+        );
+        registry.register(
+            "agent_listings",
+            "Complete listings of the agents",
+            m.listings,
+        );
+        registry.register(
+            "probed_servers",
+            "Probes of a silent server",
+            m.probed_servers,
+        );
         let help = "Time from a request to the first data of its answer";
         registry.register_with_unit("answer_time", help, Unit::Seconds, m.response_time);
         metrics
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use carobdrum_core::Millis;
 use carobdrum_platform::{
     StoreChange,
     StoreClient,
@@ -14,12 +15,21 @@
 };
 use tokio::{
     sync::watch,
-    time::sleep, //
+    time::{
+        sleep,
+        sleep_until,
+        Instant, //
+    },
+};
+use tracing::{
+    debug,
+    info, //
 };
-use tracing::info;
 
 use super::{
+    boot_clock::BootClock,
     hedged_read::list_hedged,
+    listing_requests::ListingRequests,
     store_backoff::{
         StoreBackoff,
         CALL_TIMEOUT,
@@ -53,10 +63,13 @@
 /// Event of a [`KeyWatcher`].
 #[derive(Debug)]
 pub enum KeyEvent {
-    /// All keys: at the start, and whenever changes may have been missed.
-    All(StoreListing),
+    /// All keys: at the start, whenever changes may have been missed, and on demand. The time is that
+    /// before the first request of the listing was sent.
+    All(StoreListing, Millis),
     /// Changes since the last event.
     Changes(Vec<StoreChange>),
+    /// A request has failed; only for a watcher that lists on demand.
+    Failed,
 }
 
 /// What a [`KeyWatcher`] has to know after an event.
@@ -66,6 +79,9 @@
     pub revision: u64,
     /// Delay before the next watch if the event was a change.
     pub batch_delay: Duration,
+    /// Whether the event left something open that only further listings can show. They follow while
+    /// listings are in demand.
+    pub is_unsettled: bool,
 }
 
 impl WatchProgress {
@@ -74,6 +90,7 @@
         WatchProgress {
             revision,
             batch_delay: MIN_BATCH_DELAY,
+            is_unsettled: false,
         }
     }
 
@@ -84,6 +101,7 @@
         WatchProgress {
             revision: 0,
             batch_delay: delay.clamp(MIN_BATCH_DELAY, MAX_BATCH_DELAY),
+            is_unsettled: false,
         }
     }
 }
@@ -100,6 +118,9 @@
     revision: u64,
     /// Whether the process can't serve before the keys are read.
     urgent: bool,
+    requests: ListingRequests,
+    /// Time before which no watch follows the last changes.
+    next_watch: Instant,
 }
 
 impl KeyWatcher {
@@ -118,6 +139,8 @@
             peer_revisions,
             revision: 0,
             urgent: false,
+            requests: ListingRequests::default(),
+            next_watch: Instant::now(),
         }
     }
 
@@ -128,6 +151,13 @@
         self
     }
 
+    /// Lists all keys when `listing_wanted` shows a time after the start of the last listing, also during
+    /// a watch or the delay after changes, and passes failed requests to the handler.
+    pub fn on_demand(mut self, listing_wanted: watch::Receiver<Option<Millis>>) -> KeyWatcher {
+        self.requests.receiver = Some(listing_wanted);
+        self
+    }
+
     /// Reads the keys and watches their changes. `handle` returns `None` to end the watch.
     pub async fn run(mut self, mut handle: impl AsyncFnMut(KeyEvent) -> Option<WatchProgress>) {
         let mut after = None;
@@ -146,14 +176,19 @@
                         return;
                     };
                     self.revision = progress.revision;
+                    self.requests.demand.is_unsettled = progress.is_unsettled;
                     if changed {
-                        sleep(progress.batch_delay).await;
+                        self.next_watch = Instant::now() + progress.batch_delay;
                     }
                 }
                 Err(error) => {
                     // A watch that was interrupted may have missed changes, and one that resumes
                     // from an old revision may wait for the next change.
                     after = None;
+                    if self.requests.receiver.is_some() && handle(KeyEvent::Failed).await.is_none()
+                    {
+                        return;
+                    }
                     let longest = if self.urgent {
                         MAX_URGENT_BACKOFF
                     } else {
@@ -180,14 +215,26 @@
         after: Option<u64>,
     ) -> Result<(Option<KeyEvent>, Option<u64>), StoreError> {
         let Some(after) = after else {
+            let started = BootClock.now();
+            self.requests.demand.note_started(started);
             let listing = self.list().await?;
+            self.requests.demand.note_success(started);
             let revision = listing.revision;
-            return Ok((Some(KeyEvent::All(listing)), Some(revision)));
+            return Ok((Some(KeyEvent::All(listing, started)), Some(revision)));
+        };
+        let next_watch = self.next_watch;
+        let client = &mut self.client;
+        let watch = async {
+            sleep_until(next_watch).await;
+            client.watch(self.prefix, after, WATCH_WAIT).await
         };
-        let watch = self.client.watch(self.prefix, after, WATCH_WAIT);
         let response = tokio::select! {
             response = watch => response?,
-            seen = wait_until_behind(&mut self.peer_revisions, self.revision) => {
+            () = self.requests.wait() => {
+                debug!(prefix = self.prefix, "listing on demand");
+                return Ok((None, None));
+            }
+            seen = wait_until_behind(next_watch, &mut self.peer_revisions, self.revision) => {
                 let revision = self.revision;
                 info!(
                     prefix = self.prefix,
@@ -215,10 +262,13 @@
 }
 
 /// Waits until a peer has had a newer revision than `revision` for `LAG_TIMEOUT`; returns it.
+/// The time begins at `next_watch` at the earliest, as every process may lag behind until then.
 async fn wait_until_behind(
+    next_watch: Instant,
     peer_revisions: &mut watch::Receiver<PeerRevision>,
     revision: u64,
 ) -> u64 {
+    sleep_until(next_watch).await;
     let newer = peer_revisions
         .wait_for(|peer_revision| peer_revision.revision > revision)
         .await
--- a/components/forwarder/tests/config_search.rs
+++ b/components/forwarder/tests/config_search.rs
@@ -137,7 +137,7 @@
                     items: store_at(*revision),
                     revision: *revision,
                 };
-                tracker.apply_event(KeyEvent::All(listing), *revision, NOW)
+                tracker.apply_event(KeyEvent::All(listing, NOW), *revision, NOW)
             }
             Event::Change(revision) => {
                 tracker.apply_event(KeyEvent::Changes(vec![change_at(*revision)]), 0, NOW)
--- a/components/forwarder/tests/config_tracker.rs
+++ b/components/forwarder/tests/config_tracker.rs
@@ -33,7 +33,7 @@
 }
 
 fn listing(items: Vec<StoreItem>, revision: u64) -> KeyEvent {
-    KeyEvent::All(StoreListing { items, revision })
+    KeyEvent::All(StoreListing { items, revision }, NOW)
 }
 
 /// Returns a tracker that has adopted the configuration of a peer in which the data centre is
--- a/components/forwarder/tests/key_watcher.rs
+++ b/components/forwarder/tests/key_watcher.rs
@@ -75,7 +75,7 @@
 
 fn event_values(event: KeyEvent) -> Vec<String> {
     let items = match event {
-        KeyEvent::All(listing) => listing.items,
+        KeyEvent::All(listing, _) => listing.items,
         KeyEvent::Changes(changes) => changes
             .into_iter()
             .filter_map(|change| match change {
@@ -83,6 +83,7 @@
                 StoreChange::Deleted(..) => None,
             })
             .collect(),
+        KeyEvent::Failed => Vec::new(),
     };
     let text = |value: Vec<u8>| String::from_utf8(value).unwrap();
     items.into_iter().map(|item| text(item.value)).collect()
--- a/components/forwarder/tests/route_changes.rs
+++ b/components/forwarder/tests/route_changes.rs
@@ -86,10 +86,13 @@
 }
 
 fn read(version: u64, form: RouteForm) -> KeyEvent {
-    KeyEvent::All(StoreListing {
-        items: vec![config_item(version, form)],
-        revision: version,
-    })
+    KeyEvent::All(
+        StoreListing {
+            items: vec![config_item(version, form)],
+            revision: version,
+        },
+        Millis(version),
+    )
 }
 
 fn change(version: u64, form: RouteForm) -> KeyEvent {
