--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -3,6 +3,7 @@
 mod later;
 mod opening;
 mod query;
+mod silence;
 
 use std::{
     collections::VecDeque,
@@ -15,6 +16,8 @@
 use compact_str::CompactString;
 use hashbrown::HashMap;
 
+pub use silence::ServerSilence;
+
 use super::{
     FailureRate,
     FlowEntry,
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -12,11 +12,14 @@
 mod flow_router;
 mod heartbeat_outcome;
 mod lost_flow_search;
+mod member_update;
 mod name_hash;
 mod owner_cache;
 mod owner_lookup;
 mod query_budget;
 mod query_reply;
+mod registered_members;
+mod registration_cleanup;
 mod report_schedule;
 mod route_action;
 mod router_options;
@@ -36,11 +39,17 @@
 pub use flow_router::FlowRouter;
 pub use heartbeat_outcome::HeartbeatOutcome;
 pub use lost_flow_search::LostFlowSearch;
+pub use member_update::{
+    MemberListing,
+    MemberUpdate, //
+};
 pub use name_hash::name_hash;
 pub use owner_cache::OwnerCache;
 pub use owner_lookup::OwnerLookup;
 pub use query_budget::QueryBudget;
 pub use query_reply::QueryReply;
+pub use registered_members::RegisteredMembers;
+pub use registration_cleanup::RegistrationCleanup;
 pub use report_schedule::ReportSchedule;
 pub use route_action::RouteAction;
 pub use router_options::RouterOptions;
--- a/components/flows/tests/lost_flow_search.rs
+++ b/components/flows/tests/lost_flow_search.rs
@@ -16,6 +16,8 @@
         AgentReport,
         AgentTable,
         LostFlowSearch,
+        MemberListing,
+        MemberUpdate,
         OwnerLookup,
         QueryReply,
         SearchAction,
@@ -49,6 +51,8 @@
 struct Site {
     search: LostFlowSearch,
     table: AgentTable,
+    /// Agents with an entry in the store.
+    entries: Vec<AgentRecord>,
     config: Option<Arc<SiteConfig>>,
     newest_revision: u64,
     now: Millis,
@@ -69,6 +73,7 @@
         let mut site = Site {
             search: LostFlowSearch::new(is_enabled, 40),
             table: AgentTable::default(),
+            entries: Vec::new(),
             config: Some(Arc::new(config(1))),
             newest_revision: 0,
             now: BEGAN,
@@ -83,10 +88,22 @@
         for number in 0..3 {
             site.add_agent(number, SERVICE, true);
         }
-        site.table.note_confirmed(Millis(BEGAN.0 - 1));
+        site.list(Millis(BEGAN.0 - 1));
         site
     }
 
+    /// Applies a complete listing of the store that was started at `started`.
+    fn list(&mut self, started: Millis) {
+        let listing = MemberListing {
+            entries: self.entries.clone(),
+            registrations: Vec::new(),
+            started,
+            finished: started,
+        };
+        self.table
+            .apply_members(MemberUpdate::Listed(listing), started);
+    }
+
     fn add_agent(&mut self, number: u8, service: &str, is_confirmed: bool) {
         let record = AgentRecord {
             address: agent(number),
@@ -94,6 +111,7 @@
             service: service.into(),
             is_leaving: false,
         };
+        self.entries.push(record.clone());
         let report = AgentReport {
             is_confirmed,
             ..AgentReport::default()
@@ -161,7 +179,7 @@
                 });
             }
             if let Some(wanted) = self.search.listing_wanted().filter(|_| self.lists) {
-                self.table.note_confirmed(wanted);
+                self.list(wanted);
             }
             self.step(|search, lookup, now, actions| search.tick(lookup, now, actions));
             self.now = self.now.plus(Millis(5));
@@ -219,11 +237,12 @@
     site.step(|search, lookup, now, actions| search.tick(lookup, now, actions));
     site.holders.push(agent(7));
     site.add_agent(7, SERVICE, true);
-    site.table.note_confirmed(site.now);
+    site.list(site.now);
     site.silent.clear();
 }, SearchEnd::Unanswered(agent(7)))]
 #[case::holder_has_an_expired_entry(|site: &mut Site| {
     site.holders.push(agent(1));
+    site.entries.retain(|entry| entry.address != agent(1));
     site.table.mark_expired(agent(1), site.now);
 }, SearchEnd::Unanswered(agent(1)))]
 #[case::holder_of_a_former_service(|site: &mut Site| {
@@ -253,7 +272,8 @@
     site.lists = false;
     site.run(50);
     site.table = AgentTable::default();
-    site.table.note_confirmed(site.now);
+    site.entries.clear();
+    site.list(site.now);
 }, SearchEnd::NoAgent)]
 #[case::id_of_another_process(|site: &mut Site| site.change = |reply, _| reply.id += 100,
     SearchEnd::Unanswered(agent(0)))]
@@ -326,7 +346,7 @@
     site.step(|search, lookup, now, actions| search.tick(lookup, now, actions));
     let replies = std::mem::take(&mut site.replies);
     site.now = BEGAN.plus(Millis(1_000));
-    site.table.note_confirmed(site.now);
+    site.list(site.now);
     for (_, from, reply) in replies {
         site.step(|search, lookup, now, actions| {
             search.handle_reply(from, &reply, lookup, now, actions);
@@ -338,7 +358,10 @@
 /// Guards against a flow that is never reset because a dead agent was asked before its entry was
 /// removed, and because a datagram was lost.
 #[rstest]
-#[case::entry_removed(|site: &mut Site| site.table.replace(Vec::new(), BEGAN))]
+#[case::entry_removed(|site: &mut Site| {
+    site.entries.clear();
+    site.table.replace(Vec::new(), BEGAN);
+})]
 #[case::reply_lost(|site: &mut Site| site.silent.clear())]
 fn search_goes_on_after_a_fault_is_mended(#[case] mend: fn(&mut Site)) {
     let mut site = Site::new(true);
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -158,6 +158,15 @@
                 self.tracker.stop();
                 self.shutdown_answer = Some(answer);
             }
+            AgentUpdate::FindSilence(answer) => {
+                let _ = answer.send(self.tracker.server_silence(now));
+                return;
+            }
+            AgentUpdate::EndedIn(silence) => {
+                if self.tracker.note_ended_in(silence) {
+                    self.reset_lost_flows();
+                }
+            }
             AgentUpdate::ServerEnded => {
                 self.tracker.note_server_ended();
                 self.reset_lost_flows();
--- a/components/forwarder/src/connection/agent_update.rs
+++ b/components/forwarder/src/connection/agent_update.rs
@@ -2,6 +2,7 @@
 
 use carobdrum_core::Millis;
 use carobdrum_flows::{
+    connection::ServerSilence,
     process::{
         BackendHeartbeat,
         HeartbeatOutcome, //
@@ -23,6 +24,10 @@
     Deregister(CompactString, oneshot::Sender<BackendOutcome>),
     /// The backend server has ended.
     ServerEnded,
+    /// Asks whether the server is silent while flows are open.
+    FindSilence(oneshot::Sender<Option<ServerSilence>>),
+    /// The server has ended in this silence.
+    EndedIn(ServerSilence),
     /// The process is shutting down; the reply is sent when no flow is open.
     Stop(oneshot::Sender<()>),
 }
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -14,7 +14,8 @@
     process::{
         AgentRecord,
         AgentReport,
-        LostFlowSearch, //
+        LostFlowSearch,
+        MemberUpdate, //
     },
     version::SiteConfig,
     FlowKey,
@@ -86,6 +87,8 @@
     Agent(AgentRecord),
     /// The store entry of an agent has expired.
     Expired(SocketAddrV4),
+    /// What was read of the agents' registrations.
+    Members(MemberUpdate),
 }
 
 /// State of a balancer's traffic thread: its sockets and routing state.
@@ -166,6 +169,11 @@
             BalancerUpdate::Agents(records) => self.router.agents.replace(records, now),
             BalancerUpdate::Agent(record) => self.router.agents.insert(record, now),
             BalancerUpdate::Expired(address) => self.router.agents.mark_expired(address, now),
+            BalancerUpdate::Members(update) => {
+                for agent in self.router.agents.apply_members(update, now) {
+                    info!(%agent, "agent counts as gone: its entry is missing");
+                }
+            }
         }
         self.probe(now);
     }
