--- a/tests/platform_roles/main.rs
+++ b/tests/platform_roles/main.rs
@@ -2,7 +2,9 @@
 
 mod fake_balancer;
 mod open_flows;
+mod registrations;
 mod role_process;
+mod silent_servers;
 
 use std::{
     fs,
--- a/tests/platform_roles/open_flows.rs
+++ b/tests/platform_roles/open_flows.rs
@@ -31,7 +31,7 @@
 use crate::role_process::{
     free_port,
     heartbeat_body,
-    start_agent_at,
+    start_agent_with,
     RoleProcess, //
     STATE_TIMEOUT,
 };
@@ -56,8 +56,8 @@
 const READY_POLL_INTERVAL: Duration = Duration::from_micros(100);
 
 /// An agent, with a caller, a balancer and a backend server around it.
-struct FlowSite {
-    agent: RoleProcess,
+pub(crate) struct FlowSite {
+    pub(crate) agent: RoleProcess,
     caller: UdpSocket,
     balancer: UdpSocket,
     server: UdpSocket,
@@ -73,10 +73,15 @@
 
     /// Starts an agent without waiting until it is ready.
     async fn start_unready() -> FlowSite {
+        FlowSite::start_with("").await
+    }
+
+    /// Starts an agent with further settings, without waiting until it is ready.
+    pub(crate) async fn start_with(further: &str) -> FlowSite {
         let store = LeaseServer::start(Ipv4Addr::LOCALHOST).await.unwrap();
         store.put("op/config", CONFIG);
         let port = free_port();
-        let agent = start_agent_at(&store, port, free_port());
+        let agent = start_agent_with(&store, port, free_port(), further);
         FlowSite {
             caller: UdpSocket::bind((CALLER_IP, port)).await.unwrap(),
             balancer: UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap(),
@@ -124,7 +129,7 @@
     }
 
     /// Opens a flow at the server, which answers its first request.
-    async fn open_flow(&self) {
+    pub(crate) async fn open_flow(&self) {
         self.forward(flags::SYN, 0, &[]).await;
         let opening = receive(&self.server, STATE_TIMEOUT).await.unwrap();
         assert_eq!(opening.flags, flags::SYN);
@@ -136,13 +141,21 @@
             .await;
         let request = receive(&self.server, STATE_TIMEOUT).await.unwrap();
         assert_eq!(request.data, b"request");
+        self.answer().await;
+    }
+
+    /// Sends a packet of the server, which is the next one that the caller gets.
+    pub(crate) async fn answer(&self) {
         self.reply(flags::ACK, SERVER_SEQUENCE + 1, b"answer").await;
         let answer = receive(&self.caller, STATE_TIMEOUT).await.unwrap();
-        assert_eq!(answer.data, b"answer");
+        assert_eq!(
+            (answer.flags, answer.data),
+            (flags::ACK, b"answer".to_vec())
+        );
     }
 
     /// Returns whether the caller gets a reset.
-    async fn is_reset(&self) -> bool {
+    pub(crate) async fn is_reset(&self) -> bool {
         let packet = receive(&self.caller, QUIET_DURATION).await;
         packet.is_some_and(|packet| packet.flags & flags::RST != 0)
     }
--- a/tests/platform_roles/role_process.rs
+++ b/tests/platform_roles/role_process.rs
@@ -118,16 +118,27 @@
     ip: Ipv4Addr,
     peer_port: u16,
     peers: &[Ipv4Addr],
+) -> RoleProcess {
+    let peers: Vec<String> = peers.iter().map(|peer| format!("'{peer}:1'")).collect();
+    let node = format!("peers = [{}]\n", peers.join(","));
+    start_balancer_with(store, ip, peer_port, &node, "")
+}
+
+/// Starts a balancer with further settings: of the node, and in further sections.
+pub(crate) fn start_balancer_with(
+    store: &LeaseServer,
+    ip: Ipv4Addr,
+    peer_port: u16,
+    node: &str,
+    further: &str,
 ) -> RoleProcess {
     let folder = TempDir::new().unwrap();
     let ready = SocketAddrV4::new(ip, free_port());
     let packets = SocketAddrV4::new(ip, free_port());
-    let peers: Vec<String> = peers.iter().map(|peer| format!("'{peer}:1'")).collect();
-    let peers = peers.join(",");
     let settings = format!(
         "[node]\nname = 'b'\ndata_centre = 'north'\nip = '{ip}'\npeer_port = {peer_port}\n\
-         packets = '{packets}'\nready = '{ready}'\ngrace_s = '6'\npeers = [{peers}]\n\
-         [store]\naddress = '{}'\nmin_lease_ms = 1000\n",
+         packets = '{packets}'\nready = '{ready}'\ngrace_s = '6'\n{node}\
+         [store]\naddress = '{}'\nmin_lease_ms = 1000\n{further}",
         store.address(),
     );
     fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
@@ -150,6 +161,16 @@
 
 /// Starts an agent that receives packets on `packet_port`.
 pub(crate) fn start_agent_at(store: &LeaseServer, packet_port: u16, peer_port: u16) -> RoleProcess {
+    start_agent_with(store, packet_port, peer_port, "")
+}
+
+/// Starts an agent that receives packets on `packet_port`, with further settings.
+pub(crate) fn start_agent_with(
+    store: &LeaseServer,
+    packet_port: u16,
+    peer_port: u16,
+    further: &str,
+) -> RoleProcess {
     let folder = TempDir::new().unwrap();
     let ip = Ipv4Addr::LOCALHOST;
     let ready = SocketAddrV4::new(ip, free_port());
@@ -161,7 +182,7 @@
          packets = '{ip}:{packet_port}'\nready = '{ready}'\ngrace_s = '6'\n\
          [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
          [backend]\naddress = '{backend}'\nservice = 's'\noutgoing = '{outgoing}'\n\
-         heartbeats = '{heartbeats}'\nreuse_s = '2'\n",
+         heartbeats = '{heartbeats}'\nreuse_s = '2'\n{further}",
         store.address(),
     );
     fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
