--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -1,5 +1,7 @@
 //! Table of the agents known to a balancer.
 
+mod members;
+
 use std::net::SocketAddrV4;
 
 use carobdrum_core::{
@@ -14,7 +16,6 @@
     name_hash,
     AgentRecord,
     AgentReport,
-    MemberUpdate,
     RegisteredMembers, //
 };
 
@@ -150,6 +151,16 @@
     pub fn replace(&mut self, records: impl IntoIterator<Item = AgentRecord>, now: Millis) {
         let mut records: Vec<AgentRecord> = records.into_iter().collect();
         records.sort_by_key(|record| record.address);
+        self.expire_missing(&records, now);
+        for record in records {
+            self.put(record, now);
+        }
+        self.loaded = true;
+        self.index();
+    }
+
+    /// Marks the entries of agents that are missing in `records`, sorted by address, as expired.
+    fn expire_missing(&mut self, records: &[AgentRecord], now: Millis) {
         for state in &mut self.agents {
             let found =
                 records.binary_search_by_key(&state.record.address, |record| record.address);
@@ -157,11 +168,6 @@
                 state.expired_since.get_or_insert(now);
             }
         }
-        for record in records {
-            self.put(record, now);
-        }
-        self.loaded = true;
-        self.index();
     }
 
     /// Adds an agent, or updates it when its store entry was written again.
@@ -171,44 +177,6 @@
         self.index();
     }
 
-    /// Applies what was read of the agents' registrations; returns the agents that count as gone from
-    /// now on.
-    pub fn apply_members(&mut self, update: MemberUpdate, now: Millis) -> Vec<SocketAddrV4> {
-        match update {
-            MemberUpdate::Listed(listing) => {
-                let gone = self.members.apply_listing(&listing);
-                self.replace(listing.entries, now);
-                return gone;
-            }
-            MemberUpdate::Registered(record) => self.members.note_registration(&record),
-            MemberUpdate::Unregistered(address) => self.members.remove_registration(address),
-            MemberUpdate::StoreFailed => self.members.note_failure(),
-        }
-        Vec::new()
-    }
-
-    /// Returns all agents that may hold flows of these services, given by the hashes of their names;
-    /// those of any service for `None`. They are the agents of the table, and registered ones whose
-    /// entry has not been missing for long enough to count as gone.
-    pub fn possible_owners(&self, services: Option<&[u32]>) -> Vec<SocketAddrV4> {
-        let known = self.agents.iter();
-        let known = known.map(|state| (state.record.address, state.service));
-        let mut owners: Vec<SocketAddrV4> = known
-            .chain(self.members.possible_owners())
-            .filter(|(_, service)| services.is_none_or(|services| services.contains(service)))
-            .map(|(address, _)| address)
-            .collect();
-        owners.sort_unstable();
-        owners.dedup();
-        owners
-    }
-
-    /// Returns the time at which the last complete and successful listing of the store was started;
-    /// `None` before the first one.
-    pub fn confirmed_since(&self) -> Option<Millis> {
-        self.members.confirmed_since()
-    }
-
     fn put(&mut self, record: AgentRecord, now: Millis) {
         match self.find(record.address) {
             Ok(index) => {
--- /dev/null
+++ b/components/flows/src/process/agent_table/members.rs
@@ -0,0 +1,72 @@
+//! Agents that may hold flows, and the listings of the store that show them.
+
+use std::net::SocketAddrV4;
+
+use carobdrum_core::Millis;
+
+use super::{
+    AgentState,
+    AgentTable, //
+};
+use crate::process::{
+    AgentRecord,
+    MemberUpdate, //
+};
+
+impl AgentTable {
+    /// Applies what was read of the agents' registrations; returns the agents that count as gone from
+    /// now on.
+    pub fn apply_members(&mut self, update: MemberUpdate, now: Millis) -> Vec<SocketAddrV4> {
+        match update {
+            MemberUpdate::Listed(listing) => {
+                let gone = self.members.apply_listing(&listing);
+                self.apply_entries(listing.entries, now);
+                return gone;
+            }
+            MemberUpdate::Registered(record) => self.members.note_registration(&record),
+            MemberUpdate::Unregistered(address) => self.members.remove_registration(address),
+            MemberUpdate::StoreFailed => self.members.note_failure(),
+        }
+        Vec::new()
+    }
+
+    /// Returns all agents that may hold flows of these services, given by the hashes of their names;
+    /// those of any service for `None`. They are the agents of the table, and registered ones whose
+    /// entry has not been missing for long enough to count as gone.
+    pub fn possible_owners(&self, services: Option<&[u32]>) -> Vec<SocketAddrV4> {
+        let known = self.agents.iter();
+        let known = known.map(|state| (state.record.address, state.service));
+        let mut owners: Vec<SocketAddrV4> = known
+            .chain(self.members.possible_owners())
+            .filter(|(_, service)| services.is_none_or(|services| services.contains(service)))
+            .map(|(address, _)| address)
+            .collect();
+        owners.sort_unstable();
+        owners.dedup();
+        owners
+    }
+
+    /// Returns the time at which the last complete and successful listing of the store was started;
+    /// `None` before the first one.
+    pub fn confirmed_since(&self) -> Option<Millis> {
+        self.members.confirmed_since()
+    }
+
+    /// Applies the entries of a listing. Listings may follow each other quickly, so one that is unchanged
+    /// says nothing about an agent that doesn't answer; it remains suspect.
+    fn apply_entries(&mut self, mut records: Vec<AgentRecord>, now: Millis) {
+        records.sort_by_key(|record| record.address);
+        self.expire_missing(&records, now);
+        for record in records {
+            let known = self.find(record.address).ok();
+            let known = known.map(|index| &self.agents[index]);
+            let is_unchanged =
+                |state: &AgentState| state.record == record && state.expired_since.is_none();
+            if !known.is_some_and(is_unchanged) {
+                self.put(record, now);
+            }
+        }
+        self.loaded = true;
+        self.index();
+    }
+}
--- a/components/flows/tests/registered_members.rs
+++ b/components/flows/tests/registered_members.rs
@@ -13,7 +13,8 @@
         MemberUpdate,
         RegistrationCleanup, //
     },
-    RouteAction,
+    FlowRouter,
+    RouteAction, //
 };
 use rstest::rstest;
 use support::{
@@ -178,6 +179,38 @@
     assert_eq!(table.possible_owners(None), [agent(1)]);
 }
 
+/// Guards against opening packets to a dead agent while flows are searched for: each listing shows its entry
+/// until the lease has expired.
+#[test]
+fn listings_keep_the_suspicion_of_a_dead_agent() {
+    let mut router = router(0);
+    let is_candidate = |router: &mut FlowRouter, now: u64| {
+        let report = AgentReport {
+            accepts: true,
+            ..AgentReport::default()
+        };
+        router.agents.apply_report(agent(2), report, Millis(now));
+        let action = router.route(&open_packet(1), Millis(now));
+        let RouteAction::Forward { to, header } = action else {
+            panic!("{action:?}");
+        };
+        to == agent(1) || header.rest.contains(&agent(1))
+    };
+    list(&mut router.agents, &[1, 2], &[1, 2], 0);
+    assert!(is_candidate(&mut router, 20));
+    router.agents.note_sent(agent(1), Millis(20));
+    for started in (300..3_000).step_by(300) {
+        list(&mut router.agents, &[1, 2], &[1, 2], started);
+        assert!(!is_candidate(&mut router, started + 10), "at {started}");
+    }
+    router.agents.mark_expired(agent(1), Millis(3_000));
+    list(&mut router.agents, &[1, 2], &[1, 2], 3_100);
+    assert!(
+        is_candidate(&mut router, 3_110),
+        "it may have started again"
+    );
+}
+
 /// Guards against an agent of an older build that counts after its entry is gone, as nothing would end that.
 #[test]
 fn older_build_without_registrations() {
