--- /dev/null
+++ b/components/flows/tests/server_silence.rs
@@ -0,0 +1,63 @@
+//! Silence of a server at its agent.
+
+mod support;
+
+use carobdrum_core::Millis;
+use carobdrum_flows::{
+    process::BackendState,
+    PacketKind,
+    TrackerAction, //
+};
+use support::{
+    backend,
+    heartbeat,
+    open_flow,
+    packet,
+    tracker,
+    ACTIVITY_TIMEOUT, //
+};
+
+/// Guards against probes of a server that has just sent something or holds no flow, and against the reset of
+/// flows that its next run has opened since it was probed.
+#[test]
+fn the_end_of_a_server_is_applied_only_while_it_is_silent() {
+    let mut tracker = tracker();
+    assert_eq!(
+        tracker.server_silence(Millis(10_000)),
+        None,
+        "no flow is open"
+    );
+    open_flow(&mut tracker, 1, Millis(10_000));
+    backend(&mut tracker, &packet(1, PacketKind::Data), Millis(10_000));
+    let silent = Millis(10_000).plus(ACTIVITY_TIMEOUT);
+    assert_eq!(tracker.server_silence(Millis(silent.0 - 1)), None);
+    let silence = tracker.server_silence(silent).unwrap();
+    assert!(tracker.deregister("i-1"));
+    backend(&mut tracker, &packet(1, PacketKind::Data), silent);
+    assert_eq!(
+        tracker.server_silence(silent),
+        None,
+        "it has deregistered and sends"
+    );
+    let mut actions = Vec::new();
+    assert!(!tracker.note_ended_in(silence));
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions.len(), 0);
+    let later = silent.plus(ACTIVITY_TIMEOUT);
+    let silence = tracker.server_silence(later).unwrap();
+    let mut next_run = heartbeat(1, BackendState::Ready);
+    next_run.started_ms += 5_000;
+    tracker.handle_heartbeat(next_run, later);
+    tracker.reset_lost_flows(&mut actions);
+    let is_reset = |action: &TrackerAction| matches!(action, TrackerAction::Reset(..));
+    assert!(actions.drain(..).all(|action| is_reset(&action)));
+    open_flow(&mut tracker, 2, later);
+    backend(&mut tracker, &packet(2, PacketKind::Data), later);
+    assert!(!tracker.note_ended_in(silence));
+    let silence = tracker
+        .server_silence(later.plus(ACTIVITY_TIMEOUT))
+        .unwrap();
+    assert!(tracker.note_ended_in(silence));
+    tracker.reset_lost_flows(&mut actions);
+    assert_eq!(actions.iter().filter(|action| is_reset(action)).count(), 1);
+}
