--- a/components/flows/tests/flow_queries.rs
+++ b/components/flows/tests/flow_queries.rs
@@ -130,6 +130,10 @@
     false
 )]
 #[case::no_heartbeat(new_agent, |_: &mut FlowTracker| {}, false)]
+#[case::redirected_after_a_restart(new_agent, |tracker: &mut FlowTracker| {
+    forward(tracker, &open_packet(0), header(&[1]), Millis(20));
+    beat(tracker, 1, 900, 30);
+}, false)]
 #[case::contested_run(
     agent_of_new_server,
     |tracker: &mut FlowTracker| beat(tracker, AGENT_STARTED_MS - 2_000, 1, 20),
@@ -227,15 +231,22 @@
 /// Guards against an agent that never knows all flows: after their longest lifetime all old ones have
 /// ended.
 #[rstest]
-#[case(20_000, true)]
-#[case(20_001, false)]
-fn lifetime_of_flows_makes_the_agent_certain(#[case] lifetime: u64, #[case] is_absent: bool) {
+#[case::lifetime_reached(20_000, true, true)]
+#[case::lifetime_not_reached(20_001, true, false)]
+#[case::no_heartbeat(20_000, false, false)]
+fn lifetime_of_flows_makes_the_agent_certain(
+    #[case] lifetime: u64,
+    #[case] has_heartbeat: bool,
+    #[case] is_absent: bool,
+) {
     let settings = TrackerSettings {
         flow_lifetime: Millis(lifetime),
         ..reset_settings(true)
     };
     let mut tracker = FlowTracker::new(settings, AGENT_STARTED_MS, Millis(0));
-    beat(&mut tracker, 1, 900, 10);
+    if has_heartbeat {
+        beat(&mut tracker, 1, 900, 10);
+    }
     let absent = if is_absent { vec![0] } else { vec![] };
     assert_eq!(query(&tracker, ACKNOWLEDGED), (Some(absent), false));
 }
--- a/components/flows/tests/lost_flow_search.rs
+++ b/components/flows/tests/lost_flow_search.rs
@@ -258,8 +258,6 @@
 #[case::id_of_another_process(|site: &mut Site| site.change = |reply, _| reply.id += 100,
     SearchEnd::Unanswered(agent(0)))]
 #[case::reply_in_the_name_of_another(|site: &mut Site| {
-    site.holders.push(agent(2));
-    site.silent.push(agent(1));
     site.change = |_, from| *from = agent(0);
 }, SearchEnd::Unanswered(agent(1)))]
 #[case::reply_to_the_query_of_another(|site: &mut Site| {
