--- a/components/flows/tests/small_world.rs
+++ b/components/flows/tests/small_world.rs
@@ -45,6 +45,8 @@
 const LISTING: u64 = 30;
 const FAULT_STEPS: [u64; 6] = [0, 20, 40, 60, 100, 350];
 const UNIX_MS: u64 = 1_000_000;
+/// Time for which servers and agents have run at the start.
+const UPTIME: u64 = 5_000;
 /// The third agent is of a service that the route has led to before.
 const SERVICES: [&str; 3] = [SERVICE, SERVICE, "storage"];
 /// Agents whose servers hold the two flows.
@@ -210,11 +212,12 @@
             wrong: None,
         };
         for number in 0..3 {
-            world.agents.push(world.new_agent(number));
+            // The agents have seen their servers start.
+            world.agents.push(world.new_agent(number, UPTIME));
             world.servers.push(world.new_server(number));
-            world.servers[number].started_ms -= 5_000;
-            world.servers[number].sequence = mode.sequence;
+            world.servers[number].started_ms -= UPTIME;
             world.beat(number);
+            world.servers[number].sequence = mode.sequence;
         }
         for (flow, owner) in OWNERS.into_iter().enumerate() {
             world.offer(owner, flow as u16, 0);
@@ -230,14 +233,15 @@
         UNIX_MS + self.now - self.clock_back[vm]
     }
 
-    fn new_agent(&self, number: usize) -> FlowTracker {
+    fn new_agent(&self, number: usize, uptime: u64) -> FlowTracker {
         let settings = TrackerSettings {
             address: agent(number as u8),
             service: SERVICES[number].into(),
             reset_lost: true,
             ..tracker_settings()
         };
-        let mut tracker = FlowTracker::new(settings, self.unix_ms(number), Millis(self.now));
+        let mut tracker =
+            FlowTracker::new(settings, self.unix_ms(number) - uptime, Millis(self.now));
         tracker.set_config(Arc::new(config(1)), Millis(self.now));
         tracker
     }
@@ -414,12 +418,12 @@
 
     fn apply(&mut self, fault: Fault) {
         match fault {
-            Fault::AgentRestart(number) => self.agents[number] = self.new_agent(number),
+            Fault::AgentRestart(number) => self.agents[number] = self.new_agent(number, 0),
             Fault::ServerRestart(number) => self.servers[number] = self.new_server(number),
             Fault::PowerLoss => {
                 for number in 0..3 {
                     self.servers[number] = self.new_server(number);
-                    self.agents[number] = self.new_agent(number);
+                    self.agents[number] = self.new_agent(number, 0);
                 }
                 for number in 0..2 {
                     self.balancers[number] = balancer(self.now, |_| true, true);
@@ -535,7 +539,7 @@
 #[case::idle_callers(IDLE, |_: &Fault| true)]
 #[case::lost_heartbeats(EARLY, |fault: &Fault| !matches!(fault, Fault::ClockBack(_)))]
 fn no_flow_of_a_live_server_is_reset(#[case] mode: Mode, #[case] is_possible: fn(&Fault) -> bool) {
-    let mut runs = 0;
+    let (mut runs, mut runs_with_resets) = (0, 0);
     for first_at in FAULT_STEPS {
         for first in FAULTS.into_iter().filter(is_possible) {
             for second_at in FAULT_STEPS.into_iter().filter(|at| *at >= first_at) {
@@ -544,10 +548,13 @@
                     let world = World::run(mode, &faults);
                     assert_eq!(world.wrong, None, "{faults:?}");
                     runs += 1;
+                    runs_with_resets += usize::from(!world.resets.is_empty());
                 }
             }
         }
     }
     let faults = FAULTS.iter().filter(|fault| is_possible(fault)).count();
     assert_eq!(runs, 21 * faults * faults);
+    // Most faults take no flow from its server.
+    assert!(runs_with_resets * 10 > runs);
 }
