--- a/components/flows/tests/small_world.rs
+++ b/components/flows/tests/small_world.rs
@@ -20,6 +20,8 @@
         AgentTable,
         BackendState,
         LostFlowSearch,
+        MemberListing,
+        MemberUpdate,
         OwnerLookup,
         QueryReply,
         SearchAction, //
@@ -493,8 +495,14 @@
                 .is_some_and(|start| start + LISTING <= self.now)
             {
                 let start = Millis(balancer.listing.take().unwrap());
-                balancer.table.replace((0..3).map(record), Millis(self.now));
-                balancer.table.note_confirmed(start);
+                let listing = MemberListing {
+                    entries: (0..3).map(record).collect(),
+                    registrations: Vec::new(),
+                    started: start,
+                    finished: Millis(self.now),
+                };
+                let update = MemberUpdate::Listed(listing);
+                balancer.table.apply_members(update, Millis(self.now));
             }
             self.search(number, |search, lookup, now, act| {
                 search.tick(lookup, now, act)
