--- a/components/flows/src/process/agent_table/members.rs
+++ b/components/flows/src/process/agent_table/members.rs
@@ -46,6 +46,12 @@
         owners
     }
 
+    /// Returns whether an agent is registered whose entry is missing, but not for long enough to count as
+    /// gone.
+    pub(crate) fn lacks_entry(&self, address: SocketAddrV4) -> bool {
+        self.members.lacks_entry(address)
+    }
+
     /// Returns the time at which the last complete and successful listing of the store was started;
     /// `None` before the first one.
     pub fn confirmed_since(&self) -> Option<Millis> {
--- a/components/flows/src/process/lost_flow_search.rs
+++ b/components/flows/src/process/lost_flow_search.rs
@@ -262,14 +262,21 @@
             .entry(address)
             .or_insert_with(|| lookup.owners(address, now));
         search.set_owners(owners);
-        let is_pending = search.owner_count() == 0 || search.pending_agent().is_some();
-        if search.has_ended(now) || is_pending || !lookup.is_config_current() {
+        if search.has_ended(now) || search.owner_count() == 0 || !lookup.is_config_current() {
+            return;
+        }
+        // An agent without an entry counts as gone only by further listings.
+        let needs_answer = |agent: SocketAddrV4| !lookup.agents.lacks_entry(agent);
+        if search.pending_agents().any(needs_answer) {
             return;
         }
         if lookup.agents.confirmed_since() < Some(search.began) {
             self.listing_wanted = self.listing_wanted.max(Some(search.began));
             return;
         }
+        if search.pending_agents().next().is_some() {
+            return;
+        }
         actions.push(SearchAction::Reset {
             flow: search.flow,
             agents: search.owner_count(),
@@ -360,7 +367,7 @@
 
 /// Returns why a search that has taken too long didn't lead to a reset.
 fn end_cause(search: &FlowSearch, lookup: OwnerLookup<'_>) -> SearchEnd {
-    match search.pending_agent() {
+    match search.pending_agents().next() {
         Some(agent) => SearchEnd::Unanswered(agent),
         None if search.owner_count() == 0 => SearchEnd::NoAgent,
         None if !lookup.is_config_current() => SearchEnd::Outdated,
--- a/components/flows/src/process/lost_flow_search/flow_search.rs
+++ b/components/flows/src/process/lost_flow_search/flow_search.rs
@@ -98,9 +98,9 @@
         }
     }
 
-    /// Returns an agent that hasn't shown that its server doesn't hold the flow.
-    pub(super) fn pending_agent(&self) -> Option<SocketAddrV4> {
-        let pending = self.answers.iter().find(|answer| !answer.is_absent);
+    /// Returns the agents that haven't shown that their servers don't hold the flow.
+    pub(super) fn pending_agents(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        let pending = self.answers.iter().filter(|answer| !answer.is_absent);
         pending.map(|answer| answer.agent)
     }
 
--- a/components/flows/src/process/registered_members.rs
+++ b/components/flows/src/process/registered_members.rs
@@ -190,6 +190,12 @@
         possible.map(|member| (member.address, member.service))
     }
 
+    /// Returns whether the entry of this agent is missing, but not for long enough to count as gone.
+    pub fn lacks_entry(&self, address: SocketAddrV4) -> bool {
+        let found = self.find(address);
+        found.is_ok_and(|index| self.members[index].is_missing())
+    }
+
     /// Returns whether the entry of an agent is missing that doesn't count as gone yet.
     pub fn is_unsettled(&self) -> bool {
         self.members.iter().any(MemberState::is_missing)
