--- a/components/flows/src/process/lost_flow_search.rs
+++ b/components/flows/src/process/lost_flow_search.rs
@@ -44,6 +44,14 @@
 /// Limit of the flows of a query: 25 bytes each, so that the datagram fits into one frame.
 const MAX_QUERY_FLOWS: usize = 48;
 
+/// Shortest time between two resets. After the loss of all servers thousands of callers wait for an answer that
+/// is late already; if all of them returned at once, the answers to new requests would be late as well.
+const RESET_INTERVAL: Millis = Millis(20);
+
+/// Age of a search from which its flow is reset without regard to others, so that its caller has time for
+/// another attempt.
+const MAX_RESET_DELAY: Millis = Millis(800);
+
 /// A query whose reply counts.
 #[derive(Debug)]
 struct OpenQuery {
@@ -80,6 +88,8 @@
     /// Last agent that was asked before the budget was used up, and after which the next round begins.
     last_asked: Option<SocketAddrV4>,
     listing_wanted: Option<Millis>,
+    /// Time from which the next flow may be reset.
+    next_reset: Millis,
 }
 
 impl LostFlowSearch {
@@ -98,6 +108,7 @@
             next_tick: Millis(0),
             last_asked: None,
             listing_wanted: None,
+            next_reset: Millis(0),
         }
     }
 
@@ -187,7 +198,6 @@
         reply: &QueryReply,
         lookup: OwnerLookup<'_>,
         now: Millis,
-        actions: &mut Vec<SearchAction>,
     ) {
         let Ok(index) = self
             .queries
@@ -213,12 +223,10 @@
         if now.since(query.sent) >= SEARCH_TIMEOUT || is_outdated {
             return;
         }
-        let mut owners = OwnersByAddress::new();
         for position in &reply.absent {
             let serial = query.serials[*position as usize];
             if let Ok(index) = self.index_of(serial) {
                 self.searches[index].note_absent(query.agent);
-                self.decide(index, lookup, &mut owners, now, actions);
             }
         }
     }
@@ -235,14 +243,23 @@
             self.queries.pop_front();
         }
         let mut owners = OwnersByAddress::new();
-        for index in (0..self.searches.len()).rev() {
-            let search = &self.searches[index];
+        let mut index = 0;
+        // The oldest searches come first, since their callers have the least time left.
+        while let Some(search) = self.searches.get(index) {
+            let serial = search.serial;
             if search.has_ended(now) {
                 let end = end_cause(search, lookup);
                 self.end(search.flow.key, end, actions);
             } else {
                 self.decide(index, lookup, &mut owners, now, actions);
             }
+            if self
+                .searches
+                .get(index)
+                .is_some_and(|search| search.serial == serial)
+            {
+                index += 1;
+            }
         }
         self.send_queries(now, actions);
     }
@@ -277,6 +294,11 @@
         if search.pending_agents().next().is_some() {
             return;
         }
+        let is_paced = now < self.next_reset && now.since(search.began) < MAX_RESET_DELAY;
+        if is_paced {
+            return;
+        }
+        self.next_reset = now.plus(RESET_INTERVAL);
         actions.push(SearchAction::Reset {
             flow: search.flow,
             agents: search.owner_count(),
--- a/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
+++ b/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
@@ -56,9 +56,7 @@
     ) {
         raise_peer_revision(&self.revision_sender, reply.revision, *from.ip());
         let reply = decode_reply(reply);
-        self.run_search(|search, lookup, actions| {
-            search.handle_reply(from, &reply, lookup, now, actions);
-        });
+        self.run_search(|search, lookup, _| search.handle_reply(from, &reply, lookup, now));
     }
 
     /// Ends the search for the flow of a caller's packet that shows that the caller has given it up.
