--- a/components/core/src/request/admission_controller.rs
+++ b/components/core/src/request/admission_controller.rs
@@ -1,10 +1,6 @@
 //! Admission of requests to one server.
 
 use super::{
-    request_queue::{
-        QueueRank,
-        RequestQueue, //
-    },
     ticket_arena::{
         TicketArena,
         TicketState, //
@@ -13,6 +9,8 @@
     AdmissionControllerBuilder,
     AdmissionDecision,
     LoadMeter,
+    QueueRank,
+    RankedQueue,
     RefusalReason,
     RequestOffer,
     RequestOutcome,
@@ -57,7 +55,8 @@
     limit: AdaptiveLimit,
     ramp: WarmupRamp,
     arena: TicketArena,
-    queue: RequestQueue,
+    queue: RankedQueue<PriorityClass, RequestTicket>,
+    queue_capacity: usize,
     in_flight: u32,
     bulk_in_flight: u32,
     bulk_reserve: u32,
@@ -79,7 +78,8 @@
             limit: builder.limit,
             ramp: builder.ramp,
             arena: TicketArena::default(),
-            queue: RequestQueue::new(builder.queue),
+            queue: RankedQueue::default(),
+            queue_capacity: builder.queue,
             in_flight: 0,
             bulk_in_flight: 0,
             bulk_reserve: builder.bulk_reserve,
@@ -106,7 +106,7 @@
             self.last_dispatch = Some(now);
         }
         let rank = self.rank_of(offer);
-        let is_next = self.queue.first().is_none_or(|first| rank < first);
+        let is_next = self.queue.first().is_none_or(|(first, _)| rank < first);
         if is_next && self.has_room_for(now, rank.class) {
             return AdmissionDecision::Run(self.start_new(rank.class));
         }
@@ -119,8 +119,9 @@
     /// [`AdmissionController::expire`] removes it.
     pub fn start_next(&mut self, now: Millis) -> Option<RequestTicket> {
         let latest = self.latest_unmeetable_deadline(now);
-        let is_eligible =
-            |rank: &QueueRank| rank.deadline > latest && self.has_room_for(now, rank.class);
+        let is_eligible = |rank: &QueueRank<PriorityClass>, _: &RequestTicket| {
+            rank.deadline > latest && self.has_room_for(now, rank.class)
+        };
         let (rank, ticket) = self.queue.find(is_eligible)?;
         self.queue.remove(rank);
         let state = self.start(rank.class);
@@ -271,7 +272,7 @@
         Millis(expected.unwrap_or(0.0) as u64)
     }
 
-    fn rank_of(&mut self, offer: RequestOffer) -> QueueRank {
+    fn rank_of(&mut self, offer: RequestOffer) -> QueueRank<PriorityClass> {
         self.arrivals += 1;
         QueueRank {
             class: offer.class,
@@ -299,9 +300,9 @@
         self.arena.insert(state)
     }
 
-    fn enqueue(&mut self, rank: QueueRank) -> AdmissionDecision {
+    fn enqueue(&mut self, rank: QueueRank<PriorityClass>) -> AdmissionDecision {
         let mut evicted = None;
-        if self.queue.is_full() {
+        if self.queue.len() >= self.queue_capacity {
             evicted = self.evict_lower_class(rank);
             if evicted.is_none() {
                 return AdmissionDecision::Refused(RefusalReason::QueueFull);
@@ -313,7 +314,7 @@
     }
 
     /// Removes the queued request that would run last, if its class is lower than that of `rank`.
-    fn evict_lower_class(&mut self, rank: QueueRank) -> Option<RequestTicket> {
+    fn evict_lower_class(&mut self, rank: QueueRank<PriorityClass>) -> Option<RequestTicket> {
         let (last, ticket) = self.queue.last()?;
         if last.class <= rank.class {
             return None;
--- a/components/core/src/request/mod.rs
+++ b/components/core/src/request/mod.rs
@@ -9,9 +9,9 @@
 mod latency_baseline;
 mod load_meter;
 mod outcome_ledger;
+mod ranked_queue;
 mod request_deadline;
 mod request_offer;
-mod request_queue;
 mod request_result;
 mod retry_budget;
 mod ticket_arena;
@@ -39,6 +39,10 @@
     OutcomeLedger,
     RecordedResponse, //
 };
+pub use ranked_queue::{
+    QueueRank,
+    RankedQueue, //
+};
 pub use request_deadline::{
     DeadlineError,
     RequestDeadline, //
--- a/components/core/src/request/ticket_arena.rs
+++ b/components/core/src/request/ticket_arena.rs
@@ -1,6 +1,6 @@
 //! Arena of the queued and running requests of an admission controller.
 
-use super::request_queue::QueueRank;
+use super::QueueRank;
 use crate::version::PriorityClass;
 
 /// Key of a request in the arena of one [`AdmissionController`](super::AdmissionController).
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) enum TicketState {
     /// The request is queued with this rank.
-    Queued(QueueRank),
+    Queued(QueueRank<PriorityClass>),
     /// The request holds a slot.
     Running {
         class: PriorityClass,
