--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -9,7 +9,11 @@
     LoadEstimate,
     SequenceWindow, //
 };
-use crate::request::ForwardHeader;
+use crate::request::{
+    FlowPacket,
+    ForwardHeader,
+    PacketKind, //
+};
 
 /// Age from which a flow counts as long. Flows of one request are shorter.
 const LONG_FLOW_AGE: Millis = Millis(1_000);
@@ -18,6 +22,9 @@
 /// balancers that know different agents name different ones.
 const MAX_INFORMED: usize = 4;
 
+/// Largest distance by which data of the caller may be older than its latest data.
+const MAX_REPEATED: u32 = 1 << 30;
+
 /// Stage of a flow as an agent knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FlowStage {
@@ -58,6 +65,9 @@
     pub server_window: Option<SequenceWindow>,
     /// Sequence number that the caller expects next; that of a reset.
     pub caller_expects: u32,
+    /// Sequence number after the caller's data that the server has got, kept only while requests are
+    /// scheduled; `None` before the first data.
+    pub caller_sent: Option<u32>,
     /// Whether the server has sent more than the acceptance of the flow, so that it certainly held
     /// it.
     pub is_served: bool,
@@ -75,6 +85,7 @@
         FlowEntry {
             server_window: None,
             caller_expects: 0,
+            caller_sent: None,
             is_served: false,
             first_used: now,
             is_firm: header.is_firm,
@@ -111,6 +122,43 @@
         }
     }
 
+    /// Records that a later packet of the caller goes to the server: a request may begin, or the flow
+    /// end.
+    pub fn note_delivered(&mut self, packet: &FlowPacket, load: &mut LoadEstimate, now: Millis) {
+        let has_request = packet.data_len > 0 && self.stage == FlowStage::Open;
+        if has_request && self.request_started.replace(now).is_none() {
+            load.begin();
+        }
+        let is_closing = match packet.kind {
+            PacketKind::Reset => {
+                self.stage = FlowStage::Closed;
+                true
+            }
+            PacketKind::Finish => {
+                self.caller_done = true;
+                self.close_if_done()
+            }
+            _ => false,
+        };
+        if is_closing {
+            self.abandon_request(load);
+        }
+    }
+
+    /// Records which data of the caller the server has got with a packet.
+    pub fn note_caller_data(&mut self, packet: &FlowPacket) {
+        if packet.data_len > 0 && !self.is_repeated(packet) {
+            self.caller_sent = Some(data_end(packet));
+        }
+    }
+
+    /// Returns whether the server has got all data of a packet before.
+    pub fn is_repeated(&self, packet: &FlowPacket) -> bool {
+        let ahead = |sent: u32| sent.wrapping_sub(data_end(packet));
+        self.caller_sent
+            .is_some_and(|sent| ahead(sent) <= MAX_REPEATED)
+    }
+
     /// Records that the server has accepted the flow with this sequence number. Another number than
     /// before shows that a new flow has the same endpoints.
     pub fn note_accepted(&mut self, sequence: u32) {
@@ -123,6 +171,7 @@
             return;
         }
         self.stage = FlowStage::Opening;
+        self.caller_sent = None;
         self.is_served = false;
         self.caller_done = false;
         self.server_done = false;
@@ -150,3 +199,8 @@
         done
     }
 }
+
+/// Returns the sequence number after the data of a packet.
+fn data_end(packet: &FlowPacket) -> u32 {
+    packet.sequence.wrapping_add(u32::from(packet.data_len))
+}
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -1,5 +1,6 @@
 //! Flow tracking of an agent: decides about each packet to and from its backend server.
 
+mod held;
 mod later;
 mod opening;
 
@@ -20,6 +21,7 @@
     FlowStage,
     LoadEstimate,
     RedirectCause,
+    RequestQueue,
     ResetCause,
     ReturnPause, //
     TrackerAction,
@@ -109,6 +111,10 @@
     return_pause: ReturnPause,
     /// Flows of a server that has ended, which are to be reset.
     lost_flows: Vec<(FlowKey, ResetCause)>,
+    /// Requests that wait for a slot.
+    requests: RequestQueue,
+    /// Whether requests wait for a slot that they have to share with requests of another class.
+    is_scheduling: bool,
     stopping: bool,
 }
 
@@ -130,6 +136,8 @@
             owners: OwnerCache::default(),
             return_pause: ReturnPause::default(),
             lost_flows: Vec::new(),
+            requests: RequestQueue::default(),
+            is_scheduling: false,
             stopping: false,
             settings,
         }
@@ -143,6 +151,7 @@
         if was_evacuated && !self.is_evacuated() {
             self.cold.mark_unknown(now);
         }
+        self.update_scheduling();
     }
 
     /// Applies changed settings. A service that the server has named takes precedence over theirs.
@@ -154,6 +163,7 @@
         self.liveness
             .set_activity_timeout(settings.activity_timeout);
         self.settings = settings;
+        self.update_scheduling();
     }
 
     /// Applies a heartbeat that the server has just sent, unless it is stale or its run is contested.
@@ -201,6 +211,7 @@
         self.cold.set_remaining(cold_remaining, sent, now);
         self.load.set_slots(slots);
         self.service = service;
+        self.update_scheduling();
         outcome
     }
 
@@ -253,6 +264,7 @@
             failure_percent: self.failure_rate.percent(now),
             accepts: self.exclusion_cause(now).is_none(),
             busy: self.load.busy(),
+            queued: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
             slots: self.load.slots(),
             revision: self.config.as_ref().map_or(0, |config| config.revision),
             is_confirmed: self.liveness.is_confirmed(),
@@ -303,7 +315,7 @@
         if packet.is_open() {
             self.handle_opening(packet, bytes, header, now, actions);
         } else {
-            self.handle_later(packet, header, now, actions);
+            self.handle_later(packet, bytes, header, now, actions);
         }
     }
 
@@ -320,7 +332,8 @@
         });
         self.owners.expire(now, self.settings.flow_lifetime);
         let load = &mut self.load;
-        self.flows.retain(|_, entry| {
+        let requests = &self.requests;
+        self.flows.retain(|key, entry| {
             let idle = now.since(entry.last_used);
             let timeout = match entry.stage {
                 FlowStage::Opening if entry.server_window.is_none() => OPEN_TIMEOUT,
@@ -328,7 +341,7 @@
                 FlowStage::Unverified | FlowStage::NotHeld | FlowStage::Closed => CLOSED_RETENTION,
                 FlowStage::Open | FlowStage::Redirected(_) => idle_timeout,
             };
-            let is_kept = idle < timeout;
+            let is_kept = idle < timeout || requests.holds(*key);
             if !is_kept || idle >= REQUEST_IDLE_TIMEOUT {
                 entry.abandon_request(load);
             }
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -1,5 +1,6 @@
 //! Later packets of a flow, in both directions.
 
+use bytes::Bytes;
 use carobdrum_core::Millis;
 
 use super::FlowTracker;
@@ -23,6 +24,7 @@
     pub(super) fn handle_later(
         &mut self,
         packet: &FlowPacket,
+        bytes: &Bytes,
         mut header: ForwardHeader,
         now: Millis,
         actions: &mut Vec<TrackerAction>,
@@ -78,24 +80,11 @@
             actions.push(TrackerAction::AnnounceOwner(balancer, packet.key));
         }
         entry.caller_expects = packet.acknowledged;
-        let has_request = packet.data_len > 0 && entry.stage == FlowStage::Open;
-        if has_request && entry.request_started.replace(now).is_none() {
-            self.load.begin();
-        }
-        let is_closing = match packet.kind {
-            PacketKind::Reset => {
-                entry.stage = FlowStage::Closed;
-                true
-            }
-            PacketKind::Finish => {
-                entry.caller_done = true;
-                entry.close_if_done()
-            }
-            _ => false,
-        };
-        if is_closing {
-            entry.abandon_request(&mut self.load);
+        if self.is_scheduling || !self.requests.is_empty() {
+            self.schedule_later(packet, bytes, now, actions);
+            return;
         }
+        entry.note_delivered(packet, &mut self.load, now);
         actions.push(TrackerAction::Deliver);
     }
 
@@ -157,12 +146,18 @@
     ) {
         if packet.returned {
             self.handle_returned(packet, now, actions);
-            return;
-        }
-        if packet.kind == PacketKind::Reset && !self.is_held(packet.key) {
+        } else if packet.kind == PacketKind::Reset && !self.is_held(packet.key) {
             self.drop_server_reset(packet.key, actions);
-            return;
+        } else {
+            self.handle_sent(packet, now, actions);
+        }
+        if !self.requests.is_empty() {
+            self.settle_held(packet.key, now, actions);
         }
+    }
+
+    /// Decides about a packet that the server sends to a caller.
+    fn handle_sent(&mut self, packet: &FlowPacket, now: Millis, actions: &mut Vec<TrackerAction>) {
         actions.push(TrackerAction::ToCaller);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
             return;
@@ -272,7 +267,11 @@
                 entry.stage = FlowStage::NotHeld;
                 entry.abandon_request(&mut self.load);
             }
+            let held_header = self.requests.holds(packet.key).then(|| header.clone());
             redirect_later(packet.key, header, RedirectCause::NotHeld, actions);
+            if let Some(header) = held_header {
+                self.redirect_held(packet.key, &header, actions);
+            }
         }
     }
 
@@ -291,10 +290,11 @@
         entry.stage = FlowStage::NotHeld;
         entry.abandon_request(&mut self.load);
         actions.push(TrackerAction::Reset(key, entry.caller_expects, cause));
+        self.drop_held(key, actions);
     }
 }
 
-fn redirect_later(
+pub(super) fn redirect_later(
     key: FlowKey,
     mut header: ForwardHeader,
     cause: RedirectCause,
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -72,7 +72,7 @@
             self.redirect_opening(key, header, cause, None, now, actions);
             return;
         }
-        let wait_us = self.load.wait_us();
+        let wait_us = self.expected_wait_us(key, now);
         let is_acceptable = wait_us <= self.wait_limit_us(packet);
         if wait_us == 0 || (header.assigned && is_acceptable) {
             self.accept(key, bytes, header, now, actions);
--- a/components/flows/src/connection/load_estimate.rs
+++ b/components/flows/src/connection/load_estimate.rs
@@ -60,9 +60,11 @@
         self.work_us = kept + sample / SAMPLE_DIVISOR;
     }
 
-    /// Returns the expected queueing delay of a new request, in microseconds.
-    pub fn wait_us(&self) -> u32 {
-        let ahead = (self.busy + 1).saturating_sub(self.slots);
+    /// Returns the expected queueing delay of a new request, in microseconds. `held` is the number of
+    /// requests that the agent holds and that are sent to the server before it.
+    pub fn wait_us(&self, held: u32) -> u32 {
+        let before = self.busy.saturating_add(held);
+        let ahead = before.saturating_add(1).saturating_sub(self.slots);
         ahead.saturating_mul(self.work_us) / self.slots
     }
 
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -4,8 +4,12 @@
 mod flow_entry;
 mod flow_tracker;
 mod load_estimate;
+mod packet_arena;
+mod request_queue;
+mod request_release;
 mod return_pause;
 mod sequence_window;
+mod slot_policy;
 mod tracker_action;
 mod wait_limit;
 
@@ -19,8 +23,17 @@
     TrackerSettings, //
 };
 pub use load_estimate::LoadEstimate;
+pub use request_queue::{
+    RequestQueue,
+    RequestTerms, //
+};
+pub use request_release::{
+    ReleaseCause,
+    RequestRelease, //
+};
 pub use return_pause::ReturnPause;
 pub use sequence_window::SequenceWindow;
+pub use slot_policy::SlotPolicy;
 pub use tracker_action::{
     RedirectCause,
     ResetCause, //
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use carobdrum_core::Millis;
 
+use super::RequestRelease;
 use crate::request::{
     FlowKey,
     ForwardHeader, //
@@ -37,6 +38,8 @@
     NoAnswer,
     /// The packet follows the flow's opening packet, which was redirected.
     Followed,
+    /// The packet is a copy of one that the agent holds.
+    Duplicate,
 }
 
 impl RedirectCause {
@@ -55,6 +58,7 @@
             RedirectCause::NotHeld => "not_held",
             RedirectCause::NoAnswer => "no_answer",
             RedirectCause::Followed => "followed",
+            RedirectCause::Duplicate => "duplicate",
         }
     }
 }
@@ -86,6 +90,15 @@
 pub enum TrackerAction {
     /// Send the packet to the backend server.
     Deliver,
+    /// Send a packet that was held to the backend server.
+    DeliverHeld {
+        /// The flow of the packet.
+        key: FlowKey,
+        /// The packet to send.
+        packet: Bytes,
+        /// The request that the packet begins; `None` for its further packets.
+        release: Option<RequestRelease>,
+    },
     /// Send the packet to another agent.
     Redirect {
         /// The flow of the packet.
--- a/components/flows/src/process/agent_report.rs
+++ b/components/flows/src/process/agent_report.rs
@@ -9,6 +9,8 @@
     pub failure_percent: u8,
     /// Number of requests in progress at the server, including queued ones.
     pub busy: u32,
+    /// Number of requests that the agent holds until a slot is free; they aren't in progress.
+    pub queued: u32,
     /// Number of requests that the server processes at once.
     pub slots: u32,
     /// Store revision of the agent's configuration; zero before the first one.
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -111,6 +111,7 @@
             service: tracker.service().to_string(),
             failure_percent: u32::from(report.failure_percent),
             confirmed: report.is_confirmed,
+            queued: report.queued,
         }))
     }
 }
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -82,7 +82,7 @@
 /// Interval between checks for expired state and pending reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Wait while no opening packet has a deadline.
+/// Wait while no opening packet and no held request has a deadline.
 const IDLE_WAIT: Duration = Duration::from_secs(3_600);
 
 /// Message of the control thread to the traffic thread of an agent.
@@ -186,9 +186,10 @@
 
     fn opening_wait(&self) -> Duration {
         let now = self.clock.now();
-        self.tracker
-            .next_opening_deadline()
-            .map_or(IDLE_WAIT, |due| Duration::from_millis(due.since(now).0))
+        let opening = self.tracker.next_opening_deadline();
+        let held = self.tracker.next_held_deadline(now);
+        let due = opening.into_iter().chain(held).min();
+        due.map_or(IDLE_WAIT, |due| Duration::from_millis(due.since(now).0))
     }
 
     fn apply(&mut self, update: AgentUpdate) {
@@ -373,6 +374,19 @@
                     self.metrics.forwarded.inc();
                     self.outgoing.send(bytes, self.backend);
                 }
+                TrackerAction::DeliverHeld {
+                    key,
+                    packet,
+                    release,
+                } => {
+                    self.metrics.forwarded.inc();
+                    self.outgoing.send(&packet, self.backend);
+                    if let Some(release) = release {
+                        self.metrics.held.record(release);
+                        let report = self.tracker.report(self.clock.now());
+                        self.log.released(key, release, report);
+                    }
+                }
                 TrackerAction::Redirect {
                     key,
                     to,
@@ -446,7 +460,10 @@
 
     fn check_openings(&mut self) {
         let now = self.clock.now();
-        self.run_tracker(|tracker, actions| tracker.check_openings(now, actions));
+        self.run_tracker(|tracker, actions| {
+            tracker.check_openings(now, actions);
+            tracker.send_held(now, actions);
+        });
     }
 
     fn tick(&mut self) {
@@ -459,6 +476,7 @@
             .set(i64::try_from(unsent).unwrap_or(i64::MAX));
         let report = self.tracker.report(now);
         self.metrics.busy.set(i64::from(report.busy));
+        self.metrics.held.queued.set(i64::from(report.queued));
         self.metrics
             .revision
             .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -233,6 +233,7 @@
                         accepts: report.accepts,
                         failure_percent: u8::try_from(report.failure_percent).unwrap_or(u8::MAX),
                         busy: report.busy,
+                        queued: report.queued,
                         slots: report.slots,
                         revision: report.revision,
                         is_confirmed: report.confirmed,
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -7,6 +7,7 @@
     connection::{
         FlowStage,
         RedirectCause,
+        RequestRelease,
         ResetCause, //
     },
     process::{
@@ -18,7 +19,12 @@
 };
 use carobdrum_platform::PacketError;
 use carobdrum_telemetry::LogLimiter;
-use tracing::info;
+use tracing::{
+    debug,
+    enabled,
+    info,
+    Level, //
+};
 
 const MAX_LINES_PER_S: u32 = 200;
 
@@ -82,6 +88,29 @@
         }
     }
 
+    /// Logs a request that was held and has been sent to the server.
+    pub(crate) fn released(&mut self, key: FlowKey, release: RequestRelease, report: AgentReport) {
+        if !enabled!(Level::DEBUG) {
+            return;
+        }
+        if let Some(left_out) = self.limiter.admit() {
+            let (class, packets, cause) = (release.class, release.packets, release.cause.name());
+            let (busy, slots, queued) = (report.busy, report.slots, report.queued);
+            debug!(
+                flow = %key,
+                class,
+                waited_ms = release.waited.0,
+                cause,
+                packets,
+                busy,
+                slots,
+                queued,
+                left_out,
+                "held request sent"
+            );
+        }
+    }
+
     pub(crate) fn redirected(
         &mut self,
         key: FlowKey,
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod config_tasks;
 mod config_tracker;
 mod hedged_read;
+mod held_metrics;
 mod http_port;
 mod lease_actor;
 mod node_context;
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -14,6 +14,8 @@
     },
 };
 
+use super::held_metrics::HeldMetrics;
+
 /// Upper bounds of the histogram of response times, in seconds.
 const RESPONSE_TIME_BOUNDS: [f64; 12] = [
     0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0,
@@ -52,6 +54,8 @@
     pub(crate) agents: Gauge,
     /// Time from a request to the first data of its response.
     pub(crate) response_time: Histogram,
+    /// Requests that wait for a slot of the server.
+    pub(crate) held: HeldMetrics,
 }
 
 impl NodeMetrics {
@@ -70,6 +74,7 @@
             revision: Gauge::default(),
             agents: Gauge::default(),
             response_time: Histogram::new(RESPONSE_TIME_BOUNDS),
+            held: HeldMetrics::register(registry),
         };
         let m = metrics.clone();
         registry.register("opened_flows", "Opening packets sent to a server", m.opened);
--- a/components/model/src/flow_model/network.rs
+++ b/components/model/src/flow_model/network.rs
@@ -192,7 +192,8 @@
                     self.agents[index].tracker.record_response(failed, now);
                     self.stats.failed_responses += u32::from(failed);
                 }
-                TrackerAction::Drop(..) => {}
+                // The model's routes have one priority, so no request is held.
+                TrackerAction::DeliverHeld { .. } | TrackerAction::Drop(..) => {}
             }
         }
     }
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -127,6 +127,9 @@
     /// Whether the server has sent a heartbeat since the agent's start.
     #[prost(bool, tag = "9")]
     pub confirmed: bool,
+    /// Number of requests that the agent holds until the server has a slot for them.
+    #[prost(uint32, tag = "10")]
+    pub queued: u32,
 }
 
 /// The agent that owns a flow.
