--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -41,6 +41,8 @@
 /// Start of agent 0 as Unix time: later than that of its server.
 pub(crate) const AGENT_STARTED_MS: u64 = 1_000_000;
 pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+/// Address of a route with a less urgent class than that of [`ROUTE`].
+pub(crate) const SLOW_ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
 pub(crate) const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 7_000);
 
 pub(crate) fn agent(number: u8) -> SocketAddrV4 {
@@ -88,6 +90,38 @@
     router
 }
 
+/// Returns a configuration whose routes of both addresses have these priorities.
+pub(crate) fn scheduling_config(version: u64, priorities: [u8; 2]) -> SiteConfig {
+    let routes = [ROUTE, SLOW_ROUTE].into_iter().zip(priorities);
+    let routes = routes.map(|(address, priority)| FlowRoute {
+        address,
+        shares: vec![ServiceShare {
+            service: SERVICE.into(),
+            weight: 1,
+        }],
+        priority,
+        latency_objective: Millis(300),
+    });
+    let service = ServiceConfig {
+        name: SERVICE.into(),
+        cold_duration: Millis(2_000),
+        cold_rate: None,
+    };
+    SiteConfig::new(version, Millis(15_000), routes, [service])
+}
+
+/// Returns a tracker whose server has this many slots and gets requests of two classes.
+pub(crate) fn scheduling_tracker(slots: u32, schedule_requests: bool) -> FlowTracker {
+    let mut settings = tracker_settings();
+    settings.schedule_requests = schedule_requests;
+    let mut tracker = FlowTracker::new(settings, AGENT_STARTED_MS, Millis(0));
+    tracker.set_config(Arc::new(scheduling_config(1, [1, 2])), Millis(0));
+    let mut heartbeat = heartbeat(1, BackendState::Ready);
+    heartbeat.slots = slots;
+    assert!(tracker.handle_heartbeat(heartbeat, Millis(0)).is_applied());
+    tracker
+}
+
 pub(crate) fn heartbeat(sequence: u64, state: BackendState) -> BackendHeartbeat {
     BackendHeartbeat {
         id: "i-1".into(),
@@ -119,7 +153,11 @@
 }
 
 fn start_tracker() -> FlowTracker {
-    let settings = TrackerSettings {
+    FlowTracker::new(tracker_settings(), AGENT_STARTED_MS, Millis(0))
+}
+
+pub(crate) fn tracker_settings() -> TrackerSettings {
+    TrackerSettings {
         address: agent(0),
         server: server(),
         centre: CENTRE.into(),
@@ -130,8 +168,7 @@
         flow_lifetime: Millis(60_000),
         reset_lost: false,
         schedule_requests: false,
-    };
-    FlowTracker::new(settings, AGENT_STARTED_MS, Millis(0))
+    }
 }
 
 pub(crate) fn key(caller: u16) -> FlowKey {
