--- a/components/flows/src/connection/load_estimate.rs
+++ b/components/flows/src/connection/load_estimate.rs
@@ -68,6 +68,12 @@
         ahead.saturating_mul(self.work_us) / self.slots
     }
 
+    /// Returns the expected time from sending a request to the server until its response begins.
+    pub fn response_time(&self) -> Millis {
+        let time_us = self.wait_us(0).saturating_add(self.work_us);
+        Millis(u64::from(time_us).div_ceil(1_000))
+    }
+
     /// Returns the number of requests in progress, including those that are queued at the server.
     pub fn busy(&self) -> u32 {
         self.busy
--- a/components/flows/src/connection/request_queue.rs
+++ b/components/flows/src/connection/request_queue.rs
@@ -39,6 +39,9 @@
 /// sent although no slot is free.
 const OVERDUE_SLOT_FACTOR: u32 = 2;
 
+/// Multiple of the objective after which a request is sent in any case.
+const HOLD_OBJECTIVES: u64 = 4;
+
 /// Urgency of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestTerms {
@@ -58,17 +61,28 @@
     }
 }
 
+/// Class of a held request in the order of the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct HeldClass {
+    class: u8,
+    /// Whether the response would come after the objective. Within a class, requests that can still be
+    /// answered in time run first: under a lasting overload all would be late otherwise.
+    is_late: bool,
+}
+
 /// What the order of the queue refers to.
 #[derive(Clone, Copy, Debug)]
 struct QueuedFlow {
     key: FlowKey,
     /// Time at which the request has waited for half of its objective.
     overdue_at: Millis,
+    /// Time at which the request is sent in any case.
+    hold_end: Millis,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct HeldRequest {
-    rank: QueueRank<u8>,
+    rank: QueueRank<HeldClass>,
     arrived: Millis,
     packets: PacketList,
 }
@@ -83,7 +97,7 @@
     /// Returns the record of sending the request to the server at `now`.
     pub(super) fn release(&self, cause: ReleaseCause, now: Millis) -> RequestRelease {
         RequestRelease {
-            class: self.held.rank.class,
+            class: self.held.rank.class.class,
             waited: now.since(self.held.arrived),
             packets: self.held.packets.len,
             cause,
@@ -98,11 +112,13 @@
 #[derive(Debug, Default)]
 pub struct RequestQueue {
     policy: SlotPolicy,
-    ranked: RankedQueue<u8, QueuedFlow>,
+    ranked: RankedQueue<HeldClass, QueuedFlow>,
     requests: HashMap<FlowKey, HeldRequest>,
     arena: PacketArena,
     /// Number of requests held so far.
     arrivals: u64,
+    /// Time of a response before which no further request is late.
+    next_late: Millis,
 }
 
 impl RequestQueue {
@@ -133,7 +149,9 @@
 
     /// Returns the number of held requests that run before a new one of this class.
     pub fn count_before(&self, class: u8) -> u32 {
-        u32::try_from(self.ranked.count_up_to(class)).unwrap_or(u32::MAX)
+        let is_late = true;
+        let count = self.ranked.count_up_to(HeldClass { class, is_late });
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
     /// Returns whether a request that arrives at `now` is sent at once: a slot is free for its
@@ -151,20 +169,20 @@
     /// class. Returns `None` if a new request of `class` is less urgent than all held ones.
     pub fn overflow(&self, class: u8) -> Option<FlowKey> {
         let (last, _) = self.ranked.last()?;
-        if last.class < class {
+        if last.class.class < class {
             return None;
         }
         let least_urgent = self
             .ranked
             .iter()
-            .filter(|(rank, _)| rank.class == last.class);
+            .filter(|(rank, _)| rank.class.class == last.class.class);
         let oldest = least_urgent.min_by_key(|(rank, _)| rank.order)?;
         Some(oldest.1.key)
     }
 
     /// Returns the class of a flow's held request.
     pub fn class(&self, key: FlowKey) -> Option<u8> {
-        self.requests.get(&key).map(|held| held.rank.class)
+        self.requests.get(&key).map(|held| held.rank.class.class)
     }
 
     /// Holds the first packet of a request, which arrived at `now`.
@@ -173,10 +191,8 @@
         let rank = rank_of(terms, now, self.arrivals);
         let mut packets = PacketList::default();
         self.arena.push(&mut packets, HeldPacket { packet, bytes });
-        let queued = QueuedFlow {
-            key: packet.key,
-            overdue_at: overdue_at(terms, now),
-        };
+        let queued = queued_flow(packet.key, terms, now);
+        self.next_late = self.next_late.min(rank.deadline);
         self.ranked.insert(rank, queued);
         let held = HeldRequest {
             rank,
@@ -208,46 +224,70 @@
     }
 
     /// Returns the request that is due at `now`, and why; `None` if all have to wait.
-    pub fn next_due(&self, load: &LoadEstimate, now: Millis) -> Option<(FlowKey, ReleaseCause)> {
+    pub fn next_due(
+        &mut self,
+        load: &LoadEstimate,
+        now: Millis,
+    ) -> Option<(FlowKey, ReleaseCause)> {
+        self.mark_late(now.plus(load.response_time()));
         let (rank, first) = self.ranked.first()?;
-        if self.has_slot(rank.class, load, now) {
+        if self.has_slot(rank.class.class, load, now) {
             return Some((first.key, ReleaseCause::Slot));
         }
-        if accepts_overdue(load) {
-            let found = self.ranked.find(|_, queued| queued.overdue_at <= now);
-            if let Some((rank, queued)) = found {
-                let cause = if rank.deadline <= now {
-                    ReleaseCause::Objective
-                } else {
-                    ReleaseCause::HalfObjective
-                };
-                return Some((queued.key, cause));
-            }
-        }
-        let (_, queued) = self.ranked.find(|rank, _| rank.deadline <= now)?;
-        Some((queued.key, ReleaseCause::Objective))
+        let (cause, found) = if accepts_overdue(load) {
+            let is_overdue =
+                |_: &QueueRank<HeldClass>, queued: &QueuedFlow| queued.overdue_at <= now;
+            (ReleaseCause::HalfObjective, self.ranked.find(is_overdue))
+        } else {
+            let has_ended = |_: &QueueRank<HeldClass>, queued: &QueuedFlow| queued.hold_end <= now;
+            (ReleaseCause::Limit, self.ranked.find(has_ended))
+        };
+        found.map(|(_, queued)| (queued.key, cause))
     }
 
     /// Returns when a request is due next, unless one ends before; `None` if none is held.
     pub fn next_deadline(&self, load: &LoadEstimate, now: Millis) -> Option<Millis> {
         let (rank, _) = self.ranked.first()?;
-        if self.has_slot(rank.class, load, now) {
+        let class = rank.class.class;
+        if self.has_slot(class, load, now) {
             return Some(now);
         }
         let has_overdue_slot = accepts_overdue(load);
-        let times = self.ranked.iter().map(|(rank, queued)| {
+        let times = self.ranked.iter().map(|(_, queued)| {
             if has_overdue_slot {
                 queued.overdue_at
             } else {
-                rank.deadline
+                queued.hold_end
             }
         });
         let earliest = times.min()?;
-        let reserve_end = self.policy.reserve_end(rank.class);
+        let reserve_end = self.policy.reserve_end(class);
         let reserve_end = reserve_end.filter(|end| load.busy() < load.slots() && *end > now);
         Some(reserve_end.map_or(earliest, |end| end.min(earliest)))
     }
 
+    /// Orders the requests that would be answered late, if they were sent now, after the others of
+    /// their class. `response` is when the server would answer them.
+    fn mark_late(&mut self, response: Millis) {
+        if response < self.next_late {
+            return;
+        }
+        let becomes_late = |rank: &QueueRank<HeldClass>, _: &QueuedFlow| {
+            !rank.class.is_late && rank.deadline <= response
+        };
+        while let Some((mut rank, queued)) = self.ranked.find(becomes_late) {
+            self.ranked.remove(rank);
+            rank.class.is_late = true;
+            self.ranked.insert(rank, queued);
+            if let Some(held) = self.requests.get_mut(&queued.key) {
+                held.rank = rank;
+            }
+        }
+        let in_time = self.ranked.iter().filter(|(rank, _)| !rank.class.is_late);
+        let earliest = in_time.map(|(rank, _)| rank.deadline).min();
+        self.next_late = earliest.unwrap_or(Millis(u64::MAX));
+    }
+
     /// Returns the flow whose request runs next, whether or not it is due.
     pub fn first(&self) -> Option<FlowKey> {
         self.ranked.first().map(|(_, queued)| queued.key)
@@ -271,16 +311,14 @@
     /// terms any more is due at once.
     pub fn reorder(&mut self, terms: impl Fn(FlowKey) -> Option<RequestTerms>) {
         self.ranked.clear();
+        self.next_late = Millis(0);
         for (key, held) in &mut self.requests {
             let terms = terms(*key).unwrap_or(RequestTerms {
-                class: held.rank.class,
+                class: held.rank.class.class,
                 objective: Millis(0),
             });
             held.rank = rank_of(terms, held.arrived, held.rank.order);
-            let queued = QueuedFlow {
-                key: *key,
-                overdue_at: overdue_at(terms, held.arrived),
-            };
+            let queued = queued_flow(*key, terms, held.arrived);
             self.ranked.insert(held.rank, queued);
         }
     }
@@ -290,17 +328,24 @@
     }
 }
 
-fn rank_of(terms: RequestTerms, arrived: Millis, order: u64) -> QueueRank<u8> {
+fn rank_of(terms: RequestTerms, arrived: Millis, order: u64) -> QueueRank<HeldClass> {
     QueueRank {
-        class: terms.class,
+        class: HeldClass {
+            class: terms.class,
+            is_late: false,
+        },
         deadline: arrived.plus(terms.objective),
         order,
     }
 }
 
-/// Returns when a request has waited for half of its objective.
-fn overdue_at(terms: RequestTerms, arrived: Millis) -> Millis {
-    arrived.plus(Millis(terms.objective.0 / 2))
+fn queued_flow(key: FlowKey, terms: RequestTerms, arrived: Millis) -> QueuedFlow {
+    let objective = terms.objective.0;
+    QueuedFlow {
+        key,
+        overdue_at: arrived.plus(Millis(objective / 2)),
+        hold_end: arrived.plus(Millis(objective.saturating_mul(HOLD_OBJECTIVES))),
+    }
 }
 
 /// Returns whether overdue requests are sent although no slot is free.
--- a/components/flows/src/connection/request_release.rs
+++ b/components/flows/src/connection/request_release.rs
@@ -9,8 +9,8 @@
     Slot,
     /// It has waited for half of its latency objective.
     HalfObjective,
-    /// It has waited for its whole latency objective.
-    Objective,
+    /// It has waited for the longest time for which requests are held.
+    Limit,
     /// The queue is full.
     Full,
     /// Requests are no longer held: the agent stops, the data centre is evacuated, the server
@@ -26,7 +26,7 @@
         match self {
             ReleaseCause::Slot => "slot",
             ReleaseCause::HalfObjective => "half_objective",
-            ReleaseCause::Objective => "objective",
+            ReleaseCause::Limit => "limit",
             ReleaseCause::Full => "full",
             ReleaseCause::Stopping => "stopping",
             ReleaseCause::Aborted => "aborted",
