--- a/components/flows/examples/scheduling.rs
+++ b/components/flows/examples/scheduling.rs
@@ -307,6 +307,23 @@
     cost
 }
 
+/// Returns the cost of finding the time of the next decision, as the traffic thread does in each turn
+/// of its loop.
+fn measure_deadline(held: u16, calls: u32) -> CallCost {
+    let mut agent = BenchAgent::new(true, held + 64);
+    let mut unmeasured = CallCost::default();
+    for _ in 0..held + SLOTS as u16 {
+        agent.begin(&mut unmeasured);
+    }
+    let mut cost = CallCost::default();
+    for _ in 0..calls {
+        cost.measure(|| {
+            std::hint::black_box(agent.tracker.next_held_deadline(START));
+        });
+    }
+    cost
+}
+
 fn show(label: &str, measure: impl Fn() -> CallCost) {
     let turns: Vec<CallCost> = (0..TURNS).map(|_| measure()).collect();
     let lowest = turns.iter().map(|cost| cost.time).min();
@@ -344,6 +361,12 @@
         "on: response and choice of the next, 508 wait for long",
         || full(OVERDUE)[1],
     );
+    show("on: time of the next decision, none waits", || {
+        measure_deadline(0, CALLS)
+    });
+    show("on: time of the next decision, 512 wait", || {
+        measure_deadline(FULL_QUEUE, CALLS)
+    });
     show("on: packet of a request that doesn't fit", || {
         measure_overflow(CALLS)
     });
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod scheduling;
+
 use std::{
     net::{
         Ipv4Addr,
