--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -1,5 +1,6 @@
 //! Flow tracking of an agent: decides about each packet to and from its backend server.
 
+mod held;
 mod later;
 mod opening;
 mod query;
@@ -25,6 +26,7 @@
     LoadEstimate,
     RecentFlows,
     RedirectCause,
+    RequestQueue,
     ResetCause,
     ReturnPause, //
     TrackerAction,
@@ -116,6 +118,10 @@
     recent_flows: RecentFlows,
     /// Flows of a server that has ended, which are to be reset.
     lost_flows: Vec<(FlowKey, ResetCause)>,
+    /// Requests that wait for a slot.
+    requests: RequestQueue,
+    /// Whether requests wait for a slot that they have to share with requests of another class.
+    is_scheduling: bool,
     stopping: bool,
 }
 
@@ -138,6 +144,8 @@
             return_pause: ReturnPause::default(),
             recent_flows: RecentFlows::default(),
             lost_flows: Vec::new(),
+            requests: RequestQueue::default(),
+            is_scheduling: false,
             stopping: false,
             settings,
         }
@@ -151,6 +159,7 @@
         if was_evacuated && !self.is_evacuated() {
             self.cold.mark_unknown(now);
         }
+        self.update_scheduling();
     }
 
     /// Applies changed settings. A service that the server has named takes precedence over theirs.
@@ -166,6 +175,7 @@
         self.liveness
             .set_activity_timeout(settings.activity_timeout);
         self.settings = settings;
+        self.update_scheduling();
     }
 
     /// Applies a heartbeat that the server has just sent, unless it is stale or its run is contested.
@@ -213,6 +223,7 @@
         self.cold.set_remaining(cold_remaining, sent, now);
         self.load.set_slots(slots);
         self.service = service;
+        self.update_scheduling();
         outcome
     }
 
@@ -266,6 +277,7 @@
             failure_percent: self.failure_rate.percent(now),
             accepts: self.exclusion_cause(now).is_none(),
             busy: self.load.busy(),
+            queued: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
             slots: self.load.slots(),
             revision: self.revision(),
             is_confirmed: self.liveness.is_confirmed(),
@@ -321,7 +333,7 @@
         if packet.is_open() {
             self.handle_opening(packet, bytes, header, now, actions);
         } else {
-            self.handle_later(packet, header, now, actions);
+            self.handle_later(packet, bytes, header, now, actions);
         }
     }
 
@@ -341,6 +353,7 @@
         let load = &mut self.load;
         let recent_flows = &mut self.recent_flows;
         let reset_lost = self.settings.reset_lost;
+        let requests = &self.requests;
         self.flows.retain(|key, entry| {
             let idle = now.since(entry.last_used);
             let timeout = match entry.stage {
@@ -349,7 +362,7 @@
                 FlowStage::Unverified | FlowStage::NotHeld | FlowStage::Closed => CLOSED_RETENTION,
                 FlowStage::Open | FlowStage::Redirected(_) => idle_timeout,
             };
-            let is_kept = idle < timeout;
+            let is_kept = idle < timeout || requests.holds(*key);
             if !is_kept || idle >= REQUEST_IDLE_TIMEOUT {
                 entry.abandon_request(load);
             }
--- a/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
+++ b/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
@@ -38,6 +38,19 @@
                     self.metrics.forwarded.inc();
                     self.outgoing.send(bytes, self.backend);
                 }
+                TrackerAction::DeliverHeld {
+                    key,
+                    packet,
+                    release,
+                } => {
+                    self.metrics.forwarded.inc();
+                    self.outgoing.send(&packet, self.backend);
+                    if let Some(release) = release {
+                        self.metrics.held.record(release);
+                        let report = self.tracker.report(self.clock.now());
+                        self.log.released(key, release, report);
+                    }
+                }
                 TrackerAction::Redirect {
                     key,
                     to,
--- a/components/model/src/flow_model/network.rs
+++ b/components/model/src/flow_model/network.rs
@@ -192,7 +192,10 @@
                     self.agents[index].tracker.record_response(failed, now);
                     self.stats.failed_responses += u32::from(failed);
                 }
-                TrackerAction::NotFound(..) | TrackerAction::Drop(..) => {}
+                // The model's routes have one priority, so no request is held.
+                TrackerAction::DeliverHeld { .. }
+                | TrackerAction::NotFound(..)
+                | TrackerAction::Drop(..) => {}
             }
         }
     }
