--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Returns whether the server holds the flow and has held it for longer than most flows last.
+    pub fn is_long(&self, now: Millis) -> bool {
+        self.stage == FlowStage::Open && now.since(self.first_used) >= LONG_FLOW_AGE
+    }
+
     /// Returns the anchors of the last packet that are to be informed of the owner at `now`: those
     /// that aren't informed yet, and none while the flow is so short that most others end before.
     pub fn take_uninformed(&mut self, owner: SocketAddrV4, now: Millis) -> Vec<SocketAddrV4> {
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -21,8 +21,9 @@
     LoadEstimate,
     RedirectCause,
     ResetCause,
-    ReturnPause, //
+    ReturnPause,
     TrackerAction,
+    WorkTime, //
 };
 use crate::{
     process::{
@@ -99,6 +100,9 @@
     coverage: FlowCoverage,
     cold: ColdBudget,
     load: LoadEstimate,
+    work: WorkTime,
+    /// Number of open flows that have lasted for a second, counted by [`FlowTracker::expire`].
+    long_flows: u32,
     flows: HashMap<FlowKey, FlowEntry>,
     /// Flows whose opening packet was delivered, with the time at which
     /// [`FlowTracker::check_openings`] looks at them.
@@ -124,6 +128,8 @@
             coverage: FlowCoverage::new(started_unix_ms, now),
             cold: ColdBudget::new(now),
             load: LoadEstimate::new(DEFAULT_SLOTS),
+            work: WorkTime::default(),
+            long_flows: 0,
             flows: HashMap::new(),
             opening_deadlines: VecDeque::new(),
             failure_rate: FailureRate::default(),
@@ -187,6 +193,7 @@
         }
         if outcome != HeartbeatOutcome::Continued {
             self.return_pause.clear();
+            self.work = WorkTime::default();
         }
         match outcome {
             HeartbeatOutcome::Started if had_heartbeat => {
@@ -256,6 +263,8 @@
             slots: self.load.slots(),
             revision: self.config.as_ref().map_or(0, |config| config.revision),
             is_confirmed: self.liveness.is_confirmed(),
+            work_us: self.work.average_us(now),
+            open_flows: self.long_flows,
         }
     }
 
@@ -320,6 +329,7 @@
         });
         self.owners.expire(now, self.settings.flow_lifetime);
         let load = &mut self.load;
+        let mut long_flows = 0;
         self.flows.retain(|_, entry| {
             let idle = now.since(entry.last_used);
             let timeout = match entry.stage {
@@ -329,11 +339,13 @@
                 FlowStage::Open | FlowStage::Redirected(_) => idle_timeout,
             };
             let is_kept = idle < timeout;
+            long_flows += u32::from(is_kept && entry.is_long(now));
             if !is_kept || idle >= REQUEST_IDLE_TIMEOUT {
                 entry.abandon_request(load);
             }
             is_kept
         });
+        self.long_flows = long_flows;
     }
 
     fn remove_flow(&mut self, key: FlowKey) {
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -188,6 +188,8 @@
         if has_response {
             if let Some(start) = entry.request_started.take() {
                 let time = now.since(start);
+                let is_queued = self.load.busy() > self.load.slots();
+                self.work.record(time, is_queued, now);
                 self.load.record_response(time);
                 actions.push(TrackerAction::ResponseStarted(packet.key, time));
             }
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -8,6 +8,7 @@
 mod sequence_window;
 mod tracker_action;
 mod wait_limit;
+mod work_time;
 
 pub use failure_rate::FailureRate;
 pub use flow_entry::{
@@ -27,3 +28,4 @@
     TrackerAction,
 };
 pub use wait_limit::wait_limit_us;
+pub use work_time::WorkTime;
--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -13,7 +13,8 @@
 use super::{
     name_hash,
     AgentRecord,
-    AgentReport, //
+    AgentReport,
+    ServerWeight, //
 };
 
 /// Time without an answer to a packet after which an agent is suspect.
@@ -52,6 +53,7 @@
     /// Hash of the data centre's name.
     pub(crate) centre: u32,
     pub(crate) report: AgentReport,
+    pub(crate) weight: ServerWeight,
     /// Time of the first packet sent since the last report.
     unanswered_since: Option<Millis>,
     /// Time of the last report.
@@ -74,6 +76,7 @@
                 ..AgentReport::default()
             },
             record,
+            weight: ServerWeight::default(),
             unanswered_since: None,
             last_heard: None,
             expired_since: None,
@@ -95,7 +98,17 @@
         let recent = self
             .last_heard
             .is_some_and(|last_heard| now.since(last_heard) < REPORT_TTL);
-        recent && self.report.busy >= self.report.slots.max(1)
+        recent && self.report.is_full()
+    }
+
+    /// Returns whether a recent report shows a free slot.
+    pub(crate) fn is_free(&self, now: Millis) -> bool {
+        self.weight.is_reported_within(REPORT_TTL, now) && !self.report.is_full()
+    }
+
+    /// Returns whether a packet was sent to the agent since its last report.
+    pub(crate) fn is_awaited(&self) -> bool {
+        self.unanswered_since.is_some()
     }
 
     /// Returns whether the server fails so often that it is ejected.
@@ -290,6 +303,7 @@
             || state.report.accepts != report.accepts
             || ejects(&state.report) != ejects(&report);
         state.report = report;
+        state.weight.note_report(&report, now);
         state.unanswered_since = None;
         state.last_heard = Some(now);
         Some(changed)
@@ -323,6 +337,13 @@
         keys.iter().map(|key| &self.agents[*key as usize])
     }
 
+    /// Calls `visit` with the agents and the indices of those of a service, for each service.
+    pub(crate) fn visit_services(&mut self, mut visit: impl FnMut(&mut [AgentState], &[u32])) {
+        for (_, keys) in &self.services {
+            visit(&mut self.agents, keys);
+        }
+    }
+
     fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
         self.agents
             .binary_search_by_key(&address, |state| state.record.address)
--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -34,6 +34,9 @@
 /// Keeps the choice of trial flows independent of the ranking of the agents.
 const TRIAL_SALT: u64 = 0x7e57_f10e;
 
+/// Keeps the choice of the flows that spill to other data centres independent of the ranking.
+const SPILL_SALT: u64 = 0x0005_b111;
+
 /// Limits of the candidates of a packet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CandidateLimits {
@@ -72,6 +75,8 @@
 /// Distance of an agent from a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum CandidateDistance {
+    /// It has a free slot in another data centre, and the flow's has none.
+    Spill,
     /// Its data centre is the flow's, which [`CandidateRanking::set_home`] chooses.
     Near,
     /// It is an anchor of the flow in another data centre.
@@ -99,12 +104,19 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Candidate {
     pub(crate) rank: CandidateRank,
+    /// Cost of the rendezvous hash by the server's weight; the lowest comes first. Zero if weights don't
+    /// matter.
+    pub(crate) cost: u64,
     /// Rendezvous hash, equal at all balancers; the highest score comes first.
     pub(crate) score: u64,
     /// Hash of the data centre's name.
     pub(crate) centre: u32,
     pub(crate) address: SocketAddrV4,
     pub(crate) failing: bool,
+    /// Whether a recent report shows a free slot.
+    pub(crate) is_free: bool,
+    /// Whether its last two reports showed no free slot.
+    pub(crate) was_full_twice: bool,
     /// Whether it is one of the flow's anchors, to which the owner announces itself.
     pub(crate) is_anchor: bool,
 }
@@ -184,6 +196,34 @@
         home
     }
 
+    /// Puts servers of other data centres that have a free slot first if no server of the flow's data
+    /// centre has one; returns how many servers that data centre has, and how many of them were full in
+    /// their last two reports. Only as large a share of the flows spills, so that balancers with old
+    /// reports don't send all flows to the same servers. `home` is the flow's data centre.
+    pub(crate) fn spill(&mut self, home: u32, hash: u64) -> Option<(usize, usize)> {
+        let (mut near, mut full_twice) = (0, 0);
+        for candidate in &self.candidates {
+            if candidate.centre == home {
+                if !candidate.rank.busy {
+                    return None;
+                }
+                near += 1;
+                full_twice += usize::from(candidate.was_full_twice);
+            }
+        }
+        if near == 0 || splitmix64(hash ^ SPILL_SALT) % near as u64 >= full_twice as u64 {
+            return None;
+        }
+        let mut spills = false;
+        for candidate in &mut self.candidates {
+            if candidate.centre != home && candidate.is_free {
+                candidate.rank.distance = CandidateDistance::Spill;
+                spills = true;
+            }
+        }
+        spills.then_some((near, full_twice))
+    }
+
     /// Marks the anchors of the flow: the agents of each service that come first by the hash alone,
     /// wherever they are. Balancers of all data centres agree on them, whatever they believe of
     /// evacuations and of agents that don't answer. Candidates of a service must be adjacent.
@@ -217,7 +257,8 @@
     ) -> CandidateList {
         self.candidates.sort_unstable_by(|left, right| {
             let by_rank = left.rank.cmp(&right.rank);
-            by_rank.then(right.score.cmp(&left.score))
+            let by_cost = by_rank.then(left.cost.cmp(&right.cost));
+            by_cost.then(right.score.cmp(&left.score))
         });
         let mut list = CandidateList {
             agents: Vec::with_capacity(MAX_CANDIDATES),
--- a/components/flows/src/process/drop_cause.rs
+++ b/components/flows/src/process/drop_cause.rs
@@ -9,6 +9,8 @@
     NoRoute,
     /// No agent of the service is known.
     NoAgent,
+    /// No server of the service can serve the flow in time.
+    NoRoom,
     /// The packet is of a kind that only backend servers send.
     Forged,
 }
@@ -20,6 +22,7 @@
             DropCause::NotReady => "not_ready",
             DropCause::NoRoute => "no_route",
             DropCause::NoAgent => "no_agent",
+            DropCause::NoRoom => "no_room",
             DropCause::Forged => "forged",
         }
     }
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -1,6 +1,7 @@
 //! Routing of callers' packets at a balancer.
 
 mod flow_candidates;
+mod placement;
 
 use std::{
     net::SocketAddrV4,
@@ -15,6 +16,7 @@
         CandidateRanking, //
     },
     name_hash,
+    placement_state::PlacementState,
     AgentTable,
     DropCause,
     OwnerCache,
@@ -22,6 +24,7 @@
     RouterOptions, //
 };
 use crate::{
+    connection::wait_limit_us,
     process::flow_router::flow_candidates::owner_services,
     request::{
         FlowPacket,
@@ -46,6 +49,7 @@
     /// Hash of the data centre's name.
     centre: u32,
     ranking: CandidateRanking,
+    placement: PlacementState,
 }
 
 impl FlowRouter {
@@ -59,6 +63,7 @@
             address,
             centre: name_hash(centre),
             ranking: CandidateRanking::default(),
+            placement: PlacementState::default(),
         }
     }
 
@@ -71,7 +76,8 @@
     /// since in a socket. If a caller may have sent further copies meanwhile, the flow isn't refused.
     pub fn route_late(&mut self, packet: &FlowPacket, arrived: Millis, now: Millis) -> RouteAction {
         let may_be_delivered = packet.may_have_other_copies(now.since(arrived));
-        match self.route(packet, now) {
+        let is_only_copy = packet.is_open() && !may_be_delivered;
+        match self.decide(packet, is_only_copy, now) {
             RouteAction::Refuse(cause) if may_be_delivered => RouteAction::Drop(cause),
             RouteAction::Forward { to, mut header } => {
                 header.delivered = may_be_delivered;
@@ -83,6 +89,13 @@
 
     /// Decides about a packet of a caller that has just arrived.
     pub fn route(&mut self, packet: &FlowPacket, now: Millis) -> RouteAction {
+        let is_only_copy = packet.is_open() && !packet.may_have_other_copies(Millis(0));
+        self.decide(packet, is_only_copy, now)
+    }
+
+    /// Decides about a packet of a caller. `is_only_copy` tells that it is an opening packet of which no
+    /// other copy can have been delivered.
+    fn decide(&mut self, packet: &FlowPacket, is_only_copy: bool, now: Millis) -> RouteAction {
         let forged = packet.kind == PacketKind::Accept || packet.returned;
         if forged {
             return RouteAction::Drop(DropCause::Forged);
@@ -100,6 +113,13 @@
         let Some(service) = route.services(hash).next().map(|name| name_hash(name)) else {
             return refuse_or_drop(packet, DropCause::NoRoute);
         };
+        if packet.is_open() && self.options.weigh_servers {
+            let limit_us = wait_limit_us(route, 0);
+            if is_only_copy && self.lacks_room(service, limit_us, hash, now) {
+                return RouteAction::Refuse(DropCause::NoRoom);
+            }
+            self.placement.recent.insert(hash, now);
+        }
         let list = if packet.is_open() {
             self.list_opening_with_anchors(packet, service, hash, now)
         } else {
--- a/components/flows/src/process/flow_router/flow_candidates.rs
+++ b/components/flows/src/process/flow_router/flow_candidates.rs
@@ -16,7 +16,7 @@
             CandidateList,
             CandidateRank, //
         },
-        name_hash,
+        name_hash, weighted_cost, SpilledFlow,
     },
     request::FlowPacket,
     version::{
@@ -77,13 +77,33 @@
 
 impl FlowRouter {
     /// Returns the candidates of an opening packet.
-    pub(super) fn list_opening(&mut self, service: u32, hash: u64, now: Millis) -> CandidateList {
+    pub(super) fn list_opening(
+        &mut self,
+        packet: &FlowPacket,
+        service: u32,
+        hash: u64,
+        now: Millis,
+    ) -> CandidateList {
         self.ranking.clear();
         self.add_candidates(service, 0, hash, true, now);
         self.ranking.exclude_suspects();
         self.ranking.eject_failing(hash);
         let home = self.ranking.set_home(self.centre, hash);
-        self.ranking.take(self.centre, home, OPENING_LIMITS)
+        if !self.options.weigh_servers {
+            return self.ranking.take(self.centre, home, OPENING_LIMITS);
+        }
+        let spilled = self.ranking.spill(home, hash);
+        let mut list = self.ranking.take(self.centre, home, OPENING_LIMITS);
+        if let Some((near, full_twice)) = spilled {
+            // Servers of the flow's data centre follow those of others, so all are to be asked.
+            list.near = u8::try_from(list.agents.len()).unwrap_or(u8::MAX);
+            self.placement.spilled = Some(SpilledFlow {
+                key: packet.key,
+                near,
+                full_twice,
+            });
+        }
+        list
     }
 
     /// Returns the candidates of an opening packet, and the anchors of its flow.
@@ -95,7 +115,7 @@
         now: Millis,
     ) -> CandidateList {
         let later = self.list_later(&[service], hash, now);
-        let list = self.list_opening(service, hash, now);
+        let list = self.list_opening(packet, service, hash, now);
         if list.agents.first() != later.agents.first() {
             self.remember_owner(packet, &list.agents, now);
         }
@@ -143,6 +163,7 @@
         };
         let usable =
             |state: &&AgentState| !is_opening || (state.report.accepts && !evacuated(state));
+        let is_weighed = is_opening && self.options.weigh_servers;
         let candidates = self.agents.of_service(service).filter(usable);
         self.ranking.extend(candidates.map(|state| Candidate {
             rank: CandidateRank {
@@ -152,7 +173,14 @@
                 service: order,
                 busy: is_opening && state.is_busy(now),
             },
+            cost: if is_weighed {
+                weighted_cost(splitmix64(state.hash ^ hash), state.weight.eighths())
+            } else {
+                0
+            },
             score: splitmix64(state.hash ^ hash),
+            is_free: is_weighed && state.is_free(now),
+            was_full_twice: is_weighed && state.weight.was_full_twice(),
             centre: state.centre,
             address: state.record.address,
             failing: state.is_failing(),
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -13,9 +13,17 @@
 mod heartbeat_outcome;
 mod name_hash;
 mod owner_cache;
+mod placement_state;
+mod recent_openings;
 mod report_schedule;
 mod route_action;
 mod router_options;
+mod server_weight;
+mod service_load;
+mod service_speed;
+mod spilled_flow;
+mod weight_change;
+mod weighted_cost;
 
 pub use agent_record::AgentRecord;
 pub use agent_report::AgentReport;
@@ -35,3 +43,9 @@
 pub use report_schedule::ReportSchedule;
 pub use route_action::RouteAction;
 pub use router_options::RouterOptions;
+pub use spilled_flow::SpilledFlow;
+pub use weight_change::WeightChange;
+pub use weighted_cost::weighted_cost;
+
+pub(crate) use server_weight::ServerWeight;
+pub(crate) use service_speed::ServiceSpeed;
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -111,6 +111,8 @@
             service: tracker.service().to_string(),
             failure_percent: u32::from(report.failure_percent),
             confirmed: report.is_confirmed,
+            work_us: report.work_us,
+            open_flows: report.open_flows,
         }))
     }
 }
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -173,6 +173,10 @@
             let action = self
                 .router
                 .route_late(&packet, self.callers.drained_at(), now);
+            if let Some(spilled) = self.router.take_spilled() {
+                self.metrics.spilled.inc();
+                self.log.spilled(&spilled);
+            }
             self.act(action, packet.key, packet.is_open(), bytes);
         }
     }
@@ -229,14 +233,20 @@
                     let agent = address_from_number(report.agent);
                     raise_peer_revision(&self.revision_sender, report.revision, *from.ip());
                     self.discover(agent, &report, now);
-                    let state = AgentReport {
+                    let reported = AgentReport {
                         accepts: report.accepts,
                         failure_percent: u8::try_from(report.failure_percent).unwrap_or(u8::MAX),
                         busy: report.busy,
                         slots: report.slots,
                         revision: report.revision,
                         is_confirmed: report.confirmed,
+                        work_us: report.work_us,
+                        open_flows: report.open_flows,
                     };
+                    let state = reported.clamped();
+                    if state != reported {
+                        self.log.clamped(agent, &reported);
+                    }
                     let changed = self.router.agents.apply_report(agent, state, now);
                     if report.revision < self.revision() {
                         self.send_probe(agent);
@@ -296,9 +306,20 @@
         for agent in self.router.agents.expire(now) {
             info!(%agent, "agent removed: store entry expired and no answer");
         }
+        self.update_weights(now);
         self.probe(now);
     }
 
+    fn update_weights(&mut self, now: Millis) {
+        self.router.update_weights(now);
+        for change in self.router.weight_changes() {
+            self.log.weighed(change);
+        }
+        for index in 0..self.router.load_probes().len() {
+            self.send_probe(self.router.load_probes()[index]);
+        }
+    }
+
     /// Probes agents for a report. New agents are probed at once, so that few packets are sent to a
     /// dead one.
     fn probe(&mut self, now: Millis) {
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -11,7 +11,9 @@
     },
     process::{
         AgentReport,
-        DropCause, //
+        DropCause,
+        SpilledFlow,
+        WeightChange, //
     },
     request::ForwardHeader,
     FlowKey, //
@@ -57,6 +59,30 @@
         }
     }
 
+    /// Logs a flow that goes to another data centre because no server of its own has a free slot.
+    pub(crate) fn spilled(&mut self, flow: &SpilledFlow) {
+        if let Some(left_out) = self.limiter.admit() {
+            let (near, full_twice) = (flow.near, flow.full_twice);
+            info!(flow = %flow.key, near, full_twice, left_out, "flow spills to another data centre");
+        }
+    }
+
+    pub(crate) fn weighed(&mut self, change: &WeightChange) {
+        if let Some(left_out) = self.limiter.admit() {
+            let (work_us, open_flows) = (change.report.work_us, change.report.open_flows);
+            let (agent, eighths) = (change.agent, change.eighths);
+            info!(%agent, work_us, open_flows, eighths, left_out, "weight of a server changed");
+        }
+    }
+
+    /// Logs a report with impossible values, which count as the nearest possible ones.
+    pub(crate) fn clamped(&mut self, agent: SocketAddrV4, report: &AgentReport) {
+        if let Some(left_out) = self.limiter.admit() {
+            let (slots, work_us, open_flows) = (report.slots, report.work_us, report.open_flows);
+            info!(%agent, slots, work_us, open_flows, left_out, "impossible report clamped");
+        }
+    }
+
     pub(crate) fn malformed(&mut self, error: PacketError, from: SocketAddrV4) {
         if let Some(left_out) = self.limiter.admit() {
             info!(%error, %from, left_out, "malformed datagram dropped");
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) response_packets: Counter,
     /// Flows refused, by cause.
     pub(crate) refused: Family<CauseLabel, Counter>,
+    /// Flows that a balancer sent to another data centre because their own had no free slot.
+    pub(crate) spilled: Counter,
     /// Packets redirected to another agent, by cause.
     pub(crate) redirected: Family<CauseLabel, Counter>,
     /// Packets dropped, by cause.
@@ -62,6 +64,7 @@
             forwarded: Counter::default(),
             response_packets: Counter::default(),
             refused: Family::default(),
+            spilled: Counter::default(),
             redirected: Family::default(),
             dropped: Family::default(),
             malformed: Counter::default(),
@@ -84,6 +87,11 @@
             m.response_packets,
         );
         registry.register("refused_flows", "Flows refused", m.refused);
+        registry.register(
+            "spilled_flows",
+            "Flows sent to another data centre for lack of free slots",
+            m.spilled,
+        );
         registry.register(
             "passed_packets",
             "Packets passed on to another agent",
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -127,6 +127,13 @@
     /// Whether the server has sent a heartbeat since the agent's start.
     #[prost(bool, tag = "9")]
     pub confirmed: bool,
+    /// Moving average of the time from a request to the start of its response, in microseconds; 0 if it
+    /// is unknown.
+    #[prost(uint32, tag = "11")]
+    pub work_us: u32,
+    /// Number of open flows older than a second.
+    #[prost(uint32, tag = "12")]
+    pub open_flows: u32,
 }
 
 /// The agent that owns a flow.
