--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -4,6 +4,14 @@
 
 use carobdrum_core::process::splitmix64;
 
+use super::{
+    candidate::{
+        Candidate,
+        CandidateDistance, //
+    },
+    candidate_group::CandidateGroup,
+};
+
 /// Limit of the candidates of one packet, those of other services than the first not counted.
 const MAX_CANDIDATES: usize = 16;
 
@@ -72,55 +80,6 @@
     &mut groups[index].count
 }
 
-/// Distance of an agent from a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum CandidateDistance {
-    /// It has a free slot in another data centre, and the flow's has none.
-    Spill,
-    /// Its data centre is the flow's, which [`CandidateRanking::set_home`] chooses.
-    Near,
-    /// It is an anchor of the flow in another data centre.
-    Anchor,
-    /// It is in another data centre.
-    Far,
-}
-
-/// Criteria that precede the hash in the order of candidates, in this order; the least comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct CandidateRank {
-    /// Whether the agent doesn't answer.
-    pub(crate) suspect: bool,
-    /// Whether its data centre is evacuated.
-    pub(crate) evacuated: bool,
-    /// Distance of its data centre.
-    pub(crate) distance: CandidateDistance,
-    /// Position of its service in the flow's list of services.
-    pub(crate) service: u8,
-    /// Whether it recently reported no free slot.
-    pub(crate) busy: bool,
-}
-
-/// An agent that may get a packet.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Candidate {
-    pub(crate) rank: CandidateRank,
-    /// Cost of the rendezvous hash by the server's weight; the lowest comes first. Zero if weights don't
-    /// matter.
-    pub(crate) cost: u64,
-    /// Rendezvous hash, equal at all balancers; the highest score comes first.
-    pub(crate) score: u64,
-    /// Hash of the data centre's name.
-    pub(crate) centre: u32,
-    pub(crate) address: SocketAddrV4,
-    pub(crate) failing: bool,
-    /// Whether a recent report shows a free slot.
-    pub(crate) is_free: bool,
-    /// Whether its last two reports showed no free slot.
-    pub(crate) was_full_twice: bool,
-    /// Whether it is one of the flow's anchors, to which the owner announces itself.
-    pub(crate) is_anchor: bool,
-}
-
 /// Candidates of a packet, best first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct CandidateList {
@@ -139,6 +98,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct CandidateRanking {
     candidates: Vec<Candidate>,
+    /// Scratch space for the first candidates of each service and data centre.
+    groups: Vec<CandidateGroup>,
+    /// Orders and indices of the candidates that may be taken, in order.
+    sorted: Vec<(u128, u32)>,
+    /// Scratch space for the numbers of candidates taken.
+    counts: Vec<GroupCount>,
 }
 
 impl CandidateRanking {
@@ -156,7 +121,12 @@
     /// to a dead agent is lost and doesn't reach its remaining candidates.
     pub(crate) fn exclude_suspects(&mut self) {
         let is_suspect = |candidate: &Candidate| candidate.rank.suspect;
-        if !self.candidates.iter().all(is_suspect) {
+        let suspects = self
+            .candidates
+            .iter()
+            .filter(|candidate| is_suspect(candidate));
+        let suspects = suspects.count();
+        if suspects > 0 && suspects < self.candidates.len() {
             self.candidates.retain(|candidate| !is_suspect(candidate));
         }
     }
@@ -166,7 +136,11 @@
     /// elsewhere, and the remaining servers couldn't handle the load.
     pub(crate) fn eject_failing(&mut self, hash: u64) {
         let failing = self.candidates.iter().filter(|candidate| candidate.failing);
-        let percent = failing.count() * 100 / self.candidates.len().max(1);
+        let failing = failing.count();
+        if failing == 0 {
+            return;
+        }
+        let percent = failing * 100 / self.candidates.len();
         let is_trial = splitmix64(hash ^ TRIAL_SALT) % 100 < TRIAL_PERCENT;
         if percent <= MAX_EJECTED_PERCENT && !is_trial {
             self.candidates.retain(|candidate| !candidate.failing);
@@ -180,12 +154,18 @@
         let usable = |candidate: &&Candidate| !candidate.rank.suspect && !candidate.rank.evacuated;
         let score = |centre: u32| splitmix64(hash ^ u64::from(centre));
         let usable = self.candidates.iter().filter(usable);
-        let home = usable.max_by_key(|candidate| {
-            let centre = candidate.centre;
-            let is_first = candidate.rank.service == 0;
-            (is_first, centre == caller, score(centre))
-        });
-        let home = home.map_or(caller, |candidate| candidate.centre);
+        let is_first = |candidate: &Candidate| candidate.rank.service == 0;
+        let is_caller = |candidate: &Candidate| candidate.centre == caller;
+        let home = if usable
+            .clone()
+            .any(|found| is_first(found) && is_caller(found))
+        {
+            caller
+        } else {
+            let home =
+                usable.max_by_key(|found| (is_first(found), is_caller(found), score(found.centre)));
+            home.map_or(caller, |candidate| candidate.centre)
+        };
         for candidate in &mut self.candidates {
             candidate.rank.distance = if candidate.centre == home {
                 CandidateDistance::Near
@@ -245,6 +225,41 @@
         }
     }
 
+    /// Sorts the candidates that may be within the limits: of each service and data centre, as many as the
+    /// limit allows, and the anchors. They are few, so sorting them costs little. Candidates of a service
+    /// must be adjacent.
+    fn sort_first(&mut self, home: u32, limits: CandidateLimits) {
+        self.groups.clear();
+        self.sorted.clear();
+        for (index, candidate) in self.candidates.iter().enumerate() {
+            let (centre, service) = (candidate.centre, candidate.rank.service);
+            let place = (candidate.order(), index as u32);
+            if candidate.is_anchor {
+                self.sorted.push(place);
+            }
+            let same_service = self.groups.iter_mut().rev();
+            let mut same_service = same_service.take_while(|group| group.service == service);
+            if let Some(group) = same_service.find(|group| group.centre == centre) {
+                group.insert(place);
+                continue;
+            }
+            let limits = if service > 0 { OTHER_LIMITS } else { limits };
+            let limit = if centre == home {
+                limits.near
+            } else {
+                limits.far
+            };
+            let mut group = CandidateGroup::new(centre, service, limit);
+            group.insert(place);
+            self.groups.push(group);
+        }
+        for group in &self.groups {
+            self.sorted.extend(group.first());
+        }
+        self.sorted.sort_unstable();
+        self.sorted.dedup();
+    }
+
     /// Returns the best candidates within `limits`, and the anchors beside them.
     ///
     /// `caller` is the data centre of the caller, `home` that of the flow, which
@@ -255,11 +270,7 @@
         home: u32,
         limits: CandidateLimits,
     ) -> CandidateList {
-        self.candidates.sort_unstable_by(|left, right| {
-            let by_rank = left.rank.cmp(&right.rank);
-            let by_cost = by_rank.then(left.cost.cmp(&right.cost));
-            by_cost.then(right.score.cmp(&left.score))
-        });
+        self.sort_first(home, limits);
         let mut list = CandidateList {
             agents: Vec::with_capacity(MAX_CANDIDATES),
             near: 0,
@@ -267,11 +278,12 @@
             anchors: Vec::new(),
             is_firm: false,
         };
-        let mut groups = Vec::new();
+        self.counts.clear();
         let mut far = 0;
         let mut others_far = 0;
         let mut others = 0;
-        for candidate in &self.candidates {
+        for (_, index) in &self.sorted {
+            let candidate = &self.candidates[*index as usize];
             let is_near = candidate.centre == home;
             let is_remote = !is_near && candidate.centre != caller;
             let is_other = candidate.rank.service > 0;
@@ -284,7 +296,7 @@
                 (limits, &mut far)
             };
             let limit = if is_near { limits.near } else { limits.far };
-            let count = group_count(&mut groups, candidate.centre, candidate.rank.service);
+            let count = group_count(&mut self.counts, candidate.centre, candidate.rank.service);
             let is_full = if is_other {
                 others >= MAX_OTHER_CANDIDATES
             } else {
--- a/components/flows/src/process/flow_router/flow_candidates.rs
+++ b/components/flows/src/process/flow_router/flow_candidates.rs
@@ -9,13 +9,15 @@
 use crate::{
     process::{
         agent_table::AgentState,
-        candidate_ranking::{
+        candidate::{
             Candidate,
             CandidateDistance,
-            CandidateLimits,
-            CandidateList,
             CandidateRank, //
         },
+        candidate_ranking::{
+            CandidateLimits,
+            CandidateList, //
+        },
         name_hash, weighted_cost, SpilledFlow,
     },
     request::FlowPacket,
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -5,6 +5,8 @@
 mod agent_table;
 mod backend_heartbeat;
 mod backend_liveness;
+mod candidate;
+mod candidate_group;
 mod candidate_ranking;
 mod cold_budget;
 mod drop_cause;
--- a/components/model/src/experiment.rs
+++ b/components/model/src/experiment.rs
@@ -8,6 +8,8 @@
     Snafu, //
 };
 
+use crate::PlacementPlan;
+
 /// Reason for which an experiment can't be read.
 #[derive(Debug, Snafu)]
 pub enum ExperimentError {
@@ -59,6 +61,9 @@
     /// Faults during the run; none by default.
     #[serde(default, rename = "fault")]
     pub faults: Vec<FaultEntry>,
+    /// Long flows, servers of different speed and uneven demand; none by default.
+    #[serde(default)]
+    pub placement: PlacementPlan,
 }
 
 /// A fault during the run.
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -38,7 +38,10 @@
 };
 
 use crate::{
-    model_caller::CallerRequest,
+    model_caller::{
+        CallerRequest,
+        IdleFlow, //
+    },
     model_event::{
         ModelDatagram,
         ModelEvent, //
@@ -63,6 +66,7 @@
 const IDLE_TIMEOUT: Millis = Millis(15_000);
 const FLOW_LIFETIME: Millis = Millis(60_000);
 const TICKS_PER_PROBE: u64 = 10;
+const TICKS_PER_WEIGHT_UPDATE: u64 = 5;
 
 /// Remaining downtime of a balancer up to which the routers still use its VM.
 const ROTATION_LAG: Millis = Millis(1_000);
@@ -100,6 +104,9 @@
     agents: Vec<ModelAgent>,
     requests: Vec<CallerRequest>,
     by_key: HashMap<FlowKey, u32>,
+    idle_flows: Vec<IdleFlow>,
+    /// Number of open long flows of each data centre's callers.
+    long_flows: Vec<u32>,
     config: Arc<SiteConfig>,
     load_factor: f64,
     /// Time of the next request, in milliseconds with fractions.
@@ -123,6 +130,8 @@
             agents: Vec::new(),
             requests: Vec::new(),
             by_key: HashMap::new(),
+            idle_flows: Vec::new(),
+            long_flows: vec![0; usize::from(experiment.centres)],
             config,
             load_factor: 1.0,
             next_arrival_ms: 0.0,
@@ -245,6 +254,7 @@
     fn new_router(&self, centre: u8, address: SocketAddrV4) -> FlowRouter {
         let mut router = FlowRouter::new(address, &centre_name(centre));
         router.config = Some(self.config.clone());
+        router.options.weigh_servers = self.experiment.placement.weigh_servers;
         let records = self.agents.iter().map(|agent| AgentRecord {
             address: agent.address,
             centre: centre_name(agent.centre),
@@ -275,6 +285,9 @@
         if self.ticks % TICKS_PER_PROBE == 0 {
             self.send_probes();
         }
+        if self.ticks % TICKS_PER_WEIGHT_UPDATE == 0 {
+            self.update_weights();
+        }
     }
 
     /// Redirects the opening packets that the agent's server didn't answer.
@@ -312,6 +325,23 @@
         agent.tracker.handle_heartbeat(heartbeat, now);
     }
 
+    fn update_weights(&mut self) {
+        let now = self.now;
+        for index in 0..self.balancers.len() {
+            let entry = &mut self.balancers[index];
+            if entry.down_until > now {
+                continue;
+            }
+            entry.router.update_weights(now);
+            self.stats.weight_changes += entry.router.weight_changes().len() as u32;
+            let (centre, balancer) = (entry.centre, entry.router.address());
+            for agent in entry.router.load_probes().to_vec() {
+                let delay = delay_between(centre, agent.ip().octets()[1] - 1);
+                self.send_datagram(ModelDatagram::Probe { balancer, agent }, delay);
+            }
+        }
+    }
+
     fn send_probes(&mut self) {
         let now = self.now;
         for index in 0..self.balancers.len() {
--- a/components/model/src/flow_model/callers.rs
+++ b/components/model/src/flow_model/callers.rs
@@ -23,6 +23,7 @@
 use crate::{
     model_caller::{
         CallerRequest,
+        IdleFlow,
         INITIAL_RESEND_DELAY,
         MAX_ATTEMPTS,
         OPEN_TIMEOUT, //
@@ -42,21 +43,87 @@
         if next.0 < self.experiment.length_ms {
             self.queue.add(next, ModelEvent::Arrival);
         }
-        let centre = self.random.random_range(0..self.experiment.centres);
-        let key = self.new_key(centre);
+        let centre = self.pick_centre();
         let request = self.requests.len() as u32;
+        self.stats.second(self.now.0).started += 1;
+        if let Some(flow) = self.take_idle_flow(centre) {
+            self.requests.push(CallerRequest {
+                centre,
+                started_at: self.now,
+                attempt: 0,
+                key: flow.key,
+                server: Some(flow.server),
+                number: flow.requests + 1,
+                done: false,
+            });
+            self.by_key.insert(flow.key, request);
+            self.continue_attempt(request, 0, 0);
+            return;
+        }
+        let key = self.new_key(centre);
         self.requests.push(CallerRequest {
             centre,
             started_at: self.now,
             attempt: 0,
             key,
             server: None,
+            number: 1,
             done: false,
         });
-        self.stats.second(self.now.0).started += 1;
         self.begin_attempt(request);
     }
 
+    fn pick_centre(&mut self) -> u8 {
+        let centres = self.experiment.centres;
+        let percent = self.experiment.placement.first_centre_percent;
+        if percent == 0 {
+            return self.random.random_range(0..centres);
+        }
+        if self.random.random_range(0..100) < percent {
+            0
+        } else {
+            self.random.random_range(1..centres)
+        }
+    }
+
+    /// Returns an idle flow for a request; `None` if the request opens one.
+    fn take_idle_flow(&mut self, centre: u8) -> Option<IdleFlow> {
+        let open = &mut self.long_flows[usize::from(centre)];
+        let idle = self.idle_flows.iter().enumerate();
+        let idle: Vec<usize> = idle
+            .filter(|(_, flow)| flow.centre == centre)
+            .map(|(index, _)| index)
+            .collect();
+        if *open < self.experiment.placement.long_flows || idle.is_empty() {
+            *open += 1;
+            return None;
+        }
+        let index = idle[self.random.random_range(0..idle.len())];
+        Some(self.idle_flows.swap_remove(index))
+    }
+
+    /// Keeps the flow of a served request open, or ends it.
+    fn keep_or_finish(&mut self, request: u32) {
+        let entry = &self.requests[request as usize];
+        let centre = entry.centre;
+        let idle = IdleFlow {
+            centre,
+            key: entry.key,
+            server: entry.server.unwrap_or(0),
+            requests: entry.number,
+        };
+        let placement = self.experiment.placement;
+        let open = &mut self.long_flows[usize::from(centre)];
+        let ends = *open > placement.long_flows
+            || self.random.random_range(0..placement.flow_requests.max(1)) == 0;
+        if ends {
+            *open = open.saturating_sub(1);
+            self.send_from_caller(request, PacketKind::Finish, 0);
+        } else {
+            self.idle_flows.push(idle);
+        }
+    }
+
     pub(super) fn new_key(&mut self, centre: u8) -> FlowKey {
         self.next_port += 1;
         let host = (self.next_port >> 15) as u8;
@@ -129,6 +196,7 @@
         entry.attempt += 1;
         entry.key = key;
         entry.server = None;
+        entry.number = 1;
         self.begin_attempt(request);
     }
 
@@ -138,7 +206,7 @@
             key: entry.key,
             kind,
             returned: false,
-            sequence: 0,
+            sequence: entry.number,
             acknowledged: entry.server.unwrap_or(0),
             data_len,
         };
@@ -199,6 +267,6 @@
         } else {
             second.late += 1;
         }
-        self.send_from_caller(request, PacketKind::Finish, 0);
+        self.keep_or_finish(request);
     }
 }
--- a/components/model/src/flow_model/network.rs
+++ b/components/model/src/flow_model/network.rs
@@ -97,9 +97,14 @@
             return;
         }
         let centre = entry.centre;
-        match entry.router.route(&packet, now) {
+        let action = entry.router.route(&packet, now);
+        self.stats.spilled += u32::from(entry.router.take_spilled().is_some());
+        match action {
             RouteAction::Forward { to, header } => self.send_to_agent(centre, to, header, packet),
-            RouteAction::Refuse(_) => self.refuse(packet.key),
+            RouteAction::Refuse(_) => {
+                self.stats.refused += 1;
+                self.refuse(packet.key);
+            }
             RouteAction::Drop(_) => {}
         }
     }
@@ -214,8 +219,15 @@
             match action {
                 ServerAction::Begin(key) => {
                     let spread = -(1.0 - self.random.random::<f64>()).ln();
-                    let work_ms = self.experiment.work_ms * (0.5 + 0.5 * spread);
-                    let done = self.now.plus(Millis(work_ms.round() as u64));
+                    let placement = &self.experiment.placement;
+                    let work_ms = self.experiment.work_ms
+                        * (0.5 + 0.5 * spread)
+                        * placement.work_factor(index, self.now.0);
+                    let work = Millis(work_ms.round() as u64);
+                    if self.now.0 >= placement.measured_from_ms {
+                        self.stats.add_work(index, work.0);
+                    }
+                    let done = self.now.plus(work);
                     let (agent, incarnation) = (index as u16, self.agents[index].incarnation);
                     self.queue.add(
                         done,
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -12,6 +12,7 @@
 mod model_event;
 mod model_server;
 mod model_stats;
+mod placement_plan;
 
 pub use event_queue::EventQueue;
 pub use experiment::{
@@ -25,3 +26,4 @@
     ModelStats,
     SecondStats, //
 };
+pub use placement_plan::PlacementPlan;
--- a/components/model/src/model_server.rs
+++ b/components/model/src/model_server.rs
@@ -22,7 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 struct ServerFlow {
     open: bool,
-    request_received: bool,
+    /// Number of the last request.
+    last_request: u32,
 }
 
 /// Backend server that processes as many requests at once as it has slots, and queues some more.
@@ -63,7 +64,7 @@
         if packet.is_open() {
             self.flows.entry(key).or_insert(ServerFlow {
                 open: false,
-                request_received: false,
+                last_request: 0,
             });
             return vec![self.send(key, PacketKind::Accept, 0)];
         }
@@ -74,10 +75,10 @@
             return vec![return_packet(packet)];
         }
         flow.open = true;
-        if packet.data_len == 0 || flow.request_received {
+        if packet.data_len == 0 || packet.sequence <= flow.last_request {
             return Vec::new();
         }
-        flow.request_received = true;
+        flow.last_request = packet.sequence;
         if self.busy < self.slots {
             self.busy += 1;
             return vec![ServerAction::Begin(key)];
--- a/components/model/src/model_stats.rs
+++ b/components/model/src/model_stats.rs
@@ -26,6 +26,14 @@
     pub misdelivered: u32,
     /// Number of responses that were failures.
     pub failed_responses: u32,
+    /// Time for which the slots of each server were in use, in milliseconds.
+    pub slot_ms: Vec<u64>,
+    /// Number of flows that were sent to another data centre for lack of free slots.
+    pub spilled: u32,
+    /// Number of flows that balancers refused.
+    pub refused: u32,
+    /// Number of changes of a weight at any balancer.
+    pub weight_changes: u32,
 }
 
 impl ModelStats {
@@ -38,6 +46,21 @@
         &mut self.seconds[index]
     }
 
+    /// Adds the processing time of a request at a server.
+    pub(crate) fn add_work(&mut self, server: usize, time_ms: u64) {
+        if self.slot_ms.len() <= server {
+            self.slot_ms.resize(server + 1, 0);
+        }
+        self.slot_ms[server] += time_ms;
+    }
+
+    /// Returns the load of the busiest server as a multiple of the mean.
+    pub fn imbalance(&self) -> f64 {
+        let busiest = self.slot_ms.iter().max().copied().unwrap_or(0) as f64;
+        let sum: u64 = self.slot_ms.iter().sum();
+        busiest * self.slot_ms.len() as f64 / (sum as f64).max(1.0)
+    }
+
     /// Returns the sums over the seconds from `first` up to, but not including, `end`.
     pub fn sum(&self, first: usize, end: usize) -> SecondStats {
         let mut sum = SecondStats::default();
--- a/components/model/tests/model_runs.rs
+++ b/components/model/tests/model_runs.rs
@@ -5,7 +5,8 @@
     FaultEntry,
     FaultKind,
     FlowModel,
-    ModelStats, //
+    ModelStats,
+    PlacementPlan, //
 };
 use rstest::rstest;
 
@@ -28,6 +29,7 @@
         deadline_ms: 1_500,
         loss: 0.0,
         faults: faults.to_vec(),
+        placement: PlacementPlan::default(),
     }
 }
 
