--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -188,8 +188,11 @@
         if has_response {
             if let Some(start) = entry.request_started.take() {
                 let time = now.since(start);
-                let is_queued = self.load.busy() > self.load.slots();
-                self.work.record(time, is_queued, now);
+                let slots = self.load.slots();
+                let is_queued = self.load.busy() > slots;
+                if packet.kind != PacketKind::Reset {
+                    self.work.record(time, is_queued, slots, now);
+                }
                 self.load.record_response(time);
                 actions.push(TrackerAction::ResponseStarted(packet.key, time));
             }
--- a/components/flows/src/connection/work_time.rs
+++ b/components/flows/src/connection/work_time.rs
@@ -15,6 +15,10 @@
 /// soon shows that it has recovered.
 const WINDOW: Millis = Millis(4_000);
 
+/// Time after the first response from which an unknown average is computed from those of a queue. The
+/// callers that open their flows when a server starts make a short queue, which tells less.
+const SETTLING_TIME: Millis = Millis(1_000);
+
 /// Time without a response after which the average is unknown.
 const RETENTION: Millis = Millis(10_000);
 
@@ -31,22 +35,36 @@
     average_us: u64,
     /// Number of samples, up to [`LONGEST_WINDOW`].
     samples: u32,
+    first_response: Option<Millis>,
     last_sample: Millis,
     last_response: Millis,
+    /// Whether requests were queued at the last response.
+    was_queued: bool,
 }
 
 impl WorkTime {
     /// Records that a response began after `time`. The time is no sample if other requests were queued,
     /// since it includes their delay then.
-    pub fn record(&mut self, time: Millis, is_queued: bool, now: Millis) {
+    ///
+    /// A server that is overloaded from its start gives no such sample. While the average is unknown after
+    /// [`SETTLING_TIME`], it is computed from the intervals between responses, in which all `slots` were in
+    /// use. Once it is known it isn't, as an overloaded server also rejects requests at once.
+    pub fn record(&mut self, time: Millis, is_queued: bool, slots: u32, now: Millis) {
         if now.since(self.last_response) >= RETENTION {
             *self = WorkTime::default();
         }
-        self.last_response = now;
-        if is_queued {
-            return;
-        }
-        let mut sample_us = time.0.saturating_mul(1_000).min(MAX_AVERAGE_US);
+        let first_response = *self.first_response.get_or_insert(now);
+        let has_settled = now.since(first_response) >= SETTLING_TIME;
+        let was_queued = std::mem::replace(&mut self.was_queued, is_queued);
+        let since_last = now.since(std::mem::replace(&mut self.last_response, now));
+        let time = match (is_queued, was_queued) {
+            (false, _) => time.0,
+            (true, true) if self.samples < MIN_SAMPLES && has_settled => {
+                since_last.0.saturating_mul(u64::from(slots))
+            }
+            _ => return,
+        };
+        let mut sample_us = time.saturating_mul(1_000).min(MAX_AVERAGE_US);
         if self.samples >= MIN_SAMPLES {
             // A time below a millisecond is measured as zero.
             sample_us = sample_us.min(self.average_us.max(1_000) * MAX_DEVIATION);
