--- a/components/flows/src/connection/work_time.rs
+++ b/components/flows/src/connection/work_time.rs
@@ -47,7 +47,7 @@
     /// since it includes their delay then.
     ///
     /// A server that is overloaded from its start gives no such sample. While the average is unknown after
-    /// [`SETTLING_TIME`], it is computed from the intervals between responses, in which all `slots` were in
+    /// a second, it is computed from the intervals between responses, in which all `slots` were in
     /// use. Once it is known it isn't, as an overloaded server also rejects requests at once.
     pub fn record(&mut self, time: Millis, is_queued: bool, slots: u32, now: Millis) {
         if now.since(self.last_response) >= RETENTION {
