--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -28,8 +28,9 @@
     RedirectCause,
     RequestQueue,
     ResetCause,
-    ReturnPause, //
+    ReturnPause,
     TrackerAction,
+    WorkTime, //
 };
 use crate::{
     process::{
@@ -106,6 +107,9 @@
     coverage: FlowCoverage,
     cold: ColdBudget,
     load: LoadEstimate,
+    work: WorkTime,
+    /// Number of open flows that have lasted for a second, counted by [`FlowTracker::expire`].
+    long_flows: u32,
     flows: HashMap<FlowKey, FlowEntry>,
     /// Flows whose opening packet was delivered, with the time at which
     /// [`FlowTracker::check_openings`] looks at them.
@@ -137,6 +141,8 @@
             coverage: FlowCoverage::new(started_unix_ms, now),
             cold: ColdBudget::new(now),
             load: LoadEstimate::new(DEFAULT_SLOTS),
+            work: WorkTime::default(),
+            long_flows: 0,
             flows: HashMap::new(),
             opening_deadlines: VecDeque::new(),
             failure_rate: FailureRate::default(),
@@ -209,6 +215,7 @@
         }
         if outcome != HeartbeatOutcome::Continued {
             self.return_pause.clear();
+            self.work = WorkTime::default();
         }
         match outcome {
             HeartbeatOutcome::Started if had_heartbeat => {
@@ -281,6 +288,8 @@
             slots: self.load.slots(),
             revision: self.revision(),
             is_confirmed: self.liveness.is_confirmed(),
+            work_us: self.work.average_us(now),
+            open_flows: self.long_flows,
         }
     }
 
@@ -354,6 +363,7 @@
         let recent_flows = &mut self.recent_flows;
         let reset_lost = self.settings.reset_lost;
         let requests = &self.requests;
+        let mut long_flows = 0;
         self.flows.retain(|key, entry| {
             let idle = now.since(entry.last_used);
             let timeout = match entry.stage {
@@ -363,6 +373,7 @@
                 FlowStage::Open | FlowStage::Redirected(_) => idle_timeout,
             };
             let is_kept = idle < timeout || requests.holds(*key);
+            long_flows += u32::from(is_kept && entry.is_long(now));
             if !is_kept || idle >= REQUEST_IDLE_TIMEOUT {
                 entry.abandon_request(load);
             }
@@ -371,6 +382,7 @@
             }
             is_kept
         });
+        self.long_flows = long_flows;
     }
 
     fn remove_flow(&mut self, key: FlowKey) {
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -13,6 +13,7 @@
 mod slot_policy;
 mod tracker_action;
 mod wait_limit;
+mod work_time;
 
 pub use failure_rate::FailureRate;
 pub use flow_entry::{
@@ -43,3 +44,4 @@
     TrackerAction,
 };
 pub use wait_limit::wait_limit_us;
+pub use work_time::WorkTime;
--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -4,6 +4,14 @@
 
 use carobdrum_core::process::splitmix64;
 
+use super::{
+    candidate::{
+        Candidate,
+        CandidateDistance, //
+    },
+    candidate_group::CandidateGroup,
+};
+
 /// Limit of the candidates of one packet, those of other services than the first not counted.
 const MAX_CANDIDATES: usize = 16;
 
@@ -34,6 +42,9 @@
 /// Keeps the choice of trial flows independent of the ranking of the agents.
 const TRIAL_SALT: u64 = 0x7e57_f10e;
 
+/// Keeps the choice of the flows that spill to other data centres independent of the ranking.
+const SPILL_SALT: u64 = 0x0005_b111;
+
 /// Limits of the candidates of a packet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CandidateLimits {
@@ -69,46 +80,6 @@
     &mut groups[index].count
 }
 
-/// Distance of an agent from a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum CandidateDistance {
-    /// Its data centre is the flow's, which [`CandidateRanking::set_home`] chooses.
-    Near,
-    /// It is an anchor of the flow in another data centre.
-    Anchor,
-    /// It is in another data centre.
-    Far,
-}
-
-/// Criteria that precede the hash in the order of candidates, in this order; the least comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct CandidateRank {
-    /// Whether the agent doesn't answer.
-    pub(crate) suspect: bool,
-    /// Whether its data centre is evacuated.
-    pub(crate) evacuated: bool,
-    /// Distance of its data centre.
-    pub(crate) distance: CandidateDistance,
-    /// Position of its service in the flow's list of services.
-    pub(crate) service: u8,
-    /// Whether it recently reported no free slot.
-    pub(crate) busy: bool,
-}
-
-/// An agent that may get a packet.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Candidate {
-    pub(crate) rank: CandidateRank,
-    /// Rendezvous hash, equal at all balancers; the highest score comes first.
-    pub(crate) score: u64,
-    /// Hash of the data centre's name.
-    pub(crate) centre: u32,
-    pub(crate) address: SocketAddrV4,
-    pub(crate) failing: bool,
-    /// Whether it is one of the flow's anchors, to which the owner announces itself.
-    pub(crate) is_anchor: bool,
-}
-
 /// Candidates of a packet, best first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct CandidateList {
@@ -127,6 +98,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct CandidateRanking {
     candidates: Vec<Candidate>,
+    /// Scratch space for the first candidates of each service and data centre.
+    groups: Vec<CandidateGroup>,
+    /// Orders and indices of the candidates that may be taken, in order.
+    sorted: Vec<(u128, u32)>,
+    /// Scratch space for the numbers of candidates taken.
+    counts: Vec<GroupCount>,
 }
 
 impl CandidateRanking {
@@ -144,7 +121,12 @@
     /// to a dead agent is lost and doesn't reach its remaining candidates.
     pub(crate) fn exclude_suspects(&mut self) {
         let is_suspect = |candidate: &Candidate| candidate.rank.suspect;
-        if !self.candidates.iter().all(is_suspect) {
+        let suspects = self
+            .candidates
+            .iter()
+            .filter(|candidate| is_suspect(candidate));
+        let suspects = suspects.count();
+        if suspects > 0 && suspects < self.candidates.len() {
             self.candidates.retain(|candidate| !is_suspect(candidate));
         }
     }
@@ -154,7 +136,11 @@
     /// elsewhere, and the remaining servers couldn't handle the load.
     pub(crate) fn eject_failing(&mut self, hash: u64) {
         let failing = self.candidates.iter().filter(|candidate| candidate.failing);
-        let percent = failing.count() * 100 / self.candidates.len().max(1);
+        let failing = failing.count();
+        if failing == 0 {
+            return;
+        }
+        let percent = failing * 100 / self.candidates.len();
         let is_trial = splitmix64(hash ^ TRIAL_SALT) % 100 < TRIAL_PERCENT;
         if percent <= MAX_EJECTED_PERCENT && !is_trial {
             self.candidates.retain(|candidate| !candidate.failing);
@@ -168,12 +154,18 @@
         let usable = |candidate: &&Candidate| !candidate.rank.suspect && !candidate.rank.evacuated;
         let score = |centre: u32| splitmix64(hash ^ u64::from(centre));
         let usable = self.candidates.iter().filter(usable);
-        let home = usable.max_by_key(|candidate| {
-            let centre = candidate.centre;
-            let is_first = candidate.rank.service == 0;
-            (is_first, centre == caller, score(centre))
-        });
-        let home = home.map_or(caller, |candidate| candidate.centre);
+        let is_first = |candidate: &Candidate| candidate.rank.service == 0;
+        let is_caller = |candidate: &Candidate| candidate.centre == caller;
+        let home = if usable
+            .clone()
+            .any(|found| is_first(found) && is_caller(found))
+        {
+            caller
+        } else {
+            let home =
+                usable.max_by_key(|found| (is_first(found), is_caller(found), score(found.centre)));
+            home.map_or(caller, |candidate| candidate.centre)
+        };
         for candidate in &mut self.candidates {
             candidate.rank.distance = if candidate.centre == home {
                 CandidateDistance::Near
@@ -184,6 +176,34 @@
         home
     }
 
+    /// Puts servers of other data centres that have a free slot first if no server of the flow's data
+    /// centre has one; returns how many servers that data centre has, and how many of them were full in
+    /// their last two reports. Only as large a share of the flows spills, so that balancers with old
+    /// reports don't send all flows to the same servers. `home` is the flow's data centre.
+    pub(crate) fn spill(&mut self, home: u32, hash: u64) -> Option<(usize, usize)> {
+        let (mut near, mut full_twice) = (0, 0);
+        for candidate in &self.candidates {
+            if candidate.centre == home {
+                if !candidate.rank.busy {
+                    return None;
+                }
+                near += 1;
+                full_twice += usize::from(candidate.was_full_twice);
+            }
+        }
+        if near == 0 || splitmix64(hash ^ SPILL_SALT) % near as u64 >= full_twice as u64 {
+            return None;
+        }
+        let mut spills = false;
+        for candidate in &mut self.candidates {
+            if candidate.centre != home && candidate.is_free {
+                candidate.rank.distance = CandidateDistance::Spill;
+                spills = true;
+            }
+        }
+        spills.then_some((near, full_twice))
+    }
+
     /// Marks the anchors of the flow: the agents of each service that come first by the hash alone,
     /// wherever they are. Balancers of all data centres agree on them, whatever they believe of
     /// evacuations and of agents that don't answer. Candidates of a service must be adjacent.
@@ -205,6 +225,41 @@
         }
     }
 
+    /// Sorts the candidates that may be within the limits: of each service and data centre, as many as the
+    /// limit allows, and the anchors. They are few, so sorting them costs little. Candidates of a service
+    /// must be adjacent.
+    fn sort_first(&mut self, home: u32, limits: CandidateLimits) {
+        self.groups.clear();
+        self.sorted.clear();
+        for (index, candidate) in self.candidates.iter().enumerate() {
+            let (centre, service) = (candidate.centre, candidate.rank.service);
+            let place = (candidate.order(), index as u32);
+            if candidate.is_anchor {
+                self.sorted.push(place);
+            }
+            let same_service = self.groups.iter_mut().rev();
+            let mut same_service = same_service.take_while(|group| group.service == service);
+            if let Some(group) = same_service.find(|group| group.centre == centre) {
+                group.insert(place);
+                continue;
+            }
+            let limits = if service > 0 { OTHER_LIMITS } else { limits };
+            let limit = if centre == home {
+                limits.near
+            } else {
+                limits.far
+            };
+            let mut group = CandidateGroup::new(centre, service, limit);
+            group.insert(place);
+            self.groups.push(group);
+        }
+        for group in &self.groups {
+            self.sorted.extend(group.first());
+        }
+        self.sorted.sort_unstable();
+        self.sorted.dedup();
+    }
+
     /// Returns the best candidates within `limits`, and the anchors beside them.
     ///
     /// `caller` is the data centre of the caller, `home` that of the flow, which
@@ -215,10 +270,7 @@
         home: u32,
         limits: CandidateLimits,
     ) -> CandidateList {
-        self.candidates.sort_unstable_by(|left, right| {
-            let by_rank = left.rank.cmp(&right.rank);
-            by_rank.then(right.score.cmp(&left.score))
-        });
+        self.sort_first(home, limits);
         let mut list = CandidateList {
             agents: Vec::with_capacity(MAX_CANDIDATES),
             near: 0,
@@ -226,11 +278,12 @@
             anchors: Vec::new(),
             is_firm: false,
         };
-        let mut groups = Vec::new();
+        self.counts.clear();
         let mut far = 0;
         let mut others_far = 0;
         let mut others = 0;
-        for candidate in &self.candidates {
+        for (_, index) in &self.sorted {
+            let candidate = &self.candidates[*index as usize];
             let is_near = candidate.centre == home;
             let is_remote = !is_near && candidate.centre != caller;
             let is_other = candidate.rank.service > 0;
@@ -243,7 +296,7 @@
                 (limits, &mut far)
             };
             let limit = if is_near { limits.near } else { limits.far };
-            let count = group_count(&mut groups, candidate.centre, candidate.rank.service);
+            let count = group_count(&mut self.counts, candidate.centre, candidate.rank.service);
             let is_full = if is_other {
                 others >= MAX_OTHER_CANDIDATES
             } else {
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -5,6 +5,8 @@
 mod agent_table;
 mod backend_heartbeat;
 mod backend_liveness;
+mod candidate;
+mod candidate_group;
 mod candidate_ranking;
 mod cold_budget;
 mod drop_cause;
@@ -16,14 +18,22 @@
 mod name_hash;
 mod owner_cache;
 mod owner_lookup;
+mod placement_state;
 mod query_budget;
 mod query_reply;
+mod recent_openings;
 mod registered_members;
 mod registration_cleanup;
 mod report_schedule;
 mod route_action;
 mod router_options;
 mod search_action;
+mod server_weight;
+mod service_load;
+mod service_speed;
+mod spilled_flow;
+mod weight_change;
+mod weighted_cost;
 
 pub use agent_record::AgentRecord;
 pub use agent_report::AgentReport;
@@ -57,3 +67,9 @@
     SearchAction,
     SearchEnd, //
 };
+pub use spilled_flow::SpilledFlow;
+pub use weight_change::WeightChange;
+pub use weighted_cost::weighted_cost;
+
+pub(crate) use server_weight::ServerWeight;
+pub(crate) use service_speed::ServiceSpeed;
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -112,6 +112,8 @@
             failure_percent: u32::from(report.failure_percent),
             confirmed: report.is_confirmed,
             queued: report.queued,
+            work_us: report.work_us,
+            open_flows: report.open_flows,
         }))
     }
 }
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -139,6 +139,13 @@
     /// Number of requests that the agent holds until the server has a slot for them.
     #[prost(uint32, tag = "10")]
     pub queued: u32,
+    /// Moving average of the time from a request to the start of its response, in microseconds; 0 if it
+    /// is unknown.
+    #[prost(uint32, tag = "11")]
+    pub work_us: u32,
+    /// Number of open flows older than a second.
+    #[prost(uint32, tag = "12")]
+    pub open_flows: u32,
 }
 
 /// The agent that owns a flow.
