--- a/components/core/src/request/admission_controller.rs
+++ b/components/core/src/request/admission_controller.rs
@@ -113,6 +113,15 @@
         self.enqueue(rank)
     }
 
+    /// Starts a request that runs only if a slot is free at once, or returns `None`.
+    ///
+    /// Queued requests come first, so nothing starts while there are any.
+    pub fn start_if_free(&mut self, now: Millis, class: PriorityClass) -> Option<RequestTicket> {
+        self.meter.update(now, self.outstanding());
+        let is_free = self.queue.first().is_none() && self.has_room_for(now, class);
+        is_free.then(|| self.start_new(class))
+    }
+
     /// Starts the next queued request, if the limits allow one.
     ///
     /// A request that is not expected to meet its deadline is never started;
--- a/components/core/src/request/mod.rs
+++ b/components/core/src/request/mod.rs
@@ -5,6 +5,10 @@
 mod admission_controller_builder;
 mod aimd_limit;
 mod gradient_limit;
+mod hedge_budget;
+mod hedge_delay;
+mod hedge_policy;
+mod hedge_targets;
 mod idempotency_key;
 mod latency_baseline;
 mod load_meter;
@@ -14,6 +18,7 @@
 mod request_queue;
 mod request_result;
 mod retry_budget;
+mod run_offer;
 mod ticket_arena;
 mod warmup_ramp;
 
@@ -25,6 +30,21 @@
 pub use admission_controller_builder::AdmissionControllerBuilder;
 pub use aimd_limit::AimdLimit;
 pub use gradient_limit::GradientLimit;
+pub use hedge_budget::{
+    HedgeBudget,
+    HedgeEnd, //
+};
+pub use hedge_delay::HedgeDelay;
+pub use hedge_policy::{
+    HedgeHold,
+    HedgeLimits,
+    HedgePolicy,
+    HedgeRequest, //
+};
+pub use hedge_targets::{
+    HedgeTarget,
+    HedgeTargets, //
+};
 pub use idempotency_key::{
     IdempotencyKey,
     IdempotencyKeyError,
@@ -53,6 +73,10 @@
     RequestResult, //
 };
 pub use retry_budget::RetryBudget;
+pub use run_offer::{
+    RunOffer,
+    RunRefusal, //
+};
 pub use ticket_arena::RequestTicket;
 pub use warmup_ramp::{
     RampGrowth,
--- a/components/settings/src/agent_settings.rs
+++ b/components/settings/src/agent_settings.rs
@@ -24,12 +24,14 @@
         check_certificates,
         check_key, //
     },
+    hedge_settings::HEDGING_SCHEMA,
     process_settings::{
         check_host,
         LOG_SCHEMA,
         PROCESS_SCHEMA,
         STORE_SCHEMA, //
     },
+    HedgeSettings,
     LogSettings,
     ProcessSettings,
     StoreSettings, //
@@ -56,6 +58,7 @@
             max: MAX_DRAIN_TIMEOUT_MS,
         },
     ),
+    FieldSchema::optional("hedging", FieldKind::Section(HEDGING_SCHEMA)),
 ];
 
 /// Settings of an agent.
@@ -79,6 +82,9 @@
     /// absent.
     #[serde(default = "default_drain")]
     pub drain_timeout_ms: u32,
+    /// Limits of hedged requests; off if absent.
+    #[serde(default)]
+    pub hedging: HedgeSettings,
 }
 
 impl AgentSettings {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -5,6 +5,7 @@
 mod file_check;
 mod flow_options;
 mod flow_settings;
+mod hedge_settings;
 mod process_settings;
 mod settings_error;
 mod settings_text;
@@ -19,6 +20,7 @@
     LeaseStoreSettings,
     NodeSettings, //
 };
+pub use hedge_settings::HedgeSettings;
 pub use process_settings::{
     LogFormat,
     LogSettings,
--- a/components/settings/tests/settings_files.rs
+++ b/components/settings/tests/settings_files.rs
@@ -39,6 +39,8 @@
 drain_timeout_ms = 100
 "#;
 
+const HEDGING: &str = "[hedging]\npercent = 5\nmin_delay_ms = 30\ncross_centre = true\n";
+
 const BALANCER: &str = "listen_ip = '127.0.0.1'\nthreads = 64\n";
 
 /// Returns a folder with a settings file of this text and valid other files, and the path of the
@@ -137,6 +139,33 @@
     key_of_another_kind: "key.pem" => "certificate.pem", ":4: key_file: found ";
 }
 
+/// Guards against hedging that is on although the settings don't name it, and against limits that are
+/// out of range or not read.
+#[rstest]
+#[case::percent("percent = 5", "percent = 101", ":21: hedging.percent: found 101")]
+#[case::negative("percent = 5", "percent = -1", ":21: hedging.percent: found ")]
+#[case::no_delay(
+    "min_delay_ms = 30",
+    "min_delay_ms = 0",
+    ":22: hedging.min_delay_ms: found 0"
+)]
+#[case::word("= true", "= 'near'", ":23: hedging.cross_centre: found `near`")]
+fn limits_of_hedging_are_checked(#[case] valid: &str, #[case] invalid: &str, #[case] line: &str) {
+    let (_kept, path) = folder(&format!("{AGENT}{PROCESS}"));
+    let agent = read_agent(&path).expect("the section is optional");
+    assert_eq!((agent.hedging.percent, agent.hedging.min_delay_ms), (0, 20));
+    assert!(!agent.hedging.cross_centre);
+    let text = format!("{AGENT}{PROCESS}{HEDGING}");
+    let (_kept, path) = folder(&text);
+    let agent = read_agent(&path).expect("these limits are allowed");
+    assert_eq!((agent.hedging.percent, agent.hedging.min_delay_ms), (5, 30));
+    assert!(agent.hedging.cross_centre);
+    assert!(text.contains(valid));
+    let (_kept, path) = folder(&text.replacen(valid, invalid, 1));
+    let lines = lines(read_agent(&path));
+    assert!(lines.len() == 1 && lines[0].starts_with(line), "{lines:?}");
+}
+
 /// Guards against a thread count above the limit, and against a balancer that starts with an
 /// agent's settings.
 #[test]
--- a/src/cmd/demo/demo_daemons.rs
+++ b/src/cmd/demo/demo_daemons.rs
@@ -10,6 +10,7 @@
 use carobdrum_settings::{
     AgentSettings,
     BalancerSettings,
+    HedgeSettings,
     LogSettings,
     ProcessSettings,
     StoreSettings, //
@@ -117,6 +118,7 @@
         certificate_file: files.certificate_file(),
         key_file: files.key_file(),
         drain_timeout_ms: DRAIN_TIMEOUT_MS,
+        hedging: HedgeSettings::default(),
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,7 @@
 use carobdrum_settings::{
     AgentSettings,
     BalancerSettings,
+    HedgeSettings,
     LogSettings,
     ProcessSettings,
     StoreSettings, //
@@ -164,6 +165,7 @@
             certificate_file: self.file("cert.pem"),
             key_file: self.file("key.pem"),
             drain_timeout_ms: 5_000,
+            hedging: HedgeSettings::default(),
         };
         self.agents.push(Some(
             AgentHandle::spawn(settings).expect("cannot start the agent"),
--- a/tests/process_faults/process_site.rs
+++ b/tests/process_faults/process_site.rs
@@ -25,6 +25,7 @@
 use carobdrum_settings::{
     AgentSettings,
     BalancerSettings,
+    HedgeSettings,
     LogSettings,
     ProcessSettings,
     StoreSettings, //
@@ -158,6 +159,7 @@
             certificate_file: self.file("certificate.pem"),
             key_file: self.file("key.pem"),
             drain_timeout_ms: 10_000,
+            hedging: HedgeSettings::default(),
         };
         let text = toml::to_string(&settings).expect("cannot serialise the settings");
         let file_name = format!("{name}-{ip}");
