--- a/components/agent/src/process/agent_handle.rs
+++ b/components/agent/src/process/agent_handle.rs
@@ -64,6 +64,8 @@
 
 /// Maximum number of control datagrams queued for the control thread.
 const CONTROL_QUEUE_LEN: usize = 256;
+/// Maximum number of calls of other agents queued for the traffic thread.
+const AGENT_CALL_QUEUE_LEN: usize = 32;
 /// Kernel buffer per direction, in bytes; enough for a burst of a few milliseconds.
 const KERNEL_BUFFER_LEN: usize = 4 << 20;
 /// Limits of the outcomes kept for repeated requests: one day of a busy server.
@@ -105,6 +107,13 @@
         let (control, datagrams) = mpsc::channel(CONTROL_QUEUE_LEN);
         let (stop, stopped) = watch::channel(false);
         let (end, ended) = oneshot::channel();
+        let hedging_channels = (settings.hedging.percent > 0).then(|| {
+            let (balancers, active) = watch::channel(Vec::new());
+            let (agent_calls, calls) = mpsc::channel(AGENT_CALL_QUEUE_LEN);
+            ((balancers, agent_calls), (active, calls))
+        });
+        let (hedging_control, hedging_traffic) = hedging_channels.unzip();
+        let (balancers, agent_calls) = hedging_control.unzip();
         // This may run on a runtime, where blocking on a Tokio channel would panic.
         let (ready, started) = std::sync::mpsc::sync_channel(1);
         let traffic = TrafficParts {
@@ -117,6 +126,7 @@
             published: state,
             control,
             ledger: ledger.clone(),
+            hedging: hedging_traffic,
             stopped,
         };
         let control = ControlParts {
@@ -129,6 +139,8 @@
             published,
             datagrams,
             ledger,
+            balancers,
+            agent_calls,
             ended,
             ready,
         };
--- a/components/agent/src/process/agent_metrics.rs
+++ b/components/agent/src/process/agent_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the agent.
 
+use carobdrum_core::request::HedgeHold;
 use carobdrum_wire::OpenError;
 use prometheus_client::{
     encoding::{
@@ -65,6 +66,70 @@
     Repeated,
 }
 
+/// What became of a request that could be hedged; a label value of the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum HedgeEvent {
+    /// A hedge was sent to another agent.
+    Sent,
+    /// The hedge's response was the first whole one.
+    Won,
+    /// The own server's response was the first whole one, or the hedge failed.
+    Wasted,
+    /// The other agent refused the hedge or couldn't be reached.
+    Refused,
+    /// Held back: not idempotent, with a body or an idempotency key, or sent before.
+    NotRepeatable,
+    /// Held back: too few response times.
+    FewSamples,
+    /// Held back: requests wait for a slot here.
+    Queue,
+    /// Held back: too little time until the deadline.
+    Late,
+    /// Held back: no other agent of the service is known.
+    NoAgent,
+    /// Held back: all other agents refused within the last second.
+    NoRoom,
+    /// Held back: the budget is spent.
+    Budget,
+}
+
+impl From<HedgeHold> for HedgeEvent {
+    fn from(hold: HedgeHold) -> HedgeEvent {
+        match hold {
+            HedgeHold::NotRepeatable => HedgeEvent::NotRepeatable,
+            HedgeHold::FewSamples => HedgeEvent::FewSamples,
+            HedgeHold::Queue => HedgeEvent::Queue,
+            HedgeHold::Late => HedgeEvent::Late,
+            HedgeHold::NoAgent => HedgeEvent::NoAgent,
+            HedgeHold::NoRoom => HedgeEvent::NoRoom,
+            HedgeHold::Budget => HedgeEvent::Budget,
+        }
+    }
+}
+
+/// What became of a request of another agent; a label value of the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum RunEnd {
+    /// The other agent was sent the server's whole response.
+    Done,
+    /// The request was refused and has not run.
+    Refused,
+    /// The server returned no whole response of at most 256 KiB.
+    Failed,
+    /// The other agent closed the connection.
+    Cancelled,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct HedgeLabel {
+    event: HedgeEvent,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RunLabel {
+    end: RunEnd,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct DropLabel {
     reason: DropReason,
@@ -90,6 +155,8 @@
     pub(crate) control_sent_bytes: Counter,
     dropped: Family<DropLabel, Counter>,
     ended: Family<EndLabel, Counter>,
+    hedges: Family<HedgeLabel, Counter>,
+    runs: Family<RunLabel, Counter>,
 }
 
 impl AgentMetrics {
@@ -130,6 +197,18 @@
         registry.register("dropped_datagrams", "Datagrams dropped, by reason", family);
         let family = self.ended.clone();
         registry.register("ended_requests", "Requests, by how they ended", family);
+        let family = self.hedges.clone();
+        registry.register("hedges", "Hedges sent, their results, held back", family);
+        let family = self.runs.clone();
+        registry.register("runs_for_agents", "Hedges of other agents", family);
+    }
+
+    pub(crate) fn hedge(&self, event: HedgeEvent) {
+        self.hedges.get_or_create(&HedgeLabel { event }).inc();
+    }
+
+    pub(crate) fn run_for_agent(&self, end: RunEnd) {
+        self.runs.get_or_create(&RunLabel { end }).inc();
     }
 
     pub(crate) fn drop(&self, reason: DropReason) {
--- a/components/agent/src/process/announce_actor.rs
+++ b/components/agent/src/process/announce_actor.rs
@@ -30,7 +30,10 @@
     ActorProcessingErr,
     ActorRef, //
 };
-use tokio::sync::Notify;
+use tokio::sync::{
+    watch,
+    Notify, //
+};
 
 use super::{
     AgentMetrics,
@@ -63,6 +66,8 @@
     pub(crate) metrics: AgentMetrics,
     /// Notified when no balancer acknowledges the agent, to read the entry points again.
     pub(crate) refresh: Arc<Notify>,
+    /// Receives the balancers that the agent sends heartbeats to; `None` if hedging is off.
+    pub(crate) balancers: Option<watch::Sender<Vec<SocketAddrV4>>>,
 }
 
 pub(crate) struct AnnounceState {
@@ -207,6 +212,14 @@
         let actions = announcer.announce(now, state, self.slots, warmup_level);
         self.run(actions);
         self.handle_event(MemberEvent::Tick);
+        if let Some(balancers) = &self.arguments.balancers {
+            let active: Vec<SocketAddrV4> = self.arguments.announcer.balancers().collect();
+            balancers.send_if_modified(|known| {
+                let is_new = *known != active;
+                *known = active;
+                is_new
+            });
+        }
         if self.arguments.announcer.is_acknowledged() {
             self.last_acknowledged = now;
         } else if now.since(self.last_acknowledged) >= ISOLATION_TIMEOUT {
--- a/components/agent/src/process/control_thread.rs
+++ b/components/agent/src/process/control_thread.rs
@@ -1,7 +1,10 @@
 //! The control thread of an agent.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
     sync::{
         mpsc::SyncSender,
         Arc, //
@@ -85,7 +88,9 @@
 use crate::{
     connection::ControlDatagram,
     request::{
+        answer_agent_call,
         answer_outcome_query,
+        AgentCall,
         SharedLedger, //
     },
 };
@@ -103,6 +108,10 @@
     pub(crate) published: watch::Sender<PublishedState>,
     pub(crate) datagrams: mpsc::Receiver<ControlDatagram>,
     pub(crate) ledger: SharedLedger,
+    /// Receives the balancers in use; `None` if hedging is off.
+    pub(crate) balancers: Option<watch::Sender<Vec<SocketAddrV4>>>,
+    /// Calls of other agents for the traffic thread; `None` if hedging is off.
+    pub(crate) agent_calls: Option<mpsc::Sender<AgentCall>>,
     pub(crate) ended: oneshot::Receiver<()>,
     pub(crate) ready: SyncSender<Result<(), AgentError>>,
 }
@@ -124,6 +133,8 @@
         published,
         datagrams,
         ledger,
+        balancers,
+        agent_calls,
         ended,
         ready,
     } = parts;
@@ -173,6 +184,7 @@
         shared: Arc::clone(&shared),
         metrics,
         refresh: Arc::clone(&refresh),
+        balancers,
     };
     let (announcer, _) = Actor::spawn(None, AnnounceActor, arguments).await?;
     let (entry_points, entry_point_updates) = watch::channel(Vec::new());
@@ -195,6 +207,7 @@
         state.clone(),
         ledger,
         shared,
+        agent_calls,
     ));
     tokio::spawn(feed_state(
         state,
@@ -239,10 +252,12 @@
     state: watch::Receiver<PublishedState>,
     ledger: SharedLedger,
     shared: Arc<AgentShared>,
+    agent_calls: Option<mpsc::Sender<AgentCall>>,
 ) {
     serve_control(tcp, key, move |request| {
         let config = config.clone();
         let ledger = ledger.clone();
+        let agent_calls = agent_calls.clone();
         let keys = state.borrow().keys.clone();
         let now = shared.clock.now();
         async move {
@@ -250,7 +265,12 @@
                 let reply = answer_outcome_query(&query.key, keys.as_deref(), &ledger, now);
                 return ControlMessage::new(ControlBody::Outcome(reply));
             }
-            ask_actor(&config, |reply| ConfigMessage::Serve(request, reply)).await
+            match answer_agent_call(request, agent_calls.as_ref()).await {
+                Ok(response) => response,
+                Err(request) => {
+                    ask_actor(&config, |reply| ConfigMessage::Serve(request, reply)).await
+                }
+            }
         }
     })
     .await;
--- a/components/agent/src/process/mod.rs
+++ b/components/agent/src/process/mod.rs
@@ -19,6 +19,8 @@
 pub(crate) use agent_metrics::{
     AgentMetrics,
     DropReason,
-    RequestEnd, //
+    HedgeEvent,
+    RequestEnd,
+    RunEnd, //
 };
 pub(crate) use agent_shared::AgentShared;
--- a/components/agent/src/process/traffic_thread.rs
+++ b/components/agent/src/process/traffic_thread.rs
@@ -4,17 +4,25 @@
     cell::RefCell,
     future::poll_fn,
     io::IoSliceMut,
+    net::SocketAddrV4,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
 use carobdrum_control::PublishedState;
-use carobdrum_core::request::{
-    AdmissionController,
-    RetryBudget, //
+use carobdrum_core::{
+    request::{
+        AdmissionController,
+        HedgeLimits,
+        RetryBudget, //
+    },
+    Millis,
+};
+use carobdrum_settings::{
+    AgentSettings,
+    HedgeSettings, //
 };
-use carobdrum_settings::AgentSettings;
 use carobdrum_wire::TunnelKey;
 use quinn::{
     AsyncUdpSocket,
@@ -56,7 +64,11 @@
         TunnelState, //
     },
     request::{
+        serve_agent_calls,
+        AgentCall,
         HandlerParts,
+        Hedging,
+        HedgingParts,
         RequestHandler,
         SharedLedger,
         SlotScheduler, //
@@ -72,6 +84,12 @@
 /// Interval between updates of the published load, which is a mean over about a second.
 const LOAD_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The balancers that the agent sends heartbeats to, and the calls of other agents.
+type HedgingChannels = (
+    watch::Receiver<Vec<SocketAddrV4>>,
+    mpsc::Receiver<AgentCall>,
+);
+
 pub(crate) struct TrafficParts {
     pub(crate) settings: AgentSettings,
     pub(crate) incarnation: u64,
@@ -82,6 +100,8 @@
     pub(crate) published: watch::Receiver<PublishedState>,
     pub(crate) control: mpsc::Sender<ControlDatagram>,
     pub(crate) ledger: SharedLedger,
+    /// The balancers in use and the calls of other agents; `None` if hedging is off.
+    pub(crate) hedging: Option<HedgingChannels>,
     pub(crate) stopped: watch::Receiver<bool>,
 }
 
@@ -102,6 +122,7 @@
         mut published,
         control,
         ledger,
+        hedging,
         stopped,
     } = parts;
     let address = settings.process.address;
@@ -117,6 +138,18 @@
         .queue((slots as usize * QUEUE_LEN_PER_SLOT).max(MIN_QUEUE_LEN))
         .build();
     let slots = SlotScheduler::new(controller, Arc::clone(&shared), metrics.clone());
+    let (balancers, agent_calls) = hedging.unzip();
+    let hedging = balancers.map(|balancers| {
+        let parts = HedgingParts {
+            address,
+            data_centre: settings.process.data_centre.clone(),
+            key: key.clone(),
+            clock: shared.clock,
+            metrics: metrics.clone(),
+            balancers,
+        };
+        Hedging::new(hedge_limits(&settings.hedging), parts)
+    });
     let handler = RequestHandler::new(HandlerParts {
         name: settings.process.name.clone(),
         address,
@@ -128,7 +161,11 @@
         connector: ServerConnector::new(settings.server),
         ledger,
         budget: RefCell::new(RetryBudget::new(shared.clock.now())),
+        hedging,
     });
+    if let Some(agent_calls) = agent_calls {
+        spawn_local(serve_agent_calls(Rc::clone(&handler), agent_calls));
+    }
     let files = TlsFiles::new(settings.certificate_file.clone(), settings.key_file.clone());
     let endpoint = open_endpoint(tunnel, &settings.process, incarnation, &published)?;
     let config = server_config(files.load()?, &published.borrow())?;
@@ -185,6 +222,14 @@
     }
 }
 
+fn hedge_limits(settings: &HedgeSettings) -> HedgeLimits {
+    HedgeLimits {
+        percent: settings.percent,
+        min_delay: Millis(u64::from(settings.min_delay_ms)),
+        cross_centre: settings.cross_centre,
+    }
+}
+
 fn slots_of(state: &PublishedState, name: &str) -> u32 {
     let config = state.config.as_deref();
     let pool = config.and_then(|config| config.pools.pool_for_server(name));
--- a/components/agent/src/request/request_handler.rs
+++ b/components/agent/src/request/request_handler.rs
@@ -1,7 +1,10 @@
 //! Handling of requests from the caller to the backend server and back.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     net::SocketAddrV4,
     rc::Rc,
     sync::Arc, //
@@ -51,6 +54,7 @@
         simple_response,
         RunState, //
     },
+    Hedging,
     SharedLedger,
     SlotScheduler, //
 };
@@ -66,7 +70,7 @@
 /// URL path at which callers get idempotency keys.
 const KEY_PATH: &str = "/.well-known/carobdrum/idempotency-key";
 /// Header that carries an idempotency key.
-const KEY_HEADER: &str = "idempotency-key";
+pub(super) const KEY_HEADER: &str = "idempotency-key";
 const TRACE_HEADER: &str = "traceparent";
 
 /// The caller's HTTP/3 stream of one request.
@@ -84,6 +88,8 @@
     pub(crate) connector: Rc<ServerConnector>,
     pub(crate) ledger: SharedLedger,
     pub(crate) budget: RefCell<RetryBudget>,
+    /// `None` if hedging is off.
+    pub(crate) hedging: Option<Rc<Hedging>>,
 }
 
 /// Handles requests from the caller to the backend server and back.
@@ -97,11 +103,15 @@
     pub(super) offer: RequestOffer,
     pub(super) deadline: RequestDeadline,
     pub(super) trace: TraceContext,
+    /// Name of the request's route.
+    pub(super) route: CompactString,
     /// Name of the service that the request's route belongs to.
     pub(super) service: CompactString,
     /// Sequence number of the request's idempotency key; `None` for a request that needs no key or
     /// has none.
     pub(super) sequence: Option<u64>,
+    /// Number of attempts to send the request to the own server.
+    pub(super) attempts: Cell<u32>,
 }
 
 impl RequestHandler {
@@ -165,8 +175,10 @@
             offer,
             deadline,
             trace,
+            route: route.name,
             service: route.service,
             sequence,
+            attempts: Cell::new(0),
         };
         self.run(context, stream).await
     }
--- a/components/agent/src/request/request_run.rs
+++ b/components/agent/src/request/request_run.rs
@@ -72,7 +72,7 @@
 type ResponseStream = h3::server::RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
 
 /// Reason why the server returned no response.
-enum RunFailure {
+pub(super) enum RunFailure {
     /// No part of the request was sent to the server.
     NotSent(RequestOutcome),
     /// The request was sent to the server, but no response arrived.
@@ -80,12 +80,26 @@
 }
 
 /// A response of the server whose body hasn't been read yet.
-struct ServerResponse {
-    response: Response<Incoming>,
+pub(super) struct ServerResponse {
+    pub(super) response: Response<Incoming>,
+    /// Parts of the body that have been read already.
+    pub(super) buffered: Vec<Bytes>,
+    /// Whether the body has been read to its end.
+    pub(super) is_whole: bool,
+    /// Time at which the head of the response arrived.
+    pub(super) received: Millis,
     /// Keeps the connection open until the body has been read.
     sender: SendRequest<ServerBody>,
 }
 
+/// The response that a request got.
+pub(super) enum RunResponse {
+    /// The response of the own server.
+    Own(ServerResponse),
+    /// The whole response of another agent's server.
+    Hedge(Response<Bytes>),
+}
+
 impl RequestHandler {
     /// Waits for a slot, runs the request and returns how it ended.
     pub(super) async fn run(&self, context: RequestContext, stream: RequestStream) -> RequestEnd {
@@ -111,9 +125,17 @@
         let mut guard = LedgerGuard::new(self, context.sequence);
         let started = self.now();
         let (response_stream, body) = stream.split();
-        let (failure, response_stream) = match self.send_to_server(&context, body, &mut guard).await
-        {
-            Ok(server_response) => {
+        let sent = self.send_and_hedge(&context, body, &mut guard).await;
+        let (failure, response_stream) = match sent {
+            Ok(RunResponse::Hedge(response)) => {
+                permit.finish(RequestResult {
+                    latency: self.now().since(started),
+                    outcome: RequestOutcome::Abandoned,
+                });
+                return send_on_response_stream(response_stream, response, RequestEnd::Answered)
+                    .await;
+            }
+            Ok(RunResponse::Own(server_response)) => {
                 return self
                     .relay_response(
                         server_response,
@@ -152,7 +174,7 @@
 
     /// Sends the request to the server and waits for the response's head. Repeats the request after
     /// a failure if that is safe and allowed.
-    async fn send_to_server(
+    pub(super) async fn send_to_server(
         &self,
         context: &RequestContext,
         body: BodyStream,
@@ -161,9 +183,9 @@
         let method = context.request.method();
         let has_body = may_have_body(&context.request);
         let mut body = Some(body);
-        let mut attempts = 0;
         loop {
-            attempts += 1;
+            let attempts = context.attempts.get() + 1;
+            context.attempts.set(attempts);
             let repeatable = is_idempotent(method) && !has_body;
             let opening = self.parts.connector.open();
             let sender = match self.run_until_deadline(context, opening).await {
@@ -211,7 +233,13 @@
         );
         let sending = sender.send_request(request).instrument(span);
         match self.run_until_deadline(context, sending).await {
-            Some(Ok(response)) => Ok(ServerResponse { response, sender }),
+            Some(Ok(response)) => Ok(ServerResponse {
+                response,
+                buffered: Vec::new(),
+                is_whole: false,
+                received: self.now(),
+                sender,
+            }),
             Some(Err(error)) => {
                 debug!(%error, "request to the backend server failed");
                 Err(RequestOutcome::ConnectionReset)
@@ -221,7 +249,7 @@
     }
 
     /// Returns the result of `work`, or `None` if the request's deadline is reached first.
-    async fn run_until_deadline<R>(
+    pub(super) async fn run_until_deadline<R>(
         &self,
         context: &RequestContext,
         work: impl Future<Output = R>,
@@ -230,7 +258,11 @@
         timeout_at(deadline, work).await.ok()
     }
 
-    fn server_request(&self, context: &RequestContext, content: ServerBody) -> Request<ServerBody> {
+    pub(super) fn server_request(
+        &self,
+        context: &RequestContext,
+        content: ServerBody,
+    ) -> Request<ServerBody> {
         let mut request = Request::new(content);
         *request.method_mut() = context.request.method().clone();
         *request.version_mut() = Version::HTTP_11;
@@ -261,9 +293,12 @@
     ) -> RequestEnd {
         let ServerResponse {
             response,
+            buffered,
+            is_whole,
+            received,
             sender: _sender,
         } = server_response;
-        let latency = self.now().since(started);
+        let latency = received.since(started);
         let (head, mut content) = response.into_parts();
         let mut recorder = ResponseRecorder::new(head.status, &head.headers, context.sequence);
         let mut outcome = if head.status.is_server_error() {
@@ -275,34 +310,41 @@
         *caller_response.status_mut() = head.status;
         *caller_response.headers_mut() = end_to_end(&head.headers);
         let mut caller_connected = response_stream.send_response(caller_response).await.is_ok();
-        let is_complete = loop {
-            match self.run_until_deadline(context, content.frame()).await {
-                Some(None) => break true,
-                Some(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    recorder.add(&data);
-                    if caller_connected {
-                        caller_connected = response_stream.send_data(data).await.is_ok();
+        for data in buffered {
+            recorder.add(&data);
+            if caller_connected {
+                caller_connected = response_stream.send_data(data).await.is_ok();
+            }
+        }
+        let is_complete = is_whole
+            || loop {
+                match self.run_until_deadline(context, content.frame()).await {
+                    Some(None) => break true,
+                    Some(Some(Ok(frame))) => {
+                        let Ok(data) = frame.into_data() else {
+                            continue;
+                        };
+                        recorder.add(&data);
+                        if caller_connected {
+                            caller_connected = response_stream.send_data(data).await.is_ok();
+                        }
+                        // A response that is to be recorded is read to its end even if the caller is
+                        // gone.
+                        if !caller_connected && context.sequence.is_none() {
+                            break false;
+                        }
                     }
-                    // A response that is to be recorded is read to its end even if the caller is
-                    // gone.
-                    if !caller_connected && context.sequence.is_none() {
+                    Some(Some(Err(error))) => {
+                        debug!(%error, "response of the backend server ended early");
+                        outcome = RequestOutcome::ConnectionReset;
+                        break false;
+                    }
+                    None => {
+                        outcome = RequestOutcome::TimedOut;
                         break false;
                     }
                 }
-                Some(Some(Err(error))) => {
-                    debug!(%error, "response of the backend server ended early");
-                    outcome = RequestOutcome::ConnectionReset;
-                    break false;
-                }
-                None => {
-                    outcome = RequestOutcome::TimedOut;
-                    break false;
-                }
-            }
-        };
+            };
         if !caller_connected && !is_complete && outcome == RequestOutcome::Success {
             outcome = RequestOutcome::Abandoned;
         }
@@ -335,7 +377,9 @@
         response_stream
             .send_response(Response::from_parts(head, ()))
             .await?;
-        response_stream.send_data(body).await?;
+        if !body.is_empty() {
+            response_stream.send_data(body).await?;
+        }
         response_stream.finish().await
     };
     match sent.await {
@@ -368,7 +412,7 @@
     filtered
 }
 
-fn insert_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
+pub(super) fn insert_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(HeaderName::from_static(name), value);
     }
--- a/components/agent/src/request/slot_scheduler.rs
+++ b/components/agent/src/request/slot_scheduler.rs
@@ -15,6 +15,7 @@
         RequestResult,
         RequestTicket, //
     },
+    version::PriorityClass,
     Millis,
 };
 use tokio::{
@@ -77,6 +78,19 @@
         self.start_queued();
     }
 
+    /// Returns a slot if one is free at once and no request is queued.
+    pub(crate) fn start_if_free(self: &Rc<Self>, class: PriorityClass) -> Option<SlotPermit> {
+        let now = self.shared.clock.now();
+        let started = self.state.borrow_mut().controller.start_if_free(now, class);
+        self.publish_state();
+        started.map(|ticket| SlotPermit::new(self, ticket))
+    }
+
+    /// Returns the number of requests that wait for a slot.
+    pub(crate) fn queued(&self) -> usize {
+        self.state.borrow().controller.queued()
+    }
+
     /// Waits for a slot until the deadline of `offer`.
     ///
     /// # Errors
--- a/components/balancer/src/process/control_thread.rs
+++ b/components/balancer/src/process/control_thread.rs
@@ -274,6 +274,12 @@
                 Some(ControlBody::SyncMembers(sync)) => {
                     ask_actor(&members, |reply| MemberMessage::AnswerSync(sync, reply)).await
                 }
+                Some(ControlBody::FetchAgents(request)) => {
+                    ask_actor(&members, |reply| {
+                        MemberMessage::AnswerAgents(request, reply)
+                    })
+                    .await
+                }
                 Some(ControlBody::Members(gossip)) => {
                     let _ = members.cast(MemberMessage::RecordsPushed(gossip));
                     ControlMessage::new(ControlBody::Nothing(Nothing {}))
--- a/components/balancer/src/process/member_actor.rs
+++ b/components/balancer/src/process/member_actor.rs
@@ -29,6 +29,7 @@
 use carobdrum_wire::{
     control::{
         ControlBody,
+        FetchAgents,
         Gossip,
         Nothing,
         SyncMembers, //
@@ -46,6 +47,7 @@
 use tracing::info;
 
 use super::{
+    agent_listing::list_agents,
     traffic_state::TrafficNotice,
     BalancerMetrics, //
 };
@@ -68,6 +70,8 @@
     CallCompleted(MemberEvent),
     /// Another balancer requests the records of differing buckets.
     AnswerSync(SyncMembers, RpcReplyPort<ControlMessage>),
+    /// An agent requests the list of its service's agents.
+    AnswerAgents(FetchAgents, RpcReplyPort<ControlMessage>),
     /// Another balancer sent records.
     RecordsPushed(Gossip),
     /// The configuration or the key ring has changed.
@@ -135,6 +139,9 @@
                 // The send fails if the requester no longer waits for the response.
                 let _ = reply.send(state.answer_sync(&request));
             }
+            MemberMessage::AnswerAgents(request, reply) => {
+                let _ = reply.send(state.answer_agents(&request));
+            }
             MemberMessage::RecordsPushed(gossip) => {
                 state.handle_event(MemberEvent::RecordsPushed {
                     peer: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
@@ -239,6 +246,18 @@
         ControlMessage::new(body)
     }
 
+    fn answer_agents(&self, request: &FetchAgents) -> ControlMessage {
+        let Some(config) = self.published.config.as_deref() else {
+            return ControlMessage::new(ControlBody::Nothing(Nothing {}));
+        };
+        let members = self.arguments.protocol.list().iter();
+        let agents = list_agents(config, members.map(|(_, record)| record), request);
+        ControlMessage::new(ControlBody::Members(Gossip {
+            members: encode_records(&agents),
+            ..Gossip::default()
+        }))
+    }
+
     fn set_published(&mut self, published: PublishedState) {
         let number = published.config_number();
         let key_version = published.key_version();
--- a/components/balancer/src/process/mod.rs
+++ b/components/balancer/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! Threads, actors and metrics of the process.
 
+mod agent_listing;
 mod balancer_error;
 mod balancer_handle;
 mod balancer_metrics;
--- a/components/control/src/connection/control_call.rs
+++ b/components/control/src/connection/control_call.rs
@@ -58,10 +58,12 @@
         peer: SocketAddrV4,
     },
     /// No response arrived within the time limit.
-    #[snafu(display("no response from {peer} within {} ms", CALL_TIMEOUT.as_millis()))]
+    #[snafu(display("no response from {peer} within {} ms", limit.as_millis()))]
     TimedOut {
         /// Control address of the called process.
         peer: SocketAddrV4,
+        /// The time limit.
+        limit: Duration,
     },
 }
 
@@ -75,11 +77,27 @@
     peer: SocketAddrV4,
     key: &TunnelKey,
     message: ControlMessage,
+) -> Result<ControlMessage, CallError> {
+    call_control_within(peer, key, message, CALL_TIMEOUT).await
+}
+
+/// Sends `message` to the control address `peer` and returns the response, like [`call_control`],
+/// but with a time limit of its own. A call that is dropped closes the connection, by which the
+/// called process learns that nobody waits for the response.
+///
+/// # Errors
+///
+/// Returns a [`CallError`] if the connection fails or no response arrives within `limit`.
+pub async fn call_control_within(
+    peer: SocketAddrV4,
+    key: &TunnelKey,
+    message: ControlMessage,
+    limit: Duration,
 ) -> Result<ControlMessage, CallError> {
     let call = call_without_timeout(peer, key, message);
-    match timeout(CALL_TIMEOUT, call).await {
+    match timeout(limit, call).await {
         Ok(response) => response,
-        Err(_) => TimedOutSnafu { peer }.fail(),
+        Err(_) => TimedOutSnafu { peer, limit }.fail(),
     }
 }
 
--- a/components/control/src/connection/control_server.rs
+++ b/components/control/src/connection/control_server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future::Future,
+    pin::pin,
     sync::Arc,
     time::Duration, //
 };
@@ -50,7 +51,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves control connections until the task is dropped. `handler` makes the response to each
-/// request.
+/// request; its future is dropped if the peer closes the connection before that.
 pub async fn serve_control<F, A>(listener: TcpListener, key: TunnelKey, handler: F)
 where
     F: Fn(ControlMessage) -> A + Send + Sync + 'static,
@@ -106,10 +107,28 @@
     stream.write_all(&challenge).await?;
     let codec = FrameCodec::new(&key, &challenge, FrameRole::Server);
     let mut framed = Framed::new(stream, codec);
-    while let Ok(Some(request)) = timeout(IDLE_TIMEOUT, framed.next()).await {
-        let response = handler(request?).await;
+    let mut early = None;
+    loop {
+        let request = match early.take() {
+            Some(request) => request,
+            None => match timeout(IDLE_TIMEOUT, framed.next()).await {
+                Ok(Some(request)) => request,
+                Ok(None) | Err(_) => return Ok(()),
+            },
+        };
+        let mut responding = pin!(handler(request?));
+        let response = tokio::select! {
+            response = &mut responding => response,
+            read = framed.next() => match read {
+                None => return Ok(()),
+                // A peer may send its next request before it has the response to this one.
+                next => {
+                    early = next;
+                    responding.await
+                }
+            },
+        };
         let sent = timeout(RESPONSE_TIMEOUT, framed.send(response)).await;
         sent.map_err(std::io::Error::from)??;
     }
-    Ok(())
 }
--- a/components/control/src/connection/mod.rs
+++ b/components/control/src/connection/mod.rs
@@ -6,6 +6,7 @@
 
 pub use control_call::{
     call_control,
+    call_control_within,
     CallError, //
 };
 pub use control_server::{
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -11,6 +11,7 @@
 pub use connection::{
     ask_actor,
     call_control,
+    call_control_within,
     decode_peer,
     decode_records,
     encode_peer,
--- a/components/core/src/request/hedge_policy.rs
+++ b/components/core/src/request/hedge_policy.rs
@@ -120,15 +120,18 @@
     pub fn decide(
         &mut self,
         now: Millis,
-        deadline: RequestDeadline,
+        request: &HedgeRequest,
         delay: Millis,
         queued: usize,
         pick: u64,
     ) -> Result<SocketAddrV4, HedgeHold> {
+        if !request.is_eligible() {
+            return Err(HedgeHold::NotRepeatable);
+        }
         if queued > 0 {
             return Err(HedgeHold::Queue);
         }
-        if deadline.remaining(now) < delay {
+        if request.deadline.remaining(now) < delay {
             return Err(HedgeHold::Late);
         }
         let agent = self.targets.choose(now, pick)?;
--- a/components/core/tests/hedging/hedge_fleet.rs
+++ b/components/core/tests/hedging/hedge_fleet.rs
@@ -170,8 +170,7 @@
         let Some(policy) = self.policies[agent].as_mut() else {
             return;
         };
-        let deadline = request(now).deadline;
-        let Ok(chosen) = policy.decide(now, deadline, delay, queued, pick) else {
+        let Ok(chosen) = policy.decide(now, &request(now), delay, queued, pick) else {
             return;
         };
         self.sent += 1;
--- a/components/core/tests/hedging/main.rs
+++ b/components/core/tests/hedging/main.rs
@@ -218,40 +218,52 @@
 /// without the operators' consent, to agents that have no room, and above the budget.
 #[test]
 fn hedge_is_held_back() {
-    let deadline = RequestDeadline(Millis(5_000));
+    let request = HedgeRequest {
+        deadline: RequestDeadline(Millis(5_000)),
+        ..request()
+    };
     let delay = Millis(30);
     let (mut policy, now) = warm_policy(LIMITS);
-    let mut decide = |now, queued| policy.decide(now, deadline, delay, queued, 1);
+    let mut decide = |now, queued| policy.decide(now, &request, delay, queued, 1);
     assert_eq!(decide(now, 1), Err(HedgeHold::Queue));
     assert_eq!(decide(Millis(4_971), 0), Err(HedgeHold::Late));
     assert_eq!(decide(now, 0), Ok(agent(1)));
+    let retried = HedgeRequest {
+        is_retry: true,
+        ..request.clone()
+    };
+    let held = policy.decide(now, &retried, delay, 0, 1);
+    assert_eq!(held, Err(HedgeHold::NotRepeatable));
     policy.record_end(now, "lookup", agent(1), HedgeEnd::Refused);
-    let held = policy.decide(now, deadline, delay, 0, 1);
+    let held = policy.decide(now, &request, delay, 0, 1);
     assert_eq!(held, Err(HedgeHold::NoRoom));
     let now = now.plus(Millis(1_000));
     for _ in 0..9 {
-        assert_eq!(policy.decide(now, deadline, delay, 0, 1), Ok(agent(1)));
+        assert_eq!(policy.decide(now, &request, delay, 0, 1), Ok(agent(1)));
     }
-    let held = policy.decide(now, deadline, delay, 0, 1);
+    let held = policy.decide(now, &request, delay, 0, 1);
     assert_eq!(held, Err(HedgeHold::Budget));
     policy.set_targets(now, []);
-    let held = policy.decide(now, deadline, delay, 0, 1);
+    let held = policy.decide(now, &request, delay, 0, 1);
     assert_eq!(held, Err(HedgeHold::NoAgent));
 }
 
 /// Guards against a far agent that is used while a near one has room, or never.
 #[test]
 fn far_agent_is_used_only_if_allowed_and_needed() {
-    let deadline = RequestDeadline(Millis(5_000));
+    let request = HedgeRequest {
+        deadline: RequestDeadline(Millis(5_000)),
+        ..request()
+    };
     let limits = HedgeLimits {
         cross_centre: true,
         ..LIMITS
     };
     let (mut policy, now) = warm_policy(limits);
     let delay = Millis(30);
-    assert_eq!(policy.decide(now, deadline, delay, 0, 1), Ok(agent(1)));
+    assert_eq!(policy.decide(now, &request, delay, 0, 1), Ok(agent(1)));
     policy.record_end(now, "lookup", agent(1), HedgeEnd::Refused);
-    assert_eq!(policy.decide(now, deadline, delay, 0, 1), Ok(agent(2)));
+    assert_eq!(policy.decide(now, &request, delay, 0, 1), Ok(agent(2)));
 }
 
 /// Guards against questions for the list of agents more often than once a second, and against a
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -13,7 +13,7 @@
     /// The message; absent if its kind is unknown to this version of the software.
     #[prost(
         oneof = "ControlBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<ControlBody>,
 }
@@ -79,6 +79,21 @@
     /// The receiver has nothing newer, or doesn't serve the request.
     #[prost(message, tag = "17")]
     Nothing(Nothing),
+    /// Asks another agent of the service to run a request that has no response yet.
+    #[prost(message, tag = "18")]
+    RunRequest(RunRequest),
+    /// The response to the request of `RunRequest`, or that it hasn't run.
+    #[prost(message, tag = "19")]
+    RunReply(RunReply),
+    /// Asks a balancer for the agents of a service; the response is `Members`.
+    #[prost(message, tag = "20")]
+    FetchAgents(FetchAgents),
+    /// Asks an agent for the response times of its server.
+    #[prost(message, tag = "21")]
+    FetchTimes(FetchTimes),
+    /// The response times of an agent's server.
+    #[prost(message, tag = "22")]
+    RouteTimes(RouteTimes),
 }
 
 /// The record of a member.
@@ -303,3 +318,78 @@
 /// Empty response: the receiver has nothing newer, or doesn't serve the request.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Nothing {}
+
+/// Asks another agent of the service to run a request that has no response yet. The receiver
+/// cancels the request when the sender closes the connection.
+#[derive(Clone, PartialEq, Message)]
+pub struct RunRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Method of the request, which is idempotent.
+    #[prost(string, tag = "2")]
+    pub method: String,
+    /// Path and query of the request.
+    #[prost(string, tag = "3")]
+    pub path: String,
+    /// Headers of the request as the server gets them.
+    #[prost(message, repeated, tag = "4")]
+    pub headers: Vec<HeaderField>,
+    /// Time until the request's deadline, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub timeout_ms: u32,
+}
+
+/// The response to the request of `RunRequest`, or that it hasn't run.
+#[derive(Clone, PartialEq, Message)]
+pub struct RunReply {
+    /// 1 done, 2 refused and not run, 3 run without a whole response of at most 256 KiB.
+    #[prost(uint32, tag = "1")]
+    pub outcome: u32,
+    /// HTTP status of the response.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// Headers of the response.
+    #[prost(message, repeated, tag = "3")]
+    pub headers: Vec<HeaderField>,
+    /// Whole body of the response.
+    #[prost(bytes = "vec", tag = "4")]
+    pub body: Vec<u8>,
+}
+
+/// Asks a balancer for warm agents of a service, those of the sender's data centre first.
+#[derive(Clone, PartialEq, Message)]
+pub struct FetchAgents {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Name of the sender's data centre.
+    #[prost(string, tag = "2")]
+    pub data_centre: String,
+    /// Random number at which the choice starts if the service has more agents than are listed.
+    #[prost(fixed32, tag = "3")]
+    pub pick: u32,
+}
+
+/// Asks an agent for the response times of its server.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct FetchTimes {}
+
+/// The response times of an agent's server.
+#[derive(Clone, PartialEq, Message)]
+pub struct RouteTimes {
+    /// The routes that have enough requests.
+    #[prost(message, repeated, tag = "1")]
+    pub routes: Vec<RouteTime>,
+}
+
+/// The response times of one route.
+#[derive(Clone, PartialEq, Message)]
+pub struct RouteTime {
+    /// Name of the route.
+    #[prost(string, tag = "1")]
+    pub route: String,
+    /// 95th percentile of the response times, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub percentile_ms: u32,
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -63,6 +63,8 @@
     /// Control addresses given to processes that are started later, so that they can start without
     /// the store.
     pub(crate) bootstrap: Vec<(Ipv4Addr, u16)>,
+    /// Limits of hedged requests of agents that are started later.
+    pub(crate) hedging: HedgeSettings,
     pub(crate) files: TempDir,
     pub(crate) store: StoreServer,
     pub(crate) fabric: FabricRelay,
@@ -102,6 +104,7 @@
         TestSite {
             net,
             bootstrap: Vec::new(),
+            hedging: HedgeSettings::default(),
             files,
             store,
             fabric,
@@ -165,7 +168,7 @@
             certificate_file: self.file("cert.pem"),
             key_file: self.file("key.pem"),
             drain_timeout_ms: 5_000,
-            hedging: HedgeSettings::default(),
+            hedging: self.hedging,
         };
         self.agents.push(Some(
             AgentHandle::spawn(settings).expect("cannot start the agent"),
@@ -204,6 +207,19 @@
         versions
     }
 
+    /// Returns the sum of the metrics of all running agents whose line starts with `name`.
+    pub(crate) async fn agent_metric(&self, name: &str) -> u64 {
+        let mut sum = 0;
+        for index in (0..self.agents.len()).filter(|&at| self.agents[at].is_some()) {
+            let ip = Ipv4Addr::new(127, self.net, 2, index as u8 + 1);
+            let text = scrape(SocketAddrV4::new(ip, METRICS_PORT)).await;
+            let lines = text.lines().filter(|line| line.starts_with(name));
+            let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+            sum += values.sum::<u64>();
+        }
+        sum
+    }
+
     /// Shuts agent `index` down gracefully and waits until it has stopped.
     pub(crate) async fn stop_agent(&mut self, index: usize) {
         let agent = self.agents[index].take().expect("agent is not running");
@@ -314,6 +330,17 @@
 }
 
 async fn scrape_version(address: SocketAddrV4) -> u32 {
+    let text = scrape(address).await;
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("carobdrum_") && line.contains("_config_version "));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value
+        .and_then(|value| value.parse().ok())
+        .expect("no configuration version in the metrics")
+}
+
+async fn scrape(address: SocketAddrV4) -> String {
     use tokio::io::{
         AsyncReadExt,
         AsyncWriteExt, //
@@ -331,13 +358,7 @@
         .read_to_string(&mut text)
         .await
         .expect("cannot read the response");
-    let line = text
-        .lines()
-        .find(|line| line.starts_with("carobdrum_") && line.contains("_config_version "));
-    let value = line.and_then(|line| line.rsplit(' ').next());
-    value
-        .and_then(|value| value.parse().ok())
-        .expect("no configuration version in the metrics")
+    text
 }
 
 fn server_name(body: &[u8]) -> String {
--- /dev/null
+++ b/tests/hedged_requests.rs
@@ -0,0 +1,160 @@
+//! Hedged requests on the path from a caller to the backend servers, on loopback.
+
+mod common;
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use carobdrum_caller::{
+    CallerFlow,
+    CallerRequest, //
+};
+use carobdrum_settings::HedgeSettings;
+use carobdrum_standins::ServiceTime;
+use common::{
+    TestSite,
+    POOLS, //
+};
+use tokio::{
+    task::JoinSet,
+    time::{
+        interval,
+        sleep, //
+    },
+};
+
+const SERVERS: usize = 10;
+/// Interval between requests of one flow; each server has one flow.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Time in which the servers warm up and the agents get response times and know each other.
+const WARM_UP: Duration = Duration::from_secs(10);
+const MEASURED: Duration = Duration::from_secs(25);
+const USUAL: ServiceTime =
+    ServiceTime::Uniform(Duration::from_millis(15), Duration::from_millis(25));
+const SLOW: ServiceTime = ServiceTime::Fixed(Duration::from_millis(400));
+/// The slow server is slow for this time in each period.
+const SLOW_PERIOD: (Duration, Duration) =
+    (Duration::from_millis(180), Duration::from_millis(1_320));
+const PERCENT: u32 = 20;
+
+/// Response times and hedges of one run.
+struct RunResult {
+    /// Sorted.
+    times: Vec<Duration>,
+    failed: usize,
+    hedges: u64,
+    won: u64,
+}
+
+impl RunResult {
+    fn quantile(&self, share: f64) -> Duration {
+        self.times[((self.times.len() - 1) as f64 * share) as usize]
+    }
+
+    fn extra_percent(&self) -> f64 {
+        100.0 * self.hedges as f64 / (self.times.len() + self.failed) as f64
+    }
+
+    fn print(&self, name: &str) {
+        let [p50, p99, p999] = [0.5, 0.99, 0.999].map(|share| self.quantile(share).as_millis());
+        println!(
+            "{name}: p50 {p50} ms, p99 {p99} ms, p99.9 {p999} ms, {} requests, {} failed, \
+             {} hedges ({:.2}% extra), {} won",
+            self.times.len(),
+            self.failed,
+            self.hedges,
+            self.extra_percent(),
+            self.won,
+        );
+    }
+}
+
+/// Guards against hedges that don't shorten the slowest responses, exceed their share or make
+/// requests fail, when one server of ten is slow now and then. Both sites run at the same time, so
+/// that the machine's load is the same for both.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_slow_server_in_ten_with_and_without_hedges() {
+    let (off, on) = tokio::join!(run_site(36, 0), run_site(37, PERCENT));
+    off.print("off");
+    on.print("on");
+    assert_eq!(off.hedges, 0);
+    assert_eq!((off.failed, on.failed), (0, 0));
+    assert!(on.hedges > 0 && on.won > 0);
+    assert!(on.extra_percent() <= f64::from(PERCENT));
+    assert!(on.quantile(0.99) * 2 <= off.quantile(0.99));
+}
+
+async fn run_site(net: u8, percent: u32) -> RunResult {
+    let mut site = TestSite::start(net, SERVERS).await;
+    site.hedging = HedgeSettings {
+        percent,
+        ..HedgeSettings::default()
+    };
+    site.apply(&site.routes(), POOLS).await;
+    site.add_balancer("galway-a");
+    for server in 0..SERVERS {
+        site.servers[server].set_service_time(USUAL);
+        site.add_agent("galway-a");
+    }
+    let mut flows = Vec::new();
+    for server in 0..SERVERS {
+        let name = format!("placename-api-{server}");
+        flows.push(Arc::new(site.connect_when(|found| found == name).await));
+    }
+    let site = Arc::new(site);
+    let slowing = tokio::spawn(slow_now_and_then(Arc::clone(&site)));
+    send_requests(&flows, WARM_UP).await;
+    let sent = "carobdrum_agent_hedges_total{event=\"Sent\"}";
+    let won = "carobdrum_agent_hedges_total{event=\"Won\"}";
+    let (sent_before, won_before) = (site.agent_metric(sent).await, site.agent_metric(won).await);
+    let (mut times, failed) = send_requests(&flows, MEASURED).await;
+    slowing.abort();
+    times.sort_unstable();
+    RunResult {
+        times,
+        failed,
+        hedges: site.agent_metric(sent).await - sent_before,
+        won: site.agent_metric(won).await - won_before,
+    }
+}
+
+/// Makes the first server slow for a part of each period, until the task is ended.
+async fn slow_now_and_then(site: Arc<TestSite>) {
+    let (slow, period) = SLOW_PERIOD;
+    loop {
+        site.servers[0].set_service_time(SLOW);
+        sleep(slow).await;
+        site.servers[0].set_service_time(USUAL);
+        sleep(period - slow).await;
+    }
+}
+
+/// Sends requests on all flows at a steady rate and returns the times of those that were answered
+/// and the number of the others.
+async fn send_requests(flows: &[Arc<CallerFlow>], span: Duration) -> (Vec<Duration>, usize) {
+    let mut requests = JoinSet::new();
+    let mut ticks = interval(REQUEST_INTERVAL);
+    let end = Instant::now() + span;
+    while Instant::now() < end {
+        ticks.tick().await;
+        for flow in flows {
+            let flow = Arc::clone(flow);
+            requests.spawn(async move {
+                let start = Instant::now();
+                let body = carobdrum_standins::body_chunk(3, 0, 2_000);
+                let response = flow.request(CallerRequest::get("/bytes/2000?seed=3")).await;
+                let is_whole = response.is_ok_and(|response| response.body == body);
+                is_whole.then(|| start.elapsed())
+            });
+        }
+    }
+    let results = requests.join_all().await;
+    let times: Vec<Duration> = results.iter().flatten().copied().collect();
+    let failed = results.len() - times.len();
+    (times, failed)
+}
