--- a/components/control/tests/control_server.rs
+++ b/components/control/tests/control_server.rs
@@ -11,6 +11,7 @@
 
 use carobdrum_control::{
     call_control,
+    call_control_within,
     serve_control, //
 };
 use carobdrum_wire::{
@@ -41,6 +42,7 @@
         TcpSocket,
         TcpStream, //
     },
+    sync::mpsc,
     time::{
         sleep,
         timeout,
@@ -142,3 +144,31 @@
         "the server waited until all responses were read"
     );
 }
+
+/// Guards against work that goes on for a peer that has closed its connection.
+#[tokio::test]
+async fn handler_is_dropped_when_the_peer_closes() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let (sender, mut running) = mpsc::channel::<()>(1);
+    let (started, mut starts) = mpsc::channel(1);
+    // The channel closes when the last future with a sender is dropped.
+    let sender = std::sync::Mutex::new(Some(sender));
+    tokio::spawn(serve_control(listener, key(), move |request| {
+        let sender = sender.lock().unwrap().take();
+        let started = started.clone();
+        async move {
+            started.send(()).await.unwrap();
+            std::future::pending::<()>().await;
+            drop(sender);
+            request
+        }
+    }));
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+    let limit = Duration::from_millis(200);
+    let response = call_control_within(address, &key(), request(), limit).await;
+    assert!(response.is_err());
+    assert!(starts.recv().await.is_some());
+    let ended = timeout(Duration::from_secs(2), running.recv()).await;
+    assert_eq!(ended, Ok(None));
+}
--- a/tests/hedged_requests.rs
+++ b/tests/hedged_requests.rs
@@ -89,18 +89,54 @@
     assert!(on.quantile(0.99) * 2 <= off.quantile(0.99));
 }
 
-async fn run_site(net: u8, percent: u32) -> RunResult {
-    let mut site = TestSite::start(net, SERVERS).await;
-    site.hedging = HedgeSettings {
-        percent,
-        ..HedgeSettings::default()
-    };
-    site.apply(&site.routes(), POOLS).await;
-    site.add_balancer("galway-a");
-    for server in 0..SERVERS {
-        site.servers[server].set_service_time(USUAL);
-        site.add_agent("galway-a");
+/// Guards against a request that goes on at the server after the hedge has won, against a second run
+/// of a non-idempotent request, and against a response that is too long for a hedge and gets lost or
+/// mixed with another.
+#[tokio::test(flavor = "multi_thread")]
+async fn losers_are_cancelled_and_unsafe_requests_run_once() {
+    const IDENTITY: &str = "hedged-upload";
+    let site = start_site(38, 2, 100).await;
+    let flow = Arc::new(site.connect_when(|found| found == "placename-api-0").await);
+    let (_, failed) = send_requests(&[Arc::clone(&flow)], Duration::from_secs(6)).await;
+    assert_eq!(failed, 0);
+    let slow = Duration::from_secs(3);
+    site.servers[0].set_service_time(ServiceTime::Fixed(slow));
+    let mut fast = 0;
+    for _ in 0..10 {
+        let start = Instant::now();
+        let response = flow.request(CallerRequest::get("/bytes/2000?seed=3")).await;
+        let response = response.expect("request failed");
+        assert!(response.body == carobdrum_standins::body_chunk(3, 0, 2_000));
+        fast += u32::from(start.elapsed() < slow / 2);
     }
+    sleep(Duration::from_millis(500)).await;
+    let stats = site.servers[0].stats();
+    println!("{fast} of 10 fast, {} still running", stats.in_flight);
+    assert!(fast >= 8, "{fast}");
+    assert_eq!((stats.in_flight, stats.overload_failures), (0, 0));
+    site.servers[0].set_service_time(ServiceTime::Fixed(Duration::from_millis(600)));
+    let start = Instant::now();
+    let identity = http::HeaderValue::from_static(IDENTITY);
+    let upload = CallerRequest::post("/echo", "text").header(
+        http::HeaderName::from_static("x-request-identity"),
+        identity,
+    );
+    let upload = flow.request(upload).await.expect("request failed");
+    assert!(upload.body == "text" && start.elapsed() >= Duration::from_millis(600));
+    let runs = site.servers.iter().map(|server| server.runs_of(IDENTITY));
+    assert_eq!(runs.sum::<u32>(), 1);
+    let failed_runs = "carobdrum_agent_runs_for_agents_total{end=\"Failed\"}";
+    assert_eq!(site.agent_metric(failed_runs).await, 0);
+    let large = flow
+        .request(CallerRequest::get("/bytes/400000?seed=5"))
+        .await;
+    let large = large.expect("request failed");
+    assert!(large.body == carobdrum_standins::body_chunk(5, 0, 400_000));
+    assert_eq!(site.agent_metric(failed_runs).await, 1);
+}
+
+async fn run_site(net: u8, percent: u32) -> RunResult {
+    let site = start_site(net, SERVERS, percent).await;
     let mut flows = Vec::new();
     for server in 0..SERVERS {
         let name = format!("placename-api-{server}");
@@ -123,6 +159,21 @@
     }
 }
 
+async fn start_site(net: u8, servers: usize, percent: u32) -> TestSite {
+    let mut site = TestSite::start(net, servers).await;
+    site.hedging = HedgeSettings {
+        percent,
+        ..HedgeSettings::default()
+    };
+    site.apply(&site.routes(), POOLS).await;
+    site.add_balancer("galway-a");
+    for server in 0..servers {
+        site.servers[server].set_service_time(USUAL);
+        site.add_agent("galway-a");
+    }
+    site
+}
+
 /// Makes the first server slow for a part of each period, until the task is ended.
 async fn slow_now_and_then(site: Arc<TestSite>) {
     let (slow, period) = SLOW_PERIOD;
