--- a/tests/hedged_requests.rs
+++ b/tests/hedged_requests.rs
@@ -96,8 +96,11 @@
 async fn losers_are_cancelled_and_unsafe_requests_run_once() {
     const IDENTITY: &str = "hedged-upload";
     let site = start_site(38, 2, 100).await;
+    // Both servers need requests, because a cold one gets no hedges.
     let flow = Arc::new(site.connect_when(|found| found == "placename-api-0").await);
-    let (_, failed) = send_requests(&[Arc::clone(&flow)], Duration::from_secs(6)).await;
+    let other = Arc::new(site.connect_when(|found| found == "placename-api-1").await);
+    let flows = [Arc::clone(&flow), other];
+    let (_, failed) = send_requests(&flows, Duration::from_secs(6)).await;
     assert_eq!(failed, 0);
     let slow = Duration::from_secs(3);
     site.servers[0].set_service_time(ServiceTime::Fixed(slow));
