--- a/components/agent/src/request/hedged_run.rs
+++ b/components/agent/src/request/hedged_run.rs
@@ -35,7 +35,7 @@
         RequestContext,
         KEY_HEADER, //
     },
-    request_run::{
+    run_response::{
         RunFailure,
         RunResponse,
         ServerResponse, //
--- a/components/agent/src/request/mod.rs
+++ b/components/agent/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod request_handler;
 mod request_run;
 mod response_recorder;
+mod run_response;
 mod simple_response;
 mod slot_scheduler;
 mod whole_response;
--- a/components/agent/src/request/request_run.rs
+++ b/components/agent/src/request/request_run.rs
@@ -32,10 +32,7 @@
     Version, //
 };
 use http_body_util::BodyExt;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::SendRequest, //
-};
+use hyper::client::conn::http1::SendRequest;
 use tokio::time::timeout_at;
 use tracing::{
     debug,
@@ -56,6 +53,11 @@
         RequestContext, //
     },
     response_recorder::ResponseRecorder,
+    run_response::{
+        RunFailure,
+        RunResponse,
+        ServerResponse, //
+    },
     simple_response::{
         simple_response,
         RunState, //
@@ -71,35 +73,6 @@
 
 type ResponseStream = h3::server::RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
 
-/// Reason why the server returned no response.
-pub(super) enum RunFailure {
-    /// No part of the request was sent to the server.
-    NotSent(RequestOutcome),
-    /// The request was sent to the server, but no response arrived.
-    NoResponse(RequestOutcome),
-}
-
-/// A response of the server whose body hasn't been read yet.
-pub(super) struct ServerResponse {
-    pub(super) response: Response<Incoming>,
-    /// Parts of the body that have been read already.
-    pub(super) buffered: Vec<Bytes>,
-    /// Whether the body has been read to its end.
-    pub(super) is_whole: bool,
-    /// Time at which the head of the response arrived.
-    pub(super) received: Millis,
-    /// Keeps the connection open until the body has been read.
-    sender: SendRequest<ServerBody>,
-}
-
-/// The response that a request got.
-pub(super) enum RunResponse {
-    /// The response of the own server.
-    Own(ServerResponse),
-    /// The whole response of another agent's server.
-    Hedge(Response<Bytes>),
-}
-
 impl RequestHandler {
     /// Waits for a slot, runs the request and returns how it ended.
     pub(super) async fn run(&self, context: RequestContext, stream: RequestStream) -> RequestEnd {
--- a/components/core/src/request/admission_controller.rs
+++ b/components/core/src/request/admission_controller.rs
@@ -118,7 +118,8 @@
     /// Queued requests come first, so nothing starts while there are any.
     pub fn start_if_free(&mut self, now: Millis, class: PriorityClass) -> Option<RequestTicket> {
         self.meter.update(now, self.outstanding());
-        let is_free = self.queue.first().is_none() && self.has_room_for(now, class);
+        let is_free =
+            self.slots > 0 && self.queue.first().is_none() && self.has_room_for(now, class);
         is_free.then(|| self.start_new(class))
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -129,6 +129,19 @@
         Ipv4Addr::new(127, self.net, 1, index as u8 + 1)
     }
 
+    /// Returns the control address of balancer `index`.
+    pub(crate) fn balancer_address(&self, index: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.balancer_ip(index), CONTROL_PORT)
+    }
+
+    /// Returns the control address of agent `index`.
+    pub(crate) fn agent_address(&self, index: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(
+            Ipv4Addr::new(127, self.net, 2, index as u8 + 1),
+            CONTROL_PORT,
+        )
+    }
+
     /// Starts a balancer and adds it to the fabric.
     pub(crate) fn add_balancer(&mut self, data_centre: &str) {
         let index = self.balancers.len();
--- a/tests/hedged_requests.rs
+++ b/tests/hedged_requests.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::{
+    net::SocketAddrV4,
     sync::Arc,
     time::{
         Duration,
@@ -14,8 +15,19 @@
     CallerFlow,
     CallerRequest, //
 };
+use carobdrum_control::call_control;
 use carobdrum_settings::HedgeSettings;
 use carobdrum_standins::ServiceTime;
+use carobdrum_wire::{
+    control::{
+        ControlBody,
+        FetchAgents,
+        MemberInfo,
+        RunRequest, //
+    },
+    ControlMessage,
+    TunnelKey, //
+};
 use common::{
     TestSite,
     POOLS, //
@@ -41,6 +53,9 @@
 const SLOW_PERIOD: (Duration, Duration) =
     (Duration::from_millis(180), Duration::from_millis(1_320));
 const PERCENT: u32 = 20;
+/// Outcomes of `RunReply`.
+const DONE: u32 = 1;
+const REFUSED: u32 = 2;
 
 /// Response times and hedges of one run.
 struct RunResult {
@@ -49,6 +64,8 @@
     failed: usize,
     hedges: u64,
     won: u64,
+    /// How often a server got more requests than it has slots.
+    overloads: u64,
 }
 
 impl RunResult {
@@ -64,18 +81,19 @@
         let [p50, p99, p999] = [0.5, 0.99, 0.999].map(|share| self.quantile(share).as_millis());
         println!(
             "{name}: p50 {p50} ms, p99 {p99} ms, p99.9 {p999} ms, {} requests, {} failed, \
-             {} hedges ({:.2}% extra), {} won",
+             {} hedges ({:.2}% extra), {} won, {} overloads",
             self.times.len(),
             self.failed,
             self.hedges,
             self.extra_percent(),
             self.won,
+            self.overloads,
         );
     }
 }
 
-/// Guards against hedges that don't shorten the slowest responses, exceed their share or make
-/// requests fail, when one server of ten is slow now and then. Both sites run at the same time, so
+/// Guards against hedges that don't shorten the slowest responses, exceed their share, overload a
+/// server or make requests fail, when one server of ten is slow now and then. Both sites run at the same time, so
 /// that the machine's load is the same for both.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_slow_server_in_ten_with_and_without_hedges() {
@@ -84,6 +102,7 @@
     on.print("on");
     assert_eq!(off.hedges, 0);
     assert_eq!((off.failed, on.failed), (0, 0));
+    assert_eq!((off.overloads, on.overloads), (0, 0));
     assert!(on.hedges > 0 && on.won > 0);
     assert!(on.extra_percent() <= f64::from(PERCENT));
     assert!(on.quantile(0.99) * 2 <= off.quantile(0.99));
@@ -138,6 +157,76 @@
     assert_eq!(site.agent_metric(failed_runs).await, 1);
 }
 
+/// Guards against a request of another agent that runs although it isn't safe, at an agent of another
+/// service, of an evacuated data centre or with hedging off, and against a list of such agents.
+#[tokio::test(flavor = "multi_thread")]
+async fn unsuitable_runs_are_refused() {
+    let mut site = TestSite::start(39, 3).await;
+    site.apply(&site.routes(), POOLS).await;
+    site.add_balancer("galway-a");
+    site.hedging.percent = 100;
+    site.add_agent("galway-a");
+    site.add_agent("galway-b");
+    site.hedging.percent = 0;
+    site.add_agent("galway-a");
+    let [near, far, off] = [0, 1, 2].map(|index| site.agent_address(index));
+    let mut flows = Vec::new();
+    for server in 0..3 {
+        let name = format!("placename-api-{server}");
+        flows.push(Arc::new(site.connect_when(|found| found == name).await));
+    }
+    let (_, failed) = send_requests(&flows, Duration::from_secs(3)).await;
+    assert_eq!(failed, 0);
+    assert_eq!(list_agents(&site, "placename-api").await.len(), 3);
+    assert_eq!(list_agents(&site, "sheet-store").await.len(), 0);
+    assert_eq!(run(near, "GET", "placename-api").await, DONE);
+    assert_eq!(run(far, "GET", "placename-api").await, DONE);
+    assert_eq!(run(off, "GET", "placename-api").await, REFUSED);
+    assert_eq!(run(near, "GET", "sheet-store").await, REFUSED);
+    assert_eq!(run(near, "POST", "placename-api").await, REFUSED);
+    let evacuated = POOLS.replace("'galway-b'", "'galway-b'\nstate = 'out'");
+    site.apply(&site.routes(), &evacuated).await;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(run(far, "GET", "placename-api").await, REFUSED);
+    assert_eq!(list_agents(&site, "placename-api").await.len(), 2);
+}
+
+/// Asks an agent to run a request, and returns the outcome.
+async fn run(agent: SocketAddrV4, method: &str, service: &str) -> u32 {
+    let request = ControlBody::RunRequest(RunRequest {
+        service: service.into(),
+        method: method.into(),
+        path: "/bytes/100?seed=3".into(),
+        headers: Vec::new(),
+        timeout_ms: 1_000,
+    });
+    let Some(ControlBody::RunReply(reply)) = call(agent, request).await else {
+        panic!("no reply of the agent");
+    };
+    if reply.outcome == DONE {
+        assert_eq!(reply.body, carobdrum_standins::body_chunk(3, 0, 100));
+    }
+    reply.outcome
+}
+
+async fn list_agents(site: &TestSite, service: &str) -> Vec<MemberInfo> {
+    let request = ControlBody::FetchAgents(FetchAgents {
+        service: service.into(),
+        data_centre: "galway-a".into(),
+        pick: 5,
+    });
+    match call(site.balancer_address(0), request).await {
+        Some(ControlBody::Members(found)) => found.members,
+        other => panic!("no list of agents: {other:?}"),
+    }
+}
+
+async fn call(peer: SocketAddrV4, body: ControlBody) -> Option<ControlBody> {
+    let key = TunnelKey::new(&[0x5a; 32]);
+    let response = call_control(peer, &key, ControlMessage::new(body)).await;
+    response.expect("control call failed").body
+}
+
 async fn run_site(net: u8, percent: u32) -> RunResult {
     let site = start_site(net, SERVERS, percent).await;
     let mut flows = Vec::new();
@@ -154,7 +243,9 @@
     let (mut times, failed) = send_requests(&flows, MEASURED).await;
     slowing.abort();
     times.sort_unstable();
+    let servers = site.servers.iter();
     RunResult {
+        overloads: servers.map(|server| server.stats().overload_failures).sum(),
         times,
         failed,
         hedges: site.agent_metric(sent).await - sent_before,
