--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,6 +6,7 @@
 mod file_check;
 mod flow_options;
 mod flow_settings;
+mod hedge_settings;
 mod process_settings;
 mod secret_file;
 mod settings_error;
@@ -21,6 +22,7 @@
     LeaseStoreSettings,
     NodeSettings, //
 };
+pub use hedge_settings::HedgeSettings;
 pub use process_settings::{
     LogFormat,
     LogSettings,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,7 @@
 use carobdrum_settings::{
     AgentSettings,
     BalancerSettings,
+    HedgeSettings,
     LogSettings,
     ProcessSettings,
     StoreSettings, //
@@ -62,6 +63,8 @@
     /// Control addresses given to processes that are started later, so that they can start without
     /// the store.
     pub(crate) bootstrap: Vec<(Ipv4Addr, u16)>,
+    /// Limits of hedged requests of agents that are started later.
+    pub(crate) hedging: HedgeSettings,
     pub(crate) files: TempDir,
     pub(crate) store: StoreServer,
     pub(crate) fabric: FabricRelay,
@@ -101,6 +104,7 @@
         TestSite {
             net,
             bootstrap: Vec::new(),
+            hedging: HedgeSettings::default(),
             files,
             store,
             fabric,
@@ -125,6 +129,19 @@
         Ipv4Addr::new(127, self.net, 1, index as u8 + 1)
     }
 
+    /// Returns the control address of balancer `index`.
+    pub(crate) fn balancer_address(&self, index: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.balancer_ip(index), CONTROL_PORT)
+    }
+
+    /// Returns the control address of agent `index`.
+    pub(crate) fn agent_address(&self, index: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(
+            Ipv4Addr::new(127, self.net, 2, index as u8 + 1),
+            CONTROL_PORT,
+        )
+    }
+
     /// Starts a balancer and adds it to the fabric.
     pub(crate) fn add_balancer(&mut self, data_centre: &str) {
         let index = self.balancers.len();
@@ -164,6 +181,7 @@
             certificate_file: self.file("cert.pem"),
             key_file: self.file("key.pem"),
             drain_timeout_ms: 5_000,
+            hedging: self.hedging,
         };
         self.agents.push(Some(
             AgentHandle::spawn(settings).expect("cannot start the agent"),
@@ -202,6 +220,19 @@
         versions
     }
 
+    /// Returns the sum of the metrics of all running agents whose line starts with `name`.
+    pub(crate) async fn agent_metric(&self, name: &str) -> u64 {
+        let mut sum = 0;
+        for index in (0..self.agents.len()).filter(|&at| self.agents[at].is_some()) {
+            let ip = Ipv4Addr::new(127, self.net, 2, index as u8 + 1);
+            let text = scrape(SocketAddrV4::new(ip, METRICS_PORT)).await;
+            let lines = text.lines().filter(|line| line.starts_with(name));
+            let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+            sum += values.sum::<u64>();
+        }
+        sum
+    }
+
     /// Shuts agent `index` down gracefully and waits until it has stopped.
     pub(crate) async fn stop_agent(&mut self, index: usize) {
         let agent = self.agents[index].take().expect("agent is not running");
@@ -312,6 +343,17 @@
 }
 
 async fn scrape_version(address: SocketAddrV4) -> u32 {
+    let text = scrape(address).await;
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("carobdrum_") && line.contains("_config_version "));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value
+        .and_then(|value| value.parse().ok())
+        .expect("no configuration version in the metrics")
+}
+
+async fn scrape(address: SocketAddrV4) -> String {
     use tokio::io::{
         AsyncReadExt,
         AsyncWriteExt, //
@@ -329,13 +371,7 @@
         .read_to_string(&mut text)
         .await
         .expect("cannot read the response");
-    let line = text
-        .lines()
-        .find(|line| line.starts_with("carobdrum_") && line.contains("_config_version "));
-    let value = line.and_then(|line| line.rsplit(' ').next());
-    value
-        .and_then(|value| value.parse().ok())
-        .expect("no configuration version in the metrics")
+    text
 }
 
 fn server_name(body: &[u8]) -> String {
