--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,7 +11,8 @@
 use clap::{
     Args,
     Parser,
-    Subcommand, //
+    Subcommand,
+    ValueEnum, //
 };
 use clap_complete::Shell;
 
@@ -40,10 +41,12 @@
     /// Runs a role on the users' platform, which delivers flows as packets.
     #[command(subcommand)]
     Platform(PlatformCommand),
-    /// Checks settings and tables offline, and prints one line for each fault.
+    /// Checks settings, tables and configuration documents offline, and prints one line for each
+    /// fault.
     ///
-    /// The kind of a file is detected from its name (routes*, pools*, agent*, balancer*) or, for
-    /// other names, from its fields. Files that belong together are checked against each other.
+    /// The kind of a file is detected from its name (*.json, routes*, pools*, agent*, balancer*)
+    /// or, for other names, from its content. Files that belong together are checked against each
+    /// other.
     Check(CheckArgs),
     /// Shows and edits the tables in the store.
     #[command(subcommand)]
@@ -81,9 +84,25 @@
 /// Arguments of `check`.
 #[derive(Args, Debug)]
 pub(crate) struct CheckArgs {
-    /// Files to check: settings, tables of routes and pools, and templates of settings.
+    /// Files to check: settings, tables of routes and pools, templates of settings, and the
+    /// platform's configuration document (JSON, the value of `op/config`).
     #[arg(required = true, value_name = "FILE")]
     pub(crate) files: Vec<PathBuf>,
+    /// Earlier configuration document; what the checked ones add, remove and change is printed.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) against: Option<PathBuf>,
+    /// Format of the output; with `json`, faults go to stdout too.
+    #[arg(long, value_enum, value_name = "FORMAT", default_value = "text")]
+    pub(crate) format: ReportFormat,
+}
+
+/// Format of a command's output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum ReportFormat {
+    /// One line for each result.
+    Text,
+    /// One JSON object.
+    Json,
 }
 
 /// The commands for the tables.
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,45 +1,78 @@
 //! The command `check`.
 
-use carobdrum_core::OneLine;
-use compact_str::{
-    format_compact,
-    CompactString, //
-};
+use std::path::Path;
+
+use snafu::ResultExt;
 
 use crate::{
-    cli::CheckArgs,
+    cli::{
+        CheckArgs,
+        ReportFormat, //
+    },
     cmd::{
+        check_report::CheckReport,
         check_set::CheckSet,
-        command_error::FaultySnafu,
+        checked_file::CheckedFile,
+        command_error::{
+            EncodeResultSnafu,
+            FaultySnafu, //
+        },
+        config_difference::compare_documents,
         print,
         CommandError, //
     }, //
 };
 
-/// Checks files offline; prints one line for each file without faults.
+/// Checks files offline; prints one line for each file without faults, and for each difference
+/// from the document given for comparison.
 ///
 /// # Errors
 ///
-/// Returns [`CommandError::Faulty`], with a line for each fault, if a file has one.
+/// Returns [`CommandError::Faulty`] if a file has a fault, with a line for each one unless the
+/// faults were printed as JSON.
 pub(crate) fn run(args: &CheckArgs) -> Result<(), CommandError> {
     let mut set = CheckSet::read(&args.files);
     set.check_tables();
     set.check_settings();
-    let mut good = CompactString::default();
-    let mut lines = Vec::new();
+    set.check_documents();
+    let mut report = CheckReport::default();
     for file in set.files() {
-        let path = file.path.to_string_lossy();
-        let path = OneLine(&path);
-        if file.faults.is_empty() {
-            good.push_str(&format_compact!("{path}: ok\n"));
+        report.add_file(file);
+    }
+    if let Some(path) = &args.against {
+        compare_files(&set, path, &mut report);
+    }
+    match args.format {
+        ReportFormat::Text => print(report.text().as_bytes())?,
+        ReportFormat::Json => {
+            let mut line = serde_json::to_vec(&report).context(EncodeResultSnafu)?;
+            line.push(b'\n');
+            print(&line)?;
         }
-        let faults = file.faults.iter();
-        lines.extend(faults.map(|fault| format_compact!("{path}{fault}")));
     }
-    print(good.as_bytes())?;
-    if lines.is_empty() {
-        Ok(())
-    } else {
-        FaultySnafu { lines }.fail()
+    if !report.has_faults() {
+        return Ok(());
+    }
+    let lines = match args.format {
+        ReportFormat::Text => report.into_fault_lines(),
+        ReportFormat::Json => Vec::new(),
+    };
+    FaultySnafu { lines }.fail()
+}
+
+/// Compares each document of the set with the one at `path`. Documents with entries that can't be
+/// parsed aren't compared; their faults are in the report.
+fn compare_files(set: &CheckSet, path: &Path, report: &mut CheckReport) {
+    let other = CheckedFile::read_document(path);
+    report.add_faults(&other);
+    let Some(other_document) = other.document() else {
+        return;
+    };
+    for file in set.files() {
+        if let Some(document) = file.document() {
+            for difference in compare_documents(document, other_document) {
+                report.add_difference(&file.path, path, difference);
+            }
+        }
     }
 }
--- a/src/cmd/check_set.rs
+++ b/src/cmd/check_set.rs
@@ -1,64 +1,26 @@
 //! Files that are checked together.
 
-use std::path::{
-    Path,
-    PathBuf, //
-};
+use std::path::PathBuf;
 
 use carobdrum_core::{
     version::{
-        read_pools,
-        read_routes,
         read_tables,
-        PoolTable,
-        MAX_TABLE_BYTES, //
+        PoolTable, //
     },
-    FileFault,
-    ParsedFile, //
-};
-use carobdrum_platform::{
-    render_sample,
-    SampleRole, //
-};
-use carobdrum_settings::{
-    parse_flow_settings,
-    read_agent,
-    read_balancer,
-    read_bounded,
-    AgentSettings,
-    BalancerSettings,
-    ProcessSettings,
-    SettingsError, //
+    FileFault, //
 };
-use compact_str::{
-    format_compact,
-    CompactString,
-    ToCompactString, //
+use carobdrum_settings::ProcessSettings;
+use compact_str::format_compact;
+
+use crate::cmd::{
+    checked_file::{
+        file_fault,
+        CheckedFile,
+        FileContent, //
+    },
+    file_kind::FileKind, //
 };
 
-use crate::cmd::file_kind::FileKind;
-
-/// A file and its faults.
-#[derive(Debug)]
-pub(crate) struct CheckedFile {
-    /// Path as given on the command line.
-    pub(crate) path: PathBuf,
-    /// Faults found so far, in the order of the checks.
-    pub(crate) faults: Vec<FileFault>,
-    kind: Option<FileKind>,
-    bytes: Vec<u8>,
-    content: FileContent,
-}
-
-/// Content of a file without faults, against which other files are checked.
-#[derive(Debug)]
-enum FileContent {
-    None,
-    Pools(PoolTable),
-    Balancer(Box<BalancerSettings>),
-    Agent(Box<AgentSettings>),
-}
-
 /// All files of one invocation of `check`.
 #[derive(Debug)]
 pub(crate) struct CheckSet {
@@ -112,6 +74,15 @@
         }
     }
 
+    /// Checks each configuration document of the platform.
+    pub(crate) fn check_documents(&mut self) {
+        for file in &mut self.files {
+            if file.kind == Some(FileKind::Document) {
+                file.check_document();
+            }
+        }
+    }
+
     /// Returns the table that belongs to the table at `index`: the only one of the other kind in
     /// the same folder if each kind exists there once, or else the only one of the other kind if
     /// each kind was given once.
@@ -175,142 +146,6 @@
     }
 }
 
-impl CheckedFile {
-    fn read(path: &Path) -> CheckedFile {
-        let mut file = CheckedFile {
-            path: path.into(),
-            faults: Vec::new(),
-            kind: None,
-            bytes: Vec::new(),
-            content: FileContent::None,
-        };
-        match read_bounded(path, MAX_TABLE_BYTES) {
-            Ok(bytes) => {
-                file.kind = FileKind::detect(path, &bytes);
-                file.bytes = bytes;
-                file.check_kind();
-            }
-            Err(error) => file.add_read_error(error),
-        }
-        file
-    }
-
-    /// Adds faults if the kind of the file is unknown.
-    fn check_kind(&mut self) {
-        if self.kind.is_some() {
-            return;
-        }
-        let text = ParsedFile::read(&self.bytes, MAX_TABLE_BYTES, &[]);
-        self.faults = if text.is_parsed() {
-            let allowed = "a table of routes or pools, or settings of a balancer or an agent";
-            vec![file_fault("", "fields of no known kind".into(), allowed)]
-        } else {
-            text.into_faults()
-        };
-    }
-
-    fn check_routes(&mut self) {
-        if let Err(faults) = read_routes(&self.bytes) {
-            self.faults = faults;
-        }
-    }
-
-    fn check_pools(&mut self) {
-        match read_pools(&self.bytes) {
-            Ok(table) => self.content = FileContent::Pools(table),
-            Err(faults) => self.faults = faults,
-        }
-    }
-
-    fn check_balancer(&mut self) {
-        match read_balancer(&self.path) {
-            Ok(settings) => self.content = FileContent::Balancer(Box::new(settings)),
-            Err(error) => self.add_read_error(error),
-        }
-    }
-
-    fn check_agent(&mut self) {
-        match read_agent(&self.path) {
-            Ok(settings) => self.content = FileContent::Agent(Box::new(settings)),
-            Err(error) => self.add_read_error(error),
-        }
-    }
-
-    fn check_node(&mut self) {
-        if let Err(faults) = parse_flow_settings(&self.bytes) {
-            self.faults = faults;
-        }
-    }
-
-    /// Checks the settings that the platform renders from a template for the VMs of both roles.
-    fn check_template(&mut self) {
-        let Ok(template) = std::str::from_utf8(&self.bytes) else {
-            let allowed = "UTF-8 text";
-            self.faults = vec![file_fault("", "bytes that aren't UTF-8".into(), allowed)];
-            return;
-        };
-        let mut faults = Vec::new();
-        for role in [SampleRole::Balancer, SampleRole::Agent] {
-            match render_sample(template, role) {
-                Ok(text) => faults.extend(parse_flow_settings(text.as_bytes()).err()),
-                Err(error) => {
-                    let found = error.to_compact_string();
-                    let allowed = "a template that the platform can render";
-                    faults.push(vec![file_fault("", found, allowed)]);
-                }
-            }
-        }
-        self.faults = faults.concat();
-        self.faults.dedup();
-    }
-
-    fn add_read_error(&mut self, error: SettingsError) {
-        let allowed = "a readable file of UTF-8 text";
-        match error {
-            SettingsError::Faulty { faults, .. } => self.faults = faults,
-            SettingsError::Unreadable { source, .. } => {
-                let found = format_compact!("an unreadable file ({source})");
-                self.faults.push(file_fault("", found, allowed));
-            }
-            SettingsError::NotAFile { .. } => {
-                let found = "a folder, a pipe or a device".into();
-                self.faults.push(file_fault("", found, allowed));
-            }
-            other => {
-                let found = other.to_compact_string();
-                self.faults.push(file_fault("", found, allowed));
-            }
-        }
-    }
-
-    fn folder(&self) -> Option<&Path> {
-        self.path.parent()
-    }
-
-    fn agent(&self) -> Option<&AgentSettings> {
-        match &self.content {
-            FileContent::Agent(settings) => Some(settings),
-            _ => None,
-        }
-    }
-
-    fn process(&self) -> Option<&ProcessSettings> {
-        match &self.content {
-            FileContent::Agent(settings) => Some(&settings.process),
-            FileContent::Balancer(settings) => Some(&settings.process),
-            _ => None,
-        }
-    }
-
-    fn deployment(&self) -> Option<&CompactString> {
-        match &self.content {
-            FileContent::Agent(settings) => Some(&settings.store.deployment),
-            FileContent::Balancer(settings) => Some(&settings.store.deployment),
-            _ => None,
-        }
-    }
-}
-
 /// Adds a fault for each value that two processes of one deployment share but must not.
 fn check_distinct(earlier: &CheckedFile, file: &CheckedFile, faults: &mut Vec<FileFault>) {
     let (Some(other), Some(process)) = (earlier.process(), file.process()) else {
@@ -356,12 +191,3 @@
         faults.push(file_fault("process.name", found, allowed));
     }
 }
-
-fn file_fault(field: &str, found: CompactString, allowed: &str) -> FileFault {
-    FileFault {
-        line: None,
-        field: field.into(),
-        found,
-        allowed: allowed.into(),
-    }
-}
