--- a/src/cmd/checked_file.rs
+++ b/src/cmd/checked_file.rs
@@ -146,7 +146,8 @@
         }
         let text = ParsedFile::read(&self.bytes, MAX_TABLE_BYTES, &[]);
         self.faults = if text.is_parsed() {
-            let allowed = "a table of routes or pools, or settings of a balancer or an agent";
+            let allowed = "a table of routes or pools, settings of a balancer or an agent, or a \
+            configuration document";
             vec![file_fault("", "fields of no known kind".into(), allowed)]
         } else {
             text.into_faults()
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -135,7 +135,8 @@
         => "routes.toml:2: found bytes that aren't UTF-8; allowed: UTF-8";
     empty: "pools.toml", b"" => "pools.toml: pool: found none; allowed: at least one `[[pool]]`";
     unknown_kind: "a.toml", b"a = 1" => "a.toml: found fields of no known kind; \
-        allowed: a table of routes or pools, or settings of a balancer or an agent";
+        allowed: a table of routes or pools, settings of a balancer or an agent, or a \
+        configuration document";
     syntax: "routes.toml", b"a =" => "routes.toml:1: found a syntax error \
         (string values must be quoted, expected literal string); allowed: TOML";
     kind_found_by_fields: "a.toml", b"pool = 1"
--- a/tests/config_check.rs
+++ b/tests/config_check.rs
@@ -81,7 +81,7 @@
     syntax: "\"Services\": [" => "\"Services\" [",
         ["new.json:7:13: found expected `:`; allowed: a configuration document of the platform (JSON)"];
     wrong_type: "2500" => "\"long\"",
-        ["new.json:4:47: Routes[0]: found invalid type: string \"long\", expected f64; \
+        ["new.json:4:49: Routes[0]: found invalid type: string \"long\", expected f64; \
           allowed: a configuration document of the platform (JSON)"];
     field_twice: "\"ColdPerS\": 5" => "\"Name\": 5",
         ["new.json:9:22: Services[1]: found duplicate field `Name`; \
@@ -95,7 +95,7 @@
         ["new.json:5:3: Routes[1].TrafficSplit: found weight 89.5 of `s`; \
           allowed: a whole number, at least 0"];
     null_limits: "{\"IdleTimeoutMs\": 15000}" => "null",
-        ["new.json:10:16: found invalid type: null, expected struct LimitsValue; \
+        ["new.json:10:15: found invalid type: null, expected the limits as an object; \
           allowed: a configuration document of the platform (JSON)"];
     shadowed_route: "198.18.0.2" => "198.18.0.1",
         ["new.json:5:3: Routes[1].Host/Prefix: found 198.18.0.1:443, as in Routes[0]; \
@@ -198,7 +198,7 @@
 #[case::toml(b"[node]\nname = 'a'\n".to_vec(), "new.json:1:")]
 #[case::not_utf8(b"{\n \"\xff\"}".to_vec(), "new.json:2:3: found bytes that aren't UTF-8")]
 #[case::of_50_mb(vec![b'['; 50_000_000], "new.json: found more than 1048576 bytes")]
-#[case::deep(b"{\"Version\":".iter().copied().chain([b'['; 1_000_000]).collect(), "new.json:1:12: ")]
+#[case::deep([&b"{\"Newer\":"[..], &[b'['; 1_000_000]].concat(), "new.json:1:1000009: found EOF")]
 #[case::deep_field(
     [&b"{\"Version\":1,\"Routes\":["[..], &[b'['; 500_000], &[b']'; 500_000], b"]}"].concat(),
     "new.json:1:"
@@ -213,6 +213,23 @@
     assert!(lines[0].starts_with(start), "{lines:?}");
 }
 
+/// Guards against a time that grows with the square of the entries, all of them with faults.
+#[rstest]
+fn many_faults_are_reported_at_once() {
+    let route = r#"{"Name":"a","Host":"198.18.0.1","Prefix":"1","Service":"s"}"#;
+    let routes = [route; 17_000].join(",");
+    let document = format!(r#"{{"Version":1,"Routes":[{routes}]}}"#);
+    let began = Instant::now();
+    let output = check(
+        document.as_bytes(),
+        GOOD.as_bytes(),
+        &["--against", "old.json"],
+    );
+    assert!(began.elapsed() < MAX_TIME);
+    // Each route names an unknown service; all but the first repeat an address and a name.
+    assert_eq!(text(&output.stderr).lines().count(), 3 * 17_000 - 2);
+}
+
 /// Guards against panics, and against faults without a file, on random bytes and mutated documents.
 #[rstest]
 fn mutated_documents_give_lines() {
