--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -12,12 +12,16 @@
     cmd::{
         check_report::CheckReport,
         check_set::CheckSet,
-        checked_file::CheckedFile,
+        checked_file::{
+            file_fault,
+            CheckedFile, //
+        },
         command_error::{
             EncodeResultSnafu,
             FaultySnafu, //
         },
         config_difference::compare_documents,
+        file_kind::FileKind,
         print,
         CommandError, //
     }, //
@@ -63,7 +67,13 @@
 /// Compares each document of the set with the one at `path`. Documents with entries that can't be
 /// parsed aren't compared; their faults are in the report.
 fn compare_files(set: &CheckSet, path: &Path, report: &mut CheckReport) {
-    let other = CheckedFile::read_document(path);
+    let mut other = CheckedFile::read_document(path);
+    let mut files = set.files().iter();
+    if files.all(|file| file.kind != Some(FileKind::Document)) {
+        let found = "no configuration document to compare with it".into();
+        let allowed = "a configuration document among the checked files";
+        other.faults.push(file_fault("", found, allowed));
+    }
     report.add_faults(&other);
     let Some(other_document) = other.document() else {
         return;
--- a/src/cmd/config_rules.rs
+++ b/src/cmd/config_rules.rs
@@ -119,16 +119,15 @@
 
 /// Checks that a route's weights are percentages and that new flows may go to a service.
 fn check_weights(route: &DocumentRoute) -> Option<ConfigFinding> {
-    let shares = route.route.shares.iter();
-    let sum: u64 = shares.map(|share| u64::from(share.weight)).sum();
-    if sum == 0 {
+    if route.route.shares.iter().all(|share| share.weight == 0) {
         let found = "no service with a weight above 0".into();
         let allowed = "at least one service with a weight above 0";
         return Some(route.place.finding(ConfigField::Shares, found, allowed));
     }
+    let sum = route.split_weight;
     (sum > MAX_WEIGHT_SUM).then(|| {
         let found = format_compact!("weights of {sum} in sum");
-        let allowed = format_compact!("weights of up to {MAX_WEIGHT_SUM} in sum");
+        let allowed = format_compact!("weights of at most {MAX_WEIGHT_SUM} in sum");
         route.place.finding(ConfigField::Shares, found, allowed)
     })
 }
@@ -145,7 +144,7 @@
     for (name, limit) in limits {
         if let Some(limit) = limit.filter(|limit| objective > *limit) {
             let found = format_compact!("{}", objective.0);
-            let allowed = format_compact!("up to {}, {name}", limit.0);
+            let allowed = format_compact!("at most {}, {name}", limit.0);
             findings.push(route.place.finding(ConfigField::Objective, found, allowed));
         }
     }
--- a/tests/config_check.rs
+++ b/tests/config_check.rs
@@ -114,13 +114,14 @@
           allowed: at least one service with a weight above 0"];
     weights_over_100: "90" => "91",
         ["new.json:5:3: Routes[1].TrafficSplit: found weights of 101 in sum; \
-          allowed: weights of up to 100 in sum"];
+          allowed: weights of at most 100 in sum"];
+    service_beside_split: "\"TrafficSplit\"" => "\"Service\": \"s\", \"TrafficSplit\"", [];
     objective_above_timeout: "2500" => "299",
         ["new.json:3:3: Routes[0].LatencyObjectiveMs: found 300; \
-          allowed: up to 299, the route's timeout"];
+          allowed: at most 299, the route's timeout"];
     idle_below_objective: "15000" => "299",
         ["new.json:3:3: Routes[0].LatencyObjectiveMs: found 300; \
-          allowed: up to 299, the idle timeout of flows"];
+          allowed: at most 299, the idle timeout of flows"];
     slow_cold_rate: "\"ColdPerS\": 5" => "\"ColdPerS\": 0.5",
         ["new.json:9:3: Services[1].ColdPerS: found 0.5; \
           allowed: 0 for no limit, or at least 1"];
@@ -155,6 +156,22 @@
     assert!(text(&output.stderr).starts_with("old.json:3:"));
 }
 
+/// Guards against comparisons that can't be made but look as if nothing differed.
+#[rstest]
+#[case::absent("new.json", "absent.json", "absent.json: found an unreadable file")]
+#[case::folder("new.json", ".", ".: found a folder")]
+#[case::no_document("pools.toml", "new.json", "new.json: found no configuration document")]
+fn failed_comparison_is_a_fault(#[case] file: &str, #[case] other: &str, #[case] start: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("new.json"), GOOD).unwrap();
+    let pool = "[[pool]]\nservice = 'a'\nservers = ['a*']\nslots = 1\nconnections = 1\n";
+    std::fs::write(folder.path().join("pools.toml"), pool).unwrap();
+    let output = run(folder.path(), &["check", file, "--against", other]);
+    assert_eq!(output.status.code(), Some(2));
+    let lines: Vec<&str> = text(&output.stderr).lines().collect();
+    assert!(lines.len() == 1 && lines[0].starts_with(start), "{lines:?}");
+}
+
 /// Guards against output for scripts that isn't JSON or lacks positions.
 #[rstest]
 fn json_names_faults_and_differences() {
@@ -168,7 +185,7 @@
         "good_files": [],
         "faults": [{
             "file": "new.json", "line": 3, "column": 3, "field": "Routes[0].LatencyObjectiveMs",
-            "found": "2501", "allowed": "up to 2500, the route's timeout",
+            "found": "2501", "allowed": "at most 2500, the route's timeout",
         }],
         "differences": [{
             "file": "new.json", "line": 3, "column": 3, "change": "changed",
