--- a/components/agent/src/request/whole_response.rs
+++ b/components/agent/src/request/whole_response.rs
@@ -35,7 +35,8 @@
 pub(super) enum HedgeReply {
     /// Its server's whole response.
     Whole(Response<Bytes>),
-    /// The request has not run there.
+    /// The agent didn't run the request, couldn't be reached, or the connection failed; in the last case the
+    /// request may have run.
     Refused,
     /// The request ran without a whole response of at most 256 KiB.
     Failed,
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -177,7 +177,9 @@
             .is_some_and(|entry| matches!(entry.stage, FlowStage::Opening | FlowStage::Open));
         if !is_held {
             let entry = FlowEntry::new(FlowStage::Redirected(to), header.clone(), now);
-            self.flows.insert(key, entry);
+            if let Some(replaced) = self.flows.insert(key, entry) {
+                self.note_removed(key, &replaced);
+            }
         }
         actions.push(TrackerAction::Redirect {
             key,
--- a/components/flows/src/connection/flow_tracker/query.rs
+++ b/components/flows/src/connection/flow_tracker/query.rs
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Keeps a flow in mind whose entry is removed although the server may hold it.
+    /// Records a flow whose entry is removed while the server may still hold it.
     pub(super) fn note_removed(&mut self, key: FlowKey, entry: &FlowEntry) {
         if self.settings.reset_lost && entry.may_be_held() {
             self.recent_flows.insert(key, entry.last_used);
--- a/components/flows/src/connection/flow_tracker/silence.rs
+++ b/components/flows/src/connection/flow_tracker/silence.rs
@@ -1,4 +1,4 @@
-//! Silence of the backend server, after which its end is looked for.
+//! Detection of a silent backend server.
 
 use carobdrum_core::Millis;
 
@@ -13,10 +13,10 @@
 
 impl FlowTracker {
     /// Returns the silence of the server if no heartbeat and no packet has come for the activity timeout
-    /// while flows are open.
+    /// while flows are open. A server that is leaving may refuse connections and still hold flows.
     pub fn server_silence(&self, now: Millis) -> Option<ServerSilence> {
         let signs = self.liveness.signs();
-        let is_silent = self.liveness.is_silent(now) && self.open_flows() > 0;
+        let is_silent = self.liveness.is_silent(now) && !self.is_leaving() && self.open_flows() > 0;
         is_silent.then_some(ServerSilence { signs })
     }
 
--- a/components/flows/src/process/agent_table/members.rs
+++ b/components/flows/src/process/agent_table/members.rs
@@ -46,8 +46,7 @@
         owners
     }
 
-    /// Returns whether an agent is registered whose entry is missing, but not for long enough to count as
-    /// gone.
+    /// Returns whether this agent's entry is missing, but not for long enough to count as gone.
     pub(crate) fn lacks_entry(&self, address: SocketAddrV4) -> bool {
         self.members.lacks_entry(address)
     }
--- a/components/flows/src/process/lost_flow_search.rs
+++ b/components/flows/src/process/lost_flow_search.rs
@@ -44,12 +44,12 @@
 /// Limit of the flows of a query: 25 bytes each, so that the datagram fits into one frame.
 const MAX_QUERY_FLOWS: usize = 48;
 
-/// Shortest time between two resets. After the loss of all servers thousands of callers wait for an answer that
-/// is late already; if all of them returned at once, the answers to new requests would be late as well.
+/// Interval between resets by one balancer while their searches are younger than `MAX_RESET_DELAY`. Callers open
+/// new flows right after a reset; all at once would delay the responses to new requests.
 const RESET_INTERVAL: Millis = Millis(20);
 
-/// Age of a search from which its flow is reset without regard to others, so that its caller has time for
-/// another attempt.
+/// Age of a search from which its flow is reset without pacing, so that its caller has time for another
+/// attempt. If more than about 40 searches begin together, the others are reset together at this age.
 const MAX_RESET_DELAY: Millis = Millis(800);
 
 /// A query whose reply counts.
@@ -133,7 +133,7 @@
     }
 
     /// Begins the search for a flow that no candidate holds, unless it goes on already; returns whether
-    /// it does.
+    /// a new search began.
     pub fn begin(
         &mut self,
         flow: QueriedFlow,
@@ -185,6 +185,15 @@
         self.end(key, SearchEnd::Reopened, actions);
     }
 
+    /// Ends the search for a flow whose caller has sent a packet with another acknowledgement number, since
+    /// it has heard of a server meanwhile.
+    pub fn note_progress(&mut self, flow: QueriedFlow, actions: &mut Vec<SearchAction>) {
+        let search = self.find(flow.key);
+        if search.is_some_and(|search| search.flow != flow) {
+            self.end(flow.key, SearchEnd::Continued, actions);
+        }
+    }
+
     /// Ends the search for a flow whose owner has announced itself.
     pub fn note_owner(&mut self, key: FlowKey, actions: &mut Vec<SearchAction>) {
         self.end(key, SearchEnd::Found, actions);
--- a/components/flows/src/process/registered_members.rs
+++ b/components/flows/src/process/registered_members.rs
@@ -197,7 +197,7 @@
     }
 
     /// Returns whether the entry of an agent is missing that doesn't count as gone yet.
-    pub fn is_unsettled(&self) -> bool {
+    pub fn has_missing_entries(&self) -> bool {
         self.members.iter().any(MemberState::is_missing)
     }
 
--- a/components/flows/src/process/registration_cleanup.rs
+++ b/components/flows/src/process/registration_cleanup.rs
@@ -6,35 +6,36 @@
 
 /// Registration of an agent whose entry is missing.
 #[derive(Clone, Copy, Debug)]
-struct LeftRegistration {
+struct OrphanedRegistration {
     address: SocketAddrV4,
     revision: u64,
     due: Millis,
 }
 
 /// Decides when a balancer deletes the registration of an agent whose entry is missing: once it has been
-/// missing for the lifetime of a flow, after which the agent holds no flow from before, and after a
-/// random delay of up to the same time, so that one balancer of many usually deletes it for all.
+/// missing for the retention time, and after a random delay of up to the same time, so that one balancer of
+/// many usually deletes it for all. An agent that lives but can't write its entry gets flows for as long as
+/// balancers know it, so the retention time has to outlast any such cut.
 ///
 /// A failed request to the store begins this time anew: the agent may not have been able to write its
 /// entry.
 #[derive(Debug)]
 pub struct RegistrationCleanup {
-    flow_lifetime: Millis,
+    retention: Millis,
     /// Revisions of the registrations, sorted by address.
     registrations: Vec<(SocketAddrV4, u64)>,
     /// Agents that have an entry, sorted.
     entries: Vec<SocketAddrV4>,
     /// Sorted by address.
-    left: Vec<LeftRegistration>,
+    left: Vec<OrphanedRegistration>,
 }
 
 impl RegistrationCleanup {
-    /// Creates the state of a balancer that has read nothing yet. `flow_lifetime` is the longest lifetime of
-    /// a flow.
-    pub fn new(flow_lifetime: Millis) -> RegistrationCleanup {
+    /// Creates the state of a balancer that has read nothing yet. `retention` is the time for
+    /// which an entry has to be missing.
+    pub fn new(retention: Millis) -> RegistrationCleanup {
         RegistrationCleanup {
-            flow_lifetime,
+            retention,
             registrations: Vec::new(),
             entries: Vec::new(),
             left: Vec::new(),
@@ -105,11 +106,11 @@
             left.push(match known.filter(|item| item.revision == revision) {
                 Some(item) => item,
                 None => {
-                    let delay = self.flow_lifetime.0 as f64 * random();
-                    LeftRegistration {
+                    let delay = self.retention.0 as f64 * random();
+                    OrphanedRegistration {
                         address,
                         revision,
-                        due: now.plus(self.flow_lifetime).plus(Millis(delay as u64)),
+                        due: now.plus(self.retention).plus(Millis(delay as u64)),
                     }
                 }
             });
@@ -117,7 +118,7 @@
         let found = left.iter_mut().find(|item| item.due <= now);
         let next = found.map(|item| {
             // Tried again after the same time if the deletion fails.
-            item.due = now.plus(self.flow_lifetime);
+            item.due = now.plus(self.retention);
             (item.address, item.revision)
         });
         self.left = left;
--- a/components/flows/tests/small_world.rs
+++ b/components/flows/tests/small_world.rs
@@ -1,5 +1,5 @@
-//! Exhaustive search of a small world for a wrong reset: two balancers, three agents with servers, and two
-//! flows. Every pair of faults is tried at every pair of steps.
+//! Search for a wrong reset in a simulation of two balancers, three agents with servers, and two flows. Every
+//! pair of faults is tried at every pair of the times in `FAULT_STEPS`.
 //!
 //! A reset of a flow that a live server holds breaks the promise to its caller. Each flow is reported as
 //! not found all the time, whether or not a server holds it, which is more than candidates ever report.
--- a/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
+++ b/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
@@ -9,6 +9,7 @@
         OwnerLookup,
         SearchAction, //
     },
+    request::QueriedFlow,
     FlowPacket,
     PacketKind, //
 };
@@ -59,12 +60,24 @@
         self.run_search(|search, lookup, _| search.handle_reply(from, &reply, lookup, now));
     }
 
-    /// Ends the search for the flow of a caller's packet that shows that the caller has given it up.
+    /// Ends the search for the flow of a caller's packet that shows that the caller has given it up, or that a
+    /// server has answered.
     pub(super) fn note_caller_packet(&mut self, packet: &FlowPacket) {
-        let is_reopened = packet.is_open() || packet.kind == PacketKind::Reset;
-        if is_reopened && !self.search.is_empty() {
-            self.run_search(|search, _, actions| search.note_reopened(packet.key, actions));
+        if self.search.is_empty() {
+            return;
         }
+        let is_reopened = packet.is_open() || packet.kind == PacketKind::Reset;
+        let flow = QueriedFlow {
+            key: packet.key,
+            acknowledged: packet.acknowledged,
+        };
+        self.run_search(|search, _, actions| {
+            if is_reopened {
+                search.note_reopened(flow.key, actions);
+            } else {
+                search.note_progress(flow, actions);
+            }
+        });
     }
 
     pub(super) fn check_searches(&mut self) {
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -70,7 +70,7 @@
     pub(crate) fn spilled(&mut self, flow: &SpilledFlow) {
         if let Some(left_out) = self.limiter.admit() {
             let (near, full_twice) = (flow.near, flow.full_twice);
-            info!(flow = %flow.key, near, full_twice, left_out, "flow spills to another data centre");
+            info!(flow = %flow.key, near, full_twice, left_out, "flow placed in another data centre: own servers are full");
         }
     }
 
@@ -86,7 +86,7 @@
     pub(crate) fn clamped(&mut self, agent: SocketAddrV4, report: &AgentReport) {
         if let Some(left_out) = self.limiter.admit() {
             let (slots, work_us, open_flows) = (report.slots, report.work_us, report.open_flows);
-            info!(%agent, slots, work_us, open_flows, left_out, "impossible report clamped");
+            info!(%agent, slots, work_us, open_flows, left_out, "invalid agent report clamped");
         }
     }
 
--- a/components/forwarder/src/process/agent_events.rs
+++ b/components/forwarder/src/process/agent_events.rs
@@ -73,9 +73,9 @@
     }
 
     /// Returns whether entries of agents are missing that don't count as gone yet.
-    pub(crate) fn is_unsettled(&self) -> bool {
+    pub(crate) fn has_missing_entries(&self) -> bool {
         let registrations = self.registrations.as_ref();
-        registrations.is_some_and(|registrations| registrations.members.is_unsettled())
+        registrations.is_some_and(|registrations| registrations.members.has_missing_entries())
     }
 
     fn read_listing(&mut self, listing: &StoreListing, started: Millis) -> BalancerUpdate {
@@ -109,7 +109,7 @@
         info!(
             entries = listing.entries.len(),
             registrations = listing.registrations.len(),
-            is_unsettled = registrations.members.is_unsettled(),
+            has_missing_entries = registrations.members.has_missing_entries(),
             ?gone,
             "agents read from the store"
         );
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -168,7 +168,12 @@
         tokio::select! {
             _ = context.stop.recv() => break,
             () = updates.closed() => return TrafficEndedSnafu.fail(),
-            changed = file.changed(&mut context.reload) => apply_settings(&changed, &updates).await,
+            changed = file.changed(&mut context.reload) => {
+                let mut changed = changed;
+                // Registration and the answers to queries belong together.
+                changed.flows.reset_lost = settings.flows.reset_lost;
+                apply_settings(&changed, &updates).await;
+            }
         }
     }
     let is_leaving = writer.record.borrow().is_leaving;
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -10,6 +10,7 @@
     time::Duration, //
 };
 
+use carobdrum_core::Millis;
 use carobdrum_flows::{
     process::{
         AgentRecord,
@@ -43,7 +44,6 @@
     config_tasks::query_peers,
     http_port::serve_requests,
     node_context::{
-        flow_lifetime,
         run_control,
         spawn_traffic,
         NodeContext, //
@@ -125,7 +125,8 @@
         registrations: None,
     };
     if settings.flows.reset_lost {
-        let cleanup = RegistrationCleanup::new(flow_lifetime(node));
+        let retention = Millis(u64::from(settings.flows.registration_retention_s) * 1_000);
+        let cleanup = RegistrationCleanup::new(retention);
         let cleanup = Rc::new(RefCell::new(cleanup));
         agents = agents.on_demand(listing_wanted);
         events.registrations = Some(ReadRegistrations {
@@ -216,7 +217,7 @@
             ready.agents.set(true);
         }
         Some(WatchProgress {
-            is_unsettled: events.is_unsettled(),
+            has_missing_entries: events.has_missing_entries(),
             ..WatchProgress::of_agents(state.agent_count())
         })
     };
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -149,6 +149,11 @@
         if state.unregister().await {
             return Ok(());
         }
+        if state.registers {
+            // The server lives and may hold flows, so the agent isn't to be taken as gone before the next process
+            // has written the entry.
+            return Ok(());
+        }
         if let Some(lease) = state.lease.take() {
             if let Err(error) = state.client.end_lease(lease).await {
                 info!(%error, "lease not ended; it will expire");
--- a/components/forwarder/src/process/listing_demand.rs
+++ b/components/forwarder/src/process/listing_demand.rs
@@ -3,14 +3,11 @@
 use carobdrum_core::Millis;
 
 /// Shortest time from the start of one listing to that of the next one. One listing serves all searches that
-/// began before it.
-const MIN_INTERVAL: Millis = Millis(500);
+/// began before it, and two a second don't leave a gap in a series that has to show an entry as missing.
+const LISTING_INTERVAL: Millis = Millis(500);
 
-/// Time from the start of one listing to that of the next one while the last one left something open.
-const SETTLE_INTERVAL: Millis = Millis(500);
-
-/// Time after the last demand for which listings go on while something is open.
-const SETTLE_TIME: Millis = Millis(4_000);
+/// Time after the last demand for which listings go on while entries are missing.
+const DEMAND_TIMEOUT: Millis = Millis(4_000);
 
 /// Decides when a watcher lists all keys because another thread needs a listing that was started at a
 /// certain time or later.
@@ -18,8 +15,9 @@
 pub struct ListingDemand {
     /// Time for which a listing is wanted.
     pub wanted: Option<Millis>,
-    /// Whether the last listing left something open that only further ones can show.
-    pub is_unsettled: bool,
+    /// Whether the last listing lacked entries of registered agents, so that only further ones show whether
+    /// the agents are gone.
+    pub has_missing_entries: bool,
     last_started: Option<Millis>,
     confirmed: Option<Millis>,
 }
@@ -38,11 +36,9 @@
     /// Returns the time at which the next listing is due; `None` while none is wanted.
     pub fn next_listing(&self, now: Millis) -> Option<Millis> {
         let wanted = self.wanted?;
-        let after_last = |interval| self.last_started.map_or(now, |last| last.plus(interval));
-        if self.confirmed.is_none_or(|confirmed| confirmed < wanted) {
-            return Some(after_last(MIN_INTERVAL));
-        }
-        let settles = self.is_unsettled && now.since(wanted) < SETTLE_TIME;
-        settles.then(|| after_last(SETTLE_INTERVAL))
+        let is_unmet = self.confirmed.is_none_or(|confirmed| confirmed < wanted);
+        let goes_on = self.has_missing_entries && now.since(wanted) < DEMAND_TIMEOUT;
+        let next = |last: Millis| last.plus(LISTING_INTERVAL);
+        (is_unmet || goes_on).then(|| self.last_started.map_or(now, next))
     }
 }
--- a/components/forwarder/src/process/server_silence.rs
+++ b/components/forwarder/src/process/server_silence.rs
@@ -56,6 +56,8 @@
     updates: mpsc::Sender<AgentUpdate>,
     metrics: NodeMetrics,
 ) {
+    // A server that is being restarted may refuse one connection, so it has to refuse two in one silence.
+    let mut refused_in = None;
     loop {
         let (answer, silence) = oneshot::channel();
         if updates
@@ -76,7 +78,9 @@
         let outcome = if ended { "ended" } else { "alive" };
         NodeMetrics::count(&metrics.probed_servers, outcome);
         info!(%server, ended, "silent backend server probed");
-        if ended {
+        let is_confirmed = ended && refused_in == Some(silence);
+        refused_in = ended.then_some(silence);
+        if is_confirmed {
             let update = AgentUpdate::EndedIn(silence);
             if updates.send(update).await.is_err() {
                 return;
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -81,7 +81,7 @@
     pub batch_delay: Duration,
     /// Whether the event left something open that only further listings can show. They follow while
     /// listings are in demand.
-    pub is_unsettled: bool,
+    pub has_missing_entries: bool,
 }
 
 impl WatchProgress {
@@ -90,7 +90,7 @@
         WatchProgress {
             revision,
             batch_delay: MIN_BATCH_DELAY,
-            is_unsettled: false,
+            has_missing_entries: false,
         }
     }
 
@@ -101,7 +101,7 @@
         WatchProgress {
             revision: 0,
             batch_delay: delay.clamp(MIN_BATCH_DELAY, MAX_BATCH_DELAY),
-            is_unsettled: false,
+            has_missing_entries: false,
         }
     }
 }
@@ -176,7 +176,7 @@
                         return;
                     };
                     self.revision = progress.revision;
-                    self.requests.demand.is_unsettled = progress.is_unsettled;
+                    self.requests.demand.has_missing_entries = progress.has_missing_entries;
                     if changed {
                         self.next_watch = Instant::now() + progress.batch_delay;
                     }
--- a/components/settings/src/flow_options.rs
+++ b/components/settings/src/flow_options.rs
@@ -6,21 +6,48 @@
 };
 use serde::Deserialize;
 
+/// Default of the time for which the entry of an agent has to be missing before its registration is deleted:
+/// one day. An agent that is cut off from the store may hold flows all the while.
+const DEFAULT_RETENTION_S: u32 = 24 * 60 * 60;
+
+/// Longest such time: 30 days.
+const MAX_RETENTION_S: u32 = 30 * 24 * 60 * 60;
+
+const RETENTION_S: FieldKind = FieldKind::Number {
+    min: 1,
+    max: MAX_RETENTION_S,
+};
+
 /// Schema of the section of the options.
 pub(crate) const OPTIONS_SCHEMA: &[FieldSchema] = &[
     FieldSchema::optional("reset_lost", FieldKind::Boolean),
+    FieldSchema::optional("registration_retention_s", RETENTION_S),
     FieldSchema::optional("schedule_requests", FieldKind::Boolean),
     FieldSchema::optional("weigh_servers", FieldKind::Boolean),
 ];
 
 /// Optional features of a process that forwards opaque flows; each is off if absent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FlowOptions {
     /// Whether open flows that no live backend server holds are searched for and reset.
     pub reset_lost: bool,
+    /// Time for which the entry of an agent has to be missing before a balancer deletes its registration, in
+    /// seconds; one day if absent.
+    pub registration_retention_s: u32,
     /// Whether an agent holds back requests on open flows while more urgent ones need the slots.
     pub schedule_requests: bool,
     /// Whether balancers place new flows by the speed and the open flows of the servers.
     pub weigh_servers: bool,
 }
+
+impl Default for FlowOptions {
+    fn default() -> FlowOptions {
+        FlowOptions {
+            reset_lost: false,
+            registration_retention_s: DEFAULT_RETENTION_S,
+            schedule_requests: false,
+            weigh_servers: false,
+        }
+    }
+}
