--- a/components/agent/src/request/hedged_run.rs
+++ b/components/agent/src/request/hedged_run.rs
@@ -69,29 +69,29 @@
         };
         let request = hedge_request(context);
         let plan = hedging.plan(&request, &context.service);
-        let mut contest = Contest {
+        let mut attempt = HedgeAttempt {
             hedging,
             request,
             started: self.now(),
         };
         let mut own = pin!(self.send_to_server(context, body, guard));
         if let Ok(delay) = plan {
-            let due = self.parts.shared.clock.instant(contest.started.plus(delay));
+            let due = self.parts.shared.clock.instant(attempt.started.plus(delay));
             if let Ok(own) = timeout_at(due, &mut own).await {
-                contest.record_head(&own);
+                attempt.record_head(&own);
                 return own.map(RunResponse::Own);
             }
-            contest.request.is_retry = context.attempts.get() > 1;
+            attempt.request.is_retry = context.attempts.get() > 1;
             let queued = self.parts.slots.queued();
-            if let Ok(agent) = hedging.decide(&contest.request, delay, queued) {
+            if let Ok(agent) = hedging.decide(&attempt.request, delay, queued) {
                 let hedge = pin!(hedging.send(agent, self.run_request(context)));
-                let (result, end) = self.race(context, &contest, own, hedge).await;
-                hedging.record_end(&contest.request.route, agent, end);
+                let (result, end) = self.race(context, &attempt, own, hedge).await;
+                hedging.record_end(&attempt.request.route, agent, end);
                 return result;
             }
         }
         let own = own.await;
-        contest.record_head(&own);
+        attempt.record_head(&own);
         own.map(RunResponse::Own)
     }
 
@@ -100,26 +100,26 @@
     async fn race(
         &self,
         context: &RequestContext,
-        contest: &Contest<'_>,
+        attempt: &HedgeAttempt<'_>,
         mut own: Pin<&mut impl Future<Output = OwnResult>>,
         mut hedge: Pin<&mut impl Future<Output = HedgeReply>>,
     ) -> (RunResult, HedgeEnd) {
         let first = tokio::select! {
             biased;
             own = &mut own => own,
-            reply = &mut hedge => match winner(reply) {
+            reply = &mut hedge => match usable_response(reply) {
                 Ok(response) => {
-                    contest.record_time();
+                    attempt.record_time();
                     return (Ok(RunResponse::Hedge(response)), HedgeEnd::Won);
                 }
                 Err(end) => {
                     let own = own.await;
-                    contest.record_head(&own);
+                    attempt.record_head(&own);
                     return (own.map(RunResponse::Own), end);
                 }
             },
         };
-        contest.record_head(&first);
+        attempt.record_head(&first);
         let mut response = match first {
             Ok(response) => response,
             Err(failure) => return after_failure(failure, hedge.await),
@@ -136,7 +136,7 @@
             }
             reply = &mut hedge => reply,
         };
-        match winner(reply) {
+        match usable_response(reply) {
             Ok(response) => (Ok(RunResponse::Hedge(response)), HedgeEnd::Won),
             Err(end) => (Ok(RunResponse::Own(response)), end),
         }
@@ -188,13 +188,13 @@
 }
 
 /// A request that may be hedged, and when it was sent to the own server.
-struct Contest<'a> {
+struct HedgeAttempt<'a> {
     hedging: &'a Hedging,
     request: HedgeRequest,
     started: Millis,
 }
 
-impl Contest<'_> {
+impl HedgeAttempt<'_> {
     fn record_time(&self) {
         self.hedging.record_time(&self.request.route, self.started);
     }
@@ -224,7 +224,7 @@
 
 /// Returns the response of a hedge that may win while the own server still runs the request, or how
 /// the hedge ended.
-fn winner(reply: HedgeReply) -> Result<Response<Bytes>, HedgeEnd> {
+fn usable_response(reply: HedgeReply) -> Result<Response<Bytes>, HedgeEnd> {
     match reply {
         HedgeReply::Whole(response) if !response.status().is_server_error() => Ok(response),
         HedgeReply::Whole(_) | HedgeReply::Failed => Err(HedgeEnd::Lost),
--- a/components/flows/src/connection/request_queue.rs
+++ b/components/flows/src/connection/request_queue.rs
@@ -32,7 +32,7 @@
 /// Limit of the held packets.
 const MAX_PACKETS: usize = 512;
 
-/// Limit of the held packets' length in sum, in bytes.
+/// Limit of the total length of the held packets, in bytes.
 const MAX_BYTES: usize = 512 * 1_024;
 
 /// Multiple of the slots up to which requests that have waited for half of their objective are
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -26,7 +26,7 @@
     activity_timeout: Millis,
     deregistered: bool,
     /// Number of heartbeats and packets, those of a deregistered server and stale ones included.
-    signs: u64,
+    activity_count: u64,
     last_sign: Millis,
 }
 
@@ -45,7 +45,7 @@
             last_activity: Millis(0),
             activity_timeout,
             deregistered: false,
-            signs: 0,
+            activity_count: 0,
             last_sign: Millis(0),
         }
     }
@@ -155,7 +155,7 @@
     }
 
     fn note_sign(&mut self, sent: Millis) {
-        self.signs += 1;
+        self.activity_count += 1;
         self.last_sign = self.last_sign.max(sent);
     }
 
@@ -166,8 +166,8 @@
     }
 
     /// Returns the number of heartbeats and packets that have come from the server.
-    pub fn signs(&self) -> u64 {
-        self.signs
+    pub fn activity_count(&self) -> u64 {
+        self.activity_count
     }
 
     /// Returns whether the server has shown activity recently enough that no other service can use
--- a/components/flows/src/process/lost_flow_search.rs
+++ b/components/flows/src/process/lost_flow_search.rs
@@ -1,13 +1,11 @@
 //! Search of a balancer for flows that no live server holds.
 
 mod flow_search;
+mod queries;
 
 use std::{
-    collections::{
-        BTreeMap,
-        VecDeque, //
-    },
-    net::SocketAddrV4,
+    collections::VecDeque,
+    net::SocketAddrV4, //
 };
 
 use carobdrum_core::Millis;
@@ -29,8 +27,8 @@
     QueriedFlow, //
 };
 
-/// Interval between queries to the same agent.
-const QUERY_INTERVAL: Millis = Millis(20);
+/// Interval between ticks, in which queries are sent and flows reset.
+const TICK_INTERVAL: Millis = Millis(20);
 
 /// Limit of the flows that are searched for at a time.
 const MAX_SEARCHES: usize = 4_096;
@@ -41,9 +39,6 @@
 /// Limit of the agents of one search. More can't be asked before the search ends.
 const MAX_OWNERS: usize = 1_600;
 
-/// Limit of the flows of a query: 25 bytes each, so that the datagram fits into one frame.
-const MAX_QUERY_FLOWS: usize = 48;
-
 /// Interval between resets by one balancer while their searches are younger than `MAX_RESET_DELAY`. Callers open
 /// new flows right after a reset; all at once would delay the responses to new requests.
 const RESET_INTERVAL: Millis = Millis(20);
@@ -246,7 +241,7 @@
         if now < self.next_tick {
             return;
         }
-        self.next_tick = now.plus(QUERY_INTERVAL);
+        self.next_tick = now.plus(TICK_INTERVAL);
         let is_open = |query: &OpenQuery| now.since(query.sent) < SEARCH_TIMEOUT;
         while self.queries.front().is_some_and(|query| !is_open(query)) {
             self.queries.pop_front();
@@ -255,33 +250,25 @@
         let mut index = 0;
         // The oldest searches come first, since their callers have the least time left.
         while let Some(search) = self.searches.get(index) {
-            let serial = search.serial;
             if search.has_ended(now) {
                 let end = end_cause(search, lookup);
                 self.end(search.flow.key, end, actions);
-            } else {
-                self.decide(index, lookup, &mut owners, now, actions);
-            }
-            if self
-                .searches
-                .get(index)
-                .is_some_and(|search| search.serial == serial)
-            {
+            } else if !self.reset_if_lost(index, lookup, &mut owners, now, actions) {
                 index += 1;
             }
         }
         self.send_queries(now, actions);
     }
 
-    /// Resets the flow of the search at `index`, if it is certainly lost.
-    fn decide(
+    /// Resets the flow of the search at `index`, if it is certainly lost; returns whether it did.
+    fn reset_if_lost(
         &mut self,
         index: usize,
         lookup: OwnerLookup<'_>,
         owners: &mut OwnersByAddress,
         now: Millis,
         actions: &mut Vec<SearchAction>,
-    ) {
+    ) -> bool {
         let search = &mut self.searches[index];
         let address = search.flow.key.service_address;
         let owners = owners
@@ -289,23 +276,23 @@
             .or_insert_with(|| lookup.owners(address, now));
         search.set_owners(owners);
         if search.has_ended(now) || search.owner_count() == 0 || !lookup.is_config_current() {
-            return;
+            return false;
         }
         // An agent without an entry counts as gone only by further listings.
         let needs_answer = |agent: SocketAddrV4| !lookup.agents.lacks_entry(agent);
         if search.pending_agents().any(needs_answer) {
-            return;
+            return false;
         }
         if lookup.agents.confirmed_since() < Some(search.began) {
             self.listing_wanted = self.listing_wanted.max(Some(search.began));
-            return;
+            return false;
         }
         if search.pending_agents().next().is_some() {
-            return;
+            return false;
         }
         let is_paced = now < self.next_reset && now.since(search.began) < MAX_RESET_DELAY;
         if is_paced {
-            return;
+            return false;
         }
         self.next_reset = now.plus(RESET_INTERVAL);
         actions.push(SearchAction::Reset {
@@ -315,58 +302,7 @@
         });
         let key = search.flow.key;
         self.remove(key);
-    }
-
-    fn send_queries(&mut self, now: Millis, actions: &mut Vec<SearchAction>) {
-        let mut due: BTreeMap<SocketAddrV4, Vec<usize>> = BTreeMap::new();
-        for (index, search) in self.searches.iter().enumerate() {
-            for agent in search.due_agents(now) {
-                let indices = due.entry(agent).or_default();
-                if indices.len() < MAX_QUERY_FLOWS {
-                    indices.push(index);
-                }
-            }
-        }
-        // While the budget is too small for all agents, the rounds take turns.
-        let is_next = |agent: &SocketAddrV4| self.last_asked.is_none_or(|last| *agent > last);
-        let (next, others): (Vec<_>, Vec<_>) = due.into_iter().partition(|entry| is_next(&entry.0));
-        self.last_asked = None;
-        let mut last = None;
-        for (agent, indices) in next.into_iter().chain(others) {
-            if !self.budget.take(now) {
-                self.last_asked = last;
-                return;
-            }
-            last = Some(agent);
-            self.send_query(agent, &indices, now, actions);
-        }
-    }
-
-    fn send_query(
-        &mut self,
-        agent: SocketAddrV4,
-        indices: &[usize],
-        now: Millis,
-        actions: &mut Vec<SearchAction>,
-    ) {
-        let id = self.next_id;
-        self.next_id += 1;
-        let mut flows = Vec::with_capacity(indices.len());
-        let mut serials = Vec::with_capacity(indices.len());
-        for index in indices {
-            let search = &mut self.searches[*index];
-            search.note_asked(agent, now);
-            flows.push(search.flow);
-            serials.push(search.serial);
-        }
-        self.queries.push_back(OpenQuery {
-            id,
-            agent,
-            sent: now,
-            serials,
-            digest: QueriedFlow::digest(&flows),
-        });
-        actions.push(SearchAction::Query { agent, id, flows });
+        true
     }
 
     fn find(&self, key: FlowKey) -> Option<&FlowSearch> {
--- a/components/flows/src/process/placement_state.rs
+++ b/components/flows/src/process/placement_state.rs
@@ -64,7 +64,7 @@
                 usable().filter(|state| state.weight.is_current(now) && !state.is_failing());
             let reports = compared.map(|state| &state.report);
             let speed = ServiceSpeed::measure(reports, &mut self.times);
-            if is_pressed(usable(), centre) {
+            if is_nearly_full(usable(), centre) {
                 let after = keys.partition_point(|key| (*key as usize) < first_probe);
                 let (wrapped, next) = keys.split_at(after);
                 for key in next.iter().chain(wrapped) {
@@ -97,7 +97,7 @@
 
 /// Returns whether at least 7 of 8 usable servers of the balancer's data centre had no free slot when
 /// they last reported; all servers count if that data centre has none.
-fn is_pressed<'a>(usable: impl Iterator<Item = &'a AgentState>, centre: u32) -> bool {
+fn is_nearly_full<'a>(usable: impl Iterator<Item = &'a AgentState>, centre: u32) -> bool {
     let (mut near, mut near_full, mut all, mut all_full) = (0, 0, 0, 0);
     for state in usable {
         let is_full = usize::from(state.report.is_full());
--- a/components/flows/src/process/registration_cleanup.rs
+++ b/components/flows/src/process/registration_cleanup.rs
@@ -27,7 +27,7 @@
     /// Agents that have an entry, sorted.
     entries: Vec<SocketAddrV4>,
     /// Sorted by address.
-    left: Vec<OrphanedRegistration>,
+    orphans: Vec<OrphanedRegistration>,
 }
 
 impl RegistrationCleanup {
@@ -38,7 +38,7 @@
             retention,
             registrations: Vec::new(),
             entries: Vec::new(),
-            left: Vec::new(),
+            orphans: Vec::new(),
         }
     }
 
@@ -85,7 +85,7 @@
 
     /// Records that a request to the store has failed.
     pub fn note_failure(&mut self) {
-        self.left.clear();
+        self.orphans.clear();
     }
 
     /// Returns the registration to delete next, with its revision; `None` if none is due. `random` returns
@@ -95,15 +95,15 @@
         now: Millis,
         mut random: impl FnMut() -> f64,
     ) -> Option<(SocketAddrV4, u64)> {
-        let before = std::mem::take(&mut self.left);
-        let mut left = Vec::new();
+        let before = std::mem::take(&mut self.orphans);
+        let mut orphans = Vec::new();
         for &(address, revision) in &self.registrations {
-            if !self.is_left(address, revision) {
+            if !self.is_orphaned(address, revision) {
                 continue;
             }
             let known = before.binary_search_by_key(&address, |item| item.address);
             let known = known.ok().map(|index| before[index]);
-            left.push(match known.filter(|item| item.revision == revision) {
+            orphans.push(match known.filter(|item| item.revision == revision) {
                 Some(item) => item,
                 None => {
                     let delay = self.retention.0 as f64 * random();
@@ -115,18 +115,18 @@
                 }
             });
         }
-        let found = left.iter_mut().find(|item| item.due <= now);
+        let found = orphans.iter_mut().find(|item| item.due <= now);
         let next = found.map(|item| {
             // Tried again after the same time if the deletion fails.
             item.due = now.plus(self.retention);
             (item.address, item.revision)
         });
-        self.left = left;
+        self.orphans = orphans;
         next
     }
 
     /// Returns whether the registration is still at this revision and its agent's entry is missing.
-    pub fn is_left(&self, address: SocketAddrV4, revision: u64) -> bool {
+    pub fn is_orphaned(&self, address: SocketAddrV4, revision: u64) -> bool {
         let found = self.find(address);
         let is_same = found.is_ok_and(|index| self.registrations[index].1 == revision);
         is_same && self.entries.binary_search(&address).is_err()
--- a/components/forwarder/src/process/registration_cleaner.rs
+++ b/components/forwarder/src/process/registration_cleaner.rs
@@ -46,11 +46,11 @@
         let Some((agent, revision)) = due else {
             continue;
         };
-        let outcome = match is_left(&mut client, agent, revision).await {
+        let outcome = match is_orphaned_in_store(&mut client, agent, revision).await {
             Ok(false) => continue,
             Ok(true) => {
                 sleep(CONFIRM_DELAY).await;
-                if !cleanup.borrow().is_left(agent, revision) {
+                if !cleanup.borrow().is_orphaned(agent, revision) {
                     continue;
                 }
                 delete(&mut client, agent, revision).await
@@ -76,7 +76,7 @@
 }
 
 /// Returns whether the store lists the registration at this revision, and no entry.
-async fn is_left(
+async fn is_orphaned_in_store(
     client: &mut StoreClient,
     agent: SocketAddrV4,
     revision: u64,
--- a/src/cmd/config_rules.rs
+++ b/src/cmd/config_rules.rs
@@ -126,8 +126,8 @@
     }
     let sum = route.split_weight;
     (sum > MAX_WEIGHT_SUM).then(|| {
-        let found = format_compact!("weights of {sum} in sum");
-        let allowed = format_compact!("weights of at most {MAX_WEIGHT_SUM} in sum");
+        let found = format_compact!("weights that sum to {sum}");
+        let allowed = format_compact!("weights that sum to at most {MAX_WEIGHT_SUM}");
         route.place.finding(ConfigField::Shares, found, allowed)
     })
 }
--- a/tests/config_check.rs
+++ b/tests/config_check.rs
@@ -113,8 +113,8 @@
         ["new.json:3:3: Routes[0].TrafficSplit: found no service with a weight above 0; \
           allowed: at least one service with a weight above 0"];
     weights_over_100: "90" => "91",
-        ["new.json:5:3: Routes[1].TrafficSplit: found weights of 101 in sum; \
-          allowed: weights of at most 100 in sum"];
+        ["new.json:5:3: Routes[1].TrafficSplit: found weights that sum to 101; \
+          allowed: weights that sum to at most 100"];
     service_beside_split: "\"TrafficSplit\"" => "\"Service\": \"s\", \"TrafficSplit\"", [];
     objective_above_timeout: "2500" => "299",
         ["new.json:3:3: Routes[0].LatencyObjectiveMs: found 300; \
