Count copies of answered requests as no requests in progress

A caller sends its request again after 200 ms; if the copy arrives after the response has begun, the agent counted it as a new request in progress until the flow's next response or for 3 s. With enough of them all slots look taken, so each request on an open flow is held for half of its objective (150 ms), takes 200 ms again, and its copy crosses the response as well. Change: data that the server has got before begins no request. Which data it has got is kept for each flow, whether or not requests are scheduled.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -65,8 +65,7 @@
     pub server_window: Option<SequenceWindow>,
     /// Sequence number that the caller expects next; that of a reset.
     pub caller_expects: u32,
-    /// Sequence number after the caller's data that the server has got, kept only while requests are
-    /// scheduled; `None` before the first data.
+    /// Sequence number after the caller's data that the server has got; `None` before the first data.
     pub caller_sent: Option<u32>,
     /// Whether the server has sent more than the acceptance of the flow, so that it certainly held
     /// it.
@@ -128,9 +127,13 @@
     }
 
     /// Records that a later packet of the caller goes to the server: a request may begin, or the flow
-    /// end.
+    /// end. A copy of data that the server has got begins none: its response may have begun already.
     pub fn note_delivered(&mut self, packet: &FlowPacket, load: &mut LoadEstimate, now: Millis) {
-        let has_request = packet.data_len > 0 && self.stage == FlowStage::Open;
+        let has_new_data = packet.data_len > 0 && !self.is_repeated(packet);
+        if has_new_data {
+            self.caller_sent = Some(data_end(packet));
+        }
+        let has_request = has_new_data && self.stage == FlowStage::Open;
         if has_request && self.request_started.replace(now).is_none() {
             load.begin();
         }
@@ -150,13 +153,6 @@
         }
     }
 
-    /// Records which data of the caller the server has got with a packet.
-    pub fn note_caller_data(&mut self, packet: &FlowPacket) {
-        if packet.data_len > 0 && !self.is_repeated(packet) {
-            self.caller_sent = Some(data_end(packet));
-        }
-    }
-
     /// Returns whether the server has got all data of a packet before.
     pub fn is_repeated(&self, packet: &FlowPacket) -> bool {
         let ahead = |sent: u32| sent.wrapping_sub(data_end(packet));
--- a/components/flows/src/connection/flow_tracker/held.rs
+++ b/components/flows/src/connection/flow_tracker/held.rs
@@ -107,7 +107,6 @@
         }
         if let Some(entry) = self.flows.get_mut(&packet.key) {
             entry.note_delivered(packet, &mut self.load, now);
-            entry.note_caller_data(packet);
         }
         actions.push(TrackerAction::Deliver);
         self.send_held(now, actions);
@@ -197,7 +196,6 @@
         while let Some((packet, bytes)) = self.requests.pop(&mut taken) {
             if let Some(entry) = self.flows.get_mut(&key) {
                 entry.note_delivered(&packet, &mut self.load, now);
-                entry.note_caller_data(&packet);
             }
             actions.push(TrackerAction::DeliverHeld {
                 key,
--- a/components/flows/tests/scheduling_faults.rs
+++ b/components/flows/tests/scheduling_faults.rs
@@ -97,6 +97,25 @@
     assert_eq!(tracker.report(Millis(1_061)).queued, 0);
 }
 
+/// Guards against slots that stay taken: callers retransmit a request whose response takes more than 200 ms, and the
+/// copy may arrive after the response has begun. With all slots taken by such copies, each request waits for
+/// half of its objective, so that its response takes as long again.
+#[rstest]
+#[case::scheduled(true)]
+#[case::not_scheduled(false)]
+fn copy_of_an_answered_request_takes_no_slot(#[case] schedule_requests: bool) {
+    let mut tracker = scheduling_tracker(SLOTS, schedule_requests);
+    open_slow(&mut tracker, 0..1);
+    send(&mut tracker, data(0, 0), START);
+    assert_eq!(tracker.report(START).busy, 1);
+    backend(&mut tracker, &slow(0, PacketKind::Data, 1, LEN), START);
+    let actions = send(&mut tracker, data(0, 0), START);
+    assert!(actions.contains(&TrackerAction::Deliver));
+    assert_eq!(tracker.report(START).busy, 0);
+    send(&mut tracker, data(0, 1), START);
+    assert_eq!(tracker.report(START).busy, 1);
+}
+
 /// Guards against requests of lost flows that take slots or stay in the queue.
 #[rstest]
 #[case::returned(true)]
