Redirect later packets of services to which their route never led

Cause: an agent that has just been restarted knows none of its server's flows and delivered each later packet that reached it, also if no version of the configuration ever led its address to this agent's service. Servers return such packets, so no request ran, but a packet reached another service. Change: once the agent's configuration names all services that may hold a flow to the address, the balancer knows no newer one, and the server has named its service in a heartbeat, packets of other services' flows are redirected.

--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -35,7 +35,7 @@
         }
         let knows_all = self.coverage.is_complete(self.settings.flow_lifetime, now);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
-            if knows_all {
+            if knows_all || self.is_foreign(packet.key, &header, now) {
                 self.redirect_later(packet, header, RedirectCause::NotHeld, actions);
             } else {
                 self.deliver_unverified(packet.key, header, now, actions);
@@ -123,6 +123,20 @@
         true
     }
 
+    /// Returns whether the server can't hold a flow to this address, as no version of the configuration led
+    /// there. A balancer with a newer configuration may know better, and a server that has sent no heartbeat
+    /// may be of another service than the settings say.
+    fn is_foreign(&self, key: FlowKey, header: &ForwardHeader, now: Millis) -> bool {
+        let Some(config) = &self.config else {
+            return false;
+        };
+        if config.revision < header.revision || !self.liveness.is_confirmed() {
+            return false;
+        }
+        let services = config.possible_services(key.service_address, now);
+        services.is_some_and(|mut services| services.all(|service| *service != self.service))
+    }
+
     /// Delivers a packet of an unknown flow. After a restart the agent can't know which flows its
     /// server holds; the server returns the packet if it doesn't hold the flow.
     pub(super) fn deliver_unverified(
--- a/components/flows/src/process/owner_lookup.rs
+++ b/components/flows/src/process/owner_lookup.rs
@@ -35,13 +35,10 @@
     }
 
     fn services(&self, service_address: SocketAddrV4, now: Millis) -> Option<Vec<u32>> {
-        let config = self
-            .config
-            .filter(|config| now >= config.history_complete_at)?;
-        let route = config.route(service_address)?;
-        let names = route.shares.iter().map(|share| &share.service);
-        let former = config.former_services.services(service_address, now);
-        Some(names.chain(former).map(|name| name_hash(name)).collect())
+        let config = self.config?;
+        config.route(service_address)?;
+        let services = config.possible_services(service_address, now)?;
+        Some(services.map(|name| name_hash(name)).collect())
     }
 
     /// Returns whether no process has shown a newer configuration than the one in force here. Under a
--- a/components/flows/src/version/site_config.rs
+++ b/components/flows/src/version/site_config.rs
@@ -71,6 +71,24 @@
         found.ok().map(|index| &self.routes[index])
     }
 
+    /// Returns the services that may hold an open flow to this address at `now`: those to which its route
+    /// leads or led. Returns `None` while earlier versions may have led to others.
+    pub fn possible_services(
+        &self,
+        address: SocketAddrV4,
+        now: Millis,
+    ) -> Option<impl Iterator<Item = &CompactString>> {
+        if now < self.history_complete_at {
+            return None;
+        }
+        let shares = self
+            .route(address)
+            .into_iter()
+            .flat_map(|route| &route.shares);
+        let former = self.former_services.services(address, now);
+        Some(shares.map(|share| &share.service).chain(former))
+    }
+
     /// Returns the configuration of a service.
     pub fn service(&self, name: &str) -> Option<&ServiceConfig> {
         let found = self
