Retry the deletion of a registration until the grace period ends

Cause: an agent whose server had ended tried once, for 300 ms, to delete its keys. With the store away during the shutdown the registration stayed, and its agent counted as a possible owner of all lost flows of its service. The attempt was also left out if the last write of the entry, usually the one that shows the server to be leaving, had failed in the same outage.

Change: the agent tries until its keys are deleted, another process has changed them, the server shows that it lives, or 0.5 s before the end of the grace period. An attempt takes at most 500 ms, and so does the pause after it. Renewals and writes in progress are ended first. A failed write no longer hides the revision of the one before; after a write without a response, the lease of the entry and the revisions of both keys show whether the registration is that of this process. The store's items have their lease for that, so the tests that build items name it.

Result: the tests with a store that refuses, is silent or swallows responses for 2 s during the shutdown leave no key; a key of another process, or of a server that was started again, stays.

--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod candidate_group;
 mod candidate_ranking;
 mod cold_budget;
+mod deregistration;
 mod drop_cause;
 mod flow_coverage;
 mod flow_router;
@@ -44,6 +45,7 @@
 };
 pub use backend_liveness::BackendLiveness;
 pub use cold_budget::ColdBudget;
+pub use deregistration::Deregistration;
 pub use drop_cause::DropCause;
 pub use flow_coverage::FlowCoverage;
 pub use flow_router::FlowRouter;
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -7,13 +7,6 @@
     },
     net::SocketAddrV4,
     rc::Rc,
-    sync::{
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-        Arc, //
-    },
     time::Duration, //
 };
 
@@ -22,6 +15,7 @@
     process::{
         AgentRecord,
         BackendHeartbeat,
+        Deregistration,
         HeartbeatOutcome, //
     },
     TrackerSettings, //
@@ -48,6 +42,7 @@
     },
     time::timeout,
 };
+use tokio_util::sync::CancellationToken;
 use tracing::{
     debug,
     info,
@@ -55,6 +50,8 @@
 };
 
 use super::{
+    boot_clock::BootClock,
+    deregistration_task::DeregistrationTask,
     http_port::serve_requests,
     lease_actor::{
         spawn_lease,
@@ -73,7 +70,6 @@
         TrafficEndedSnafu, //
     },
     server_silence::{
-        has_ended,
         report_server_end,
         watch_silence, //
     },
@@ -139,12 +135,12 @@
         service: backend.service.clone(),
         is_leaving: false,
     };
-    let unregisters = Arc::new(AtomicBool::new(false));
+    let is_ending = CancellationToken::new();
     let arguments = LeaseArguments {
         store: settings.store.address,
         min_lease: Duration::from_millis(settings.store.min_lease_ms),
         registers: settings.flows.reset_lost,
-        unregisters: unregisters.clone(),
+        is_ending: is_ending.clone(),
     };
     let lease = spawn_lease(arguments).await.context(ActorSnafu)?;
     let writer = EntryWriter {
@@ -176,6 +172,7 @@
             }
         }
     }
+    let signalled = BootClock.now();
     let is_leaving = writer.record.borrow().is_leaving;
     info!(is_leaving, "agent shutting down");
     let (answer, flows_ended) = oneshot::channel();
@@ -187,9 +184,17 @@
         let ended = timeout(grace, flows_ended).await.is_ok();
         info!(ended, "wait for open flows is over");
     }
-    let is_leaving = writer.record.borrow().is_leaving;
-    if settings.flows.reset_lost && is_leaving && has_ended(server).await {
-        unregisters.store(true, Ordering::Relaxed);
+    if settings.flows.reset_lost {
+        let grace = Millis((settings.node.grace_s * 1_000.0) as u64);
+        let task = DeregistrationTask {
+            schedule: Deregistration::new(signalled, grace),
+            lease: lease.clone(),
+            is_ending,
+            record: writer.record.clone(),
+            server,
+            metrics: context.metrics.clone(),
+        };
+        task.run().await;
     }
     // Without a response of the store, the entry expires with its lease.
     if lease
--- /dev/null
+++ b/components/forwarder/src/process/deregistration_task.rs
@@ -0,0 +1,102 @@
+//! Deletion of an agent's registration at its shutdown, if its server has ended.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddrV4,
+    rc::Rc,
+    time::Duration, //
+};
+
+use carobdrum_core::Millis;
+use carobdrum_flows::process::{
+    AgentRecord,
+    Deregistration, //
+};
+use ractor::ActorRef;
+use tokio::{
+    sync::oneshot,
+    time::sleep, //
+};
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+use super::{
+    boot_clock::BootClock,
+    lease_actor::{
+        LeaseMessage,
+        Unregistration, //
+    },
+    node_metrics::NodeMetrics,
+    server_silence::has_ended,
+    store_backoff::StoreBackoff, //
+};
+
+/// Tries to delete the keys of an agent that is shutting down, while its server has ended and time is left.
+pub(crate) struct DeregistrationTask {
+    pub(crate) schedule: Deregistration,
+    pub(crate) lease: ActorRef<LeaseMessage>,
+    /// Ends the other requests of the lease actor.
+    pub(crate) is_ending: CancellationToken,
+    /// The agent's entry, which shows whether the server is leaving.
+    pub(crate) record: Rc<RefCell<AgentRecord>>,
+    pub(crate) server: SocketAddrV4,
+    pub(crate) metrics: NodeMetrics,
+}
+
+impl DeregistrationTask {
+    /// Tries until the keys are deleted, another process has changed them, the server shows that it lives,
+    /// or no time is left.
+    pub(crate) async fn run(mut self) {
+        let mut backoff = StoreBackoff::default();
+        // A server may be started again at any time, so it is probed before each attempt.
+        while self.has_server_ended().await {
+            let Some(limit) = self.schedule.begin_attempt(BootClock.now()) else {
+                info!("registration not deleted in time; a balancer will delete it");
+                self.count("late");
+                return;
+            };
+            self.is_ending.cancel();
+            match self.attempt(limit).await {
+                Some(Unregistration::Failed(error, revision)) => {
+                    info!(%error, revision, "registration not deleted yet");
+                    self.count("failed");
+                    let longest = duration(Deregistration::MAX_PAUSE);
+                    let pause = backoff.record_failure("deregistration", &error, longest);
+                    let pause = Millis(pause.as_millis() as u64);
+                    sleep(duration(self.schedule.pause(pause, BootClock.now()))).await;
+                }
+                outcome => {
+                    let is_deleted = matches!(outcome, Some(Unregistration::Deleted));
+                    let attempts = self.schedule.attempts();
+                    info!(
+                        is_deleted,
+                        attempts, "deregistration ended: the server has ended"
+                    );
+                    self.count(if is_deleted { "deleted" } else { "kept" });
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn has_server_ended(&self) -> bool {
+        let is_leaving = self.record.borrow().is_leaving;
+        is_leaving && has_ended(self.server).await
+    }
+
+    /// Makes an attempt; returns `None` if the lease actor has ended.
+    async fn attempt(&self, limit: Millis) -> Option<Unregistration> {
+        let (reply, outcome) = oneshot::channel();
+        let message = LeaseMessage::Unregister(duration(limit), reply);
+        self.lease.send_message(message).ok()?;
+        outcome.await.ok()
+    }
+
+    fn count(&self, outcome: &'static str) {
+        NodeMetrics::count(&self.metrics.deregistrations, outcome);
+    }
+}
+
+fn duration(time: Millis) -> Duration {
+    Duration::from_millis(time.0)
+}
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -2,13 +2,6 @@
 
 use std::{
     net::SocketAddrV4,
-    sync::{
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-        Arc, //
-    },
     time::Duration, //
 };
 
@@ -16,6 +9,7 @@
 use carobdrum_platform::{
     agent_key,
     encode_agent_entry,
+    registered_keys,
     registration_key,
     StoreClient,
     StoreError,
@@ -28,6 +22,11 @@
     ActorRef,
     SpawnErr, //
 };
+use tokio::{
+    sync::oneshot,
+    time::timeout, //
+};
+use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 use super::store_backoff::{
@@ -49,6 +48,20 @@
     Retry,
     /// The lease is due for renewal, or a failed renewal for a retry.
     Renew,
+    /// The server has ended: try once, within this time, to delete the entry and the registration.
+    Unregister(Duration, oneshot::Sender<Unregistration>),
+}
+
+/// Outcome of an attempt to delete the entry and the registration.
+#[derive(Debug)]
+pub(crate) enum Unregistration {
+    /// Both are deleted.
+    Deleted,
+    /// There was nothing to delete, or another process has deleted or written the registration.
+    Kept,
+    /// The store didn't carry out the request, or its response is missing. The revision is that of the
+    /// registration as far as it is known.
+    Failed(StoreError, Option<u64>),
 }
 
 /// Arguments of a [`LeaseActor`].
@@ -58,8 +71,8 @@
     pub(crate) min_lease: Duration,
     /// Whether a registration without a lease is written with the entry.
     pub(crate) registers: bool,
-    /// Whether the registration is deleted when the actor is stopped, since the server has ended.
-    pub(crate) unregisters: Arc<AtomicBool>,
+    /// Ends all renewals and writes, also those in progress, so that only a deletion follows.
+    pub(crate) is_ending: CancellationToken,
 }
 
 /// State of a [`LeaseActor`].
@@ -71,9 +84,11 @@
     lease_ttl: Duration,
     lease: Option<u64>,
     registers: bool,
-    unregisters: Arc<AtomicBool>,
-    /// The registered agent, and the revision of its registration.
-    registration: Option<(SocketAddrV4, u64)>,
+    is_ending: CancellationToken,
+    /// Revision of the registration after the last write of which the store has told it.
+    registration: Option<u64>,
+    /// Leases of that write and of later ones, whose outcome is unknown.
+    used_leases: Vec<u64>,
     backoff: StoreBackoff,
 }
 
@@ -110,8 +125,9 @@
             lease_ttl: LEASE_TTL.max(arguments.min_lease),
             lease: None,
             registers: arguments.registers,
-            unregisters: arguments.unregisters,
+            is_ending: arguments.is_ending,
             registration: None,
+            used_leases: Vec::new(),
             backoff: StoreBackoff::default(),
         })
     }
@@ -137,6 +153,10 @@
                 let pause = state.renew_or_write().await;
                 myself.send_after(pause, || LeaseMessage::Renew);
             }
+            LeaseMessage::Unregister(limit, reply) => {
+                // The agent may have stopped waiting.
+                let _ = reply.send(state.unregister(limit).await);
+            }
         }
         Ok(())
     }
@@ -146,12 +166,9 @@
         _myself: ActorRef<LeaseMessage>,
         state: &mut LeaseState,
     ) -> Result<(), ActorProcessingErr> {
-        if state.unregister().await {
-            return Ok(());
-        }
         if state.registers {
-            // The server lives and may hold flows, so the agent isn't to be taken as gone before the next process
-            // has written the entry.
+            // Unless the keys are deleted, the server may live and hold flows, so the agent isn't to be taken as
+            // gone before the next process has written the entry.
             return Ok(());
         }
         if let Some(lease) = state.lease.take() {
@@ -177,9 +194,17 @@
         let Some(record) = self.record.clone() else {
             return RENEW_INTERVAL;
         };
-        let outcome = match self.lease {
-            Some(lease) if self.is_written => self.client.renew_lease(lease).await.map(|()| lease),
-            lease => self.write(&record, lease).await,
+        let is_ending = self.is_ending.clone();
+        let call = async {
+            match self.lease {
+                Some(lease) if self.is_written => {
+                    self.client.renew_lease(lease).await.map(|()| lease)
+                }
+                lease => self.write(&record, lease).await,
+            }
+        };
+        let Some(outcome) = is_ending.run_until_cancelled(call).await else {
+            return RENEW_INTERVAL;
         };
         match outcome {
             Ok(lease) => {
@@ -197,32 +222,71 @@
         }
     }
 
-    /// Deletes the entry and the registration if the server has ended; returns whether it did. Then the
-    /// lease has no keys and needs no end. Both keys stay if the registration has changed, as another
-    /// process may serve the address.
-    async fn unregister(&mut self) -> bool {
-        let Some((address, revision)) = self.registration else {
-            return false;
+    async fn unregister(&mut self, limit: Duration) -> Unregistration {
+        let Some(address) = self.record.as_ref().map(|record| record.address) else {
+            return Unregistration::Kept;
         };
-        if !self.unregisters.load(Ordering::Relaxed) {
-            return false;
+        let Ok(outcome) = timeout(limit, self.delete_keys(address)).await else {
+            let error = StoreError::Timeout { timeout: limit };
+            return Unregistration::Failed(error, self.registration);
+        };
+        match outcome {
+            Ok(is_deleted) => {
+                self.record = None;
+                if is_deleted {
+                    Unregistration::Deleted
+                } else {
+                    Unregistration::Kept
+                }
+            }
+            Err(error) => Unregistration::Failed(error, self.registration),
         }
+    }
+
+    /// Deletes the entry and the registration; returns whether it did. All keys stay if another process
+    /// has written the registration, as it may serve the address.
+    async fn delete_keys(&mut self, address: SocketAddrV4) -> Result<bool, StoreError> {
+        if let Some(revision) = self.registration {
+            match self.delete_at(address, revision).await {
+                Err(StoreError::Conflict) => {}
+                outcome => return outcome.map(|()| true),
+            }
+        }
+        let Some(revision) = self.find_own(address).await? else {
+            return Ok(false);
+        };
+        match self.delete_at(address, revision).await {
+            Err(StoreError::Conflict) => Ok(false),
+            outcome => outcome.map(|()| true),
+        }
+    }
+
+    /// Returns the revision of the registration if this process has written it, which its revision alone
+    /// doesn't show after a write without a response. The entry, which the same transaction has written,
+    /// then has a lease of this process, and the same revision or the one before.
+    async fn find_own(&mut self, address: SocketAddrV4) -> Result<Option<u64>, StoreError> {
         let (entry, registration) = (agent_key(address), registration_key(address));
+        let listing = self.client.list(&entry).await?;
+        let find = |key: &str| listing.items.iter().find(|item| item.key == key);
+        let leases = &self.used_leases;
+        let own = find(&entry).filter(|item| leases.contains(&item.lease));
+        let Some((own, registration)) = own.zip(find(&registration)) else {
+            return Ok(None);
+        };
+        let revision = registration.revision;
+        let is_same_write = revision == own.revision || revision == own.revision + 1;
+        Ok(is_same_write.then_some(revision))
+    }
+
+    async fn delete_at(&mut self, address: SocketAddrV4, revision: u64) -> Result<(), StoreError> {
+        let keys = registered_keys(address);
+        let deletes: Vec<&str> = keys.iter().map(|key| key.as_str()).collect();
         let transaction = StoreTransaction {
-            expected: &[(&registration, revision)],
-            deletes: &[&entry, &registration],
+            expected: &[(&registration_key(address), revision)],
+            deletes: &deletes,
             ..StoreTransaction::default()
         };
-        match self.client.commit(&transaction).await {
-            Ok(_) => {
-                info!(agent = %address, "registration deleted: the server has ended");
-                true
-            }
-            Err(error) => {
-                info!(%error, "registration not deleted; a balancer will delete it");
-                false
-            }
-        }
+        self.client.commit(&transaction).await.map(|_| ())
     }
 
     /// Writes the entry under `lease`, or under a new one.
@@ -249,13 +313,15 @@
                     lease: 0,
                 },
             ];
-            self.registration = None;
             let transaction = StoreTransaction {
                 puts: &puts,
                 ..StoreTransaction::default()
             };
-            let revision = self.client.commit(&transaction).await?;
-            self.registration = revision.map(|revision| (record.address, revision));
+            if !self.used_leases.contains(&lease) {
+                self.used_leases.push(lease);
+            }
+            self.registration = self.client.commit(&transaction).await?;
+            self.used_leases = vec![lease];
         } else {
             self.client.put(&key, &value, lease).await?;
         }
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod boot_clock;
 mod config_tasks;
 mod config_tracker;
+mod deregistration_task;
 mod hedged_read;
 mod held_metrics;
 mod http_port;
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -60,6 +60,8 @@
     pub(crate) agents: Gauge,
     /// Registrations of agents that are gone, by what became of them at a balancer.
     pub(crate) registrations: Family<CauseLabel, Counter>,
+    /// Attempts to delete the registration of an agent whose server has ended, by outcome.
+    pub(crate) deregistrations: Family<CauseLabel, Counter>,
     /// Complete listings of the agents' keys.
     pub(crate) listings: Counter,
     /// Probes of a silent server, by outcome.
@@ -89,6 +91,7 @@
             revision: Gauge::default(),
             agents: Gauge::default(),
             registrations: Family::default(),
+            deregistrations: Family::default(),
             listings: Counter::default(),
             probed_servers: Family::default(),
             response_time: Histogram::new(RESPONSE_TIME_BOUNDS),
@@ -154,6 +157,11 @@
             "Registrations of agents that are gone",
             m.registrations,
         );
+        registry.register(
+            "deregistrations",
+            "Attempts to delete the registration of an agent whose server has ended",
+            m.deregistrations,
+        );
         registry.register(
             "agent_listings",
             "Complete listings of the agents",
--- a/components/forwarder/tests/config_search.rs
+++ b/components/forwarder/tests/config_search.rs
@@ -91,6 +91,7 @@
         key: CONFIG.into(),
         value: value.into(),
         revision,
+        lease: 0,
     }
 }
 
@@ -99,6 +100,7 @@
         key: evacuation_key(CENTRE),
         value: b"{}".to_vec(),
         revision,
+        lease: 0,
     }
 }
 
--- a/components/forwarder/tests/config_tracker.rs
+++ b/components/forwarder/tests/config_tracker.rs
@@ -22,6 +22,7 @@
         key: key.into(),
         value: value.into(),
         revision,
+        lease: 0,
     }
 }
 
--- a/components/forwarder/tests/route_changes.rs
+++ b/components/forwarder/tests/route_changes.rs
@@ -82,6 +82,7 @@
         key: "op/config".into(),
         value: value.into(),
         revision: version,
+        lease: 0,
     }
 }
 
--- a/tests/platform_roles/registrations.rs
+++ b/tests/platform_roles/registrations.rs
@@ -5,7 +5,10 @@
         Ipv4Addr,
         TcpListener, //
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use carobdrum_platform_standins::{
@@ -138,6 +141,84 @@
     assert_eq!(store.keys("agents/").len(), 2);
 }
 
+/// Starts an agent whose server has sent a heartbeat, and then, in this mode of the store, one that says that
+/// it drains.
+async fn start_draining(store: &LeaseServer, mode: StoreMode) -> RoleProcess {
+    let agent = start_registered(store).await;
+    wait_for_keys(store, 2, STATE_TIMEOUT).await;
+    store.set_mode(mode);
+    agent.send_heartbeat(1, 2, "draining").await;
+    sleep(Duration::from_millis(300)).await;
+    agent
+}
+
+/// Guards against registrations that stay although the store is back before the agent is killed, also if it
+/// has not answered the write that showed the server to be leaving.
+#[rstest]
+#[case::refuses(StoreMode::Unavailable, StoreMode::Unavailable)]
+#[case::is_silent(StoreMode::Unresponsive, StoreMode::Unresponsive)]
+#[case::is_silent_during_the_shutdown(StoreMode::Open, StoreMode::Unresponsive)]
+#[case::writes_unanswered(StoreMode::DropsWriteResponses, StoreMode::Unavailable)]
+#[case::nothing_answered(StoreMode::DropsWriteResponses, StoreMode::DropsWriteResponses)]
+#[tokio::test]
+async fn shutdown_deletes_the_registration_after_an_outage_of_the_store(
+    #[case] before: StoreMode,
+    #[case] during: StoreMode,
+) {
+    let store = start_store().await;
+    let mut agent = start_draining(&store, before).await;
+    store.set_mode(during);
+    agent.signal(libc::SIGTERM);
+    sleep(Duration::from_secs(2)).await;
+    store.set_mode(StoreMode::Open);
+    wait_for_keys(&store, 0, Duration::from_millis(1_500)).await;
+    agent.wait_for_exit().await;
+    assert_eq!(store.keys("agents/").len(), 0);
+}
+
+/// Guards against an agent that is killed since it waits for the store beyond its grace period, six seconds.
+#[tokio::test]
+async fn shutdown_ends_in_time_without_the_store() {
+    let store = start_store().await;
+    let mut agent = start_draining(&store, StoreMode::Unresponsive).await;
+    let begin = Instant::now();
+    agent.signal(libc::SIGTERM);
+    sleep(Duration::from_secs(4)).await;
+    assert!(
+        agent.child.try_wait().unwrap().is_none(),
+        "it must still try"
+    );
+    agent.wait_for_exit().await;
+    assert!(begin.elapsed() < Duration::from_secs(6));
+    let registration = format!("agents/{}/registered", agent.packets);
+    assert!(store.keys("agents/").contains(&registration.into()));
+}
+
+/// Guards against the deletion of a registration that another process has written, or whose server was started
+/// again, while the agent waited for the store.
+#[rstest]
+#[case::another_process_has_registered(true)]
+#[case::server_was_started_again(false)]
+#[tokio::test]
+async fn shutdown_keeps_the_registration_of_a_later_run(#[case] is_registered: bool) {
+    let store = start_store().await;
+    let mut agent = start_draining(&store, StoreMode::Unavailable).await;
+    agent.signal(libc::SIGTERM);
+    sleep(Duration::from_secs(1)).await;
+    let _listener = if is_registered {
+        store.put(&format!("agents/{}", agent.packets), VALUE);
+        store.put(&format!("agents/{}/registered", agent.packets), VALUE);
+        None
+    } else {
+        Some(TcpListener::bind(agent.backend).unwrap())
+    };
+    sleep(Duration::from_millis(700)).await;
+    store.set_mode(StoreMode::Open);
+    agent.wait_for_exit().await;
+    let registration = format!("agents/{}/registered", agent.packets);
+    assert!(store.keys("agents/").contains(&registration.into()));
+}
+
 /// Guards against registrations that stay for ever, and against the deletion of those of agents that have an
 /// entry or an older lifetime.
 #[tokio::test]
