Reset the flows of a server's former run after a loss of power

Cause: after a loss of power no process knows which flows were open, so that callers learn of the loss only by a search for each flow, and idle callers with their next request. Change: with `save_flows_s` in the table [flows], an agent saves the long flows of its server under `saved/IP:PORT`. Its next process reads the list; once an applied heartbeat names a later run of the server, it answers packets of these flows with resets and resets the idle ones one after the other. The deletions of the registration by the agent and by balancers include the key. The time from which the server has served a flow replaces a boolean: only flows served before a heartbeat of the run are saved under its name.

--- a/components/flows/src/connection/flow_entry.rs
+++ b/components/flows/src/connection/flow_entry.rs
@@ -68,9 +68,9 @@
     /// Sequence number after the caller's data that the server has got, kept only while requests are
     /// scheduled; `None` before the first data.
     pub caller_sent: Option<u32>,
-    /// Whether the server has sent more than the acceptance of the flow, so that it certainly held
-    /// it.
-    pub is_served: bool,
+    /// Time from which the server has sent more than the acceptance of the flow, so that it certainly
+    /// held it; `None` before.
+    pub served_since: Option<Millis>,
     /// Time of the first packet.
     pub first_used: Millis,
     /// Whether balancers find the owner by its rank.
@@ -86,7 +86,7 @@
             server_window: None,
             caller_expects: 0,
             caller_sent: None,
-            is_served: false,
+            served_since: None,
             first_used: now,
             is_firm: header.is_firm,
             informed: Vec::new(),
@@ -177,7 +177,7 @@
         }
         self.stage = FlowStage::Opening;
         self.caller_sent = None;
-        self.is_served = false;
+        self.served_since = None;
         self.caller_done = false;
         self.server_done = false;
     }
@@ -192,7 +192,7 @@
     /// Returns whether the server held the flow until now and would have answered its packets. No
     /// other server can hold it then.
     pub fn is_certainly_open(&self) -> bool {
-        self.stage == FlowStage::Open && self.is_served
+        self.stage == FlowStage::Open && self.served_since.is_some()
     }
 
     /// Returns whether the server may hold the flow after the entry has been removed.
--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -1,5 +1,6 @@
 //! Flow tracking of an agent: decides about each packet to and from its backend server.
 
+mod former;
 mod held;
 mod later;
 mod opening;
@@ -23,6 +24,7 @@
     FailureRate,
     FlowEntry,
     FlowStage,
+    FormerFlows,
     LoadEstimate,
     RecentFlows,
     RedirectCause,
@@ -122,6 +124,8 @@
     recent_flows: RecentFlows,
     /// Flows of a server that has ended, which are to be reset.
     lost_flows: Vec<(FlowKey, ResetCause)>,
+    /// Flows of a run of the server that ended before the agent started.
+    former: FormerFlows,
     /// Requests that wait for a slot.
     requests: RequestQueue,
     /// Whether requests wait for a slot that they have to share with requests of another class.
@@ -150,6 +154,7 @@
             return_pause: ReturnPause::default(),
             recent_flows: RecentFlows::default(),
             lost_flows: Vec::new(),
+            former: FormerFlows::default(),
             requests: RequestQueue::default(),
             is_scheduling: false,
             stopping: false,
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -33,6 +33,9 @@
             self.redirect_later(packet, header, RedirectCause::Followed, actions);
             return;
         }
+        if self.reset_former(packet, now, actions) {
+            return;
+        }
         let knows_all = self.coverage.is_complete(self.settings.flow_lifetime, now);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
             if knows_all {
@@ -165,7 +168,9 @@
         };
         entry.last_used = now;
         entry.opening_packet = None;
-        entry.is_served |= packet.kind != PacketKind::Accept;
+        if packet.kind != PacketKind::Accept {
+            entry.served_since.get_or_insert(now);
+        }
         if let Some(window) = &mut entry.server_window {
             window.extend(packet.sequence, packet.data_len);
         }
@@ -231,10 +236,17 @@
         now: Millis,
         actions: &mut Vec<TrackerAction>,
     ) {
+        let is_former = !packet.is_open() && self.reset_former(packet, now, actions);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
-            actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
+            if !is_former {
+                actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
+            }
             return;
         };
+        if is_former {
+            entry.stage = FlowStage::NotHeld;
+            return;
+        }
         if entry.is_certainly_open() && !packet.is_open() {
             self.cold.mark_unknown(now);
             self.reset_flow(packet.key, ResetCause::Returned, actions);
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -42,6 +42,7 @@
         actions: &mut Vec<TrackerAction>,
     ) {
         let key = packet.key;
+        self.former.remove(key);
         if let Some(entry) = self.flows.get_mut(&key) {
             match entry.stage {
                 FlowStage::Opening | FlowStage::Open => {
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -2,13 +2,16 @@
 
 mod failure_rate;
 mod flow_entry;
+mod flow_saver;
 mod flow_tracker;
+mod former_flows;
 mod load_estimate;
 mod packet_arena;
 mod recent_flows;
 mod request_queue;
 mod request_release;
 mod return_pause;
+mod saved_flows;
 mod sequence_window;
 mod slot_policy;
 mod tracker_action;
@@ -20,11 +23,18 @@
     FlowEntry,
     FlowStage, //
 };
+pub use flow_saver::FlowSaver;
 pub use flow_tracker::{
     FlowTracker,
     ServerSilence,
     TrackerSettings, //
 };
+pub use former_flows::{
+    FormerFlows,
+    FormerOutcome,
+    SettledList,
+    RESET_WINDOW, //
+};
 pub use load_estimate::LoadEstimate;
 pub use recent_flows::RecentFlows;
 pub use request_queue::{
@@ -36,6 +46,11 @@
     RequestRelease, //
 };
 pub use return_pause::ReturnPause;
+pub use saved_flows::{
+    SavedFlow,
+    SavedFlows,
+    MAX_SAVED_FLOWS, //
+};
 pub use sequence_window::SequenceWindow;
 pub use slot_policy::SlotPolicy;
 pub use tracker_action::{
--- a/components/flows/src/connection/tracker_action.rs
+++ b/components/flows/src/connection/tracker_action.rs
@@ -73,15 +73,26 @@
     Restarted,
     /// The server has ended.
     Ended,
+    /// The server's former run held the flow, and a packet of it has come.
+    FormerPacket,
+    /// The server's former run held the flow, whose caller may be idle.
+    FormerPaced,
 }
 
 impl ResetCause {
+    /// Returns whether a former run of the server held the flow.
+    pub fn is_former(self) -> bool {
+        matches!(self, ResetCause::FormerPacket | ResetCause::FormerPaced)
+    }
+
     /// Returns the name that logs show.
     pub fn name(self) -> &'static str {
         match self {
             ResetCause::Returned => "returned",
             ResetCause::Restarted => "restarted",
             ResetCause::Ended => "ended",
+            ResetCause::FormerPacket => "former_packet",
+            ResetCause::FormerPaced => "former_paced",
         }
     }
 }
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -6,7 +6,8 @@
 use super::{
     BackendHeartbeat,
     BackendState,
-    HeartbeatOutcome, //
+    HeartbeatOutcome,
+    ServerRun, //
 };
 
 /// Liveness of the backend server beside an agent, from its heartbeats and packets.
@@ -139,6 +140,17 @@
         self.rival.is_some()
     }
 
+    /// Returns the run of the server, which was live when it sent its last heartbeat at this time or later; `None`
+    /// before the first heartbeat, and while it is unclear which run is live.
+    pub fn live_run(&self) -> Option<(ServerRun, Millis)> {
+        let heartbeat = self.heartbeat.as_ref().filter(|_| !self.is_contested())?;
+        let run = ServerRun {
+            server_id: heartbeat.id.clone(),
+            started_ms: heartbeat.started_ms,
+        };
+        Some((run, self.last_heartbeat))
+    }
+
     /// Returns whether the server is shutting down or has deregistered.
     pub fn is_leaving(&self) -> bool {
         let heartbeat = self.heartbeat.as_ref();
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -28,6 +28,7 @@
 mod route_action;
 mod router_options;
 mod search_action;
+mod server_run;
 mod server_weight;
 mod service_load;
 mod service_speed;
@@ -67,6 +68,7 @@
     SearchAction,
     SearchEnd, //
 };
+pub use server_run::ServerRun;
 pub use spilled_flow::SpilledFlow;
 pub use weight_change::WeightChange;
 pub use weighted_cost::weighted_cost;
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -1,5 +1,6 @@
 //! Traffic thread of an agent.
 
+mod former_flows;
 mod received_packets;
 mod tracker_actions;
 
@@ -133,7 +134,8 @@
         let now = self.clock.now();
         let opening = self.tracker.next_opening_deadline();
         let held = self.tracker.next_held_deadline(now);
-        let due = opening.into_iter().chain(held).min();
+        let former = self.tracker.next_former_reset();
+        let due = opening.into_iter().chain(held).chain(former).min();
         due.map_or(IDLE_WAIT, |due| Duration::from_millis(due.since(now).0))
     }
 
@@ -146,6 +148,7 @@
                 // The requester may have stopped waiting.
                 let _ = answer.send(self.backend_outcome(outcome));
                 self.reset_lost_flows();
+                self.settle_former_flows(now);
             }
             AgentUpdate::Deregister(id, answer) => {
                 let outcome = if self.tracker.deregister(&id) {
@@ -163,6 +166,14 @@
                 let _ = answer.send(self.tracker.server_silence(now));
                 return;
             }
+            AgentUpdate::FormerFlows(list, expires) => {
+                self.tracker.set_former_flows(list, expires);
+                self.settle_former_flows(now);
+            }
+            AgentUpdate::FindLongFlows(answer) => {
+                let _ = answer.send(self.tracker.long_flows(unix_millis(), now));
+                return;
+            }
             AgentUpdate::EndedIn(silence) => {
                 if self.tracker.note_ended_in(silence) {
                     self.reset_lost_flows();
@@ -205,6 +216,7 @@
             tracker.check_openings(now, actions);
             tracker.send_held(now, actions);
         });
+        self.reset_former_flows(now);
     }
 
     fn tick(&mut self) {
@@ -222,6 +234,7 @@
             .revision
             .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
         self.tracker.expire(now);
+        self.settle_former_flows(now);
         self.announce_long_flows(now);
         self.reporter
             .tick(&mut self.tracker, &mut self.packets, now);
--- a/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
+++ b/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
@@ -81,6 +81,9 @@
                 }
                 TrackerAction::Reset(key, sequence, cause) => {
                     NodeMetrics::count(&self.metrics.refused, "lost");
+                    if cause.is_former() {
+                        NodeMetrics::count(&self.metrics.saved.resets, cause.name());
+                    }
                     self.log.reset(key, cause);
                     let to = self.caller_port(key);
                     self.packets.send(&reset_packet(key, sequence), to);
--- a/components/forwarder/src/connection/agent_update.rs
+++ b/components/forwarder/src/connection/agent_update.rs
@@ -2,7 +2,10 @@
 
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    connection::ServerSilence,
+    connection::{
+        SavedFlows,
+        ServerSilence, //
+    },
     process::{
         BackendHeartbeat,
         HeartbeatOutcome, //
@@ -28,6 +31,10 @@
     FindSilence(oneshot::Sender<Option<ServerSilence>>),
     /// The server has ended in this silence.
     EndedIn(ServerSilence),
+    /// Flows that the agent's former process has saved, and the time from which none of them lives.
+    FormerFlows(SavedFlows, Millis),
+    /// Asks for the long flows that the server holds, to save them; the reply is `None` if there is nothing to save.
+    FindLongFlows(oneshot::Sender<Option<SavedFlows>>),
     /// The process is shutting down; the reply is sent when no flow is open.
     Stop(oneshot::Sender<()>),
 }
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -55,6 +55,10 @@
 };
 
 use super::{
+    flow_saving::{
+        save_flows,
+        FlowSavingArguments, //
+    },
     http_port::serve_requests,
     lease_actor::{
         spawn_lease,
@@ -145,6 +149,7 @@
         min_lease: Duration::from_millis(settings.store.min_lease_ms),
         registers: settings.flows.reset_lost,
         unregisters: unregisters.clone(),
+        saves_flows: settings.flows.save_flows_s > 0,
     };
     let lease = spawn_lease(arguments).await.context(ActorSnafu)?;
     let writer = EntryWriter {
@@ -164,6 +169,16 @@
         let metrics = context.metrics.clone();
         tokio::task::spawn_local(watch_silence(server, updates.clone(), metrics));
     }
+    if settings.flows.save_flows_s > 0 {
+        tokio::task::spawn_local(save_flows(FlowSavingArguments {
+            store: settings.store.address,
+            agent: node.packets,
+            interval: Millis(u64::from(settings.flows.save_flows_s) * 1_000),
+            flow_lifetime: flow_lifetime(node),
+            updates: updates.clone(),
+            metrics: context.metrics.clone(),
+        }));
+    }
     loop {
         tokio::select! {
             _ = context.stop.recv() => break,
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -134,7 +134,8 @@
             cleanup: cleanup.clone(),
         });
         let metrics = context.metrics.clone();
-        tokio::task::spawn_local(clean_registrations(store, cleanup, metrics));
+        let saves_flows = settings.flows.save_flows_s > 0;
+        tokio::task::spawn_local(clean_registrations(store, cleanup, saves_flows, metrics));
     }
     tokio::task::spawn_local(follow_agents(
         state.clone(),
--- a/components/forwarder/src/process/hedged_read.rs
+++ b/components/forwarder/src/process/hedged_read.rs
@@ -36,7 +36,7 @@
 /// Returns the error of the last request when all have failed.
 pub(super) async fn list_hedged(
     store: SocketAddrV4,
-    prefix: &'static str,
+    prefix: &str,
 ) -> Result<(StoreClient, StoreListing), StoreError> {
     let mut calls = FuturesUnordered::new();
     loop {
@@ -63,7 +63,7 @@
 
 async fn list_once(
     store: SocketAddrV4,
-    prefix: &'static str,
+    prefix: &str,
 ) -> Result<(StoreClient, StoreListing), StoreError> {
     let mut client = StoreClient::new(store, CALL_TIMEOUT);
     let listing = client.list(prefix).await?;
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -17,6 +17,7 @@
     agent_key,
     encode_agent_entry,
     registration_key,
+    saved_key,
     StoreClient,
     StoreError,
     StorePut,
@@ -60,6 +61,8 @@
     pub(crate) registers: bool,
     /// Whether the registration is deleted when the actor is stopped, since the server has ended.
     pub(crate) unregisters: Arc<AtomicBool>,
+    /// Whether the agent saves flows, whose key is deleted with the registration.
+    pub(crate) saves_flows: bool,
 }
 
 /// State of a [`LeaseActor`].
@@ -72,6 +75,7 @@
     lease: Option<u64>,
     registers: bool,
     unregisters: Arc<AtomicBool>,
+    saves_flows: bool,
     /// The registered agent, and the revision of its registration.
     registration: Option<(SocketAddrV4, u64)>,
     backoff: StoreBackoff,
@@ -111,6 +115,7 @@
             lease: None,
             registers: arguments.registers,
             unregisters: arguments.unregisters,
+            saves_flows: arguments.saves_flows,
             registration: None,
             backoff: StoreBackoff::default(),
         })
@@ -208,9 +213,12 @@
             return false;
         }
         let (entry, registration) = (agent_key(address), registration_key(address));
+        let saved = saved_key(address);
+        let keys = [entry.as_str(), registration.as_str(), saved.as_str()];
+        let deleted = if self.saves_flows { 3 } else { 2 };
         let transaction = StoreTransaction {
             expected: &[(&registration, revision)],
-            deletes: &[&entry, &registration],
+            deletes: &keys[..deleted],
             ..StoreTransaction::default()
         };
         match self.client.commit(&transaction).await {
--- a/components/forwarder/src/process/registration_cleaner.rs
+++ b/components/forwarder/src/process/registration_cleaner.rs
@@ -11,6 +11,7 @@
 use carobdrum_platform::{
     agent_key,
     registration_key,
+    saved_key,
     StoreClient,
     StoreError,
     StoreTransaction, //
@@ -32,10 +33,12 @@
 /// just become available again.
 const CONFIRM_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Deletes registrations that `cleanup` names, until the process ends.
+/// Deletes registrations that `cleanup` names, until the process ends, and the flows that their agents have saved if
+/// `saves_flows` is set.
 pub(crate) async fn clean_registrations(
     store: SocketAddrV4,
     cleanup: Rc<RefCell<RegistrationCleanup>>,
+    saves_flows: bool,
     metrics: NodeMetrics,
 ) {
     let mut client = StoreClient::new(store, CALL_TIMEOUT);
@@ -53,7 +56,7 @@
                 if !cleanup.borrow().is_orphaned(agent, revision) {
                     continue;
                 }
-                delete(&mut client, agent, revision).await
+                delete(&mut client, agent, revision, saves_flows).await
             }
             Err(error) => Err(error),
         };
@@ -93,11 +96,15 @@
     client: &mut StoreClient,
     agent: SocketAddrV4,
     revision: u64,
+    saves_flows: bool,
 ) -> Result<(), StoreError> {
     let (entry, registration) = (agent_key(agent), registration_key(agent));
+    let saved = saved_key(agent);
+    let keys = [registration.as_str(), saved.as_str()];
+    let deleted = if saves_flows { 2 } else { 1 };
     let transaction = StoreTransaction {
         expected: &[(&entry, 0), (&registration, revision)],
-        deletes: &[&registration],
+        deletes: &keys[..deleted],
         ..StoreTransaction::default()
     };
     client.commit(&transaction).await.map(|_| ())
--- a/components/settings/src/flow_options.rs
+++ b/components/settings/src/flow_options.rs
@@ -2,8 +2,10 @@
 
 use carobdrum_core::{
     FieldKind,
-    FieldSchema, //
+    FieldSchema,
+    ParsedFile, //
 };
+use compact_str::ToCompactString;
 use serde::Deserialize;
 
 /// Default of the time for which the entry of an agent has to be missing before its registration is deleted:
@@ -18,12 +20,21 @@
     max: MAX_RETENTION_S,
 };
 
+/// Longest interval at which an agent saves its long flows, in seconds.
+const MAX_SAVE_FLOWS_S: u32 = 60;
+
+const SAVE_FLOWS_S: FieldKind = FieldKind::Number {
+    min: 0,
+    max: MAX_SAVE_FLOWS_S,
+};
+
 /// Schema of the section of the options.
 pub(crate) const OPTIONS_SCHEMA: &[FieldSchema] = &[
     FieldSchema::optional("reset_lost", FieldKind::Boolean),
     FieldSchema::optional("registration_retention_s", RETENTION_S),
     FieldSchema::optional("schedule_requests", FieldKind::Boolean),
     FieldSchema::optional("weigh_servers", FieldKind::Boolean),
+    FieldSchema::optional("save_flows_s", SAVE_FLOWS_S),
 ];
 
 /// Optional features of a process that forwards opaque flows; each is off if absent.
@@ -39,6 +50,22 @@
     pub schedule_requests: bool,
     /// Whether balancers place new flows by the speed and the open flows of the servers.
     pub weigh_servers: bool,
+    /// Interval at which an agent saves its long flows in the store, in seconds; 0 if it saves none.
+    pub save_flows_s: u32,
+}
+
+impl FlowOptions {
+    /// Checks that the options agree with each other, and adds each contradiction to `file`.
+    pub(crate) fn check(&self, file: &mut ParsedFile) {
+        if self.save_flows_s > 0 && !self.reset_lost {
+            let allowed = "0, unless `reset_lost` is true";
+            file.add(
+                "flows.save_flows_s",
+                self.save_flows_s.to_compact_string(),
+                allowed,
+            );
+        }
+    }
 }
 
 impl Default for FlowOptions {
@@ -48,6 +75,7 @@
             registration_retention_s: DEFAULT_RETENTION_S,
             schedule_requests: false,
             weigh_servers: false,
+            save_flows_s: 0,
         }
     }
 }
--- a/components/settings/src/settings_text.rs
+++ b/components/settings/src/settings_text.rs
@@ -60,7 +60,10 @@
 ///
 /// Returns [`SettingsError::Faulty`] with all faults, and other errors if `path` can't be read.
 pub fn read_flow_settings(path: &Path) -> Result<FlowSettings, SettingsError> {
-    read_checked(path, FLOW_SCHEMA, |_: &mut FlowSettings, _, _| ())
+    let check = |settings: &mut FlowSettings, _: &Path, file: &mut ParsedFile| {
+        settings.flows.check(file);
+    };
+    read_checked(path, FLOW_SCHEMA, check)
 }
 
 /// Parses the content of the settings file of a process that forwards opaque flows.
@@ -70,7 +73,10 @@
 /// Returns all faults of the content.
 pub fn parse_flow_settings(bytes: &[u8]) -> Result<FlowSettings, Vec<FileFault>> {
     let mut file = ParsedFile::read(bytes, MAX_SETTINGS_BYTES, FLOW_SCHEMA);
-    let settings = file.value();
+    let settings: Option<FlowSettings> = file.value();
+    if let Some(settings) = &settings {
+        settings.flows.check(&mut file);
+    }
     file.finish(settings)
 }
 
--- a/components/settings/tests/settings_files.rs
+++ b/components/settings/tests/settings_files.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use carobdrum_settings::{
+    parse_flow_settings,
     read_agent,
     read_balancer,
     read_flow_settings,
@@ -217,3 +218,30 @@
     let (_kept, path) = folder(&text.replace("true", "'yes'"));
     assert!(read_flow_settings(&path).is_err());
 }
+
+/// Guards against an agent that saves flows in the store although nothing resets lost ones, and against intervals that
+/// are out of range.
+#[rstest]
+#[case::contradiction(
+    "save_flows_s = 4",
+    Some(":12: flows.save_flows_s: found 4; allowed: 0, unless")
+)]
+#[case::too_long(
+    "reset_lost = true\nsave_flows_s = 61",
+    Some(":13: flows.save_flows_s: found 61")
+)]
+#[case::longest("reset_lost = true\nsave_flows_s = 60", None)]
+#[case::off("save_flows_s = 0", None)]
+fn interval_of_saves_is_checked(#[case] options: &str, #[case] line: Option<&str>) {
+    let text = format!("{FLOW_NODE}{FLOW_STORE}[flows]\n{options}\n");
+    let parsed = parse_flow_settings(text.as_bytes());
+    let (_kept, path) = folder(&text);
+    let lines = lines(read_flow_settings(&path));
+    assert_eq!(
+        (lines.is_empty(), parsed.is_ok()),
+        (line.is_none(), line.is_none())
+    );
+    if let Some(line) = line {
+        assert!(lines.len() == 1 && lines[0].starts_with(line), "{lines:?}");
+    }
+}
