--- a/components/flows/tests/saved_flows.rs
+++ b/components/flows/tests/saved_flows.rs
@@ -237,6 +237,22 @@
         .any(|action| matches!(action, TrackerAction::Reset(..))));
 }
 
+/// Guards against the reset of a flow that was opened before the first heartbeat, when the list isn't settled yet.
+#[test]
+fn flows_reopened_before_the_first_heartbeat_are_kept() {
+    let mut tracker = tracker();
+    tracker.set_former_flows(list([1, 2]), EXPIRES);
+    forward(&mut tracker, &open_packet(1), header(&[1]), START);
+    tracker.expire(Millis(30_000));
+    beat(&mut tracker, 200, 1, Millis(30_000));
+    let settled = tracker.settle_former_flows(Millis(30_000)).unwrap();
+    assert_eq!(settled.flows, 1);
+    assert_eq!(
+        paced(&mut tracker, Millis(30_000)),
+        reset(2, SEQUENCE, ResetCause::FormerPaced)
+    );
+}
+
 /// Guards against the reset of a flow with the same endpoints that a live server holds although its opening packet
 /// didn't come here: its sequence numbers differ, its owner announces itself, or the own server sends packets.
 #[rstest]
@@ -338,6 +354,21 @@
     assert_eq!(tracker.long_flows(1, Millis(1_300)), None, "contested");
 }
 
+/// Guards against resets that callers ignore: after a restart of the agent alone, its server's packet shows that it
+/// holds a flow, but not what the caller expects.
+#[test]
+fn flows_whose_sequence_number_is_unknown_are_not_saved() {
+    let mut tracker = tracker();
+    beat(&mut tracker, 100, 9, START);
+    forward(&mut tracker, &later(1, 70), header(&[]), START);
+    backend(&mut tracker, &packet(1, PacketKind::Data), START);
+    beat(&mut tracker, 100, 10, Millis(1_200));
+    let flows = |tracker: &FlowTracker| tracker.long_flows(1, Millis(1_200)).unwrap().flows;
+    assert!(flows(&tracker).is_empty());
+    forward(&mut tracker, &later(1, 80), header(&[]), Millis(1_200));
+    assert_eq!(flows(&tracker)[0].sequence, 80);
+}
+
 /// Guards against values that grow with the flows of a server.
 #[test]
 fn the_most_recently_used_flows_are_saved() {
--- a/tests/platform_roles/main.rs
+++ b/tests/platform_roles/main.rs
@@ -4,6 +4,7 @@
 mod open_flows;
 mod registrations;
 mod role_process;
+mod saved_flows;
 mod silent_servers;
 
 use std::{
--- a/tests/platform_roles/open_flows.rs
+++ b/tests/platform_roles/open_flows.rs
@@ -31,6 +31,7 @@
 use crate::role_process::{
     free_port,
     heartbeat_body,
+    spawn,
     start_agent_with,
     RoleProcess, //
     STATE_TIMEOUT,
@@ -45,7 +46,7 @@
 const CALLER_PORT: u16 = 40_001;
 
 /// First sequence number of the server.
-const SERVER_SEQUENCE: u32 = 0x7000_0000;
+pub(crate) const SERVER_SEQUENCE: u32 = 0x7000_0000;
 
 /// Time for which a caller waits for a reset that must not come.
 const QUIET_DURATION: Duration = Duration::from_millis(700);
@@ -61,7 +62,7 @@
     caller: UdpSocket,
     balancer: UdpSocket,
     server: UdpSocket,
-    _store: LeaseServer,
+    pub(crate) store: LeaseServer,
 }
 
 impl FlowSite {
@@ -87,12 +88,12 @@
             balancer: UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap(),
             server: UdpSocket::bind(agent.backend).await.unwrap(),
             agent,
-            _store: store,
+            store,
         }
     }
 
     /// Sends a caller's packet to the agent, as its balancer does without another candidate.
-    async fn forward(&self, flags: u8, acknowledged: u32, data: &[u8]) {
+    pub(crate) async fn forward(&self, flags: u8, acknowledged: u32, data: &[u8]) {
         let packet = EndpointPacket {
             from: SocketAddrV4::new(CALLER_IP, CALLER_PORT),
             to: ROUTE,
@@ -154,10 +155,22 @@
         );
     }
 
+    /// Kills the agent and starts it again.
+    pub(crate) fn restart_agent(&mut self) {
+        self.agent.child.kill().unwrap();
+        self.agent.child.wait().unwrap();
+        self.agent.child = spawn("agent", self.agent._folder.path());
+    }
+
+    /// Returns the sequence number of a reset that the caller gets; `None` without one.
+    pub(crate) async fn reset_sequence(&self) -> Option<u32> {
+        let packet = receive(&self.caller, QUIET_DURATION).await?;
+        (packet.flags & flags::RST != 0).then_some(packet.sequence)
+    }
+
     /// Returns whether the caller gets a reset.
     pub(crate) async fn is_reset(&self) -> bool {
-        let packet = receive(&self.caller, QUIET_DURATION).await;
-        packet.is_some_and(|packet| packet.flags & flags::RST != 0)
+        self.reset_sequence().await.is_some()
     }
 }
 
