Merge the saved flows

Change: the saved flows are one of the keys that end with a registration, instead of a flag of their own.

--- a/components/forwarder/src/process/registration_cleaner.rs
+++ b/components/forwarder/src/process/registration_cleaner.rs
@@ -11,6 +11,7 @@
 use carobdrum_platform::{
     agent_key,
     registration_key,
+    saved_key,
     StoreClient,
     StoreError,
     StoreTransaction, //
@@ -32,7 +33,7 @@
 /// just become available again.
 const CONFIRM_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Deletes registrations that `cleanup` names, until the process ends.
+/// Deletes registrations that `cleanup` names, and the flows that their agents have saved, until the process ends.
 pub(crate) async fn clean_registrations(
     store: SocketAddrV4,
     cleanup: Rc<RefCell<RegistrationCleanup>>,
@@ -97,7 +98,7 @@
     let (entry, registration) = (agent_key(agent), registration_key(agent));
     let transaction = StoreTransaction {
         expected: &[(&entry, 0), (&registration, revision)],
-        deletes: &[&registration],
+        deletes: &[&registration, &saved_key(agent)],
         ..StoreTransaction::default()
     };
     client.commit(&transaction).await.map(|_| ())
