Let resets of former flows wait for room at the server

Cause: with the saved flows, all callers return at once after a loss of power of a site. Change: a former flow is reset while fewer than two requests for each slot are in progress at the agent's server; otherwise when they are, or 800 ms after the first packet of its caller.

--- a/components/flows/src/connection/flow_tracker/former.rs
+++ b/components/flows/src/connection/flow_tracker/former.rs
@@ -23,6 +23,9 @@
     },
 };
 
+/// Multiple of the slots below which requests in progress leave room for callers that return.
+const ROOM_SLOT_FACTOR: u32 = 2;
+
 impl FlowTracker {
     /// Returns the long flows that the live run of the server certainly holds, to be saved at `unix_ms`. Returns
     /// `None` if no run is known to be live, or if there is no such flow and the list of a former run is still of
@@ -70,23 +73,24 @@
     /// Resets the flows of the former run that are due, so that their callers learn of the loss before their
     /// next request.
     pub fn reset_former_flows(&mut self, now: Millis, actions: &mut Vec<TrackerAction>) {
-        while let Some(flow) = self.former.take_due(self.load.slots(), now) {
+        let (slots, has_room) = (self.load.slots(), self.has_room());
+        while let Some((flow, cause)) = self.former.take_due(slots, has_room, now) {
             if self.is_reopened(flow.key, now) {
                 self.former.remove(flow.key);
                 continue;
             }
-            let cause = ResetCause::FormerPaced;
             actions.push(TrackerAction::Reset(flow.key, flow.sequence, cause));
         }
     }
 
-    /// Returns when [`FlowTracker::reset_former_flows`] is due next; `None` if no flow is left.
+    /// Returns when [`FlowTracker::reset_former_flows`] is due next; `None` if no flow is left, or before the server has
+    /// room.
     pub fn next_former_reset(&self) -> Option<Millis> {
-        self.former.next_due()
+        self.former.next_due(self.has_room())
     }
 
-    /// Answers a later packet of a flow of the former run with a reset; returns whether it did.
-    pub(super) fn reset_former(
+    /// Takes a later packet of a flow of the former run, which is answered with a reset; returns whether it did.
+    pub(super) fn take_former(
         &mut self,
         packet: &FlowPacket,
         now: Millis,
@@ -98,12 +102,19 @@
         if !is_lost || self.is_reopened(packet.key, now) {
             return false;
         }
-        self.former.note_reset(packet.key);
-        let cause = ResetCause::FormerPacket;
-        actions.push(TrackerAction::Reset(packet.key, packet.acknowledged, cause));
+        let has_room = self.has_room();
+        let number = packet.acknowledged;
+        if self.former.note_packet(packet.key, number, has_room, now) {
+            let cause = ResetCause::FormerPacket;
+            actions.push(TrackerAction::Reset(packet.key, number, cause));
+        }
         true
     }
 
+    fn has_room(&self) -> bool {
+        self.load.busy() < ROOM_SLOT_FACTOR * self.load.slots()
+    }
+
     /// Returns whether a server may hold a flow that was opened with these endpoints since the start of the agent.
     fn is_reopened(&mut self, key: FlowKey, now: Millis) -> bool {
         let is_opened =
--- a/components/flows/src/connection/flow_tracker/later.rs
+++ b/components/flows/src/connection/flow_tracker/later.rs
@@ -33,7 +33,7 @@
             self.redirect_later(packet, header, RedirectCause::Followed, actions);
             return;
         }
-        if self.reset_former(packet, now, actions) {
+        if self.take_former(packet, now, actions) {
             return;
         }
         let knows_all = self.coverage.is_complete(self.settings.flow_lifetime, now);
@@ -250,7 +250,7 @@
         now: Millis,
         actions: &mut Vec<TrackerAction>,
     ) {
-        let is_former = !packet.is_open() && self.reset_former(packet, now, actions);
+        let is_former = !packet.is_open() && self.take_former(packet, now, actions);
         let Some(entry) = self.flows.get_mut(&packet.key) else {
             if !is_former {
                 actions.push(TrackerAction::Drop(packet.key, RedirectCause::NotHeld));
--- a/components/flows/src/connection/former_flows.rs
+++ b/components/flows/src/connection/former_flows.rs
@@ -5,6 +5,7 @@
 use carobdrum_core::Millis;
 
 use super::{
+    ResetCause,
     SavedFlow,
     SavedFlows, //
 };
@@ -21,6 +22,20 @@
 /// Time for which a caller that opens a new flow takes a slot, in microseconds.
 const SLOT_INTERVAL_US: u64 = 50_000;
 
+/// Time after a packet of its caller after which a flow is reset although the server has no room, so that the caller
+/// has time for another attempt.
+const MAX_RESET_DELAY: Millis = Millis(800);
+
+/// A lost flow whose caller waits for a response.
+#[derive(Clone, Copy, Debug)]
+struct WaitingFlow {
+    key: FlowKey,
+    /// Sequence number that the caller expects.
+    sequence: u32,
+    /// Time from which the flow is reset without regard to the server's load.
+    due: Millis,
+}
+
 /// What a saved list shows about its flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FormerOutcome {
@@ -64,6 +79,8 @@
     unsettled: Option<SavedFlows>,
     /// Lost flows, sorted by key. They stay after their reset, which may be lost.
     lost: Vec<SavedFlow>,
+    /// Lost flows whose callers wait, in the order of their packets. They are reset before the others.
+    waiting: VecDeque<WaitingFlow>,
     /// Lost flows that are yet to be reset, in this order.
     unsent: VecDeque<FlowKey>,
     /// Time from which no flow of the list lives.
@@ -93,6 +110,7 @@
         let is_expired = now >= self.expires;
         if is_expired {
             self.lost.clear();
+            self.waiting.clear();
             self.unsent.clear();
         }
         let outcome = match (&self.unsettled, live) {
@@ -140,35 +158,80 @@
         })
     }
 
-    /// Records that a flow has been reset.
-    pub fn note_reset(&mut self, key: FlowKey) {
-        self.unsent.retain(|unsent| *unsent != key);
+    /// Records a packet of the caller of a lost flow, which acknowledges this number; returns whether the flow is reset
+    /// at once. While the server has no room, and until the flows have been reset that wait for it, it is due later.
+    pub fn note_packet(
+        &mut self,
+        key: FlowKey,
+        acknowledged: u32,
+        has_room: bool,
+        now: Millis,
+    ) -> bool {
+        if has_room && self.waiting.is_empty() {
+            self.unsent.retain(|unsent| *unsent != key);
+            return true;
+        }
+        let mut waiting = self.waiting.iter_mut();
+        match waiting.find(|waiting| waiting.key == key) {
+            Some(waiting) => waiting.sequence = acknowledged,
+            None => self.waiting.push_back(WaitingFlow {
+                key,
+                sequence: acknowledged,
+                due: now.plus(MAX_RESET_DELAY),
+            }),
+        }
+        false
     }
 
-    /// Returns the flow to reset now; `None` if none is due. The resets of a server with this many slots are
-    /// spread so that callers that return find a slot.
-    pub fn take_due(&mut self, slots: u32, now: Millis) -> Option<SavedFlow> {
-        let now_us = micros(now);
-        if now >= self.expires || now_us < self.next_reset_us {
+    /// Returns the flow to reset now, and why; `None` if none is due. Resets are spread over the slots of the server,
+    /// and wait while it has no room (`has_room`): callers return right after a reset, and would delay the responses to
+    /// new requests while the site is still short of room after its start.
+    pub fn take_due(
+        &mut self,
+        slots: u32,
+        has_room: bool,
+        now: Millis,
+    ) -> Option<(SavedFlow, ResetCause)> {
+        if now >= self.expires {
             return None;
         }
+        let now_us = micros(now);
+        let is_paced = has_room && now_us >= self.next_reset_us;
         loop {
-            let key = self.unsent.pop_front()?;
-            let Some(sequence) = self.sequence(key) else {
+            let waiting = self.waiting.front().copied();
+            let (key, sequence, cause) = match waiting {
+                Some(waiting) if is_paced || now >= waiting.due => {
+                    self.waiting.pop_front();
+                    self.unsent.retain(|unsent| *unsent != waiting.key);
+                    let is_lost = self.sequence(waiting.key).is_some();
+                    let sequence = is_lost.then_some(waiting.sequence);
+                    (waiting.key, sequence, ResetCause::FormerPacket)
+                }
+                _ if is_paced => {
+                    let key = self.unsent.pop_front()?;
+                    (key, self.sequence(key), ResetCause::FormerPaced)
+                }
+                _ => return None,
+            };
+            let Some(sequence) = sequence else {
                 continue;
             };
             // After a pause of the process, at most the resets of one interval come together.
             let earliest = now_us.saturating_sub(SLOT_INTERVAL_US);
             let step = SLOT_INTERVAL_US / u64::from(slots.max(1));
             self.next_reset_us = self.next_reset_us.max(earliest) + step;
-            return Some(SavedFlow { key, sequence });
+            return Some((SavedFlow { key, sequence }, cause));
         }
     }
 
-    /// Returns when [`FormerFlows::take_due`] is due next; `None` if all flows have been reset.
-    pub fn next_due(&self) -> Option<Millis> {
+    /// Returns when [`FormerFlows::take_due`] is due next; `None` if all flows have been reset, or if only room at the
+    /// server lets it continue.
+    pub fn next_due(&self, has_room: bool) -> Option<Millis> {
+        let is_left = !self.waiting.is_empty() || !self.unsent.is_empty();
         let next = Millis(self.next_reset_us.div_ceil(1_000));
-        (!self.unsent.is_empty()).then_some(next)
+        let paced = (is_left && has_room).then_some(next);
+        let waiting = self.waiting.front().map(|waiting| waiting.due);
+        paced.into_iter().chain(waiting).min()
     }
 
     fn sequence(&self, key: FlowKey) -> Option<u32> {
