Hand the deletion of a registration over to balancers

Cause: an agent that is killed while it can't reach the store leaves its registration behind. Until the lease has expired and its entry has been missing for 2.5 s, no lost flow of its service is reset.

Change: when the first attempt fails, the agent sends RegistrationEnded (FlowBody tag 8) to up to 8 balancers that it has recently heard, of different data centres where possible, and repeats it every 500 ms. It sends no reports meanwhile. The data centre of a balancer is that of the last flow that it forwarded, since no message names it. A balancer that gets the message from the agent's own address makes the same conditional transaction after up to 200 ms, tries for 30 s, and keeps at most 256 pending. It no longer counts the agent as a possible owner, until a key with a newer revision or a packet of the agent appears; a later copy of the message is ignored then. A message about an agent whose last report shows a server that isn't leaving is ignored too: the message is late.

Listings, and the updates about written keys, carry their revisions for that. Three tests that build listings or such updates name a revision now; their checks are the same.

Result: the tests cover both ends, an unavailable and a silent store, repeated, late and foreign messages, and new processes that are shown by a listing, an entry, a registration or a packet.

--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -261,6 +261,7 @@
             self.agents.retain(|state| !state.is_removable(now));
             self.index();
         }
+        self.expire_ended();
         removed
     }
 
@@ -336,7 +337,9 @@
     /// restarted reports the service of its settings, which may not be that of its server.
     pub(crate) fn unconfirmed(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
         let states = self.agents.iter();
-        let unconfirmed = states.filter(|state| !state.report.is_confirmed);
+        let unconfirmed = states.filter(|state| {
+            !state.report.is_confirmed && !self.members.has_ended(state.record.address)
+        });
         unconfirmed.map(|state| state.record.address)
     }
 
--- a/components/flows/src/process/agent_table/members.rs
+++ b/components/flows/src/process/agent_table/members.rs
@@ -23,7 +23,10 @@
                 self.apply_entries(listing.entries, now);
                 return gone;
             }
-            MemberUpdate::Registered(record) => self.members.note_registration(&record),
+            MemberUpdate::Registered(record, revision) => {
+                self.members.note_registration(&record);
+                self.members.note_written(record.address, revision);
+            }
             MemberUpdate::Unregistered(address) => self.members.remove_registration(address),
             MemberUpdate::StoreFailed => self.members.note_failure(),
         }
@@ -32,7 +35,7 @@
 
     /// Returns all agents that may hold flows of these services, given by the hashes of their names;
     /// those of any service for `None`. They are the agents of the table, and registered ones whose
-    /// entry has not been missing for long enough to count as gone.
+    /// entry has not been missing for long enough to count as gone, except those whose servers have ended.
     pub fn possible_owners(&self, services: Option<&[u32]>) -> Vec<SocketAddrV4> {
         let known = self.agents.iter();
         let known = known.map(|state| (state.record.address, state.service));
@@ -40,12 +43,50 @@
             .chain(self.members.possible_owners())
             .filter(|(_, service)| services.is_none_or(|services| services.contains(service)))
             .map(|(address, _)| address)
+            .filter(|address| !self.members.has_ended(*address))
             .collect();
         owners.sort_unstable();
         owners.dedup();
         owners
     }
 
+    /// Records that a key of an agent was written at this revision.
+    pub fn note_written(&mut self, address: SocketAddrV4, revision: u64) {
+        self.members.note_written(address, revision);
+    }
+
+    /// Records that the server of an agent has ended, as the agent says, and that its registration of this
+    /// revision is to be deleted; returns whether that still holds. The agent counts as no possible owner
+    /// then, until a key with a newer revision or a packet of it appears.
+    ///
+    /// A message about an unknown agent is ignored. So is one about an agent whose last report tells of
+    /// a server that isn't leaving: the message is late, and a new process has started.
+    pub fn note_ended(&mut self, address: SocketAddrV4, revision: u64) -> bool {
+        let state = self.find(address).ok().map(|index| &self.agents[index]);
+        if state.is_none() && !self.members.is_listed(address) {
+            return false;
+        }
+        let is_leaving = state.is_none_or(|state| {
+            let report = &state.report;
+            state.last_heard.is_none() || (report.is_confirmed && !report.accepts)
+        });
+        is_leaving && self.members.note_ended(address, revision)
+    }
+
+    /// Records a packet of an agent; returns whether its server was taken to have ended.
+    pub fn note_alive(&mut self, address: SocketAddrV4) -> bool {
+        self.members.note_alive(address)
+    }
+
+    /// Forgets the ended servers of agents that are no longer known.
+    pub(super) fn expire_ended(&mut self) {
+        let agents = &self.agents;
+        self.members.expire_ended(|address| {
+            let found = agents.binary_search_by_key(&address, |state| state.record.address);
+            found.is_ok()
+        });
+    }
+
     /// Returns whether this agent's entry is missing, but not for long enough to count as gone.
     pub(crate) fn lacks_entry(&self, address: SocketAddrV4) -> bool {
         self.members.lacks_entry(address)
--- a/components/flows/src/process/member_update.rs
+++ b/components/flows/src/process/member_update.rs
@@ -13,6 +13,8 @@
     pub entries: Vec<AgentRecord>,
     /// Registrations, which have none.
     pub registrations: Vec<AgentRecord>,
+    /// Revision of each agent's last write, sorted by address.
+    pub revisions: Vec<(SocketAddrV4, u64)>,
     /// Time before the first request of the listing was sent.
     pub started: Millis,
     /// Time at which the last response arrived.
@@ -24,8 +26,8 @@
 pub enum MemberUpdate {
     /// All keys.
     Listed(MemberListing),
-    /// A registration was written.
-    Registered(AgentRecord),
+    /// A registration was written at this revision.
+    Registered(AgentRecord, u64),
     /// A registration was deleted.
     Unregistered(SocketAddrV4),
     /// A request to the store has failed.
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -11,8 +11,10 @@
 mod cold_budget;
 mod deregistration;
 mod drop_cause;
+mod ended_registrations;
 mod flow_coverage;
 mod flow_router;
+mod handed_deletions;
 mod heartbeat_outcome;
 mod lost_flow_search;
 mod member_update;
@@ -49,6 +51,7 @@
 pub use drop_cause::DropCause;
 pub use flow_coverage::FlowCoverage;
 pub use flow_router::FlowRouter;
+pub use handed_deletions::HandedDeletions;
 pub use heartbeat_outcome::HeartbeatOutcome;
 pub use lost_flow_search::LostFlowSearch;
 pub use member_update::{
--- a/components/flows/src/process/registered_members.rs
+++ b/components/flows/src/process/registered_members.rs
@@ -5,6 +5,7 @@
 use carobdrum_core::Millis;
 
 use super::{
+    ended_registrations::EndedRegistrations,
     name_hash,
     AgentRecord,
     MemberListing, //
@@ -44,6 +45,8 @@
     service: u32,
     is_registered: bool,
     entry: EntryState,
+    /// Revision of the last write of its keys; zero if it isn't known.
+    revision: u64,
     probes: u8,
     last_probe: Option<Millis>,
 }
@@ -55,6 +58,7 @@
             service,
             is_registered: false,
             entry: EntryState::Missing { since: None },
+            revision: 0,
             probes: 0,
             last_probe: None,
         }
@@ -84,6 +88,7 @@
     /// Response to the last listing; `None` before the first one and after a failed request.
     last_listed: Option<Millis>,
     confirmed_since: Option<Millis>,
+    ended: EndedRegistrations,
 }
 
 impl RegisteredMembers {
@@ -111,6 +116,9 @@
         for record in &listing.entries {
             self.note_entry(record);
         }
+        for (address, revision) in &listing.revisions {
+            self.note_written(*address, *revision);
+        }
         let mut gone = Vec::new();
         for member in &mut self.members {
             let EntryState::Missing { since } = &mut member.entry else {
@@ -142,6 +150,7 @@
         member.entry = EntryState::Present;
         if let Ok(index) = self.find(record.address) {
             member.is_registered = self.members[index].is_registered;
+            member.revision = self.members[index].revision;
         }
         self.put(member);
     }
@@ -155,6 +164,49 @@
         self.remove_unlisted(index);
     }
 
+    /// Records that a key of an agent was written at this revision.
+    pub fn note_written(&mut self, address: SocketAddrV4, revision: u64) {
+        self.ended.note_written(address, revision);
+        if let Ok(index) = self.find(address) {
+            let member = &mut self.members[index];
+            member.revision = member.revision.max(revision);
+        }
+    }
+
+    /// Records that the server of an agent has ended, and that its registration of this revision is to be
+    /// deleted; returns whether that still holds.
+    pub fn note_ended(&mut self, address: SocketAddrV4, revision: u64) -> bool {
+        let found = self.find(address);
+        let is_newer = found.is_ok_and(|index| self.members[index].revision > revision);
+        !is_newer && self.ended.insert(address, revision)
+    }
+
+    /// Records a packet of an agent; returns whether its server was taken to have ended.
+    pub fn note_alive(&mut self, address: SocketAddrV4) -> bool {
+        self.ended.refute(address)
+    }
+
+    /// Returns whether the server of an agent has ended according to the agent.
+    pub fn has_ended(&self, address: SocketAddrV4) -> bool {
+        self.ended.contains(address)
+    }
+
+    /// Returns whether the store lists an agent.
+    pub fn is_listed(&self, address: SocketAddrV4) -> bool {
+        self.find(address).is_ok()
+    }
+
+    /// Forgets the ended servers of agents that the store doesn't list and that `is_known` doesn't name.
+    pub(crate) fn expire_ended(&mut self, is_known: impl Fn(SocketAddrV4) -> bool) {
+        let members = &self.members;
+        let is_listed = |address: SocketAddrV4| {
+            let found = members.binary_search_by_key(&address, |member| member.address);
+            found.is_ok()
+        };
+        self.ended
+            .retain(|address| is_listed(address) || is_known(address));
+    }
+
     /// Records that an agent's registration was written.
     pub fn note_registration(&mut self, record: &AgentRecord) {
         let service = name_hash(&record.service);
--- a/components/flows/src/process/report_schedule.rs
+++ b/components/flows/src/process/report_schedule.rs
@@ -26,6 +26,9 @@
     reported: Option<Millis>,
     /// Whether a packet arrived after the last report.
     report_pending: bool,
+    /// Hash of the data centre of the last flow that it has forwarded, which is usually its own; zero
+    /// before the first one.
+    centre: u32,
 }
 
 impl BalancerPeer {
@@ -56,6 +59,7 @@
                 last_heard: now,
                 reported: None,
                 report_pending: false,
+                centre: 0,
             };
             self.peers.insert(index, peer);
             index
@@ -89,6 +93,38 @@
         due
     }
 
+    /// Records the data centre of a flow that a balancer has forwarded.
+    pub fn note_centre(&mut self, balancer: SocketAddrV4, centre: u32) {
+        let found = self
+            .peers
+            .binary_search_by_key(&balancer, |peer| peer.address);
+        if let Ok(index) = found {
+            self.peers[index].centre = centre;
+        }
+    }
+
+    /// Returns at most `limit` balancers of as many data centres as possible, the most recently heard ones
+    /// first.
+    pub fn recent_peers(&self, limit: usize) -> Vec<SocketAddrV4> {
+        let mut recent: Vec<&BalancerPeer> = self.peers.iter().collect();
+        recent.sort_by_key(|peer| std::cmp::Reverse(peer.last_heard));
+        // The first one of each data centre comes before the second one of any.
+        let mut counts: Vec<(u32, usize)> = Vec::new();
+        let mut ranked = Vec::with_capacity(recent.len());
+        for peer in recent {
+            let index = counts.binary_search_by_key(&peer.centre, |count| count.0);
+            let index = index.unwrap_or_else(|index| {
+                counts.insert(index, (peer.centre, 0));
+                index
+            });
+            ranked.push((counts[index].1, peer.address));
+            counts[index].1 += 1;
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.truncate(limit);
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Returns all balancers, to report a change to them.
     pub fn take_all(&mut self, now: Millis) -> Vec<SocketAddrV4> {
         for peer in &mut self.peers {
--- a/components/flows/tests/deregistration.rs
+++ b/components/flows/tests/deregistration.rs
@@ -1,8 +1,24 @@
 //! Deletion of the registrations of agents whose servers have ended.
 
+mod support;
+
 use carobdrum_core::Millis;
-use carobdrum_flows::process::Deregistration;
+use carobdrum_flows::process::{
+    AgentRecord,
+    AgentReport,
+    AgentTable,
+    Deregistration,
+    HandedDeletions,
+    MemberListing,
+    MemberUpdate,
+    ReportSchedule, //
+};
 use rstest::rstest;
+use support::{
+    agent,
+    CENTRE,
+    SERVICE, //
+};
 
 /// Guards against an agent that is killed in an attempt, and against one that doesn't try at all since its
 /// open flows took the whole grace period.
@@ -34,3 +50,154 @@
         .since(Millis(500));
     assert!(now <= end, "{limits:?}");
 }
+
+fn record() -> AgentRecord {
+    AgentRecord {
+        address: agent(1),
+        centre: CENTRE.into(),
+        service: SERVICE.into(),
+        is_leaving: true,
+    }
+}
+
+/// Lists an agent whose registration has this revision, with its entry if `has_entry`.
+fn list(table: &mut AgentTable, revision: u64, has_entry: bool, started: u64) {
+    let listing = MemberListing {
+        entries: has_entry.then(record).into_iter().collect(),
+        registrations: vec![record()],
+        revisions: vec![(agent(1), revision)],
+        started: Millis(started),
+        finished: Millis(started + 10),
+    };
+    table.apply_members(MemberUpdate::Listed(listing), Millis(started + 10));
+    table.expire(Millis(started + 10));
+}
+
+/// Returns the report of a server that is draining, unless it `accepts` flows.
+fn report(accepts: bool) -> AgentReport {
+    AgentReport {
+        accepts,
+        is_confirmed: true,
+        ..AgentReport::default()
+    }
+}
+
+fn is_possible(table: &AgentTable) -> bool {
+    !table.possible_owners(None).is_empty()
+}
+
+/// Guards against searches that wait for the agent of a server that has ended, whether its lease has ended or
+/// not, and against listings of the same keys that bring it back.
+#[rstest]
+#[case::with_entry(true)]
+#[case::without_entry(false)]
+fn ended_server_is_no_possible_owner(#[case] has_entry: bool) {
+    let mut table = AgentTable::default();
+    list(&mut table, 5, has_entry, 0);
+    assert!(is_possible(&table));
+    assert!(table.note_ended(agent(1), 5));
+    assert!(!is_possible(&table));
+    list(&mut table, 5, has_entry, 100);
+    assert!(!is_possible(&table));
+}
+
+/// Guards against the reset of flows of a new process at the address: its keys are newer, or it has sent a
+/// packet, also if the message is repeated or late.
+#[rstest]
+#[case::listed(0)]
+#[case::entry_written(1)]
+#[case::registration_written(2)]
+#[case::packet(3)]
+fn new_process_counts_again(#[case] cause: u8) {
+    let mut table = AgentTable::default();
+    list(&mut table, 5, true, 0);
+    assert!(table.note_ended(agent(1), 5));
+    match cause {
+        0 => list(&mut table, 7, true, 100),
+        1 => table.note_written(agent(1), 6),
+        2 => drop(table.apply_members(MemberUpdate::Registered(record(), 7), Millis(100))),
+        _ => assert!(table.note_alive(agent(1))),
+    }
+    assert!(is_possible(&table));
+    assert!(!table.note_ended(agent(1), 5), "the message is late");
+    assert!(is_possible(&table));
+    assert!(
+        table.note_ended(agent(1), 9),
+        "the new process has ended too"
+    );
+    assert!(!is_possible(&table));
+}
+
+/// Guards against a first message that arrives after a new process has reported, but not registered.
+#[test]
+fn late_message_about_a_server_that_accepts_flows() {
+    let mut table = AgentTable::default();
+    assert!(!table.note_ended(agent(1), 5), "the agent isn't known");
+    list(&mut table, 5, true, 0);
+    table.apply_report(agent(1), report(true), Millis(20));
+    assert!(!table.note_ended(agent(1), 5));
+    assert!(is_possible(&table));
+    table.apply_report(agent(1), report(false), Millis(30));
+    assert!(table.note_ended(agent(1), 5));
+}
+
+/// Guards against calls to the store for each copy of a message, and for a registration older than that of
+/// another message.
+#[test]
+fn repeated_messages_cause_one_deletion() {
+    let mut deletions = HandedDeletions::default();
+    assert!(deletions.add(agent(1), 5, 0.5, Millis(0)));
+    assert!(!deletions.add(agent(1), 5, 0.5, Millis(10)));
+    assert!(!deletions.add(agent(1), 4, 0.5, Millis(10)));
+    assert_eq!(deletions.next_due(Millis(99)), None, "others may be first");
+    assert_eq!(deletions.next_due(Millis(100)), Some((agent(1), 5)));
+    deletions.conclude(agent(1));
+    assert!(!deletions.add(agent(1), 5, 0.0, Millis(500)));
+    assert_eq!(deletions.next_time(), None);
+    assert!(deletions.add(agent(1), 7, 0.0, Millis(600)));
+    assert_eq!(deletions.next_due(Millis(600)), Some((agent(1), 7)));
+}
+
+/// Guards against a deletion that is given up while the store is away for seconds, and against one that is
+/// tried for ever.
+#[test]
+fn deletion_is_tried_for_thirty_seconds() {
+    let mut deletions = HandedDeletions::default();
+    deletions.add(agent(1), 5, 0.0, Millis(0));
+    for now in (0..30_000).step_by(500) {
+        assert_eq!(deletions.next_due(Millis(now)), Some((agent(1), 5)));
+        deletions.note_failure(agent(1), Millis(500), Millis(now));
+        assert_eq!(deletions.next_due(Millis(now)), None);
+        assert!(deletions.expire(Millis(now)).is_empty());
+    }
+    assert_eq!(deletions.expire(Millis(30_000)), [agent(1)]);
+    assert_eq!(deletions.next_time(), None);
+}
+
+/// Guards against a queue that grows with the fleet after the loss of a data centre.
+#[test]
+fn pending_deletions_are_limited() {
+    let mut deletions = HandedDeletions::default();
+    let mut address = agent(1);
+    let mut added = 0;
+    for port in 1..1_000 {
+        address.set_port(port);
+        added += u32::from(deletions.add(address, 5, 0.0, Millis(0)));
+    }
+    assert_eq!(added, 256);
+    deletions.conclude(deletions.next_due(Millis(0)).unwrap().0);
+    assert!(deletions.add(address, 6, 0.0, Millis(1)));
+}
+
+/// Guards against a handover to balancers of one data centre only, which may be cut off from the store.
+#[test]
+fn handover_prefers_balancers_of_different_data_centres() {
+    let mut schedule = ReportSchedule::default();
+    for number in 1..=5 {
+        schedule.note_packet(agent(number), Millis(u64::from(number)));
+        let centre = if number == 1 { 2 } else { 1 };
+        schedule.note_centre(agent(number), centre);
+    }
+    assert_eq!(schedule.recent_peers(3), [agent(5), agent(1), agent(4)]);
+    assert_eq!(schedule.recent_peers(8).len(), 5);
+}
--- a/components/flows/tests/lost_flow_search.rs
+++ b/components/flows/tests/lost_flow_search.rs
@@ -97,6 +97,7 @@
         let listing = MemberListing {
             entries: self.entries.clone(),
             registrations: Vec::new(),
+            revisions: Vec::new(),
             started,
             finished: started,
         };
--- a/components/flows/tests/registered_members.rs
+++ b/components/flows/tests/registered_members.rs
@@ -47,6 +47,7 @@
     let listing = MemberListing {
         entries: records(entries),
         registrations: records(registered),
+        revisions: Vec::new(),
         started: Millis(started),
         finished: Millis(started + 10),
     };
@@ -173,7 +174,7 @@
     assert_eq!(table.possible_owners(Some(&[before])), [agent(1)]);
     assert_eq!(table.possible_owners(Some(&[after])), [agent(1)]);
     table.insert(record(1, "other"), Millis(100));
-    table.apply_members(MemberUpdate::Registered(record(1, "other")), Millis(100));
+    table.apply_members(MemberUpdate::Registered(record(1, "other"), 2), Millis(100));
     assert_eq!(table.possible_owners(Some(&[before])), []);
     assert_eq!(table.possible_owners(Some(&[after])), [agent(1)]);
     assert_eq!(table.possible_owners(None), [agent(1)]);
@@ -233,7 +234,7 @@
     list(&mut table, &[], &[1], 103_000);
     assert!(!is_possible(&table, 1));
     table.apply_members(
-        MemberUpdate::Registered(record(1, SERVICE)),
+        MemberUpdate::Registered(record(1, SERVICE), 2),
         Millis(103_100),
     );
     assert!(is_possible(&table, 1), "it was written again");
--- a/components/flows/tests/small_world.rs
+++ b/components/flows/tests/small_world.rs
@@ -498,6 +498,7 @@
                 let listing = MemberListing {
                     entries: (0..3).map(record).collect(),
                     registrations: Vec::new(),
+                    revisions: Vec::new(),
                     started: start,
                     finished: Millis(self.now),
                 };
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -11,12 +11,26 @@
     address_to_number,
     FlowBody,
     FlowDatagram,
+    RegistrationEnded,
     ServerReport, //
 };
 use tracing::info;
 
 use super::udp_endpoint::UdpEndpoint;
 
+/// Limit of the balancers to which the deletion of the registration is handed over at a time.
+const MAX_HANDOVER: usize = 8;
+
+/// Interval between messages about the end of the registration.
+const HANDOVER_INTERVAL: Millis = Millis(500);
+
+/// Deletion of the registration that is handed over to balancers.
+#[derive(Clone, Copy, Debug)]
+struct Handover {
+    revision: u64,
+    last_sent: Millis,
+}
+
 /// Sends the reports of an agent to the balancers that have sent to it.
 #[derive(Debug)]
 pub(crate) struct AgentReporter {
@@ -24,6 +38,8 @@
     schedule: ReportSchedule,
     /// Whether the server accepts new flows, as last reported.
     accepts: bool,
+    /// No report is sent meanwhile, as it would show that the agent lives.
+    handover: Option<Handover>,
 }
 
 impl AgentReporter {
@@ -34,6 +50,50 @@
             address,
             schedule: ReportSchedule::default(),
             accepts: true,
+            handover: None,
+        }
+    }
+
+    /// Records the data centre of a flow that a balancer has forwarded.
+    pub(crate) fn note_centre(&mut self, balancer: SocketAddrV4, centre: u32) {
+        self.schedule.note_centre(balancer, centre);
+    }
+
+    /// Hands the deletion of the registration of this revision over to balancers, at once and then at
+    /// intervals; ends that for `None`.
+    pub(crate) fn hand_over(
+        &mut self,
+        revision: Option<u64>,
+        endpoint: &mut UdpEndpoint,
+        now: Millis,
+    ) {
+        let is_same = self.handover.map(|handover| handover.revision) == revision;
+        if is_same {
+            return;
+        }
+        self.handover = revision.map(|revision| Handover {
+            revision,
+            last_sent: now,
+        });
+        self.send_handover(endpoint);
+    }
+
+    fn send_handover(&self, endpoint: &mut UdpEndpoint) {
+        let Some(Handover { revision, .. }) = self.handover else {
+            return;
+        };
+        let message = FlowDatagram::encode_body(FlowBody::RegistrationEnded(RegistrationEnded {
+            agent: address_to_number(self.address),
+            revision,
+        }));
+        let balancers = self.schedule.recent_peers(MAX_HANDOVER);
+        info!(
+            revision,
+            ?balancers,
+            "deletion of the registration handed over"
+        );
+        for balancer in balancers {
+            endpoint.send(&message, balancer);
         }
     }
 
@@ -58,6 +118,12 @@
         now: Millis,
     ) {
         self.report_change(tracker, endpoint, now);
+        if let Some(handover) = &mut self.handover {
+            if now.since(handover.last_sent) >= HANDOVER_INTERVAL {
+                handover.last_sent = now;
+                self.send_handover(endpoint);
+            }
+        }
         let due = self.schedule.take_due(now);
         if !due.is_empty() {
             self.send(due, tracker, endpoint, now);
@@ -93,6 +159,9 @@
         endpoint: &mut UdpEndpoint,
         now: Millis,
     ) {
+        if self.handover.is_some() {
+            return;
+        }
         let report = self.encode(tracker, now);
         for balancer in balancers {
             endpoint.send(&report, balancer);
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -145,6 +145,9 @@
                 let outcome = self.tracker.handle_late_heartbeat(heartbeat, sent, now);
                 // The requester may have stopped waiting.
                 let _ = answer.send(self.backend_outcome(outcome));
+                if !self.tracker.is_leaving() {
+                    self.reporter.hand_over(None, &mut self.packets, now);
+                }
                 self.reset_lost_flows();
             }
             AgentUpdate::Deregister(id, answer) => {
@@ -168,6 +171,10 @@
                     self.reset_lost_flows();
                 }
             }
+            AgentUpdate::HandOver(revision) => {
+                self.reporter.hand_over(revision, &mut self.packets, now);
+                return;
+            }
             AgentUpdate::ServerEnded => {
                 self.tracker.note_server_ended();
                 self.reset_lost_flows();
--- a/components/forwarder/src/connection/agent_traffic/received_packets.rs
+++ b/components/forwarder/src/connection/agent_traffic/received_packets.rs
@@ -114,6 +114,8 @@
             *header.balancer.ip(),
         );
         self.note_balancer(header.balancer, now);
+        self.reporter
+            .note_centre(header.balancer, header.centre_hash);
         let hops = header.hops;
         let bytes = forwarded.packet;
         let attempt = (packet.data_len > 0).then(|| read_attempt_id(&bytes));
--- a/components/forwarder/src/connection/agent_update.rs
+++ b/components/forwarder/src/connection/agent_update.rs
@@ -28,6 +28,9 @@
     FindSilence(oneshot::Sender<Option<ServerSilence>>),
     /// The server has ended in this silence.
     EndedIn(ServerSilence),
+    /// The server has ended, and the registration of this revision couldn't be deleted: hand the deletion over
+    /// to balancers; `None` ends that.
+    HandOver(Option<u64>),
     /// The process is shutting down; the reply is sent when no flow is open.
     Stop(oneshot::Sender<()>),
 }
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -1,5 +1,6 @@
 //! Traffic thread of a balancer.
 
+mod ended_agents;
 mod lost_flows;
 
 use std::{
@@ -38,7 +39,10 @@
 use prost::Message;
 use tokio::{
     sync::{
-        mpsc::Receiver,
+        mpsc::{
+            Receiver,
+            Sender, //
+        },
         watch, //
     },
     time::{
@@ -65,6 +69,7 @@
         PeerRevision, //
     },
     udp_endpoint::UdpEndpoint, //
+    HandedOver,
 };
 use crate::process::{
     BootClock,
@@ -83,8 +88,8 @@
 pub(crate) enum BalancerUpdate {
     /// The complete list of agents from the store.
     Agents(Vec<AgentRecord>),
-    /// An agent has written its store entry.
-    Agent(AgentRecord),
+    /// An agent has written its store entry, at this revision.
+    Agent(AgentRecord, u64),
     /// The store entry of an agent has expired.
     Expired(SocketAddrV4),
     /// What was read of the agents' registrations.
@@ -99,6 +104,8 @@
     revision_sender: watch::Sender<PeerRevision>,
     /// Publishes the time for which a new list of agents is wanted from the store.
     listing_wanted: watch::Sender<Option<Millis>>,
+    /// Tells the control thread of the deletions that agents hand over.
+    handed_over: Sender<HandedOver>,
     router: FlowRouter,
     search: LostFlowSearch,
     address: SocketAddrV4,
@@ -116,6 +123,7 @@
         router: FlowRouter,
         revision_sender: watch::Sender<PeerRevision>,
         listing_wanted: watch::Sender<Option<Millis>>,
+        handed_over: Sender<HandedOver>,
         metrics: NodeMetrics,
     ) -> Result<BalancerTraffic, NodeError> {
         let address = router.address();
@@ -123,6 +131,7 @@
             clock: BootClock,
             revision_sender,
             listing_wanted,
+            handed_over,
             search: LostFlowSearch::new(router.options.reset_lost, rand::random()),
             router,
             address,
@@ -167,7 +176,11 @@
         let now = self.clock.now();
         match update {
             BalancerUpdate::Agents(records) => self.router.agents.replace(records, now),
-            BalancerUpdate::Agent(record) => self.router.agents.insert(record, now),
+            BalancerUpdate::Agent(record, revision) => {
+                let address = record.address;
+                self.router.agents.insert(record, now);
+                self.router.agents.note_written(address, revision);
+            }
             BalancerUpdate::Expired(address) => self.router.agents.mark_expired(address, now),
             BalancerUpdate::Members(update) => {
                 for agent in self.router.agents.apply_members(update, now) {
@@ -273,6 +286,7 @@
                         self.log.clamped(agent, &reported);
                     }
                     let changed = self.router.agents.apply_report(agent, state, now);
+                    self.note_alive(agent);
                     if report.revision < self.revision() {
                         self.send_probe(agent);
                     }
@@ -289,12 +303,14 @@
                 Some(FlowBody::Owner(owner)) => {
                     let (key, agent) = decode_owner(&owner);
                     self.router.owners.insert(key, agent, now);
+                    self.note_alive(agent);
                     if !self.search.is_empty() {
                         self.run_search(|search, _, actions| search.note_owner(key, actions));
                     }
                 }
                 Some(FlowBody::NotFound(not_found)) => self.search_flow(&not_found, now),
                 Some(FlowBody::QueryReply(reply)) => self.handle_query_reply(from, reply, now),
+                Some(FlowBody::RegistrationEnded(message)) => self.take_over(from, &message),
                 _ => debug!(%from, "datagram dropped: not for a balancer"),
             }
         }
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod agent_update;
 mod balancer_traffic;
 mod flow_log;
+mod handed_over;
 mod header_codec;
 mod hop_spans;
 mod peer_revision;
@@ -20,5 +21,6 @@
     BalancerTraffic,
     BalancerUpdate, //
 };
+pub(crate) use handed_over::HandedOver;
 pub use hop_spans::HopSpans;
 pub use peer_revision::PeerRevision;
--- a/components/forwarder/src/process/agent_events.rs
+++ b/components/forwarder/src/process/agent_events.rs
@@ -2,6 +2,8 @@
 
 use std::{
     cell::RefCell,
+    cmp::Reverse,
+    net::SocketAddrV4,
     rc::Rc, //
 };
 
@@ -88,6 +90,7 @@
         };
         let mut records = Vec::new();
         let mut revisions = Vec::new();
+        let last_writes = last_writes(&listing.items);
         for item in listing.items.iter().filter(is_registration) {
             if let Some(record) = read_registration(item) {
                 revisions.push((record.address, item.revision));
@@ -102,6 +105,7 @@
         let listing = MemberListing {
             entries,
             registrations: records,
+            revisions: last_writes,
             started,
             finished: BootClock.now(),
         };
@@ -125,7 +129,8 @@
                 .cleanup
                 .borrow_mut()
                 .note_registration(record.address, item.revision);
-            return Some(BalancerUpdate::Members(MemberUpdate::Registered(record)));
+            let update = MemberUpdate::Registered(record, item.revision);
+            return Some(BalancerUpdate::Members(update));
         }
         let record = read_entry(item)?;
         info!(
@@ -140,7 +145,7 @@
                 .borrow_mut()
                 .note_entry(record.address);
         }
-        Some(BalancerUpdate::Agent(record))
+        Some(BalancerUpdate::Agent(record, item.revision))
     }
 
     fn read_deletion(&mut self, key: &str, revision: u64) -> Option<BalancerUpdate> {
@@ -164,6 +169,19 @@
     }
 }
 
+/// Returns the revision of each agent's last write, sorted by address.
+fn last_writes(items: &[StoreItem]) -> Vec<(SocketAddrV4, u64)> {
+    let written = items.iter().filter_map(|item| {
+        let (AgentKey::Entry(address) | AgentKey::Registration(address)) =
+            parse_agent_key(&item.key)?;
+        Some((address, item.revision))
+    });
+    let mut written: Vec<(SocketAddrV4, u64)> = written.collect();
+    written.sort_unstable_by_key(|(address, revision)| (*address, Reverse(*revision)));
+    written.dedup_by_key(|(address, _)| *address);
+    written
+}
+
 fn is_registration(key: &str) -> bool {
     matches!(parse_agent_key(key), Some(AgentKey::Registration(_)))
 }
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -176,6 +176,7 @@
     let is_leaving = writer.record.borrow().is_leaving;
     info!(is_leaving, "agent shutting down");
     let (answer, flows_ended) = oneshot::channel();
+    let handover = updates.clone();
     if updates.send(AgentUpdate::Stop(answer)).await.is_ok() {
         let grace = Duration::from_secs_f64(settings.node.grace_s).saturating_sub(GRACE_MARGIN);
         if is_leaving {
@@ -192,6 +193,7 @@
             is_ending,
             record: writer.record.clone(),
             server,
+            updates: handover,
             metrics: context.metrics.clone(),
         };
         task.run().await;
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -42,6 +42,7 @@
         ReadRegistrations, //
     },
     config_tasks::query_peers,
+    handed_over_task::delete_handed_over,
     http_port::serve_requests,
     node_context::{
         run_control,
@@ -69,6 +70,9 @@
 /// Capacity of the queue of updates for the traffic thread.
 const UPDATE_QUEUE: usize = 64;
 
+/// Capacity of the queue of deletions that agents have handed over.
+const DELETION_QUEUE: usize = 64;
+
 /// Time to wait for the store at the start, and between rounds, before peers are queried.
 const PEER_QUERY_DELAY: Duration = Duration::from_millis(300);
 
@@ -103,11 +107,18 @@
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
     let (listing_sender, listing_wanted) = watch::channel(None);
-    spawn_traffic(
-        move || BalancerTraffic::open(packets, router, revision_sender, listing_sender, metrics),
-        move |traffic| traffic.run(receiver, in_force),
-    )
-    .await?;
+    let (handed_over, handed_over_receiver) = mpsc::channel(DELETION_QUEUE);
+    let open = move || {
+        BalancerTraffic::open(
+            packets,
+            router,
+            revision_sender,
+            listing_sender,
+            handed_over,
+            metrics,
+        )
+    };
+    spawn_traffic(open, move |traffic| traffic.run(receiver, in_force)).await?;
     let state = context.state.clone();
     let ready = Rc::new(ReadyState {
         state: state.clone(),
@@ -135,6 +146,8 @@
         });
         let metrics = context.metrics.clone();
         tokio::task::spawn_local(clean_registrations(store, cleanup, metrics));
+        let metrics = context.metrics.clone();
+        tokio::task::spawn_local(delete_handed_over(store, handed_over_receiver, metrics));
     }
     tokio::task::spawn_local(follow_agents(
         state.clone(),
@@ -227,7 +240,7 @@
 fn note_agent(agents: &mut Vec<AgentRecord>, update: &BalancerUpdate) {
     match update {
         BalancerUpdate::Agents(records) => agents.clone_from(records),
-        BalancerUpdate::Agent(record) => {
+        BalancerUpdate::Agent(record, _) => {
             agents.retain(|known| known.address != record.address);
             agents.push(record.clone());
         }
--- a/components/forwarder/src/process/deregistration_task.rs
+++ b/components/forwarder/src/process/deregistration_task.rs
@@ -14,7 +14,10 @@
 };
 use ractor::ActorRef;
 use tokio::{
-    sync::oneshot,
+    sync::{
+        mpsc,
+        oneshot, //
+    },
     time::sleep, //
 };
 use tokio_util::sync::CancellationToken;
@@ -30,8 +33,10 @@
     server_silence::has_ended,
     store_backoff::StoreBackoff, //
 };
+use crate::connection::AgentUpdate;
 
-/// Tries to delete the keys of an agent that is shutting down, while its server has ended and time is left.
+/// Tries to delete the keys of an agent that is shutting down, while its server has ended and time is left,
+/// and hands the deletion over to balancers when the first attempt fails.
 pub(crate) struct DeregistrationTask {
     pub(crate) schedule: Deregistration,
     pub(crate) lease: ActorRef<LeaseMessage>,
@@ -40,6 +45,8 @@
     /// The agent's entry, which shows whether the server is leaving.
     pub(crate) record: Rc<RefCell<AgentRecord>>,
     pub(crate) server: SocketAddrV4,
+    /// Updates for the traffic thread, which sends to balancers.
+    pub(crate) updates: mpsc::Sender<AgentUpdate>,
     pub(crate) metrics: NodeMetrics,
 }
 
@@ -47,6 +54,11 @@
     /// Tries until the keys are deleted, another process has changed them, the server shows that it lives,
     /// or no time is left.
     pub(crate) async fn run(mut self) {
+        self.try_until_end().await;
+        self.hand_over(None).await;
+    }
+
+    async fn try_until_end(&mut self) {
         let mut backoff = StoreBackoff::default();
         // A server may be started again at any time, so it is probed before each attempt.
         while self.has_server_ended().await {
@@ -60,6 +72,7 @@
                 Some(Unregistration::Failed(error, revision)) => {
                     info!(%error, revision, "registration not deleted yet");
                     self.count("failed");
+                    self.hand_over(revision).await;
                     let longest = duration(Deregistration::MAX_PAUSE);
                     let pause = backoff.record_failure("deregistration", &error, longest);
                     let pause = Millis(pause.as_millis() as u64);
@@ -84,6 +97,11 @@
         is_leaving && has_ended(self.server).await
     }
 
+    async fn hand_over(&self, revision: Option<u64>) {
+        // The traffic thread may have ended, and then nothing can be sent.
+        let _ = self.updates.send(AgentUpdate::HandOver(revision)).await;
+    }
+
     /// Makes an attempt; returns `None` if the lease actor has ended.
     async fn attempt(&self, limit: Millis) -> Option<Unregistration> {
         let (reply, outcome) = oneshot::channel();
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -8,8 +8,8 @@
 use carobdrum_flows::process::AgentRecord;
 use carobdrum_platform::{
     agent_key,
+    delete_registration,
     encode_agent_entry,
-    registered_keys,
     registration_key,
     StoreClient,
     StoreError,
@@ -247,7 +247,7 @@
     /// has written the registration, as it may serve the address.
     async fn delete_keys(&mut self, address: SocketAddrV4) -> Result<bool, StoreError> {
         if let Some(revision) = self.registration {
-            match self.delete_at(address, revision).await {
+            match delete_registration(&mut self.client, address, revision).await {
                 Err(StoreError::Conflict) => {}
                 outcome => return outcome.map(|()| true),
             }
@@ -255,7 +255,7 @@
         let Some(revision) = self.find_own(address).await? else {
             return Ok(false);
         };
-        match self.delete_at(address, revision).await {
+        match delete_registration(&mut self.client, address, revision).await {
             Err(StoreError::Conflict) => Ok(false),
             outcome => outcome.map(|()| true),
         }
@@ -278,17 +278,6 @@
         Ok(is_same_write.then_some(revision))
     }
 
-    async fn delete_at(&mut self, address: SocketAddrV4, revision: u64) -> Result<(), StoreError> {
-        let keys = registered_keys(address);
-        let deletes: Vec<&str> = keys.iter().map(|key| key.as_str()).collect();
-        let transaction = StoreTransaction {
-            expected: &[(&registration_key(address), revision)],
-            deletes: &deletes,
-            ..StoreTransaction::default()
-        };
-        self.client.commit(&transaction).await.map(|_| ())
-    }
-
     /// Writes the entry under `lease`, or under a new one.
     async fn write(&mut self, record: &AgentRecord, lease: Option<u64>) -> Result<u64, StoreError> {
         let value = encode_agent_entry(record)?;
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod config_tasks;
 mod config_tracker;
 mod deregistration_task;
+mod handed_over_task;
 mod hedged_read;
 mod held_metrics;
 mod http_port;
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FlowDatagram {
     /// Content of the datagram; absent if its kind is unknown to this version of the software.
-    #[prost(oneof = "FlowBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "FlowBody", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<FlowBody>,
 }
 
@@ -53,6 +53,9 @@
     /// Answer to such a query.
     #[prost(message, tag = "7")]
     QueryReply(FlowQueryReply),
+    /// Asks a balancer to delete the registration of an agent whose server has ended; the agent sends it.
+    #[prost(message, tag = "8")]
+    RegistrationEnded(RegistrationEnded),
 }
 
 /// A caller's packet with the state of its forwarding.
@@ -221,6 +224,17 @@
     pub digest: u64,
 }
 
+/// Tells that the server of an agent has ended, and that the agent couldn't delete its registration.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RegistrationEnded {
+    /// Address of the agent, which sends this datagram.
+    #[prost(fixed64, tag = "1")]
+    pub agent: u64,
+    /// Store revision of the registration.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
+
 /// Returns the address from which [`address_to_number`] made a number.
 pub fn address_from_number(number: u64) -> SocketAddrV4 {
     let ip = Ipv4Addr::from((number >> 16) as u32);
--- a/tests/platform_roles/main.rs
+++ b/tests/platform_roles/main.rs
@@ -1,6 +1,7 @@
 //! The platform roles as processes.
 
 mod fake_balancer;
+mod handovers;
 mod open_flows;
 mod registrations;
 mod role_process;
--- a/tests/platform_roles/registrations.rs
+++ b/tests/platform_roles/registrations.rs
@@ -31,17 +31,17 @@
     STATE_TIMEOUT, //
 };
 
-const RESET_LOST: &str = "[flows]\nreset_lost = true\n";
+pub(crate) const RESET_LOST: &str = "[flows]\nreset_lost = true\n";
 
 /// Value of an agent's keys.
-const VALUE: &str = r#"{"centre":"north","service":"s","leaving":false}"#;
+pub(crate) const VALUE: &str = r#"{"centre":"north","service":"s","leaving":false}"#;
 
 /// Time within which a registration is deleted that was left for the lifetime of a flow, one second: up to
 /// twice that time, two intervals between checks, and the wait for an agent that lives.
 const CLEANUP_TIME: Duration = Duration::from_secs(12);
 
 /// Waits until the store has this many keys of agents.
-async fn wait_for_keys(store: &LeaseServer, count: usize, limit: Duration) {
+pub(crate) async fn wait_for_keys(store: &LeaseServer, count: usize, limit: Duration) {
     let wait = async {
         while store.keys("agents/").len() != count {
             sleep(POLL_INTERVAL).await;
@@ -143,7 +143,7 @@
 
 /// Starts an agent whose server has sent a heartbeat, and then, in this mode of the store, one that says that
 /// it drains.
-async fn start_draining(store: &LeaseServer, mode: StoreMode) -> RoleProcess {
+pub(crate) async fn start_draining(store: &LeaseServer, mode: StoreMode) -> RoleProcess {
     let agent = start_registered(store).await;
     wait_for_keys(store, 2, STATE_TIMEOUT).await;
     store.set_mode(mode);
