Mark agents that are absent for good in the store

Change: a balancer writes agents/IP:PORT/absent, with the revision of the registration, once the entry has been missing for 30 to 60 s in which the store answered, and six probes are unanswered. A balancer that starts and reads a mark with the current revision takes the agent as gone after three unanswered probes, 100 ms apart, once all packets in its socket have been read. A registration deletes the mark in the same transaction, and all deletions of a registration delete it too, through registered_keys, where a further key of an agent is added.

An agent whose response to such a write shows a later revision than that of its registration, as a store with one revision per change does, finds its registration by the lease of its entry.

A test with processes covers an agent that is cut off from the store, and killed before its deletion. Without reset_lost, packets cost no look-up, and balancers skip the new key.

--- a/components/flows/src/process/agent_table/members.rs
+++ b/components/flows/src/process/agent_table/members.rs
@@ -78,6 +78,22 @@
         self.members.note_alive(address)
     }
 
+    /// Returns whether an agent is marked as absent and may still answer.
+    pub fn has_marked(&self) -> bool {
+        self.members.has_marked()
+    }
+
+    /// Returns the agents that count as gone from now on, since they are marked as absent and have answered no
+    /// probe. All packets that arrived before `drained_at` have been read.
+    pub fn take_absent(&mut self, drained_at: Millis) -> Vec<SocketAddrV4> {
+        self.members.take_absent(drained_at)
+    }
+
+    /// Returns whether an agent is in the table: it has an entry, or answers.
+    pub fn contains(&self, address: SocketAddrV4) -> bool {
+        self.find(address).is_ok()
+    }
+
     /// Forgets the ended servers of agents that are no longer known.
     pub(super) fn expire_ended(&mut self) {
         let agents = &self.agents;
--- a/components/flows/src/process/member_update.rs
+++ b/components/flows/src/process/member_update.rs
@@ -15,6 +15,8 @@
     pub registrations: Vec<AgentRecord>,
     /// Revision of each agent's last write, sorted by address.
     pub revisions: Vec<(SocketAddrV4, u64)>,
+    /// Absent agents with the revisions of the registrations for which they are marked, sorted by address.
+    pub absent: Vec<(SocketAddrV4, u64)>,
     /// Time before the first request of the listing was sent.
     pub started: Millis,
     /// Time at which the last response arrived.
--- a/components/flows/src/process/registered_members.rs
+++ b/components/flows/src/process/registered_members.rs
@@ -25,6 +25,12 @@
 /// Number of these probes, after which the agent is left to the listings.
 const MAX_PROBES: u8 = 10;
 
+/// Interval between probes of an agent that is marked as absent.
+const MARKED_PROBE_INTERVAL: Millis = Millis(100);
+
+/// Number of these probes. If they are unanswered, the agent counts as gone.
+const MARKED_PROBES: u8 = 3;
+
 /// What the store shows of an agent's entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EntryState {
@@ -47,6 +53,10 @@
     entry: EntryState,
     /// Revision of the last write of its keys; zero if it isn't known.
     revision: u64,
+    /// Whether a mark says that the agent has been absent for long.
+    is_marked: bool,
+    /// Whether the agent has sent a packet although its entry is missing.
+    has_answered: bool,
     probes: u8,
     last_probe: Option<Millis>,
 }
@@ -59,6 +69,8 @@
             is_registered: false,
             entry: EntryState::Missing { since: None },
             revision: 0,
+            is_marked: false,
+            has_answered: false,
             probes: 0,
             last_probe: None,
         }
@@ -71,6 +83,11 @@
         }
     }
 
+    /// Returns whether the agent is left to its mark: it counts as gone unless it answers.
+    fn follows_mark(&self) -> bool {
+        self.is_marked && !self.has_answered && self.is_missing()
+    }
+
     fn is_missing(&self) -> bool {
         matches!(self.entry, EntryState::Missing { .. })
     }
@@ -107,6 +124,7 @@
             member.is_registered = true;
             if let Some(known) = known(record.address) {
                 member.entry = known.entry;
+                member.has_answered = known.has_answered;
                 member.probes = known.probes;
                 member.last_probe = known.last_probe;
             }
@@ -119,6 +137,12 @@
         for (address, revision) in &listing.revisions {
             self.note_written(*address, *revision);
         }
+        for (address, revision) in &listing.absent {
+            if let Ok(index) = self.find(*address) {
+                let member = &mut self.members[index];
+                member.is_marked = member.revision == *revision;
+            }
+        }
         let mut gone = Vec::new();
         for member in &mut self.members {
             let EntryState::Missing { since } = &mut member.entry else {
@@ -183,6 +207,9 @@
 
     /// Records a packet of an agent; returns whether its server was taken to have ended.
     pub fn note_alive(&mut self, address: SocketAddrV4) -> bool {
+        if let Ok(index) = self.find(address) {
+            self.members[index].has_answered = true;
+        }
         self.ended.refute(address)
     }
 
@@ -214,6 +241,7 @@
             Ok(index) => {
                 let member = &mut self.members[index];
                 member.is_registered = true;
+                member.is_marked = false;
                 member.service = service;
                 if member.entry == EntryState::Gone {
                     member.entry = EntryState::Missing { since: None };
@@ -262,9 +290,14 @@
     /// itself.
     pub fn next_probes(&mut self, limit: usize, now: Millis) -> Vec<SocketAddrV4> {
         let due = |member: &&mut MemberState| {
+            let interval = if member.follows_mark() {
+                MARKED_PROBE_INTERVAL
+            } else {
+                PROBE_INTERVAL
+            };
             let recent = member
                 .last_probe
-                .is_some_and(|last_probe| now.since(last_probe) < PROBE_INTERVAL);
+                .is_some_and(|last_probe| now.since(last_probe) < interval);
             member.is_missing() && member.probes < MAX_PROBES && !recent
         };
         let members = self.members.iter_mut().filter(due).take(limit);
@@ -276,6 +309,27 @@
         probes.collect()
     }
 
+    /// Returns the agents that count as gone from now on, since they are marked as absent and have answered no
+    /// probe. All packets that arrived before `drained_at` have been read.
+    pub fn take_absent(&mut self, drained_at: Millis) -> Vec<SocketAddrV4> {
+        let mut gone = Vec::new();
+        for member in &mut self.members {
+            let is_unanswered = member
+                .last_probe
+                .is_some_and(|last_probe| drained_at.since(last_probe) >= MARKED_PROBE_INTERVAL);
+            if member.follows_mark() && member.probes >= MARKED_PROBES && is_unanswered {
+                member.entry = EntryState::Gone;
+                gone.push(member.address);
+            }
+        }
+        gone
+    }
+
+    /// Returns whether an agent is marked as absent and may still answer.
+    pub fn has_marked(&self) -> bool {
+        self.members.iter().any(MemberState::follows_mark)
+    }
+
     fn put(&mut self, member: MemberState) {
         match self.find(member.address) {
             Ok(index) => self.members[index] = member,
--- a/components/flows/src/process/registration_cleanup.rs
+++ b/components/flows/src/process/registration_cleanup.rs
@@ -28,6 +28,8 @@
     entries: Vec<SocketAddrV4>,
     /// Sorted by address.
     orphans: Vec<OrphanedRegistration>,
+    /// Registrations of which nothing more is to be done, sorted.
+    concluded: Vec<(SocketAddrV4, u64)>,
 }
 
 impl RegistrationCleanup {
@@ -39,6 +41,7 @@
             registrations: Vec::new(),
             entries: Vec::new(),
             orphans: Vec::new(),
+            concluded: Vec::new(),
         }
     }
 
@@ -52,6 +55,9 @@
         self.entries.sort_unstable();
         self.registrations = registrations.into_iter().collect();
         self.registrations.sort_unstable();
+        let registrations = &self.registrations;
+        self.concluded
+            .retain(|concluded| registrations.binary_search(concluded).is_ok());
     }
 
     /// Records that an agent's entry was written.
@@ -83,6 +89,13 @@
         }
     }
 
+    /// Records that nothing more is to be done about the registration of this revision.
+    pub fn conclude(&mut self, address: SocketAddrV4, revision: u64) {
+        if let Err(index) = self.concluded.binary_search(&(address, revision)) {
+            self.concluded.insert(index, (address, revision));
+        }
+    }
+
     /// Records that a request to the store has failed.
     pub fn note_failure(&mut self) {
         self.orphans.clear();
@@ -98,7 +111,8 @@
         let before = std::mem::take(&mut self.orphans);
         let mut orphans = Vec::new();
         for &(address, revision) in &self.registrations {
-            if !self.is_orphaned(address, revision) {
+            let is_concluded = self.concluded.binary_search(&(address, revision)).is_ok();
+            if is_concluded || !self.is_orphaned(address, revision) {
                 continue;
             }
             let known = before.binary_search_by_key(&address, |item| item.address);
--- a/components/flows/src/process/report_schedule.rs
+++ b/components/flows/src/process/report_schedule.rs
@@ -50,6 +50,16 @@
     /// Otherwise a report stays pending: a balancer suspects an agent that doesn't answer its last
     /// packet.
     pub fn note_packet(&mut self, balancer: SocketAddrV4, now: Millis) -> bool {
+        self.note(balancer, None, now)
+    }
+
+    /// Records a packet of a flow of this data centre that a balancer has forwarded; returns whether to
+    /// report at once.
+    pub fn note_forwarded(&mut self, balancer: SocketAddrV4, centre: u32, now: Millis) -> bool {
+        self.note(balancer, Some(centre), now)
+    }
+
+    fn note(&mut self, balancer: SocketAddrV4, centre: Option<u32>, now: Millis) -> bool {
         let found = self
             .peers
             .binary_search_by_key(&balancer, |peer| peer.address);
@@ -66,6 +76,7 @@
         });
         let peer = &mut self.peers[index];
         peer.last_heard = now;
+        peer.centre = centre.unwrap_or(peer.centre);
         peer.report_pending = !peer.interval_elapsed(now, REPORT_INTERVAL);
         if !peer.report_pending {
             peer.reported = Some(now);
@@ -93,16 +104,6 @@
         due
     }
 
-    /// Records the data centre of a flow that a balancer has forwarded.
-    pub fn note_centre(&mut self, balancer: SocketAddrV4, centre: u32) {
-        let found = self
-            .peers
-            .binary_search_by_key(&balancer, |peer| peer.address);
-        if let Ok(index) = found {
-            self.peers[index].centre = centre;
-        }
-    }
-
     /// Returns at most `limit` balancers of as many data centres as possible, the most recently heard ones
     /// first.
     pub fn recent_peers(&self, limit: usize) -> Vec<SocketAddrV4> {
--- a/components/flows/tests/deregistration.rs
+++ b/components/flows/tests/deregistration.rs
@@ -11,6 +11,7 @@
     HandedDeletions,
     MemberListing,
     MemberUpdate,
+    RegistrationCleanup,
     ReportSchedule, //
 };
 use rstest::rstest;
@@ -66,6 +67,7 @@
         entries: has_entry.then(record).into_iter().collect(),
         registrations: vec![record()],
         revisions: vec![(agent(1), revision)],
+        absent: Vec::new(),
         started: Millis(started),
         finished: Millis(started + 10),
     };
@@ -194,10 +196,84 @@
 fn handover_prefers_balancers_of_different_data_centres() {
     let mut schedule = ReportSchedule::default();
     for number in 1..=5 {
-        schedule.note_packet(agent(number), Millis(u64::from(number)));
         let centre = if number == 1 { 2 } else { 1 };
-        schedule.note_centre(agent(number), centre);
+        schedule.note_forwarded(agent(number), centre, Millis(u64::from(number)));
     }
     assert_eq!(schedule.recent_peers(3), [agent(5), agent(1), agent(4)]);
     assert_eq!(schedule.recent_peers(8).len(), 5);
 }
+
+/// Returns a table that lists an agent without an entry, whose mark names this revision.
+fn marked_table(mark: u64) -> AgentTable {
+    let mut table = AgentTable::default();
+    let listing = MemberListing {
+        registrations: vec![record()],
+        revisions: vec![(agent(1), 5)],
+        absent: vec![(agent(1), mark)],
+        started: Millis(0),
+        finished: Millis(10),
+        ..MemberListing::default()
+    };
+    table.apply_members(MemberUpdate::Listed(listing), Millis(10));
+    table
+}
+
+/// Guards against searches that wait for 2.5 s for an agent that is gone for good, and against a mark that
+/// counts for a later registration, or for an agent that answers.
+#[rstest]
+#[case::marked(5, None, Some(310))]
+#[case::mark_of_an_earlier_registration(4, None, None)]
+#[case::agent_answers(5, Some(250), None)]
+fn marked_agent_counts_as_gone_after_three_probes(
+    #[case] mark: u64,
+    #[case] answers: Option<u64>,
+    #[case] expected: Option<u64>,
+) {
+    let mut table = marked_table(mark);
+    let mut probes = 0;
+    for now in (10..2_000).step_by(100) {
+        if answers.is_some_and(|at| at <= now) {
+            table.note_alive(agent(1));
+        }
+        let gone = table.take_absent(Millis(now));
+        assert_eq!(!gone.is_empty(), expected == Some(now), "at {now}");
+        assert_eq!(is_possible(&table), expected.is_none_or(|at| now < at));
+        probes += table.next_probes(Millis(now)).len();
+    }
+    assert_eq!(probes, if expected.is_some() { 3 } else { probes });
+}
+
+/// Guards against a balancer that takes an agent as gone whose answers wait in its socket, as the process was
+/// paused.
+#[test]
+fn paused_balancer_reads_answers_first() {
+    let mut table = marked_table(5);
+    for now in [10, 110, 210] {
+        table.next_probes(Millis(now));
+    }
+    assert!(table.has_marked());
+    assert!(table.take_absent(Millis(210)).is_empty());
+    assert!(is_possible(&table), "nothing is known of packets after 210");
+    assert_eq!(table.take_absent(Millis(5_000)), [agent(1)]);
+    let registered = MemberUpdate::Registered(record(), 7);
+    table.apply_members(registered, Millis(5_100));
+    assert!(is_possible(&table), "a new process has registered");
+    assert!(!table.has_marked());
+}
+
+/// Guards against calls to the store for an agent that is marked already.
+#[test]
+fn concluded_registrations_are_due_no_more() {
+    let mut marks = RegistrationCleanup::new(Millis(30_000));
+    marks.apply_listing([], [(agent(1), 5)]);
+    assert_eq!(marks.next_due(Millis(0), || 0.0), None);
+    let due = Some((agent(1), 5));
+    assert_eq!(marks.next_due(Millis(30_000), || 0.0), due);
+    marks.conclude(agent(1), 5);
+    marks.apply_listing([], [(agent(1), 5)]);
+    assert_eq!(marks.next_due(Millis(90_000), || 0.0), None);
+    marks.note_registration(agent(1), 6);
+    assert_eq!(marks.next_due(Millis(100_000), || 0.0), None);
+    let due = Some((agent(1), 6));
+    assert_eq!(marks.next_due(Millis(130_000), || 0.0), due);
+}
--- a/components/flows/tests/lost_flow_search.rs
+++ b/components/flows/tests/lost_flow_search.rs
@@ -98,6 +98,7 @@
             entries: self.entries.clone(),
             registrations: Vec::new(),
             revisions: Vec::new(),
+            absent: Vec::new(),
             started,
             finished: started,
         };
--- a/components/flows/tests/registered_members.rs
+++ b/components/flows/tests/registered_members.rs
@@ -48,6 +48,7 @@
         entries: records(entries),
         registrations: records(registered),
         revisions: Vec::new(),
+        absent: Vec::new(),
         started: Millis(started),
         finished: Millis(started + 10),
     };
--- a/components/flows/tests/small_world.rs
+++ b/components/flows/tests/small_world.rs
@@ -499,6 +499,7 @@
                     entries: (0..3).map(record).collect(),
                     registrations: Vec::new(),
                     revisions: Vec::new(),
+                    absent: Vec::new(),
                     started: start,
                     finished: Millis(self.now),
                 };
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -54,11 +54,6 @@
         }
     }
 
-    /// Records the data centre of a flow that a balancer has forwarded.
-    pub(crate) fn note_centre(&mut self, balancer: SocketAddrV4, centre: u32) {
-        self.schedule.note_centre(balancer, centre);
-    }
-
     /// Hands the deletion of the registration of this revision over to balancers, at once and then at
     /// intervals; ends that for `None`.
     pub(crate) fn hand_over(
@@ -97,15 +92,21 @@
         }
     }
 
-    /// Records that a balancer has sent to the agent, and replies with a report if one is due.
+    /// Records that a balancer has sent to the agent, and replies with a report if one is due. `centre` is the
+    /// hash of the data centre of the flow whose packet it has forwarded.
     pub(crate) fn note_balancer(
         &mut self,
         balancer: SocketAddrV4,
+        centre: Option<u32>,
         tracker: &mut FlowTracker,
         endpoint: &mut UdpEndpoint,
         now: Millis,
     ) {
-        if self.schedule.note_packet(balancer, now) {
+        let is_due = match centre {
+            Some(centre) => self.schedule.note_forwarded(balancer, centre, now),
+            None => self.schedule.note_packet(balancer, now),
+        };
+        if is_due {
             self.send([balancer], tracker, endpoint, now);
         }
     }
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -240,9 +240,9 @@
         }
     }
 
-    fn note_balancer(&mut self, balancer: SocketAddrV4, now: Millis) {
+    fn note_balancer(&mut self, balancer: SocketAddrV4, centre: Option<u32>, now: Millis) {
         self.reporter
-            .note_balancer(balancer, &mut self.tracker, &mut self.packets, now);
+            .note_balancer(balancer, centre, &mut self.tracker, &mut self.packets, now);
     }
 
     fn report_change(&mut self, now: Millis) {
--- a/components/forwarder/src/connection/agent_traffic/received_packets.rs
+++ b/components/forwarder/src/connection/agent_traffic/received_packets.rs
@@ -59,7 +59,7 @@
                 Some(FlowBody::Probe(probe)) => {
                     let balancer = address_from_number(probe.balancer);
                     raise_peer_revision(&self.revision_sender, probe.revision, *balancer.ip());
-                    self.note_balancer(balancer, now);
+                    self.note_balancer(balancer, None, now);
                 }
                 Some(FlowBody::Owner(owner)) => {
                     let (key, agent) = decode_owner(&owner);
@@ -113,9 +113,7 @@
             header.revision,
             *header.balancer.ip(),
         );
-        self.note_balancer(header.balancer, now);
-        self.reporter
-            .note_centre(header.balancer, header.centre_hash);
+        self.note_balancer(header.balancer, Some(header.centre_hash), now);
         let hops = header.hops;
         let bytes = forwarded.packet;
         let attempt = (packet.data_len > 0).then(|| read_attempt_id(&bytes));
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -43,6 +43,7 @@
             Receiver,
             Sender, //
         },
+        oneshot,
         watch, //
     },
     time::{
@@ -94,6 +95,8 @@
     Expired(SocketAddrV4),
     /// What was read of the agents' registrations.
     Members(MemberUpdate),
+    /// Probes an agent whose entry is missing; the reply tells whether it has answered an earlier packet.
+    ProbeAbsent(SocketAddrV4, oneshot::Sender<bool>),
 }
 
 /// State of a balancer's traffic thread: its sockets and routing state.
@@ -182,6 +185,11 @@
                 self.router.agents.note_written(address, revision);
             }
             BalancerUpdate::Expired(address) => self.router.agents.mark_expired(address, now),
+            BalancerUpdate::ProbeAbsent(agent, answer) => {
+                // The control thread may have ended.
+                let _ = answer.send(self.router.agents.contains(agent));
+                self.send_probe(agent);
+            }
             BalancerUpdate::Members(update) => {
                 for agent in self.router.agents.apply_members(update, now) {
                     info!(%agent, "agent counts as gone: its entry is missing");
@@ -353,6 +361,7 @@
             info!(%agent, "agent removed: store entry expired and no answer");
         }
         self.update_weights(now);
+        self.expire_absent(now);
         self.probe(now);
     }
 
--- a/components/forwarder/src/connection/balancer_traffic/ended_agents.rs
+++ b/components/forwarder/src/connection/balancer_traffic/ended_agents.rs
@@ -1,7 +1,8 @@
-//! Agents that have told a balancer that their servers have ended.
+//! Agents that are gone: they have said so, or are marked as absent.
 
 use std::net::SocketAddrV4;
 
+use carobdrum_core::Millis;
 use carobdrum_wire::flow_datagram::{
     address_from_number,
     RegistrationEnded, //
@@ -36,10 +37,22 @@
 
     /// Records a packet that only an agent that is running sends.
     pub(super) fn note_alive(&mut self, agent: SocketAddrV4) {
-        if self.router.agents.note_alive(agent) {
+        if self.router.options.reset_lost && self.router.agents.note_alive(agent) {
             info!(%agent, "agent counts as an owner of flows again: it has sent a packet");
             // Without room the deletion goes on, which a new registration prevents.
             let _ = self.handed_over.try_send(HandedOver::Cancel(agent));
         }
     }
+
+    /// Takes the agents as gone that are marked as absent and have answered no probe. Packets that wait in
+    /// the socket, such as after a pause of the process, may be answers.
+    pub(super) fn expire_absent(&mut self, now: Millis) {
+        if !self.router.options.reset_lost || !self.router.agents.has_marked() {
+            return;
+        }
+        self.agents.check_drained(now);
+        for agent in self.router.agents.take_absent(self.agents.drained_at()) {
+            info!(%agent, "agent counts as gone: it is marked as absent and doesn't answer");
+        }
+    }
 }
--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -13,10 +13,12 @@
 pub use process::{
     run_agent,
     run_balancer,
+    AbsenceMarker,
     ConfigTracker,
     KeyEvent,
     KeyWatcher,
     ListingDemand,
+    MarkOutcome,
     NodeError,
     SettingsFile, //
     WatchProgress,
--- a/components/forwarder/src/process/agent_events.rs
+++ b/components/forwarder/src/process/agent_events.rs
@@ -16,6 +16,7 @@
     RegistrationCleanup, //
 };
 use carobdrum_platform::{
+    parse_absent_mark,
     parse_agent_entry,
     parse_agent_key,
     parse_registration,
@@ -41,6 +42,15 @@
     /// The same state as that of the traffic thread, to tell whether further listings are needed.
     pub(crate) members: RegisteredMembers,
     pub(crate) cleanup: Rc<RefCell<RegistrationCleanup>>,
+    /// Decides when agents are marked as absent.
+    pub(crate) marks: Rc<RefCell<RegistrationCleanup>>,
+}
+
+impl ReadRegistrations {
+    fn note(&self, note: impl Fn(&mut RegistrationCleanup)) {
+        note(&mut self.cleanup.borrow_mut());
+        note(&mut self.marks.borrow_mut());
+    }
 }
 
 /// Converts events of the agents' keys into updates for the traffic thread.
@@ -68,7 +78,7 @@
                     return Vec::new();
                 };
                 registrations.members.note_failure();
-                registrations.cleanup.borrow_mut().note_failure();
+                registrations.note(RegistrationCleanup::note_failure);
                 vec![BalancerUpdate::Members(MemberUpdate::StoreFailed)]
             }
         }
@@ -82,7 +92,8 @@
 
     fn read_listing(&mut self, listing: &StoreListing, started: Millis) -> BalancerUpdate {
         let is_registration = |item: &&StoreItem| is_registration(&item.key);
-        let entries = listing.items.iter().filter(|item| !is_registration(item));
+        let is_other = |item: &&StoreItem| is_registration(item) || is_mark(&item.key);
+        let entries = listing.items.iter().filter(|item| !is_other(item));
         let entries: Vec<AgentRecord> = entries.filter_map(read_entry).collect();
         let Some(registrations) = &mut self.registrations else {
             info!(records = ?entries, "agents read from the store");
@@ -97,15 +108,22 @@
                 records.push(record);
             }
         }
-        let addresses = entries.iter().map(|record| record.address);
-        registrations
-            .cleanup
-            .borrow_mut()
-            .apply_listing(addresses, revisions);
+        let absent = absence_marks(&listing.items);
+        registrations.note(|cleanup| {
+            let addresses = entries.iter().map(|record| record.address);
+            cleanup.apply_listing(addresses, revisions.iter().copied());
+        });
+        for (address, revision) in &absent {
+            registrations
+                .marks
+                .borrow_mut()
+                .conclude(*address, *revision);
+        }
         let listing = MemberListing {
             entries,
             registrations: records,
             revisions: last_writes,
+            absent,
             started,
             finished: BootClock.now(),
         };
@@ -125,13 +143,16 @@
             let registrations = self.registrations.as_mut()?;
             let record = read_registration(item)?;
             registrations.members.note_registration(&record);
-            registrations
-                .cleanup
-                .borrow_mut()
-                .note_registration(record.address, item.revision);
+            registrations.note(|cleanup| cleanup.note_registration(record.address, item.revision));
             let update = MemberUpdate::Registered(record, item.revision);
             return Some(BalancerUpdate::Members(update));
         }
+        if let Some(AgentKey::Absent(address)) = parse_agent_key(&item.key) {
+            let registrations = self.registrations.as_mut()?;
+            let revision = parse_absent_mark(&item.value)?;
+            registrations.marks.borrow_mut().conclude(address, revision);
+            return None;
+        }
         let record = read_entry(item)?;
         info!(
             agent = %record.address,
@@ -140,10 +161,7 @@
         );
         if let Some(registrations) = &mut self.registrations {
             registrations.members.note_entry(&record);
-            registrations
-                .cleanup
-                .borrow_mut()
-                .note_entry(record.address);
+            registrations.note(|cleanup| cleanup.note_entry(record.address));
         }
         Some(BalancerUpdate::Agent(record, item.revision))
     }
@@ -153,17 +171,14 @@
             let registrations = self.registrations.as_mut()?;
             info!(agent = %address, revision, "registration of an agent deleted");
             registrations.members.remove_registration(address);
-            registrations
-                .cleanup
-                .borrow_mut()
-                .remove_registration(address);
+            registrations.note(|cleanup| cleanup.remove_registration(address));
             return Some(BalancerUpdate::Members(MemberUpdate::Unregistered(address)));
         }
         let address = key.strip_prefix(AGENT_PREFIX)?.parse().ok()?;
         info!(agent = %address, revision, "store entry of an agent deleted");
         if let Some(registrations) = &mut self.registrations {
             registrations.members.note_missing(address);
-            registrations.cleanup.borrow_mut().note_missing(address);
+            registrations.note(|cleanup| cleanup.note_missing(address));
         }
         Some(BalancerUpdate::Expired(address))
     }
@@ -171,17 +186,38 @@
 
 /// Returns the revision of each agent's last write, sorted by address.
 fn last_writes(items: &[StoreItem]) -> Vec<(SocketAddrV4, u64)> {
-    let written = items.iter().filter_map(|item| {
-        let (AgentKey::Entry(address) | AgentKey::Registration(address)) =
-            parse_agent_key(&item.key)?;
-        Some((address, item.revision))
-    });
+    let written = items
+        .iter()
+        .filter_map(|item| match parse_agent_key(&item.key)? {
+            AgentKey::Entry(address) | AgentKey::Registration(address) => {
+                Some((address, item.revision))
+            }
+            AgentKey::Absent(_) => None,
+        });
     let mut written: Vec<(SocketAddrV4, u64)> = written.collect();
     written.sort_unstable_by_key(|(address, revision)| (*address, Reverse(*revision)));
     written.dedup_by_key(|(address, _)| *address);
     written
 }
 
+/// Returns the agents that are marked as absent, with the revisions of the registrations for which the marks
+/// hold.
+fn absence_marks(items: &[StoreItem]) -> Vec<(SocketAddrV4, u64)> {
+    let marks = items.iter().filter_map(|item| {
+        let Some(AgentKey::Absent(address)) = parse_agent_key(&item.key) else {
+            return None;
+        };
+        Some((address, parse_absent_mark(&item.value)?))
+    });
+    let mut marks: Vec<(SocketAddrV4, u64)> = marks.collect();
+    marks.sort_unstable();
+    marks
+}
+
+fn is_mark(key: &str) -> bool {
+    matches!(parse_agent_key(key), Some(AgentKey::Absent(_)))
+}
+
 fn is_registration(key: &str) -> bool {
     matches!(parse_agent_key(key), Some(AgentKey::Registration(_)))
 }
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -37,6 +37,10 @@
 use tracing::info;
 
 use super::{
+    absence_marker::{
+        mark_absent_agents,
+        MARK_DELAY, //
+    },
     agent_events::{
         AgentEvents,
         ReadRegistrations, //
@@ -139,12 +143,16 @@
         let retention = Millis(u64::from(settings.flows.registration_retention_s) * 1_000);
         let cleanup = RegistrationCleanup::new(retention);
         let cleanup = Rc::new(RefCell::new(cleanup));
+        let marks = Rc::new(RefCell::new(RegistrationCleanup::new(MARK_DELAY)));
         agents = agents.on_demand(listing_wanted);
         events.registrations = Some(ReadRegistrations {
             members: RegisteredMembers::default(),
             cleanup: cleanup.clone(),
+            marks: marks.clone(),
         });
         let metrics = context.metrics.clone();
+        tokio::task::spawn_local(mark_absent_agents(store, marks, updates.clone(), metrics));
+        let metrics = context.metrics.clone();
         tokio::task::spawn_local(clean_registrations(store, cleanup, metrics));
         let metrics = context.metrics.clone();
         tokio::task::spawn_local(delete_handed_over(store, handed_over_receiver, metrics));
@@ -248,7 +256,7 @@
         BalancerUpdate::Members(MemberUpdate::Listed(listing)) => {
             agents.clone_from(&listing.entries);
         }
-        BalancerUpdate::Members(_) => {}
+        BalancerUpdate::Members(_) | BalancerUpdate::ProbeAbsent(..) => {}
     }
 }
 
--- a/components/forwarder/src/process/deregistration_task.rs
+++ b/components/forwarder/src/process/deregistration_task.rs
@@ -63,7 +63,7 @@
         // A server may be started again at any time, so it is probed before each attempt.
         while self.has_server_ended().await {
             let Some(limit) = self.schedule.begin_attempt(BootClock.now()) else {
-                info!("registration not deleted in time; a balancer will delete it");
+                info!("registration not deleted; a balancer will delete it");
                 self.count("late");
                 return;
             };
@@ -79,13 +79,17 @@
                     sleep(duration(self.schedule.pause(pause, BootClock.now()))).await;
                 }
                 outcome => {
-                    let is_deleted = matches!(outcome, Some(Unregistration::Deleted));
                     let attempts = self.schedule.attempts();
-                    info!(
-                        is_deleted,
-                        attempts, "deregistration ended: the server has ended"
-                    );
-                    self.count(if is_deleted { "deleted" } else { "kept" });
+                    if let Some(Unregistration::Deleted) = outcome {
+                        info!(attempts, "registration deleted: the server has ended");
+                        self.count("deleted");
+                    } else {
+                        info!(
+                            attempts,
+                            "registration kept: it has changed or is deleted already"
+                        );
+                        self.count("kept");
+                    }
                     return;
                 }
             }
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -7,6 +7,7 @@
 
 use carobdrum_flows::process::AgentRecord;
 use carobdrum_platform::{
+    absent_key,
     agent_key,
     delete_registration,
     encode_agent_entry,
@@ -302,8 +303,12 @@
                     lease: 0,
                 },
             ];
+            // Deleting a mark may raise the revision in the response beyond that of the registration; `find_own`
+            // then finds it.
+            let mark = absent_key(record.address);
             let transaction = StoreTransaction {
                 puts: &puts,
+                deletes: &[&mark],
                 ..StoreTransaction::default()
             };
             if !self.used_leases.contains(&lease) {
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! The daemons and their control tasks, which run as long as the process.
 
+mod absence_marker;
 mod agent_events;
 mod agent_node;
 mod balancer_node;
@@ -27,6 +28,10 @@
 mod store_watch;
 mod tick_history;
 
+pub use absence_marker::{
+    AbsenceMarker,
+    MarkOutcome, //
+};
 pub use agent_node::run_agent;
 pub use balancer_node::run_balancer;
 pub(crate) use boot_clock::BootClock;
--- a/components/forwarder/src/process/registration_cleaner.rs
+++ b/components/forwarder/src/process/registration_cleaner.rs
@@ -10,6 +10,7 @@
 use carobdrum_flows::process::RegistrationCleanup;
 use carobdrum_platform::{
     agent_key,
+    registered_keys,
     registration_key,
     StoreClient,
     StoreError,
@@ -95,9 +96,11 @@
     revision: u64,
 ) -> Result<(), StoreError> {
     let (entry, registration) = (agent_key(agent), registration_key(agent));
+    let keys = registered_keys(agent);
+    let deletes: Vec<&str> = keys.iter().map(|key| key.as_str()).collect();
     let transaction = StoreTransaction {
         expected: &[(&entry, 0), (&registration, revision)],
-        deletes: &[&registration],
+        deletes: &deletes,
         ..StoreTransaction::default()
     };
     client.commit(&transaction).await.map(|_| ())
--- a/tests/platform_roles/handovers.rs
+++ b/tests/platform_roles/handovers.rs
@@ -3,6 +3,7 @@
 use std::{
     net::{
         Ipv4Addr,
+        SocketAddr,
         SocketAddrV4, //
     },
     time::Duration,
@@ -25,7 +26,13 @@
 use prost::Message;
 use rstest::rstest;
 use tokio::{
-    net::UdpSocket,
+    io::copy_bidirectional,
+    net::{
+        TcpListener,
+        TcpStream,
+        UdpSocket, //
+    },
+    task::JoinSet,
     time::{
         sleep,
         timeout, //
@@ -42,6 +49,7 @@
     },
     role_process::{
         free_port,
+        start_agent_beside,
         start_balancer_with,
         start_store,
         RoleProcess,
@@ -215,3 +223,57 @@
     }
     assert_eq!(store.keys("agents/").len(), if lives { 2 } else { 0 });
 }
+
+/// Forwards connections to the store until it is dropped. Further ones are accepted by the system, and stay
+/// without a response.
+async fn relay(listener: &TcpListener, store: SocketAddrV4) {
+    let mut connections = JoinSet::new();
+    while let Ok((mut stream, _)) = listener.accept().await {
+        connections.spawn(async move {
+            let mut store = TcpStream::connect(store).await.unwrap();
+            // Ends when either side closes the connection.
+            let _ = copy_bidirectional(&mut stream, &mut store).await;
+        });
+    }
+}
+
+/// Guards against a registration that stays since its agent is cut off from the store, also if the agent is
+/// killed before the deletion.
+#[rstest]
+#[case::agent_runs_on(false)]
+#[case::agent_is_killed(true)]
+#[tokio::test]
+async fn balancer_deletes_for_an_agent_that_is_cut_off(#[case] is_killed: bool) {
+    let store = start_store().await;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
+        panic!("no IPv4 address");
+    };
+    let (mut agent, balancer) = {
+        let register = async {
+            let agent = start_agent_beside(address, free_port(), free_port(), RESET_LOST);
+            agent.wait_for_status(200).await;
+            agent.send_heartbeat(1, 1, "draining").await;
+            wait_for_keys(&store, 2, STATE_TIMEOUT).await;
+            let balancer = start_balancer(&store, RESET_LOST).await;
+            // The balancer probes the agent, and gets its report.
+            sleep(Duration::from_millis(500)).await;
+            (agent, balancer)
+        };
+        tokio::select! {
+            processes = register => processes,
+            () = relay(&listener, store.address()) => panic!("the relay has ended"),
+        }
+    };
+    agent.signal(libc::SIGTERM);
+    if is_killed {
+        store.set_mode(StoreMode::Unavailable);
+        sleep(Duration::from_millis(1_200)).await;
+        agent.signal(libc::SIGKILL);
+        store.set_mode(StoreMode::Open);
+    }
+    wait_for_keys(&store, 0, Duration::from_millis(2_500)).await;
+    agent.wait_for_exit().await;
+    drop(balancer);
+    assert_eq!(store.keys("agents/").len(), 0);
+}
--- a/tests/platform_roles/registrations.rs
+++ b/tests/platform_roles/registrations.rs
@@ -194,6 +194,22 @@
     assert!(store.keys("agents/").contains(&registration.into()));
 }
 
+/// Guards against a mark of absence that stays beside the registration of an agent that is back, and against a
+/// registration that stays since its revision isn't the last one of the write that deleted a mark.
+#[tokio::test]
+async fn registration_deletes_the_mark_of_absence() {
+    let store = start_store().await;
+    let agent = start_agent_with(&store, free_port(), free_port(), RESET_LOST);
+    store.put(&format!("agents/{}/absent", agent.packets), "1");
+    agent.wait_for_status(200).await;
+    agent.send_heartbeat(1, 1, "draining").await;
+    wait_for_keys(&store, 2, STATE_TIMEOUT).await;
+    let mut agent = agent;
+    agent.signal(libc::SIGTERM);
+    agent.wait_for_exit().await;
+    assert_eq!(store.keys("agents/").len(), 0);
+}
+
 /// Guards against the deletion of a registration that another process has written, or whose server was started
 /// again, while the agent waited for the store.
 #[rstest]
@@ -227,6 +243,7 @@
     store.put("agents/127.9.0.1:1", VALUE);
     store.put("agents/127.9.0.1:1/registered", VALUE);
     store.put("agents/127.9.0.2:1/registered", VALUE);
+    store.put("agents/127.9.0.2:1/absent", "4");
     let further = format!("{RESET_LOST}registration_retention_s = 1\n");
     let balancer = start_balancer_with(&store, Ipv4Addr::LOCALHOST, free_port(), "", &further);
     balancer.wait_for_status(200).await;
--- a/tests/platform_roles/role_process.rs
+++ b/tests/platform_roles/role_process.rs
@@ -170,6 +170,16 @@
     packet_port: u16,
     peer_port: u16,
     further: &str,
+) -> RoleProcess {
+    start_agent_beside(store.address(), packet_port, peer_port, further)
+}
+
+/// Starts an agent that reaches the store at this address.
+pub(crate) fn start_agent_beside(
+    store: SocketAddrV4,
+    packet_port: u16,
+    peer_port: u16,
+    further: &str,
 ) -> RoleProcess {
     let folder = TempDir::new().unwrap();
     let ip = Ipv4Addr::LOCALHOST;
@@ -183,7 +193,7 @@
          [store]\naddress = '{}'\nmin_lease_ms = 1000\n\
          [backend]\naddress = '{backend}'\nservice = 's'\noutgoing = '{outgoing}'\n\
          heartbeats = '{heartbeats}'\nreuse_s = '2'\n{further}",
-        store.address(),
+        store,
     );
     fs::write(folder.path().join(SETTINGS_FILE), settings).unwrap();
     RoleProcess {
