Share the set-up of the deregistration tests

Cause: two tests of marks and of handovers built the same listings and balancers again. The balancer of the test with an agent that is cut off starts before the agent's registration now, and has to learn of it by its watch.

--- a/components/flows/tests/deregistration.rs
+++ b/components/flows/tests/deregistration.rs
@@ -61,16 +61,20 @@
     }
 }
 
-/// Lists an agent whose registration has this revision, with its entry if `has_entry`.
-fn list(table: &mut AgentTable, revision: u64, has_entry: bool, started: u64) {
-    let listing = MemberListing {
+/// Returns a list of an agent whose registration has this revision, with its entry if `has_entry`.
+fn listing(revision: u64, has_entry: bool, started: u64) -> MemberListing {
+    MemberListing {
         entries: has_entry.then(record).into_iter().collect(),
         registrations: vec![record()],
         revisions: vec![(agent(1), revision)],
-        absent: Vec::new(),
         started: Millis(started),
         finished: Millis(started + 10),
-    };
+        ..MemberListing::default()
+    }
+}
+
+fn list(table: &mut AgentTable, revision: u64, has_entry: bool, started: u64) {
+    let listing = listing(revision, has_entry, started);
     table.apply_members(MemberUpdate::Listed(listing), Millis(started + 10));
     table.expire(Millis(started + 10));
 }
@@ -207,12 +211,8 @@
 fn marked_table(mark: u64) -> AgentTable {
     let mut table = AgentTable::default();
     let listing = MemberListing {
-        registrations: vec![record()],
-        revisions: vec![(agent(1), 5)],
         absent: vec![(agent(1), mark)],
-        started: Millis(0),
-        finished: Millis(10),
-        ..MemberListing::default()
+        ..listing(5, false, 0)
     };
     table.apply_members(MemberUpdate::Listed(listing), Millis(10));
     table
--- a/components/flows/tests/lost_flow_search.rs
+++ b/components/flows/tests/lost_flow_search.rs
@@ -97,10 +97,9 @@
         let listing = MemberListing {
             entries: self.entries.clone(),
             registrations: Vec::new(),
-            revisions: Vec::new(),
-            absent: Vec::new(),
             started,
             finished: started,
+            ..MemberListing::default()
         };
         self.table
             .apply_members(MemberUpdate::Listed(listing), started);
--- a/components/flows/tests/registered_members.rs
+++ b/components/flows/tests/registered_members.rs
@@ -47,10 +47,9 @@
     let listing = MemberListing {
         entries: records(entries),
         registrations: records(registered),
-        revisions: Vec::new(),
-        absent: Vec::new(),
         started: Millis(started),
         finished: Millis(started + 10),
+        ..MemberListing::default()
     };
     table.apply_members(MemberUpdate::Listed(listing), Millis(started + 10));
     table.expire(Millis(started + 10));
--- a/components/flows/tests/small_world.rs
+++ b/components/flows/tests/small_world.rs
@@ -498,10 +498,9 @@
                 let listing = MemberListing {
                     entries: (0..3).map(record).collect(),
                     registrations: Vec::new(),
-                    revisions: Vec::new(),
-                    absent: Vec::new(),
                     started: start,
                     finished: Millis(self.now),
+                    ..MemberListing::default()
                 };
                 let update = MemberUpdate::Listed(listing);
                 balancer.table.apply_members(update, Millis(self.now));
--- a/tests/platform_roles/handovers.rs
+++ b/tests/platform_roles/handovers.rs
@@ -96,6 +96,13 @@
     balancer
 }
 
+/// Starts a balancer in the test, from which the agent has had a packet.
+async fn start_fake_balancer(last: u8, agent: &RoleProcess) -> FakeBalancer {
+    let balancer = FakeBalancer::start(Ipv4Addr::new(127, 0, 0, last), agent.peer_port).await;
+    balancer.show_until(agent.packets, 0, 0).await;
+    balancer
+}
+
 /// Guards against a registration that stays although its agent reaches balancers that reach the store, and
 /// against a call to the store for each copy of the message.
 #[rstest]
@@ -163,9 +170,7 @@
 async fn agent_hands_over_what_it_cannot_delete() {
     let store = start_store().await;
     let mut agent = start_draining(&store, StoreMode::Open).await;
-    let ip = Ipv4Addr::new(127, 0, 0, 8);
-    let balancer = FakeBalancer::start(ip, agent.peer_port).await;
-    balancer.show_until(agent.packets, 0, 0).await;
+    let balancer = start_fake_balancer(8, &agent).await;
     let mut client = StoreClient::new(store.address(), STATE_TIMEOUT);
     let listing = client.list(&registration_key(agent.packets)).await.unwrap();
     store.set_mode(StoreMode::Unresponsive);
@@ -208,9 +213,7 @@
     let store = start_store().await;
     let mut agent = start_draining(&store, StoreMode::Open).await;
     let _listener = lives.then(|| std::net::TcpListener::bind(agent.backend).unwrap());
-    let ip = Ipv4Addr::new(127, 0, 0, 7);
-    let balancer = FakeBalancer::start(ip, agent.peer_port).await;
-    balancer.show_until(agent.packets, 0, 0).await;
+    let balancer = start_fake_balancer(7, &agent).await;
     if lives {
         store.set_mode(StoreMode::Unavailable);
     }
@@ -249,22 +252,19 @@
     let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
         panic!("no IPv4 address");
     };
-    let (mut agent, balancer) = {
-        let register = async {
-            let agent = start_agent_beside(address, free_port(), free_port(), RESET_LOST);
-            agent.wait_for_status(200).await;
-            agent.send_heartbeat(1, 1, "draining").await;
-            wait_for_keys(&store, 2, STATE_TIMEOUT).await;
-            let balancer = start_balancer(&store, RESET_LOST).await;
-            // The balancer probes the agent, and gets its report.
-            sleep(Duration::from_millis(500)).await;
-            (agent, balancer)
-        };
-        tokio::select! {
-            processes = register => processes,
-            () = relay(&listener, store.address()) => panic!("the relay has ended"),
-        }
+    let mut agent = start_agent_beside(address, free_port(), free_port(), RESET_LOST);
+    let balancer = start_balancer(&store, RESET_LOST).await;
+    let register = async {
+        agent.wait_for_status(200).await;
+        agent.send_heartbeat(1, 1, "draining").await;
+        wait_for_keys(&store, 2, STATE_TIMEOUT).await;
+        // The balancer reads the entry after a delay, probes the agent, and gets its report.
+        sleep(Duration::from_millis(1_500)).await;
     };
+    tokio::select! {
+        () = register => {}
+        () = relay(&listener, store.address()) => panic!("the relay has ended"),
+    }
     agent.signal(libc::SIGTERM);
     if is_killed {
         store.set_mode(StoreMode::Unavailable);
