Merge the handover of deregistrations and the mark of absent agents

Change: the keys that end with a registration are listed in one place, with the saved flows and the mark.

--- a/components/flows/src/process/report_schedule.rs
+++ b/components/flows/src/process/report_schedule.rs
@@ -26,6 +26,9 @@
     reported: Option<Millis>,
     /// Whether a packet arrived after the last report.
     report_pending: bool,
+    /// Hash of the data centre of the last flow that it has forwarded, which is usually its own; zero
+    /// before the first one.
+    centre: u32,
 }
 
 impl BalancerPeer {
@@ -47,6 +50,16 @@
     /// Otherwise a report stays pending: a balancer suspects an agent that doesn't answer its last
     /// packet.
     pub fn note_packet(&mut self, balancer: SocketAddrV4, now: Millis) -> bool {
+        self.note(balancer, None, now)
+    }
+
+    /// Records a packet of a flow of this data centre that a balancer has forwarded; returns whether to
+    /// report at once.
+    pub fn note_forwarded(&mut self, balancer: SocketAddrV4, centre: u32, now: Millis) -> bool {
+        self.note(balancer, Some(centre), now)
+    }
+
+    fn note(&mut self, balancer: SocketAddrV4, centre: Option<u32>, now: Millis) -> bool {
         let found = self
             .peers
             .binary_search_by_key(&balancer, |peer| peer.address);
@@ -56,12 +69,14 @@
                 last_heard: now,
                 reported: None,
                 report_pending: false,
+                centre: 0,
             };
             self.peers.insert(index, peer);
             index
         });
         let peer = &mut self.peers[index];
         peer.last_heard = now;
+        peer.centre = centre.unwrap_or(peer.centre);
         peer.report_pending = !peer.interval_elapsed(now, REPORT_INTERVAL);
         if !peer.report_pending {
             peer.reported = Some(now);
@@ -89,6 +104,28 @@
         due
     }
 
+    /// Returns at most `limit` balancers of as many data centres as possible, the most recently heard ones
+    /// first.
+    pub fn recent_peers(&self, limit: usize) -> Vec<SocketAddrV4> {
+        let mut recent: Vec<&BalancerPeer> = self.peers.iter().collect();
+        recent.sort_by_key(|peer| std::cmp::Reverse(peer.last_heard));
+        // The first one of each data centre comes before the second one of any.
+        let mut counts: Vec<(u32, usize)> = Vec::new();
+        let mut ranked = Vec::with_capacity(recent.len());
+        for peer in recent {
+            let index = counts.binary_search_by_key(&peer.centre, |count| count.0);
+            let index = index.unwrap_or_else(|index| {
+                counts.insert(index, (peer.centre, 0));
+                index
+            });
+            ranked.push((counts[index].1, peer.address));
+            counts[index].1 += 1;
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.truncate(limit);
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Returns all balancers, to report a change to them.
     pub fn take_all(&mut self, now: Millis) -> Vec<SocketAddrV4> {
         for peer in &mut self.peers {
--- a/components/flows/tests/lost_flow_search.rs
+++ b/components/flows/tests/lost_flow_search.rs
@@ -99,6 +99,7 @@
             registrations: Vec::new(),
             started,
             finished: started,
+            ..MemberListing::default()
         };
         self.table
             .apply_members(MemberUpdate::Listed(listing), started);
--- a/components/flows/tests/small_world.rs
+++ b/components/flows/tests/small_world.rs
@@ -500,6 +500,7 @@
                     registrations: Vec::new(),
                     started: start,
                     finished: Millis(self.now),
+                    ..MemberListing::default()
                 };
                 let update = MemberUpdate::Listed(listing);
                 balancer.table.apply_members(update, Millis(self.now));
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -147,6 +147,9 @@
                 let outcome = self.tracker.handle_late_heartbeat(heartbeat, sent, now);
                 // The requester may have stopped waiting.
                 let _ = answer.send(self.backend_outcome(outcome));
+                if !self.tracker.is_leaving() {
+                    self.reporter.hand_over(None, &mut self.packets, now);
+                }
                 self.reset_lost_flows();
                 self.settle_former_flows(now);
             }
@@ -179,6 +182,10 @@
                     self.reset_lost_flows();
                 }
             }
+            AgentUpdate::HandOver(revision) => {
+                self.reporter.hand_over(revision, &mut self.packets, now);
+                return;
+            }
             AgentUpdate::ServerEnded => {
                 self.tracker.note_server_ended();
                 self.reset_lost_flows();
@@ -246,9 +253,9 @@
         }
     }
 
-    fn note_balancer(&mut self, balancer: SocketAddrV4, now: Millis) {
+    fn note_balancer(&mut self, balancer: SocketAddrV4, centre: Option<u32>, now: Millis) {
         self.reporter
-            .note_balancer(balancer, &mut self.tracker, &mut self.packets, now);
+            .note_balancer(balancer, centre, &mut self.tracker, &mut self.packets, now);
     }
 
     fn report_change(&mut self, now: Millis) {
--- a/components/forwarder/src/connection/agent_update.rs
+++ b/components/forwarder/src/connection/agent_update.rs
@@ -35,6 +35,9 @@
     FormerFlows(SavedFlows, Millis),
     /// Asks for the long flows that the server holds, to save them; the reply is `None` if there is nothing to save.
     FindLongFlows(oneshot::Sender<Option<SavedFlows>>),
+    /// The server has ended, and the registration of this revision couldn't be deleted: hand the deletion over
+    /// to balancers; `None` ends that.
+    HandOver(Option<u64>),
     /// The process is shutting down; the reply is sent when no flow is open.
     Stop(oneshot::Sender<()>),
 }
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! The daemons and their control tasks, which run as long as the process.
 
+mod absence_marker;
 mod agent_events;
 mod agent_node;
 mod balancer_node;
@@ -8,6 +9,7 @@
 mod config_tracker;
 mod deregistration_task;
 mod flow_saving;
+mod handed_over_task;
 mod hedged_read;
 mod held_metrics;
 mod http_port;
@@ -28,6 +30,10 @@
 mod store_watch;
 mod tick_history;
 
+pub use absence_marker::{
+    AbsenceMarker,
+    MarkOutcome, //
+};
 pub use agent_node::run_agent;
 pub use balancer_node::run_balancer;
 pub(crate) use boot_clock::BootClock;
--- a/tests/platform_roles/registrations.rs
+++ b/tests/platform_roles/registrations.rs
@@ -31,17 +31,17 @@
     STATE_TIMEOUT, //
 };
 
-const RESET_LOST: &str = "[flows]\nreset_lost = true\n";
+pub(crate) const RESET_LOST: &str = "[flows]\nreset_lost = true\n";
 
 /// Value of an agent's keys.
-const VALUE: &str = r#"{"centre":"north","service":"s","leaving":false}"#;
+pub(crate) const VALUE: &str = r#"{"centre":"north","service":"s","leaving":false}"#;
 
 /// Time within which a registration is deleted that was left for the lifetime of a flow, one second: up to
 /// twice that time, two intervals between checks, and the wait for an agent that lives.
 const CLEANUP_TIME: Duration = Duration::from_secs(12);
 
 /// Waits until the store has this many keys of agents.
-async fn wait_for_keys(store: &LeaseServer, count: usize, limit: Duration) {
+pub(crate) async fn wait_for_keys(store: &LeaseServer, count: usize, limit: Duration) {
     let wait = async {
         while store.keys("agents/").len() != count {
             sleep(POLL_INTERVAL).await;
@@ -143,7 +143,7 @@
 
 /// Starts an agent whose server has sent a heartbeat, and then, in this mode of the store, one that says that
 /// it drains.
-async fn start_draining(store: &LeaseServer, mode: StoreMode) -> RoleProcess {
+pub(crate) async fn start_draining(store: &LeaseServer, mode: StoreMode) -> RoleProcess {
     let agent = start_registered(store).await;
     wait_for_keys(store, 2, STATE_TIMEOUT).await;
     store.set_mode(mode);
@@ -194,6 +194,22 @@
     assert!(store.keys("agents/").contains(&registration.into()));
 }
 
+/// Guards against a mark of absence that stays beside the registration of an agent that is back, and against a
+/// registration that stays since its revision isn't the last one of the write that deleted a mark.
+#[tokio::test]
+async fn registration_deletes_the_mark_of_absence() {
+    let store = start_store().await;
+    let agent = start_agent_with(&store, free_port(), free_port(), RESET_LOST);
+    store.put(&format!("agents/{}/absent", agent.packets), "1");
+    agent.wait_for_status(200).await;
+    agent.send_heartbeat(1, 1, "draining").await;
+    wait_for_keys(&store, 2, STATE_TIMEOUT).await;
+    let mut agent = agent;
+    agent.signal(libc::SIGTERM);
+    agent.wait_for_exit().await;
+    assert_eq!(store.keys("agents/").len(), 0);
+}
+
 /// Guards against the deletion of a registration that another process has written, or whose server was started
 /// again, while the agent waited for the store.
 #[rstest]
@@ -227,6 +243,7 @@
     store.put("agents/127.9.0.1:1", VALUE);
     store.put("agents/127.9.0.1:1/registered", VALUE);
     store.put("agents/127.9.0.2:1/registered", VALUE);
+    store.put("agents/127.9.0.2:1/absent", "4");
     let further = format!("{RESET_LOST}registration_retention_s = 1\n");
     let balancer = start_balancer_with(&store, Ipv4Addr::LOCALHOST, free_port(), "", &further);
     balancer.wait_for_status(200).await;
