Begin listings on demand 100 ms after the last one

Cause: searches for lost flows wait up to 500 ms for a listing of the store, the longest part of a search in which every agent responds. Change: a listing on demand begins 100 ms after the start of the last one, or 2 ms for each listed agent if that is longer, at most 500 ms. Series that show a missing entry keep 500 ms. Agents count by their entries and registrations, since all of these are keys of a listing while entries have lapsed after a loss of power.

--- a/components/flows/src/process/registered_members.rs
+++ b/components/flows/src/process/registered_members.rs
@@ -183,6 +183,16 @@
         }
     }
 
+    /// Returns the number of agents of which the store lists an entry or a registration.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns whether the store lists no agent.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
     /// Returns the agents that may hold flows, with the hashes of their services' names.
     pub fn possible_owners(&self) -> impl Iterator<Item = (SocketAddrV4, u32)> + '_ {
         let members = self.members.iter();
--- a/components/forwarder/src/process/agent_events.rs
+++ b/components/forwarder/src/process/agent_events.rs
@@ -78,6 +78,13 @@
         registrations.is_some_and(|registrations| registrations.members.has_missing_entries())
     }
 
+    /// Returns the number of agents of which the store lists an entry or a registration; zero while
+    /// registrations are ignored.
+    pub(crate) fn listed_agents(&self) -> usize {
+        let registrations = self.registrations.as_ref();
+        registrations.map_or(0, |registrations| registrations.members.len())
+    }
+
     fn read_listing(&mut self, listing: &StoreListing, started: Millis) -> BalancerUpdate {
         let is_registration = |item: &&StoreItem| is_registration(&item.key);
         let entries = listing.items.iter().filter(|item| !is_registration(item));
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -218,6 +218,7 @@
         }
         Some(WatchProgress {
             has_missing_entries: events.has_missing_entries(),
+            listed_agents: events.listed_agents(),
             ..WatchProgress::of_agents(state.agent_count())
         })
     };
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -82,6 +82,8 @@
     /// Whether the event left something open that only further listings can show. They follow while
     /// listings are in demand.
     pub has_missing_entries: bool,
+    /// Number of agents that a listing shows, on which the interval of listings on demand depends.
+    pub listed_agents: usize,
 }
 
 impl WatchProgress {
@@ -91,17 +93,19 @@
             revision,
             batch_delay: MIN_BATCH_DELAY,
             has_missing_entries: false,
+            listed_agents: 0,
         }
     }
 
     /// Returns the progress of a watcher of `agents` agents, whose entries have no common revision.
     pub fn of_agents(agents: usize) -> WatchProgress {
-        let agents = u32::try_from(agents).unwrap_or(u32::MAX);
-        let delay = BATCH_DELAY_PER_AGENT.saturating_mul(agents);
+        let count = u32::try_from(agents).unwrap_or(u32::MAX);
+        let delay = BATCH_DELAY_PER_AGENT.saturating_mul(count);
         WatchProgress {
             revision: 0,
             batch_delay: delay.clamp(MIN_BATCH_DELAY, MAX_BATCH_DELAY),
             has_missing_entries: false,
+            listed_agents: agents,
         }
     }
 }
@@ -177,6 +181,7 @@
                     };
                     self.revision = progress.revision;
                     self.requests.demand.has_missing_entries = progress.has_missing_entries;
+                    self.requests.demand.agents = progress.listed_agents;
                     if changed {
                         self.next_watch = Instant::now() + progress.batch_delay;
                     }
