Look up the flow before a search runs, and keep the sum of its agents

Cause: while any flow was searched for, each packet of a caller built a lookup and took the lock of the wanted listing; each report of a lost flow summed the agents of up to 4,096 searches; the agents that may hold a flow were sorted and stripped of duplicates twice. Change: packets and announcements of other flows end at a look-up of their key. The sum of the agents is kept as searches begin, end or get other agents. The agents are collected and sorted once.

--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -332,14 +332,6 @@
         Some(changed)
     }
 
-    /// Returns the agents whose servers have sent them no heartbeat yet. Until then an agent that was
-    /// restarted reports the service of its settings, which may not be that of its server.
-    pub(crate) fn unconfirmed(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
-        let states = self.agents.iter();
-        let unconfirmed = states.filter(|state| !state.report.is_confirmed);
-        unconfirmed.map(|state| state.record.address)
-    }
-
     /// Returns whether the table was ever filled: from the store, by a peer or by an agent's
     /// report.
     pub fn is_loaded(&self) -> bool {
--- a/components/flows/src/process/agent_table/members.rs
+++ b/components/flows/src/process/agent_table/members.rs
@@ -34,12 +34,30 @@
     /// those of any service for `None`. They are the agents of the table, and registered ones whose
     /// entry has not been missing for long enough to count as gone.
     pub fn possible_owners(&self, services: Option<&[u32]>) -> Vec<SocketAddrV4> {
+        self.collect_owners(services, |_| false)
+    }
+
+    /// Returns these agents and those whose servers have sent them no heartbeat yet. Until then an agent
+    /// that was restarted reports the service of its settings, which may not be that of its server.
+    pub(crate) fn possible_or_unconfirmed(&self, services: Option<&[u32]>) -> Vec<SocketAddrV4> {
+        self.collect_owners(services, |state| !state.report.is_confirmed)
+    }
+
+    /// Returns the agents that may hold flows of `services`, and those of the table that are `included`
+    /// whatever their service is, sorted.
+    fn collect_owners(
+        &self,
+        services: Option<&[u32]>,
+        included: impl Fn(&AgentState) -> bool,
+    ) -> Vec<SocketAddrV4> {
+        let is_asked = |service| services.is_none_or(|services| services.contains(&service));
         let known = self.agents.iter();
-        let known = known.map(|state| (state.record.address, state.service));
+        let known = known.filter(|state| is_asked(state.service) || included(state));
+        let members = self.members.possible_owners();
+        let members = members.filter(|(_, service)| is_asked(*service));
         let mut owners: Vec<SocketAddrV4> = known
-            .chain(self.members.possible_owners())
-            .filter(|(_, service)| services.is_none_or(|services| services.contains(service)))
-            .map(|(address, _)| address)
+            .map(|state| state.record.address)
+            .chain(members.map(|(address, _)| address))
             .collect();
         owners.sort_unstable();
         owners.dedup();
--- a/components/flows/src/process/lost_flow_search.rs
+++ b/components/flows/src/process/lost_flow_search.rs
@@ -72,6 +72,8 @@
     is_enabled: bool,
     /// Searches in the order of their numbers.
     searches: Vec<FlowSearch>,
+    /// Number of the agents of all searches together.
+    owners: usize,
     /// Number of the search for each flow.
     serials: HashMap<FlowKey, u64>,
     next_serial: u64,
@@ -94,6 +96,7 @@
         LostFlowSearch {
             is_enabled,
             searches: Vec::new(),
+            owners: 0,
             serials: HashMap::new(),
             next_serial: 0,
             queries: VecDeque::new(),
@@ -117,6 +120,11 @@
         self.searches.is_empty()
     }
 
+    /// Returns whether a flow is searched for.
+    pub fn contains(&self, key: FlowKey) -> bool {
+        self.serials.contains_key(&key)
+    }
+
     /// Returns the time for which a newer list of agents is needed; `None` until a search needs one.
     pub fn listing_wanted(&self) -> Option<Millis> {
         self.listing_wanted
@@ -155,8 +163,7 @@
             return false;
         }
         let owners = lookup.owners(flow.key.service_address, now);
-        let answers: usize = self.searches.iter().map(FlowSearch::owner_count).sum();
-        if owners.len() > MAX_OWNERS || answers + owners.len() > MAX_ANSWERS {
+        if owners.len() > MAX_OWNERS || self.owners + owners.len() > MAX_ANSWERS {
             actions.push(SearchAction::End(flow.key, SearchEnd::Limit));
             return false;
         }
@@ -169,6 +176,7 @@
         }
         let mut search = FlowSearch::new(self.next_serial, flow, now);
         search.set_owners(&owners);
+        self.owners += search.owner_count();
         self.serials.insert(flow.key, self.next_serial);
         self.next_serial += 1;
         self.searches.push(search);
@@ -274,7 +282,9 @@
         let owners = owners
             .entry(address)
             .or_insert_with(|| lookup.owners(address, now));
+        self.owners -= search.owner_count();
         search.set_owners(owners);
+        self.owners += search.owner_count();
         if search.has_ended(now) || search.owner_count() == 0 || !lookup.is_config_current() {
             return false;
         }
@@ -326,7 +336,7 @@
             return false;
         };
         if let Ok(index) = self.index_of(serial) {
-            self.searches.remove(index);
+            self.owners -= self.searches.remove(index).owner_count();
         }
         true
     }
--- a/components/flows/src/process/owner_lookup.rs
+++ b/components/flows/src/process/owner_lookup.rs
@@ -27,11 +27,7 @@
     /// don't accept flows or don't answer are included.
     pub fn owners(&self, service_address: SocketAddrV4, now: Millis) -> Vec<SocketAddrV4> {
         let services = self.services(service_address, now);
-        let mut owners = self.agents.possible_owners(services.as_deref());
-        owners.extend(self.agents.unconfirmed());
-        owners.sort_unstable();
-        owners.dedup();
-        owners
+        self.agents.possible_or_unconfirmed(services.as_deref())
     }
 
     fn services(&self, service_address: SocketAddrV4, now: Millis) -> Option<Vec<u32>> {
--- a/components/flows/tests/lost_flow_search.rs
+++ b/components/flows/tests/lost_flow_search.rs
@@ -407,6 +407,33 @@
     assert_eq!(site.resets(), []);
 }
 
+/// Guards against a sum of the agents of all searches that differs from them: after searches have ended or
+/// agents have joined, no flow would be searched for any more, or too many.
+#[test]
+fn the_limit_of_agents_follows_the_searches() {
+    let mut site = Site::new(true);
+    site.silent = (0..200).map(agent).collect();
+    (3..100).for_each(|number| site.add_agent(number, SERVICE, true));
+    (0..1_311).for_each(|caller| site.begin(flow(caller)));
+    assert_eq!(site.search.len(), 1_310, "131,072 agents of 100 each");
+    site.step(|search, _, _, actions| search.note_owner(key(0), actions));
+    site.begin(flow(1_310));
+    assert!(site.search.contains(key(1_310)) && !site.search.contains(key(0)));
+    (100..200).for_each(|number| site.add_agent(number, SERVICE, true));
+    site.step(|search, lookup, now, actions| search.tick(lookup, now, actions));
+    for caller in 1..650 {
+        site.step(|search, _, _, actions| search.note_owner(key(caller), actions));
+    }
+    site.begin(flow(0));
+    assert_eq!(site.search.len(), 661, "a search has 200 agents");
+    site.run(1_030);
+    assert!(site.search.is_empty());
+    (0..655).for_each(|caller| site.begin(flow(caller)));
+    assert_eq!(site.search.len(), 655);
+    site.begin(flow(655));
+    assert_eq!(site.search.len(), 655, "131,072 agents of 200 each");
+}
+
 /// Guards against a search while the feature is off.
 #[test]
 fn nothing_is_searched_while_off() {
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -289,7 +289,7 @@
                 Some(FlowBody::Owner(owner)) => {
                     let (key, agent) = decode_owner(&owner);
                     self.router.owners.insert(key, agent, now);
-                    if !self.search.is_empty() {
+                    if self.search.contains(key) {
                         self.run_search(|search, _, actions| search.note_owner(key, actions));
                     }
                 }
--- a/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
+++ b/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
@@ -63,7 +63,7 @@
     /// Ends the search for the flow of a caller's packet that shows that the caller has given it up, or that a
     /// server has answered.
     pub(super) fn note_caller_packet(&mut self, packet: &FlowPacket) {
-        if self.search.is_empty() {
+        if !self.search.contains(packet.key) {
             return;
         }
         let is_reopened = packet.is_open() || packet.kind == PacketKind::Reset;
