Keep one copy of the usable agents, the opening limits and the allocation counter

Cause: the predicate of usable agents stood in three files, the limits of opening packets under two names, and the counting allocator and the configuration of the measurements in two examples. Change: AgentState::is_usable and is_evacuated, OPENING_LIMITS for both uses, and examples/support. Result: no change of behaviour; the tests server_weights, unweighted_order, routing and owner_anchors pass.

--- a/components/flows/examples/scheduling.rs
+++ b/components/flows/examples/scheduling.rs
@@ -3,24 +3,15 @@
 //! Run it with `cargo run --release -p carobdrum-flows --example scheduling`. Each line shows the mean
 //! time and the number of allocations of one call, the former as the lowest of several turns.
 
+mod support;
+
 use std::{
-    alloc::{
-        GlobalAlloc,
-        Layout,
-        System, //
-    },
     collections::VecDeque,
     net::{
         Ipv4Addr,
         SocketAddrV4, //
     },
-    sync::{
-        atomic::{
-            AtomicU64,
-            Ordering, //
-        },
-        Arc,
-    },
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -36,19 +27,17 @@
         BackendState, //
     },
     request::ForwardHeader,
-    version::{
-        FlowRoute,
-        ServiceConfig,
-        ServiceShare,
-        SiteConfig, //
-    },
-    FlowKey,
+    version::SiteConfig,
     FlowPacket,
     FlowTracker,
     PacketKind, //
     TrackerAction,
     TrackerSettings,
 };
+use support::{
+    allocations,
+    SERVICE, //
+};
 
 const SLOTS: u32 = 4;
 /// Number of requests that fill the queue with one packet each.
@@ -63,28 +52,6 @@
 const OVERDUE: Millis = Millis(1_200);
 const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 8_000);
 
-/// Counts allocations.
-struct CountingAllocator;
-
-static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
-
-// SAFETY: Every call is passed to the system's allocator unchanged.
-unsafe impl GlobalAlloc for CountingAllocator {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
-        // SAFETY: The caller keeps the contract, which is the same.
-        unsafe { System.alloc(layout) }
-    }
-
-    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
-        // SAFETY: The caller keeps the contract, which is the same.
-        unsafe { System.dealloc(pointer, layout) }
-    }
-}
-
-#[global_allocator]
-static ALLOCATOR: CountingAllocator = CountingAllocator;
-
 /// Time and allocations of the calls of one kind.
 #[derive(Clone, Copy, Default)]
 struct CallCost {
@@ -94,11 +61,11 @@
 
 impl CallCost {
     fn measure(&mut self, call: impl FnOnce()) {
-        let allocations = ALLOCATIONS.load(Ordering::Relaxed);
+        let before = allocations();
         let start = Instant::now();
         call();
         self.time += start.elapsed();
-        self.allocations += ALLOCATIONS.load(Ordering::Relaxed) - allocations;
+        self.allocations += allocations() - before;
     }
 }
 
@@ -121,7 +88,7 @@
             address: AGENT,
             server: SocketAddrV4::new(*AGENT.ip(), 9_000),
             centre: "north".into(),
-            service: "lookup".into(),
+            service: SERVICE.into(),
             activity_timeout: Millis(1_900),
             cold_factor: 1.5,
             cold_slack: 5.0,
@@ -195,26 +162,14 @@
 }
 
 fn config() -> SiteConfig {
-    let route = |number: u8| FlowRoute {
-        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, number), 443),
-        shares: vec![ServiceShare {
-            service: if number < ROUTES - 2 {
-                "other"
-            } else {
-                "lookup"
-            }
-            .into(),
-            weight: 1,
-        }],
-        priority: number % 2 + 1,
-        latency_objective: Millis(300),
-    };
-    let service = ServiceConfig {
-        name: "lookup".into(),
-        cold_duration: Millis(2_000),
-        cold_rate: None,
-    };
-    SiteConfig::new(1, Millis(15_000), (0..ROUTES).map(route), [service])
+    support::config((0..ROUTES).map(|number| {
+        let service = if number < ROUTES - 2 {
+            "other"
+        } else {
+            SERVICE
+        };
+        (number, service, number % 2 + 1)
+    }))
 }
 
 fn heartbeat() -> BackendHeartbeat {
@@ -223,7 +178,7 @@
         address: None,
         started_ms: 1,
         sequence: 1,
-        service: "lookup".into(),
+        service: SERVICE.into(),
         state: BackendState::Ready,
         slots: SLOTS,
         cold_remaining: Millis(0),
@@ -234,7 +189,7 @@
     ForwardHeader {
         balancer: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 7_000),
         centre_hash: name_hash("north"),
-        service_hash: name_hash("lookup"),
+        service_hash: name_hash(SERVICE),
         revision: 0,
         hops: 0,
         rest: Vec::new(),
@@ -248,16 +203,11 @@
 }
 
 fn flow_packet(flow: u16, kind: PacketKind, sequence: u32, data_len: u16) -> FlowPacket {
+    let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), flow);
     FlowPacket {
-        key: FlowKey {
-            caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), flow),
-            service_address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, ROUTES - 1), 443),
-        },
-        kind,
-        returned: false,
         sequence,
-        acknowledged: 0,
         data_len,
+        ..support::flow_packet(caller, ROUTES - 1, kind)
     }
 }
 
--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -1,6 +1,7 @@
 //! Table of the agents known to a balancer.
 
 mod members;
+mod usable;
 
 use std::net::SocketAddrV4;
 
--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -25,9 +25,10 @@
 /// Limit of the services whose anchors are marked, as these are taken beside all limits.
 const MAX_ANCHORED_SERVICES: usize = 4;
 
-/// Limits for each service but the first, where a flow may have opened before the route changed. They
-/// are those of opening packets.
-const OTHER_LIMITS: CandidateLimits = CandidateLimits {
+/// Limits for opening packets, and for later packets at each service but the first, where a flow may have
+/// opened before the route changed. While all servers are busy, each candidate in another data centre adds
+/// the delay of a hop there.
+pub(crate) const OPENING_LIMITS: CandidateLimits = CandidateLimits {
     near: 4,
     far: 1,
     all_far: 2,
@@ -243,7 +244,7 @@
                 group.insert(place);
                 continue;
             }
-            let limits = if service > 0 { OTHER_LIMITS } else { limits };
+            let limits = if service > 0 { OPENING_LIMITS } else { limits };
             let limit = if centre == home {
                 limits.near
             } else {
@@ -291,7 +292,7 @@
                 list.anchors.push(candidate.address);
             }
             let (limits, all_far) = if is_other {
-                (OTHER_LIMITS, &mut others_far)
+                (OPENING_LIMITS, &mut others_far)
             } else {
                 (limits, &mut far)
             };
--- a/components/flows/src/process/flow_router/flow_candidates.rs
+++ b/components/flows/src/process/flow_router/flow_candidates.rs
@@ -16,7 +16,8 @@
         },
         candidate_ranking::{
             CandidateLimits,
-            CandidateList, //
+            CandidateList,
+            OPENING_LIMITS, //
         },
         name_hash, weighted_cost, SpilledFlow,
     },
@@ -27,14 +28,6 @@
     },
 };
 
-/// Limits for opening packets. While all servers are busy, each candidate in another data centre
-/// adds the delay of a hop there.
-const OPENING_LIMITS: CandidateLimits = CandidateLimits {
-    near: 4,
-    far: 1,
-    all_far: 2,
-};
-
 /// Limits for later packets, which need more candidates: the owner may have been among the first
 /// only because others accepted no new flows, and agents that joined since may rank before it.
 const LATER_LIMITS: CandidateLimits = CandidateLimits {
@@ -157,20 +150,16 @@
         is_opening: bool,
         now: Millis,
     ) {
-        let config = &self.config;
-        let evacuated = |state: &AgentState| {
-            config
-                .as_ref()
-                .is_some_and(|config| config.is_evacuated(&state.record.centre))
+        let config = self.config.as_deref();
+        let usable = |state: &&AgentState| {
+            !is_opening || (state.report.accepts && !state.is_evacuated(config))
         };
-        let usable =
-            |state: &&AgentState| !is_opening || (state.report.accepts && !evacuated(state));
         let is_weighed = is_opening && self.options.weigh_servers;
         let candidates = self.agents.of_service(service).filter(usable);
         self.ranking.extend(candidates.map(|state| Candidate {
             rank: CandidateRank {
                 suspect: state.is_suspect(now),
-                evacuated: evacuated(state),
+                evacuated: state.is_evacuated(config),
                 distance: CandidateDistance::Near,
                 service: order,
                 busy: is_opening && state.is_busy(now),
--- a/components/flows/src/process/flow_router/placement.rs
+++ b/components/flows/src/process/flow_router/placement.rs
@@ -6,7 +6,6 @@
 
 use super::FlowRouter;
 use crate::process::{
-    agent_table::AgentState,
     service_load::ServiceLoad,
     SpilledFlow,
     WeightChange, //
@@ -20,11 +19,8 @@
             return;
         }
         let config = self.config.as_deref();
-        let is_evacuated = |state: &AgentState| {
-            config.is_some_and(|config| config.is_evacuated(&state.record.centre))
-        };
         self.placement
-            .update(&mut self.agents, is_evacuated, self.centre, now);
+            .update(&mut self.agents, config, self.centre, now);
     }
 
     /// Returns the weights that the last update changed.
@@ -47,12 +43,8 @@
     /// refused because the service has no room.
     pub(super) fn lacks_room(&self, service: u32, limit_us: u32, hash: u64, now: Millis) -> bool {
         let config = self.config.as_deref();
-        let is_usable = |state: &&AgentState| {
-            let is_evacuated =
-                config.is_some_and(|config| config.is_evacuated(&state.record.centre));
-            state.report.accepts && !is_evacuated && !state.is_suspect(now)
-        };
-        let usable = self.agents.of_service(service).filter(is_usable);
+        let agents = self.agents.of_service(service);
+        let usable = agents.filter(|state| state.is_usable(config, now));
         let load = ServiceLoad::measure(usable, limit_us, now);
         load.is_some_and(|load| load.refuses(hash)) && !self.placement.recent.may_contain(hash, now)
     }
--- a/components/flows/src/process/placement_state.rs
+++ b/components/flows/src/process/placement_state.rs
@@ -12,6 +12,7 @@
     SpilledFlow,
     WeightChange, //
 };
+use crate::version::SiteConfig;
 
 /// Limit of the servers of full services that are probed at a time.
 const MAX_PROBES: usize = 32;
@@ -44,7 +45,7 @@
     pub(crate) fn update(
         &mut self,
         agents: &mut AgentTable,
-        is_evacuated: impl Fn(&AgentState) -> bool,
+        config: Option<&SiteConfig>,
         centre: u32,
         now: Millis,
     ) {
@@ -52,9 +53,7 @@
         self.changes.clear();
         self.probes.clear();
         let first_probe = self.next_probe;
-        let is_usable = |state: &AgentState| {
-            state.report.accepts && !state.is_suspect(now) && !is_evacuated(state)
-        };
+        let is_usable = |state: &AgentState| state.is_usable(config, now);
         agents.visit_services(|agents, keys| {
             let usable = || {
                 let states = keys.iter().map(|key| &agents[*key as usize]);
