Rank the candidates of an opening packet in one visit of the agents

Cause: an opening packet visited all agents of its service twice, for its own candidates and for those of later packets, copied 80 bytes of each one, chose the anchors by a selection that moved them, and took three vectors from the heap. Change: the agents of a service are indexed by data centre, each one is visited once, and what the two lists need is read from that; of the later packets' list only the first four and the anchors are found, as nothing else matters to an opening packet. Headers give their vectors back once they are sent, and the services of later packets have scratch space. Limits, lists and the first places are types of their own. Tests: reference_order compares 30,000 opening and 60,000 later decisions at random tables with the earlier algorithm, kept in the tests.

--- a/components/flows/examples/placement_cost.rs
+++ b/components/flows/examples/placement_cost.rs
@@ -26,7 +26,8 @@
     },
     FlowPacket,
     FlowRouter,
-    PacketKind, //
+    PacketKind,
+    RouteAction, //
 };
 use support::{
     allocations,
@@ -50,7 +51,9 @@
             let start = Instant::now();
             for number in 0..DECISIONS {
                 let packet = opening(round as u32 * DECISIONS + number);
-                black_box(router.route(&packet, NOW));
+                if let RouteAction::Forward { header, .. } = black_box(router.route(&packet, NOW)) {
+                    router.recycle(header);
+                }
             }
             best_ns[index] = best_ns[index].min(start.elapsed().as_nanos());
             counts[index] = allocations() - before;
--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -1,6 +1,7 @@
 //! Table of the agents known to a balancer.
 
 mod members;
+mod service_agents;
 mod usable;
 
 use std::net::SocketAddrV4;
@@ -13,6 +14,7 @@
     Millis,
 };
 
+use self::service_agents::ServiceAgents;
 use super::{
     name_hash,
     AgentRecord,
@@ -150,8 +152,8 @@
 #[derive(Debug, Default)]
 pub struct AgentTable {
     agents: Vec<AgentState>,
-    /// Agents of each service, as indices into `agents`, sorted by service.
-    services: Vec<(u32, Vec<u32>)>,
+    /// Agents of each service, sorted by service.
+    services: Vec<ServiceAgents>,
     loaded: bool,
     /// Agents that the store lists, also those that aren't in the table.
     members: RegisteredMembers,
@@ -349,42 +351,13 @@
         self.agents.is_empty()
     }
 
-    /// Returns the agents of the service with this name hash.
-    pub(crate) fn of_service(&self, service: u32) -> impl Iterator<Item = &AgentState> {
-        let found = self
-            .services
-            .binary_search_by_key(&service, |group| group.0);
-        let keys: &[u32] = match found {
-            Ok(index) => &self.services[index].1,
-            Err(_) => &[],
-        };
-        keys.iter().map(|key| &self.agents[*key as usize])
-    }
-
-    /// Calls `visit` with the agents and the indices of those of a service, for each service.
-    pub(crate) fn visit_services(&mut self, mut visit: impl FnMut(&mut [AgentState], &[u32])) {
-        for (_, keys) in &self.services {
-            visit(&mut self.agents, keys);
-        }
+    /// Returns the address of the agent with this index.
+    pub(crate) fn address(&self, index: u32) -> SocketAddrV4 {
+        self.agents[index as usize].record.address
     }
 
     fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
         self.agents
             .binary_search_by_key(&address, |state| state.record.address)
     }
-
-    fn index(&mut self) {
-        self.services.clear();
-        for (key, state) in self.agents.iter().enumerate() {
-            let found = self
-                .services
-                .binary_search_by_key(&state.service, |group| group.0);
-            match found {
-                Ok(index) => self.services[index].1.push(key as u32),
-                Err(index) => self
-                    .services
-                    .insert(index, (state.service, vec![key as u32])),
-            }
-        }
-    }
 }
--- a/components/flows/src/process/candidate.rs
+++ b/components/flows/src/process/candidate.rs
@@ -1,7 +1,5 @@
 //! Agent that may get a packet.
 
-use std::net::SocketAddrV4;
-
 /// Distance of an agent from a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum CandidateDistance {
@@ -15,33 +13,30 @@
     Far,
 }
 
-/// Criteria that precede the hash in the order of candidates, in this order; the least comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct CandidateRank {
-    /// Whether the agent doesn't answer.
-    pub(crate) suspect: bool,
-    /// Whether its data centre is evacuated.
-    pub(crate) evacuated: bool,
-    /// Distance of its data centre.
-    pub(crate) distance: CandidateDistance,
-    /// Position of its service in the flow's list of services.
-    pub(crate) service: u8,
-    /// Whether it recently reported no free slot.
-    pub(crate) busy: bool,
-}
-
 /// An agent that may get a packet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Candidate {
-    pub(crate) rank: CandidateRank,
-    /// Cost of the rendezvous hash by the server's weight; the lowest comes first. Zero if weights don't
-    /// matter.
-    pub(crate) cost: u64,
     /// Rendezvous hash, equal at all balancers; the highest score comes first.
     pub(crate) score: u64,
+    /// Cost of the rendezvous hash by the server's weight, for opening packets; the lowest comes first. Zero
+    /// if weights don't matter.
+    pub(crate) cost: u64,
+    /// Index of the agent in the table.
+    pub(crate) agent: u32,
+    /// Index of the group.
+    pub(crate) group: u32,
     /// Hash of the data centre's name.
     pub(crate) centre: u32,
-    pub(crate) address: SocketAddrV4,
+    /// Position of its service in the flow's list of services.
+    pub(crate) service: u8,
+    /// Whether the agent doesn't answer.
+    pub(crate) suspect: bool,
+    /// Whether its data centre is evacuated.
+    pub(crate) evacuated: bool,
+    /// Whether it may get an opening packet.
+    pub(crate) takes_flow: bool,
+    /// Whether it recently reported no free slot; matters for opening packets.
+    pub(crate) busy: bool,
     pub(crate) failing: bool,
     /// Whether a recent report shows a free slot.
     pub(crate) is_free: bool,
@@ -52,20 +47,28 @@
 }
 
 impl Candidate {
-    /// Returns a number by which candidates are sorted: by rank, cost and hash.
-    pub(crate) fn order(&self) -> u128 {
-        let CandidateRank {
-            suspect,
-            evacuated,
-            distance,
-            service,
-            busy,
-        } = self.rank;
-        let flags = u64::from(suspect) << 12 | u64::from(evacuated) << 11;
-        let distance = (distance as u64) << 9;
-        let rank = flags | distance | u64::from(service) << 1 | u64::from(busy);
+    /// Returns a number by which candidates of opening packets are sorted: by suspicion, evacuation,
+    /// distance, service, free slots, cost and hash.
+    pub(crate) fn opening_order(&self, distance: CandidateDistance) -> u128 {
         // A cost has less than 51 bits.
-        let upper = rank << 51 | self.cost;
+        let upper = (self.rank(distance) | u64::from(self.busy)) << 51 | self.cost;
         u128::from(upper) << 64 | u128::from(!self.score)
     }
+
+    /// Returns such a number for later packets, to which the servers' load doesn't matter.
+    pub(crate) fn later_order(&self, home: u32) -> u128 {
+        let distance = if self.centre == home {
+            CandidateDistance::Near
+        } else if self.is_anchor {
+            CandidateDistance::Anchor
+        } else {
+            CandidateDistance::Far
+        };
+        u128::from(self.rank(distance) << 51) << 64 | u128::from(!self.score)
+    }
+
+    fn rank(&self, distance: CandidateDistance) -> u64 {
+        let flags = u64::from(self.suspect) << 12 | u64::from(self.evacuated) << 11;
+        flags | (distance as u64) << 9 | u64::from(self.service) << 1
+    }
 }
--- a/components/flows/src/process/candidate_group.rs
+++ b/components/flows/src/process/candidate_group.rs
@@ -1,52 +1,16 @@
-//! The first candidates of one service in one data centre.
+//! Candidates of one service in one data centre.
 
-/// Largest limit of the candidates of one service in one data centre.
-const MAX_GROUP_LIMIT: usize = 8;
+use super::first_places::FirstPlaces;
 
-/// The first candidates of one service in one data centre.
+/// Candidates of one service in one data centre.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CandidateGroup {
-    pub(crate) centre: u32,
+    /// Position of the service in the flow's list of services.
     pub(crate) service: u8,
-    limit: usize,
-    count: usize,
-    /// Orders and indices of the first candidates so far; the first `count` are in use, in ascending
-    /// order.
-    places: [(u128, u32); MAX_GROUP_LIMIT],
-}
-
-impl CandidateGroup {
-    /// Creates a group without candidates, of which the first `limit` will be kept.
-    pub(crate) fn new(centre: u32, service: u8, limit: usize) -> CandidateGroup {
-        CandidateGroup {
-            centre,
-            service,
-            limit: limit.min(MAX_GROUP_LIMIT),
-            count: 0,
-            places: [(u128::MAX, 0); MAX_GROUP_LIMIT],
-        }
-    }
-
-    /// Adds a candidate, as its order and index, if it is among the first ones.
-    pub(crate) fn insert(&mut self, place: (u128, u32)) {
-        if self.count == self.limit {
-            let is_first = self.count > 0 && place < self.places[self.count - 1];
-            if !is_first {
-                return;
-            }
-            self.count -= 1;
-        }
-        let mut index = self.count;
-        while index > 0 && self.places[index - 1] > place {
-            self.places[index] = self.places[index - 1];
-            index -= 1;
-        }
-        self.places[index] = place;
-        self.count += 1;
-    }
-
-    /// Returns the first candidates as their orders and indices.
-    pub(crate) fn first(&self) -> &[(u128, u32)] {
-        &self.places[..self.count]
-    }
+    /// Hash of the data centre's name.
+    pub(crate) centre: u32,
+    /// The first candidates that may be taken.
+    pub(crate) first: FirstPlaces,
+    /// Number of the candidates taken.
+    pub(crate) taken: usize,
 }
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -11,10 +11,8 @@
 use carobdrum_core::Millis;
 
 use super::{
-    candidate_ranking::{
-        CandidateList,
-        CandidateRanking, //
-    },
+    candidate_list::CandidateList,
+    candidate_ranking::CandidateRanking,
     name_hash,
     placement_state::PlacementState,
     AgentTable,
@@ -50,6 +48,8 @@
     centre: u32,
     ranking: CandidateRanking,
     placement: PlacementState,
+    /// Scratch space for the services of a later packet.
+    services: Vec<u32>,
 }
 
 impl FlowRouter {
@@ -64,6 +64,7 @@
             centre: name_hash(centre),
             ranking: CandidateRanking::default(),
             placement: PlacementState::default(),
+            services: Vec::new(),
         }
     }
 
@@ -87,6 +88,13 @@
         }
     }
 
+    /// Keeps the vectors of a header that was sent, so that the decision about another packet takes no
+    /// allocation.
+    pub fn recycle(&mut self, header: ForwardHeader) {
+        self.ranking.recycle(header.rest);
+        self.ranking.recycle(header.anchors);
+    }
+
     /// Decides about a packet of a caller that has just arrived.
     pub fn route(&mut self, packet: &FlowPacket, now: Millis) -> RouteAction {
         let is_only_copy = packet.is_open() && !packet.may_have_other_copies(Millis(0));
@@ -121,10 +129,13 @@
             self.placement.recent.insert(hash, now);
         }
         let list = if packet.is_open() {
-            self.list_opening_with_anchors(packet, service, hash, now)
+            self.list_opening(packet, service, hash, now)
         } else {
-            let services = owner_services(&config, route, hash, now);
-            self.list_later(&services, hash, now)
+            let mut services = std::mem::take(&mut self.services);
+            owner_services(&config, route, hash, now, &mut services);
+            let list = self.list_later(&services, hash, now);
+            self.services = services;
+            list
         };
         self.forward(packet, list, service, config.revision, now)
     }
@@ -155,6 +166,8 @@
             is_firm,
         } = candidates;
         if list.is_empty() {
+            self.ranking.recycle(list);
+            self.ranking.recycle(anchors);
             return refuse_or_drop(packet, DropCause::NoAgent);
         }
         for candidate in &list {
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -217,6 +217,7 @@
                 }
                 let datagram = encode_forward(&header, bytes);
                 self.agents.send(&datagram, to);
+                self.router.recycle(header);
             }
             RouteAction::Refuse(cause) => {
                 NodeMetrics::count(&self.metrics.refused, cause.name());
