Move the balancer's reports and resets into functions of their own

Cause: the reading of agents' datagrams held the whole handling of a report, two places built the reset of a caller, two files had the size of a batch, and five the conversion of a gauge's value. Change: handle_report, reset_caller, READ_BATCH beside the socket and NodeMetrics::set; the idle timeout before the first configuration has a name.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -212,15 +212,11 @@
         self.outgoing.check_drained(now);
         self.packets.check_drained(now);
         let unsent = self.packets.unsent + self.outgoing.unsent;
-        self.metrics
-            .unsent
-            .set(i64::try_from(unsent).unwrap_or(i64::MAX));
+        NodeMetrics::set(&self.metrics.unsent, unsent);
         let report = self.tracker.report(now);
         self.metrics.busy.set(i64::from(report.busy));
         self.metrics.held.queued.set(i64::from(report.queued));
-        self.metrics
-            .revision
-            .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
+        NodeMetrics::set(&self.metrics.revision, report.revision);
         self.tracker.expire(now);
         self.announce_long_flows(now);
         self.reporter
--- a/components/forwarder/src/connection/agent_traffic/received_packets.rs
+++ b/components/forwarder/src/connection/agent_traffic/received_packets.rs
@@ -40,15 +40,13 @@
         decode_flows,
         encode_reply, //
     },
+    udp_endpoint::READ_BATCH,
 };
 
-/// Maximum number of datagrams read from one socket before the other sources are served.
-const BATCH: usize = 64;
-
 impl AgentTraffic {
     pub(super) fn read_forwards(&mut self) {
         let now = self.clock.now();
-        for _ in 0..BATCH {
+        for _ in 0..READ_BATCH {
             let Some((bytes, from)) = self.packets.receive(now) else {
                 return;
             };
@@ -153,7 +151,7 @@
     pub(super) fn read_backend(&mut self) {
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
-        for _ in 0..BATCH {
+        for _ in 0..READ_BATCH {
             let sent = self.outgoing.drained_at();
             let Some((bytes, _)) = self.outgoing.receive(now) else {
                 break;
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -64,7 +64,10 @@
         raise_peer_revision,
         PeerRevision, //
     },
-    udp_endpoint::UdpEndpoint, //
+    udp_endpoint::{
+        UdpEndpoint,
+        READ_BATCH, //
+    },
 };
 use crate::process::{
     BootClock,
@@ -72,12 +75,12 @@
     NodeMetrics, //
 };
 
-/// Maximum number of datagrams read from one socket before the other sources are served.
-const BATCH: usize = 64;
-
 /// Interval between probes of agents.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time without a packet after which the owner of a flow is forgotten before a configuration is known.
+const DEFAULT_IDLE_TIMEOUT: Millis = Millis(15_000);
+
 /// Message of the control thread to the traffic thread of a balancer.
 #[derive(Debug)]
 pub(crate) enum BalancerUpdate {
@@ -180,7 +183,7 @@
 
     fn read_callers(&mut self) {
         let now = self.clock.now();
-        for _ in 0..BATCH {
+        for _ in 0..READ_BATCH {
             let Some((bytes, from)) = self.callers.receive(now) else {
                 return;
             };
@@ -222,9 +225,7 @@
             RouteAction::Refuse(cause) => {
                 NodeMetrics::count(&self.metrics.refused, cause.name());
                 self.log.refused(key, cause, self.revision());
-                let port = self.caller_port();
-                let to = SocketAddrV4::new(*key.caller.ip(), port);
-                self.callers.send(&reset_packet(key, 0), to);
+                self.reset_caller(key, 0);
             }
             RouteAction::Drop(cause) => {
                 NodeMetrics::count(&self.metrics.dropped, cause.name());
@@ -240,13 +241,15 @@
             .map_or(0, |config| config.revision)
     }
 
-    fn caller_port(&self) -> u16 {
-        self.callers.port()
+    /// Sends the reset of a flow to its caller. `sequence` is the number that the caller expects.
+    fn reset_caller(&mut self, key: FlowKey, sequence: u32) {
+        let to = SocketAddrV4::new(*key.caller.ip(), self.callers.port());
+        self.callers.send(&reset_packet(key, sequence), to);
     }
 
     fn read_agents(&mut self) {
         let now = self.clock.now();
-        for _ in 0..BATCH {
+        for _ in 0..READ_BATCH {
             let Some((bytes, from)) = self.agents.receive(now) else {
                 return;
             };
@@ -255,37 +258,8 @@
                 .and_then(|read| read.body);
             match body {
                 Some(FlowBody::Report(report)) => {
-                    let agent = address_from_number(report.agent);
                     raise_peer_revision(&self.revision_sender, report.revision, *from.ip());
-                    self.discover(agent, &report, now);
-                    let reported = AgentReport {
-                        accepts: report.accepts,
-                        failure_percent: u8::try_from(report.failure_percent).unwrap_or(u8::MAX),
-                        busy: report.busy,
-                        queued: report.queued,
-                        slots: report.slots,
-                        revision: report.revision,
-                        is_confirmed: report.confirmed,
-                        work_us: report.work_us,
-                        open_flows: report.open_flows,
-                    };
-                    let state = reported.clamped();
-                    if state != reported {
-                        self.log.clamped(agent, &reported);
-                    }
-                    let changed = self.router.agents.apply_report(agent, state, now);
-                    if report.revision < self.revision() {
-                        self.send_probe(agent);
-                    }
-                    if changed == Some(true) {
-                        info!(
-                            %agent,
-                            accepts = report.accepts,
-                            busy = report.busy,
-                            failing_percent = report.failure_percent,
-                            "agent changed"
-                        );
-                    }
+                    self.handle_report(&report, now);
                 }
                 Some(FlowBody::Owner(owner)) => {
                     let (key, agent) = decode_owner(&owner);
@@ -301,6 +275,40 @@
         }
     }
 
+    /// Applies the report of an agent.
+    fn handle_report(&mut self, report: &ServerReport, now: Millis) {
+        let agent = address_from_number(report.agent);
+        self.discover(agent, report, now);
+        let reported = AgentReport {
+            accepts: report.accepts,
+            failure_percent: u8::try_from(report.failure_percent).unwrap_or(u8::MAX),
+            busy: report.busy,
+            queued: report.queued,
+            slots: report.slots,
+            revision: report.revision,
+            is_confirmed: report.confirmed,
+            work_us: report.work_us,
+            open_flows: report.open_flows,
+        };
+        let state = reported.clamped();
+        if state != reported {
+            self.log.clamped(agent, &reported);
+        }
+        let changed = self.router.agents.apply_report(agent, state, now);
+        if report.revision < self.revision() {
+            self.send_probe(agent);
+        }
+        if changed == Some(true) {
+            info!(
+                %agent,
+                accepts = report.accepts,
+                busy = report.busy,
+                failing_percent = report.failure_percent,
+                "agent changed"
+            );
+        }
+    }
+
     /// Adds an agent that isn't known yet, such as after a start without the store.
     fn discover(&mut self, agent: SocketAddrV4, report: &ServerReport, now: Millis) {
         let record = AgentRecord {
@@ -318,21 +326,11 @@
         let now = self.clock.now();
         self.callers.check_drained(now);
         let unsent = self.callers.unsent + self.agents.unsent;
-        self.metrics
-            .unsent
-            .set(i64::try_from(unsent).unwrap_or(i64::MAX));
-        self.metrics
-            .revision
-            .set(i64::try_from(self.revision()).unwrap_or(i64::MAX));
-        let agents = self.router.agents.len();
-        self.metrics
-            .agents
-            .set(i64::try_from(agents).unwrap_or(i64::MAX));
-        let idle_timeout = self
-            .router
-            .config
-            .as_ref()
-            .map_or(Millis(15_000), |config| config.idle_timeout);
+        NodeMetrics::set(&self.metrics.unsent, unsent);
+        NodeMetrics::set(&self.metrics.revision, self.revision());
+        NodeMetrics::set(&self.metrics.agents, self.router.agents.len() as u64);
+        let config = self.router.config.as_ref();
+        let idle_timeout = config.map_or(DEFAULT_IDLE_TIMEOUT, |config| config.idle_timeout);
         self.router.owners.expire(now, idle_timeout);
         for agent in self.router.agents.expire(now) {
             info!(%agent, "agent removed: store entry expired and no answer");
--- a/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
+++ b/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
@@ -13,7 +13,6 @@
     FlowPacket,
     PacketKind, //
 };
-use carobdrum_platform::reset_packet;
 use carobdrum_wire::flow_datagram::{
     FlowNotFound,
     FlowQueryReply, //
@@ -117,9 +116,7 @@
             SearchAction::Reset { flow, agents, time } => {
                 NodeMetrics::count(&self.metrics.ended_searches, "reset");
                 self.log.lost_flow_reset(flow.key, agents, time);
-                let to = SocketAddrV4::new(*flow.key.caller.ip(), self.caller_port());
-                self.callers
-                    .send(&reset_packet(flow.key, flow.acknowledged), to);
+                self.reset_caller(flow.key, flow.acknowledged);
             }
             SearchAction::End(key, end) => {
                 NodeMetrics::count(&self.metrics.ended_searches, end.name());
--- a/components/forwarder/src/connection/udp_endpoint.rs
+++ b/components/forwarder/src/connection/udp_endpoint.rs
@@ -24,6 +24,9 @@
 /// Largest datagram that is read, in bytes: a packet with its header.
 const MAX_DATAGRAM_LEN: usize = 2_048;
 
+/// Maximum number of datagrams read from one socket before the other sources are served.
+pub(crate) const READ_BATCH: usize = 64;
+
 /// UDP socket that drops the datagrams that it can't send at once.
 #[derive(Debug)]
 pub(crate) struct UdpEndpoint {
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -173,4 +173,9 @@
     pub(crate) fn count(family: &Family<CauseLabel, Counter>, cause: &'static str) {
         family.get_or_create(&CauseLabel { cause }).inc();
     }
+
+    /// Sets a gauge; a value that is too large for it counts as the largest one.
+    pub(crate) fn set(gauge: &Gauge, value: u64) {
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+    }
 }
