Share the counting of candidates, and the numbers of two tests

Cause: two exclusions counted the candidates of an opening packet in the same loop, and two tests had the same generator. Change: count_opening, and tests/support/numbers.rs. Result: no change of behaviour; the tests reference_order, unweighted_order, routing, server_weights and placement_allocations pass, and so did the 39 of platform_roles.

--- a/components/flows/src/process/candidate_ranking.rs
+++ b/components/flows/src/process/candidate_ranking.rs
@@ -114,11 +114,7 @@
     /// Excludes suspect agents from opening packets, unless all agents are suspect. An opening packet that is
     /// redirected to a dead agent is lost and doesn't reach its remaining candidates.
     pub(crate) fn exclude_suspects(&mut self) {
-        let (mut suspects, mut count) = (0, 0);
-        for candidate in &self.candidates {
-            count += usize::from(candidate.takes_flow);
-            suspects += usize::from(candidate.takes_flow && candidate.suspect);
-        }
+        let (suspects, count) = self.count_opening(|candidate| candidate.suspect);
         if suspects > 0 && suspects < count {
             for candidate in &mut self.candidates {
                 candidate.takes_flow &= !candidate.suspect;
@@ -130,11 +126,7 @@
     /// recovered. None is excluded if more than [`MAX_EJECTED_PERCENT`] of the service fail: the cause is then
     /// elsewhere, and the remaining servers couldn't handle the load.
     pub(crate) fn eject_failing(&mut self, hash: u64) {
-        let (mut failing, mut count) = (0, 0);
-        for candidate in &self.candidates {
-            count += usize::from(candidate.takes_flow);
-            failing += usize::from(candidate.takes_flow && candidate.failing);
-        }
+        let (failing, count) = self.count_opening(|candidate| candidate.failing);
         if failing == 0 {
             return;
         }
@@ -147,6 +139,16 @@
         }
     }
 
+    /// Returns how many candidates of an opening packet meet a condition, and how many there are.
+    fn count_opening(&self, is_met: impl Fn(&Candidate) -> bool) -> (usize, usize) {
+        let (mut met, mut count) = (0, 0);
+        for candidate in self.opening_candidates() {
+            met += usize::from(is_met(candidate));
+            count += 1;
+        }
+        (met, count)
+    }
+
     /// Returns the hash of the data centre of an opening packet's flow.
     pub(crate) fn opening_home(&self, caller: u32, hash: u64) -> u32 {
         self.home(caller, hash, |candidate| candidate.takes_flow)
--- a/components/flows/src/process/flow_router/flow_candidates.rs
+++ b/components/flows/src/process/flow_router/flow_candidates.rs
@@ -8,8 +8,12 @@
 use super::FlowRouter;
 use crate::{
     process::{
-        candidate::Candidate, candidate_limits::CandidateLimits, candidate_list::CandidateList,
-        name_hash, weighted_cost, SpilledFlow,
+        candidate::Candidate,
+        candidate_limits::CandidateLimits,
+        candidate_list::CandidateList,
+        name_hash,
+        weighted_cost,
+        SpilledFlow, //
     },
     request::FlowPacket,
     version::{
--- a/components/flows/tests/reference_order.rs
+++ b/components/flows/tests/reference_order.rs
@@ -4,10 +4,7 @@
 
 use std::sync::Arc;
 
-use carobdrum_core::{
-    process::splitmix64,
-    Millis, //
-};
+use carobdrum_core::Millis;
 use carobdrum_flows::{
     process::{
         name_hash,
@@ -29,6 +26,7 @@
     agent,
     config,
     key,
+    numbers::Numbers,
     packet,
     reference_order::{
         ReferenceAgent,
@@ -43,25 +41,6 @@
 const SERVICES: [&str; 5] = ["lookup", "search", "index", "tiles", "names"];
 const NOW: Millis = Millis(10_000);
 
-/// Numbers from a seed.
-struct Numbers(u64);
-
-impl Numbers {
-    fn below(&mut self, limit: u64) -> u64 {
-        self.0 = splitmix64(self.0);
-        self.0 % limit
-    }
-
-    fn percent(&mut self, percent: u64) -> bool {
-        self.below(100) < percent
-    }
-
-    /// Returns a time within `span` before [`NOW`].
-    fn time(&mut self, span: u64) -> Millis {
-        Millis(NOW.0 - self.below(span))
-    }
-}
-
 /// Returns a random site.
 fn random_site(numbers: &mut Numbers, weigh_servers: bool) -> ReferenceSite {
     let services = 1 + numbers.below(5);
@@ -151,14 +130,14 @@
             ..AgentReport::default()
         };
         for _ in 0..fewest + numbers.below(3) {
-            let time = numbers.time(span);
+            let time = Millis(NOW.0 - numbers.below(span));
             router.agents.apply_report(address, report, time);
             agent.report = report;
             agent.last_heard = Some(time);
             agent.is_full = [report.busy >= report.slots, agent.is_full[0]];
         }
         if numbers.percent(20) {
-            let time = numbers.time(400);
+            let time = Millis(NOW.0 - numbers.below(400));
             router.agents.note_sent(address, time);
             agent.unanswered_since = Some(time);
         }
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod numbers;
 pub(crate) mod reference_order;
 pub(crate) mod scheduling;
 
--- a/components/flows/tests/unweighted_order.rs
+++ b/components/flows/tests/unweighted_order.rs
@@ -30,6 +30,7 @@
     RouteAction, //
 };
 use support::{
+    numbers::Numbers,
     packet,
     BALANCER,
     ROUTE, //
@@ -38,20 +39,6 @@
 const CENTRES: [&str; 4] = ["north", "east", "south", "west"];
 const SERVICES: [&str; 5] = ["lookup", "search", "index", "tiles", "names"];
 
-/// Numbers from a seed.
-struct Numbers(u64);
-
-impl Numbers {
-    fn below(&mut self, limit: u64) -> u64 {
-        self.0 = splitmix64(self.0);
-        self.0 % limit
-    }
-
-    fn percent(&mut self, percent: u64) -> bool {
-        self.below(100) < percent
-    }
-}
-
 /// Returns a router of a random site, at a time at which some reports are old.
 fn random_router(numbers: &mut Numbers, now: Millis) -> FlowRouter {
     let mut router = FlowRouter::new(BALANCER, CENTRES[numbers.below(4) as usize]);
