--- a/components/flows/src/process/agent_table.rs
+++ b/components/flows/src/process/agent_table.rs
@@ -1,6 +1,8 @@
 //! Table of the agents known to a balancer.
 
 mod members;
+mod service_agents;
+mod usable;
 
 use std::net::SocketAddrV4;
 
@@ -12,6 +14,7 @@
     Millis,
 };
 
+use self::service_agents::ServiceAgents;
 use super::{
     name_hash,
     AgentRecord,
@@ -98,15 +101,18 @@
 
     /// Returns whether a recent report shows no free slot.
     pub(crate) fn is_busy(&self, now: Millis) -> bool {
-        let recent = self
-            .last_heard
-            .is_some_and(|last_heard| now.since(last_heard) < REPORT_TTL);
-        recent && self.report.is_full()
+        self.is_heard(now) && self.report.is_full()
     }
 
     /// Returns whether a recent report shows a free slot.
     pub(crate) fn is_free(&self, now: Millis) -> bool {
-        self.weight.is_reported_within(REPORT_TTL, now) && !self.report.is_full()
+        self.is_heard(now) && !self.report.is_full()
+    }
+
+    /// Returns whether the last report is recent enough to show the load.
+    fn is_heard(&self, now: Millis) -> bool {
+        let last_heard = self.last_heard;
+        last_heard.is_some_and(|last_heard| now.since(last_heard) < REPORT_TTL)
     }
 
     /// Returns whether a packet was sent to the agent since its last report.
@@ -149,8 +155,8 @@
 #[derive(Debug, Default)]
 pub struct AgentTable {
     agents: Vec<AgentState>,
-    /// Agents of each service, as indices into `agents`, sorted by service.
-    services: Vec<(u32, Vec<u32>)>,
+    /// Agents of each service, sorted by service.
+    services: Vec<ServiceAgents>,
     loaded: bool,
     /// Agents that the store lists, also those that aren't in the table.
     members: RegisteredMembers,
@@ -293,11 +299,9 @@
         probes
     }
 
-    /// Records that an agent is a candidate of a packet.
-    pub(crate) fn note_candidate(&mut self, address: SocketAddrV4, now: Millis) {
-        if let Ok(index) = self.find(address) {
-            self.agents[index].last_candidate = Some(now);
-        }
+    /// Records that the agent with this index is a candidate of a packet.
+    pub(crate) fn note_candidate(&mut self, index: u32, now: Millis) {
+        self.agents[index as usize].last_candidate = Some(now);
     }
 
     /// Records that a packet was sent to an agent.
@@ -333,16 +337,6 @@
         Some(changed)
     }
 
-    /// Returns the agents whose servers have sent them no heartbeat yet. Until then an agent that was
-    /// restarted reports the service of its settings, which may not be that of its server.
-    pub(crate) fn unconfirmed(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
-        let states = self.agents.iter();
-        let unconfirmed = states.filter(|state| {
-            !state.report.is_confirmed && !self.members.has_ended(state.record.address)
-        });
-        unconfirmed.map(|state| state.record.address)
-    }
-
     /// Returns whether the table was ever filled: from the store, by a peer or by an agent's
     /// report.
     pub fn is_loaded(&self) -> bool {
@@ -359,42 +353,13 @@
         self.agents.is_empty()
     }
 
-    /// Returns the agents of the service with this name hash.
-    pub(crate) fn of_service(&self, service: u32) -> impl Iterator<Item = &AgentState> {
-        let found = self
-            .services
-            .binary_search_by_key(&service, |group| group.0);
-        let keys: &[u32] = match found {
-            Ok(index) => &self.services[index].1,
-            Err(_) => &[],
-        };
-        keys.iter().map(|key| &self.agents[*key as usize])
-    }
-
-    /// Calls `visit` with the agents and the indices of those of a service, for each service.
-    pub(crate) fn visit_services(&mut self, mut visit: impl FnMut(&mut [AgentState], &[u32])) {
-        for (_, keys) in &self.services {
-            visit(&mut self.agents, keys);
-        }
+    /// Returns the address of the agent with this index.
+    pub(crate) fn address(&self, index: u32) -> SocketAddrV4 {
+        self.agents[index as usize].record.address
     }
 
     fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
         self.agents
             .binary_search_by_key(&address, |state| state.record.address)
     }
-
-    fn index(&mut self) {
-        self.services.clear();
-        for (key, state) in self.agents.iter().enumerate() {
-            let found = self
-                .services
-                .binary_search_by_key(&state.service, |group| group.0);
-            match found {
-                Ok(index) => self.services[index].1.push(key as u32),
-                Err(index) => self
-                    .services
-                    .insert(index, (state.service, vec![key as u32])),
-            }
-        }
-    }
 }
