Read whether the requests of a route may be repeated

Cause: packets may be sent again early only for routes whose requests are idempotent, which no process knew.

--- a/components/flows/examples/placement_cost.rs
+++ b/components/flows/examples/placement_cost.rs
@@ -119,6 +119,7 @@
         }],
         priority: 1,
         latency_objective: Millis(250),
+        is_idempotent: false,
     };
     let service = ServiceConfig {
         name: "lookup".into(),
--- a/components/flows/examples/scheduling.rs
+++ b/components/flows/examples/scheduling.rs
@@ -208,6 +208,7 @@
         }],
         priority: number % 2 + 1,
         latency_objective: Millis(300),
+        is_idempotent: false,
     };
     let service = ServiceConfig {
         name: "lookup".into(),
--- a/components/flows/src/version/flow_route.rs
+++ b/components/flows/src/version/flow_route.rs
@@ -28,6 +28,8 @@
     pub priority: u8,
     /// Time within which callers expect the response.
     pub latency_objective: Millis,
+    /// Whether requests may be repeated: they are idempotent or downloads.
+    pub is_idempotent: bool,
 }
 
 impl FlowRoute {
--- a/components/flows/tests/support/mod.rs
+++ b/components/flows/tests/support/mod.rs
@@ -69,6 +69,7 @@
         }],
         priority: 1,
         latency_objective: Millis(120),
+        is_idempotent: true,
     };
     let service = ServiceConfig {
         name: SERVICE.into(),
@@ -103,6 +104,7 @@
         }],
         priority,
         latency_objective: Millis(300),
+        is_idempotent: false,
     });
     let service = ServiceConfig {
         name: SERVICE.into(),
--- a/components/flows/tests/unweighted_order.rs
+++ b/components/flows/tests/unweighted_order.rs
@@ -66,6 +66,7 @@
         shares: shares.collect(),
         priority: 1,
         latency_objective: Millis(120),
+        is_idempotent: false,
     };
     let configs = SERVICES.iter().map(|name| ServiceConfig {
         name: (*name).into(),
--- a/components/forwarder/src/process/snapshot_codec.rs
+++ b/components/forwarder/src/process/snapshot_codec.rs
@@ -90,6 +90,7 @@
         address: address_to_number(route.address),
         priority: u32::from(route.priority),
         objective_ms: route.latency_objective.0,
+        idempotent: route.is_idempotent,
         shares: shares.collect(),
     }
 }
@@ -104,6 +105,7 @@
         shares: shares.collect(),
         priority: u8::try_from(entry.priority).unwrap_or(u8::MAX),
         latency_objective: Millis(entry.objective_ms),
+        is_idempotent: entry.idempotent,
     }
 }
 
--- a/components/model/src/flow_model.rs
+++ b/components/model/src/flow_model.rs
@@ -369,6 +369,7 @@
         }],
         priority: 1,
         latency_objective: Millis(experiment.objective_ms),
+        is_idempotent: false,
     };
     let service = ServiceConfig {
         name: SERVICE.into(),
--- a/components/wire/src/snapshot.rs
+++ b/components/wire/src/snapshot.rs
@@ -70,6 +70,9 @@
     /// Services of the route, with their shares of new flows.
     #[prost(message, repeated, tag = "4")]
     pub shares: Vec<ShareEntry>,
+    /// Whether requests may be repeated; false from a sender that doesn't know it.
+    #[prost(bool, tag = "5")]
+    pub idempotent: bool,
 }
 
 /// A service and its share of a route.
