Decide which packets to callers are sent again early

Cause: the ends of a flow retransmit after 200 ms, so each lost datagram of a response makes it late. Change: PacketResender keeps the packets that a caller hasn't acknowledged and returns copies of those that are later than acknowledgements are, within a percentage of the data packets (HedgeBudget) and 256 KiB. It is a plain struct; the tracker states the terms of each flow (copy_terms). Nothing uses it yet.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -1,5 +1,6 @@
 //! Flow tracking of an agent: decides about each packet to and from its backend server.
 
+mod copies;
 mod held;
 mod later;
 mod opening;
--- a/components/flows/src/connection/mod.rs
+++ b/components/flows/src/connection/mod.rs
@@ -1,20 +1,29 @@
 //! State with the lifetime of a flow: the flows of a backend server, tracked by its agent.
 
+mod acknowledgement_delay;
+mod copy_terms;
 mod failure_rate;
 mod flow_entry;
 mod flow_tracker;
+mod late_share;
 mod load_estimate;
 mod packet_arena;
+mod packet_resender;
 mod recent_flows;
 mod request_queue;
 mod request_release;
+mod resend_action;
+mod resend_limits;
 mod return_pause;
 mod sequence_window;
 mod slot_policy;
 mod tracker_action;
+mod unacknowledged_flow;
+mod unacknowledged_packet;
 mod wait_limit;
 mod work_time;
 
+pub use copy_terms::CopyTerms;
 pub use failure_rate::FailureRate;
 pub use flow_entry::{
     FlowEntry,
@@ -26,6 +35,7 @@
     TrackerSettings, //
 };
 pub use load_estimate::LoadEstimate;
+pub use packet_resender::PacketResender;
 pub use recent_flows::RecentFlows;
 pub use request_queue::{
     RequestQueue,
@@ -35,6 +45,11 @@
     ReleaseCause,
     RequestRelease, //
 };
+pub use resend_action::{
+    ResendAction,
+    ResendHold, //
+};
+pub use resend_limits::ResendLimits;
 pub use return_pause::ReturnPause;
 pub use sequence_window::SequenceWindow;
 pub use slot_policy::SlotPolicy;
--- a/components/flows/src/request/flow_packet.rs
+++ b/components/flows/src/request/flow_packet.rs
@@ -6,7 +6,7 @@
 
 /// Time for which the first copy of an opening packet is the only one: callers send the next one after
 /// 200 ms.
-const FIRST_COPY_LIFETIME: Millis = Millis(150);
+pub(crate) const FIRST_COPY_LIFETIME: Millis = Millis(150);
 
 /// Role of a packet in its flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/components/flows/src/request/mod.rs
+++ b/components/flows/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod queried_flow;
 
 pub use flow_key::FlowKey;
+pub(crate) use flow_packet::FIRST_COPY_LIFETIME;
 pub use flow_packet::{
     FlowPacket,
     PacketKind, //
