Send early copies of packets to callers from agents

Cause: the decision about early copies had no user. Change: the settings resend_percent (0 to 20, off by default) and resend_min_delay_ms (1 to 150, 20 by default) in the table [flows], which are reloaded. The traffic thread of an agent handles all packets that have arrived before it sends a copy. Metrics early_copies_total, ended_early_copies_total and held_early_copies_total; one debug line a copy. Without the setting nothing is kept and no timer is set.

--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -1,5 +1,6 @@
 //! Traffic thread of an agent.
 
+mod early_copies;
 mod received_packets;
 mod tracker_actions;
 
@@ -12,6 +13,7 @@
 use carobdrum_control::unix_millis;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
+    connection::ResendLimits,
     process::HeartbeatOutcome,
     version::SiteConfig,
     FlowTracker,
@@ -32,6 +34,8 @@
     },
 };
 
+use early_copies::EarlyCopies;
+
 use super::{
     agent_reporter::AgentReporter,
     agent_update::{
@@ -52,7 +56,7 @@
 /// Interval between checks for expired state and pending reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Wait while no opening packet and no held request has a deadline.
+/// Wait while no opening packet, held request or unacknowledged packet has a deadline.
 const IDLE_WAIT: Duration = Duration::from_secs(3_600);
 
 /// State of an agent's traffic thread: its sockets and flows.
@@ -68,6 +72,7 @@
     outgoing: UdpEndpoint,
     reporter: AgentReporter,
     actions: Vec<TrackerAction>,
+    copies: EarlyCopies,
     shutdown_answer: Option<oneshot::Sender<()>>,
     metrics: NodeMetrics,
     log: FlowLog,
@@ -79,6 +84,7 @@
     /// the backend server.
     pub(crate) async fn open(
         settings: TrackerSettings,
+        limits: ResendLimits,
         backend: SocketAddrV4,
         outgoing: SocketAddrV4,
         revision_sender: watch::Sender<PeerRevision>,
@@ -95,6 +101,7 @@
             outgoing: UdpEndpoint::open(outgoing).await?,
             reporter: AgentReporter::new(address),
             actions: Vec::new(),
+            copies: EarlyCopies::new(limits, metrics.resend.clone(), BootClock.now()),
             shutdown_answer: None,
             metrics,
             log: FlowLog::new(),
@@ -133,14 +140,18 @@
         let now = self.clock.now();
         let opening = self.tracker.next_opening_deadline();
         let held = self.tracker.next_held_deadline(now);
-        let due = opening.into_iter().chain(held).min();
+        let copies = self.copies.next_deadline();
+        let due = opening.into_iter().chain(held).chain(copies).min();
         due.map_or(IDLE_WAIT, |due| Duration::from_millis(due.since(now).0))
     }
 
     fn apply(&mut self, update: AgentUpdate) {
         let now = self.clock.now();
         match update {
-            AgentUpdate::Settings(settings) => self.tracker.set_settings(settings, now),
+            AgentUpdate::Settings(settings, limits) => {
+                self.tracker.set_settings(settings, now);
+                self.copies.set_limits(limits, now);
+            }
             AgentUpdate::Heartbeat(heartbeat, sent, answer) => {
                 let outcome = self.tracker.handle_late_heartbeat(heartbeat, sent, now);
                 // The requester may have stopped waiting.
@@ -205,6 +216,7 @@
             tracker.check_openings(now, actions);
             tracker.send_held(now, actions);
         });
+        self.send_copies();
     }
 
     fn tick(&mut self) {
@@ -222,6 +234,7 @@
             .revision
             .set(i64::try_from(report.revision).unwrap_or(i64::MAX));
         self.tracker.expire(now);
+        self.copies.expire(&self.tracker, now);
         self.announce_long_flows(now);
         self.reporter
             .tick(&mut self.tracker, &mut self.packets, now);
--- a/components/forwarder/src/connection/agent_traffic/received_packets.rs
+++ b/components/forwarder/src/connection/agent_traffic/received_packets.rs
@@ -120,6 +120,7 @@
         if let Some(attempt) = attempt.flatten() {
             self.log.arrived(packet.key, &attempt);
         }
+        self.copies.note_forwarded(&packet, now);
         let mut actions = std::mem::take(&mut self.actions);
         let arrived = self.packets.drained_at();
         self.tracker
@@ -185,6 +186,7 @@
                 let to = SocketAddrV4::new(*packet.key.caller.ip(), self.address.port());
                 self.packets.send(bytes, to);
                 self.metrics.response_packets.inc();
+                self.copies.note_sent(&packet, bytes, &self.tracker, now);
                 self.act(&mut actions, &Bytes::new());
                 continue;
             }
--- a/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
+++ b/components/forwarder/src/connection/agent_traffic/tracker_actions.rs
@@ -106,7 +106,7 @@
         self.clock.now().since(self.packets.drained_at())
     }
 
-    fn caller_port(&self, key: FlowKey) -> SocketAddrV4 {
+    pub(super) fn caller_port(&self, key: FlowKey) -> SocketAddrV4 {
         SocketAddrV4::new(*key.caller.ip(), self.address.port())
     }
 
--- a/components/forwarder/src/connection/agent_update.rs
+++ b/components/forwarder/src/connection/agent_update.rs
@@ -2,7 +2,10 @@
 
 use carobdrum_core::Millis;
 use carobdrum_flows::{
-    connection::ServerSilence,
+    connection::{
+        ResendLimits,
+        ServerSilence, //
+    },
     process::{
         BackendHeartbeat,
         HeartbeatOutcome, //
@@ -16,7 +19,7 @@
 #[derive(Debug)]
 pub(crate) enum AgentUpdate {
     /// The settings have changed.
-    Settings(TrackerSettings),
+    Settings(TrackerSettings, ResendLimits),
     /// A heartbeat that the backend server sent at this time or later; the reply tells whether it was
     /// applied.
     Heartbeat(BackendHeartbeat, Millis, oneshot::Sender<BackendOutcome>),
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -138,6 +138,16 @@
         }
     }
 
+    /// Logs a copy of a packet that its caller hasn't acknowledged within `age`.
+    pub(crate) fn resent(&mut self, key: FlowKey, sequence: u32, age: Millis) {
+        if !enabled!(Level::DEBUG) {
+            return;
+        }
+        if let Some(left_out) = self.limiter.admit() {
+            debug!(flow = %key, sequence, age_ms = age.0, left_out, "early copy sent to the caller");
+        }
+    }
+
     pub(crate) fn redirected(
         &mut self,
         key: FlowKey,
--- a/components/forwarder/src/connection/udp_endpoint.rs
+++ b/components/forwarder/src/connection/udp_endpoint.rs
@@ -66,14 +66,16 @@
         self.drained_at
     }
 
-    /// Checks at `now` whether no datagram is waiting. It asks the system, as the runtime may not have
+    /// Returns whether no datagram is waiting at `now`. It asks the system, as the runtime may not have
     /// seen what arrived while the process was paused.
-    pub(crate) fn check_drained(&mut self, now: Millis) {
+    pub(crate) fn check_drained(&mut self, now: Millis) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(&self.socket).peek(&mut byte);
-        if peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+        let is_drained = peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+        if is_drained {
             self.drained_at = now;
         }
+        is_drained
     }
 
     /// Reads a datagram, if one is waiting at `now`. The system reports an earlier datagram that couldn't
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -19,6 +19,7 @@
 
 use carobdrum_core::Millis;
 use carobdrum_flows::{
+    connection::ResendLimits,
     process::{
         AgentRecord,
         BackendHeartbeat,
@@ -125,11 +126,12 @@
     let mut context = NodeContext::start(node).await?;
     let (updates, receiver) = mpsc::channel(UPDATE_QUEUE);
     let tracker = tracker_settings(&settings, backend);
+    let limits = resend_limits(&settings);
     let (server, outgoing) = (backend.address, backend.outgoing);
     let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
     spawn_traffic(
-        move || AgentTraffic::open(tracker, server, outgoing, revision_sender, metrics),
+        move || AgentTraffic::open(tracker, limits, server, outgoing, revision_sender, metrics),
         move |traffic| traffic.run(receiver, in_force),
     )
     .await?;
@@ -210,7 +212,8 @@
         return;
     };
     let tracker = tracker_settings(settings, backend);
-    if updates.send(AgentUpdate::Settings(tracker)).await.is_err() {
+    let update = AgentUpdate::Settings(tracker, resend_limits(settings));
+    if updates.send(update).await.is_err() {
         warn!("changed settings not applied: the traffic thread has ended");
     }
 }
@@ -231,6 +234,13 @@
     }
 }
 
+fn resend_limits(settings: &FlowSettings) -> ResendLimits {
+    ResendLimits {
+        percent: settings.flows.resend_percent,
+        min_delay: Millis(u64::from(settings.flows.resend_min_delay_ms)),
+    }
+}
+
 async fn serve_readiness(address: SocketAddrV4) -> Result<(), NodeError> {
     serve_requests(address, |request| async move {
         match request {
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod node_error;
 mod node_metrics;
 mod registration_cleaner;
+mod resend_metrics;
 mod server_silence;
 mod settings_file;
 mod site_state;
@@ -32,6 +33,7 @@
 pub use listing_demand::ListingDemand;
 pub use node_error::NodeError;
 pub(crate) use node_metrics::NodeMetrics;
+pub(crate) use resend_metrics::ResendMetrics;
 pub use settings_file::SettingsFile;
 pub use store_watch::{
     KeyEvent, //
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -14,7 +14,10 @@
     },
 };
 
-use super::held_metrics::HeldMetrics;
+use super::{
+    held_metrics::HeldMetrics,
+    resend_metrics::ResendMetrics, //
+};
 
 /// Upper bounds of the histogram of response times, in seconds.
 const RESPONSE_TIME_BOUNDS: [f64; 12] = [
@@ -68,6 +71,8 @@
     pub(crate) response_time: Histogram,
     /// Requests that wait for a slot of the server.
     pub(crate) held: HeldMetrics,
+    /// Early copies of packets to callers.
+    pub(crate) resend: ResendMetrics,
 }
 
 impl NodeMetrics {
@@ -93,6 +98,7 @@
             probed_servers: Family::default(),
             response_time: Histogram::new(RESPONSE_TIME_BOUNDS),
             held: HeldMetrics::register(registry),
+            resend: ResendMetrics::register(registry),
         };
         let m = metrics.clone();
         registry.register("opened_flows", "Opening packets sent to a server", m.opened);
--- a/components/settings/src/flow_options.rs
+++ b/components/settings/src/flow_options.rs
@@ -18,12 +18,33 @@
     max: MAX_RETENTION_S,
 };
 
+/// Largest share of extra packets, in percent.
+const MAX_RESEND_PERCENT: u32 = 20;
+
+/// Default of the smallest delay before a copy of a packet, in milliseconds.
+const DEFAULT_RESEND_DELAY_MS: u32 = 20;
+
+/// Largest such delay, in milliseconds. The ends of a flow retransmit after 200 ms.
+const MAX_RESEND_DELAY_MS: u32 = 150;
+
+const RESEND_PERCENT: FieldKind = FieldKind::Number {
+    min: 0,
+    max: MAX_RESEND_PERCENT,
+};
+
+const RESEND_DELAY_MS: FieldKind = FieldKind::Number {
+    min: 1,
+    max: MAX_RESEND_DELAY_MS,
+};
+
 /// Schema of the section of the options.
 pub(crate) const OPTIONS_SCHEMA: &[FieldSchema] = &[
     FieldSchema::optional("reset_lost", FieldKind::Boolean),
     FieldSchema::optional("registration_retention_s", RETENTION_S),
     FieldSchema::optional("schedule_requests", FieldKind::Boolean),
     FieldSchema::optional("weigh_servers", FieldKind::Boolean),
+    FieldSchema::optional("resend_percent", RESEND_PERCENT),
+    FieldSchema::optional("resend_min_delay_ms", RESEND_DELAY_MS),
 ];
 
 /// Optional features of a process that forwards opaque flows; each is off if absent.
@@ -39,6 +60,11 @@
     pub schedule_requests: bool,
     /// Whether balancers place new flows by the speed and the open flows of the servers.
     pub weigh_servers: bool,
+    /// Early copies of packets to callers, in percent of the server's data packets; 0, the default, turns
+    /// them off.
+    pub resend_percent: u32,
+    /// Smallest delay before a copy, in milliseconds; 20 if absent.
+    pub resend_min_delay_ms: u32,
 }
 
 impl Default for FlowOptions {
@@ -48,6 +74,8 @@
             registration_retention_s: DEFAULT_RETENTION_S,
             schedule_requests: false,
             weigh_servers: false,
+            resend_percent: 0,
+            resend_min_delay_ms: DEFAULT_RESEND_DELAY_MS,
         }
     }
 }
--- a/components/settings/tests/settings_files.rs
+++ b/components/settings/tests/settings_files.rs
@@ -217,3 +217,27 @@
     let (_kept, path) = folder(&text.replace("true", "'yes'"));
     assert!(read_flow_settings(&path).is_err());
 }
+
+/// Guards against copies of packets that are on although the settings don't name them, and against limits
+/// that are out of range: a delay of 150 ms leaves no time before the ends retransmit.
+#[rstest]
+#[case::percent("= 5", "= 21", ":12: flows.resend_percent: found 21")]
+#[case::negative("= 5", "= -1", ":12: flows.resend_percent: found ")]
+#[case::no_delay("= 30", "= 0", ":13: flows.resend_min_delay_ms: found 0")]
+#[case::long_delay("= 30", "= 151", ":13: flows.resend_min_delay_ms: found 151")]
+fn limits_of_early_copies_are_checked(
+    #[case] valid: &str,
+    #[case] invalid: &str,
+    #[case] line: &str,
+) {
+    let off = FlowOptions::default();
+    assert_eq!((off.resend_percent, off.resend_min_delay_ms), (0, 20));
+    let limits = "[flows]\nresend_percent = 5\nresend_min_delay_ms = 30\n";
+    let text = format!("{FLOW_NODE}{FLOW_STORE}{limits}");
+    let (_kept, path) = folder(&text);
+    let flows = read_flow_settings(&path).expect("in range").flows;
+    assert_eq!((flows.resend_percent, flows.resend_min_delay_ms), (5, 30));
+    let (_kept, path) = folder(&text.replacen(valid, invalid, 1));
+    let lines = lines(read_flow_settings(&path));
+    assert!(lines.len() == 1 && lines[0].starts_with(line), "{lines:?}");
+}
