--- a/components/flows/examples/support/mod.rs
+++ b/components/flows/examples/support/mod.rs
@@ -79,6 +79,7 @@
             }],
             priority,
             latency_objective: Millis(300),
+            is_idempotent: false,
         });
     let service = ServiceConfig {
         name: SERVICE.into(),
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -1,5 +1,6 @@
 //! Traffic thread of an agent.
 
+mod early_copies;
 mod former_flows;
 mod received_packets;
 mod tracker_actions;
@@ -13,6 +14,7 @@
 use carobdrum_control::unix_millis;
 use carobdrum_core::Millis;
 use carobdrum_flows::{
+    connection::ResendLimits,
     process::HeartbeatOutcome,
     version::SiteConfig,
     FlowTracker,
@@ -33,6 +35,8 @@
     },
 };
 
+use early_copies::EarlyCopies;
+
 use super::{
     agent_reporter::AgentReporter,
     agent_update::{
@@ -53,7 +57,7 @@
 /// Interval between checks for expired state and pending reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Wait while no opening packet and no held request has a deadline.
+/// Wait while no opening packet, held request or unacknowledged packet has a deadline.
 const IDLE_WAIT: Duration = Duration::from_secs(3_600);
 
 /// State of an agent's traffic thread: its sockets and flows.
@@ -69,6 +73,7 @@
     outgoing: UdpEndpoint,
     reporter: AgentReporter,
     actions: Vec<TrackerAction>,
+    copies: EarlyCopies,
     shutdown_answer: Option<oneshot::Sender<()>>,
     metrics: NodeMetrics,
     log: FlowLog,
@@ -80,6 +85,7 @@
     /// the backend server.
     pub(crate) async fn open(
         settings: TrackerSettings,
+        limits: ResendLimits,
         backend: SocketAddrV4,
         outgoing: SocketAddrV4,
         revision_sender: watch::Sender<PeerRevision>,
@@ -96,6 +102,7 @@
             outgoing: UdpEndpoint::open(outgoing).await?,
             reporter: AgentReporter::new(address),
             actions: Vec::new(),
+            copies: EarlyCopies::new(limits, metrics.resend.clone(), BootClock.now()),
             shutdown_answer: None,
             metrics,
             log: FlowLog::new(),
@@ -135,14 +142,18 @@
         let opening = self.tracker.next_opening_deadline();
         let held = self.tracker.next_held_deadline(now);
         let former = self.tracker.next_former_reset();
-        let due = opening.into_iter().chain(held).chain(former).min();
+        let copies = self.copies.next_deadline();
+        let due = [opening, held, former, copies].into_iter().flatten().min();
         due.map_or(IDLE_WAIT, |due| Duration::from_millis(due.since(now).0))
     }
 
     fn apply(&mut self, update: AgentUpdate) {
         let now = self.clock.now();
         match update {
-            AgentUpdate::Settings(settings) => self.tracker.set_settings(settings, now),
+            AgentUpdate::Settings(settings, limits) => {
+                self.tracker.set_settings(settings, now);
+                self.copies.set_limits(limits, now);
+            }
             AgentUpdate::Heartbeat(heartbeat, sent, answer) => {
                 let outcome = self.tracker.handle_late_heartbeat(heartbeat, sent, now);
                 // The requester may have stopped waiting.
@@ -224,6 +235,7 @@
             tracker.send_held(now, actions);
         });
         self.reset_former_flows(now);
+        self.send_copies();
     }
 
     fn tick(&mut self) {
@@ -238,6 +250,7 @@
         NodeMetrics::set(&self.metrics.revision, report.revision);
         self.tracker.expire(now);
         self.settle_former_flows(now);
+        self.copies.expire(&self.tracker, now);
         self.announce_long_flows(now);
         self.reporter
             .tick(&mut self.tracker, &mut self.packets, now);
--- a/components/forwarder/src/connection/agent_update.rs
+++ b/components/forwarder/src/connection/agent_update.rs
@@ -3,6 +3,7 @@
 use carobdrum_core::Millis;
 use carobdrum_flows::{
     connection::{
+        ResendLimits,
         SavedFlows,
         ServerSilence, //
     },
@@ -19,7 +20,7 @@
 #[derive(Debug)]
 pub(crate) enum AgentUpdate {
     /// The settings have changed.
-    Settings(TrackerSettings),
+    Settings(TrackerSettings, ResendLimits),
     /// A heartbeat that the backend server sent at this time or later; the reply tells whether it was
     /// applied.
     Heartbeat(BackendHeartbeat, Millis, oneshot::Sender<BackendOutcome>),
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -16,6 +16,7 @@
 
 use super::{
     held_metrics::HeldMetrics,
+    resend_metrics::ResendMetrics,
     saved_metrics::SavedMetrics, //
 };
 
@@ -75,6 +76,8 @@
     pub(crate) held: HeldMetrics,
     /// Flows saved in the store, and resets of those that a former process saved.
     pub(crate) saved: SavedMetrics,
+    /// Early copies of packets to callers.
+    pub(crate) resend: ResendMetrics,
 }
 
 impl NodeMetrics {
@@ -102,6 +105,7 @@
             response_time: Histogram::new(RESPONSE_TIME_BOUNDS),
             held: HeldMetrics::register(registry),
             saved: SavedMetrics::register(registry),
+            resend: ResendMetrics::register(registry),
         };
         let m = metrics.clone();
         registry.register("opened_flows", "Opening packets sent to a server", m.opened);
