Remove the circular dependency of request_run and response_recorder

Cause: request_run uses ResponseRecorder, and response_recorder, whole_response and remote_run used functions for headers from request_run.

--- a/components/agent/src/request/mod.rs
+++ b/components/agent/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod remote_run;
 mod request_body;
 mod request_handler;
+mod request_headers;
 mod request_run;
 mod response_recorder;
 mod run_response;
--- a/components/agent/src/request/remote_run.rs
+++ b/components/agent/src/request/remote_run.rs
@@ -40,7 +40,7 @@
         is_idempotent,
         KEY_HEADER, //
     },
-    request_run::insert_text,
+    request_headers::insert_text,
     whole_response::{
         decode_headers,
         read_whole,
--- a/components/agent/src/request/request_run.rs
+++ b/components/agent/src/request/request_run.rs
@@ -18,13 +18,8 @@
 use http::{
     header::{
         HeaderValue,
-        CONNECTION,
-        HOST,
-        TRANSFER_ENCODING,
-        UPGRADE, //
+        HOST, //
     },
-    HeaderMap,
-    HeaderName,
     Request,
     Response,
     StatusCode,
@@ -52,6 +47,10 @@
         refuse,
         RequestContext, //
     },
+    request_headers::{
+        end_to_end,
+        insert_text, //
+    },
     response_recorder::ResponseRecorder,
     run_response::{
         RunFailure,
@@ -367,26 +366,3 @@
         .and_then(|path| path.as_str().parse().ok())
         .unwrap_or_else(|| Uri::from_static("/"))
 }
-
-/// Copies the headers without those that apply to one connection only (RFC 9110, section 7.6.1).
-pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-    const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-    let mut filtered = headers.clone();
-    for name in [
-        CONNECTION,
-        TRANSFER_ENCODING,
-        UPGRADE,
-        KEEP_ALIVE,
-        PROXY_CONNECTION,
-    ] {
-        filtered.remove(name);
-    }
-    filtered
-}
-
-pub(super) fn insert_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
-}
--- a/components/agent/src/request/response_recorder.rs
+++ b/components/agent/src/request/response_recorder.rs
@@ -10,7 +10,7 @@
     StatusCode, //
 };
 
-use super::request_run::end_to_end;
+use super::request_headers::end_to_end;
 
 /// Maximum body length of a response that is recorded under an idempotency key, in bytes.
 const MAX_RECORDED_LEN: usize = 64 * 1024;
--- a/components/agent/src/request/whole_response.rs
+++ b/components/agent/src/request/whole_response.rs
@@ -21,7 +21,7 @@
 use hyper::body::Incoming;
 use tracing::debug;
 
-use super::request_run::end_to_end;
+use super::request_headers::end_to_end;
 
 /// Longest body of a response that is sent between agents, in bytes.
 pub(super) const MAX_WHOLE_LEN: usize = 256 * 1024;
