Remove the circular dependency of caller_port and service_port

Cause: service_port opens CallerPort, and caller_port used the largest datagram and the size of the receive buffer from service_port. Change: both move unchanged to a module relay_socket, which depends on no other of the relay.

--- a/components/standins/src/fabric/caller_port.rs
+++ b/components/standins/src/fabric/caller_port.rs
@@ -21,7 +21,7 @@
         RelayDirection,
         RelayShared, //
     },
-    service_port::{
+    relay_socket::{
         enlarge_receive_buffer,
         MAX_DATAGRAM, //
     },
--- a/components/standins/src/fabric/mod.rs
+++ b/components/standins/src/fabric/mod.rs
@@ -7,6 +7,7 @@
 mod relay_faults;
 mod relay_settings;
 mod relay_shared;
+mod relay_socket;
 mod service_port;
 mod task_guard;
 
--- a/components/standins/src/fabric/service_port.rs
+++ b/components/standins/src/fabric/service_port.rs
@@ -11,7 +11,6 @@
 
 use rand::rngs::SmallRng;
 use snafu::ResultExt;
-use socket2::SockRef;
 use tokio::{
     net::UdpSocket,
     time::Instant, //
@@ -24,24 +23,19 @@
         RelayDirection,
         RelayShared, //
     },
+    relay_socket::{
+        enlarge_receive_buffer,
+        MAX_DATAGRAM, //
+    },
 };
 use crate::{
     standin_error::BindSnafu,
     StandinError, //
 };
 
-/// Largest datagram that the relay forwards, in bytes; QUIC over Ethernet needs less than 1,500.
-pub(crate) const MAX_DATAGRAM: usize = 2048;
-
 /// Longest interval of the check for idle callers.
 const MAX_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Receive buffer of each socket, in bytes.
-///
-/// The usual default of 208 KiB holds about 90 full datagrams; a burst of 300 lost 124 of them.
-/// Losses that aren't injected would count as broken flows.
-const RECEIVE_BUFFER_LEN: usize = 4 << 20;
-
 /// Binds the socket of a service address and returns it with its address, whose port is never 0.
 ///
 /// # Errors
@@ -62,11 +56,6 @@
     Ok((Arc::new(socket), bound))
 }
 
-/// Sets the size of the receive buffer; the relay also works with less, if the system limits it.
-pub(crate) fn enlarge_receive_buffer(socket: &UdpSocket) {
-    let _ = SockRef::from(socket).set_recv_buffer_size(RECEIVE_BUFFER_LEN);
-}
-
 /// Forwards datagrams of callers to balancers, until the task is aborted.
 pub(crate) async fn run_service(
     shared: Arc<RelayShared>,
