Let the soak lose power while callers have open flows

Cause: no test with processes showed whether callers learn of flows that a loss of power ended. Change: lose_power kills all processes with SIGKILL by their ids and ends all servers without a deregistration; each starts again 0.9 to 1.4 s later. Runs draw one loss or two in a row. 32 callers open a flow before and use it again at least 3 s after all processes are back; they need a reset or a response within 2.5 s. Callers receive resets while idle, and accept only those in the window of the sequence number. FLOW_OPTIONS is the place where the soak writes the table [flows].

--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -5,6 +5,7 @@
 
 mod soak_caller;
 mod soak_faults;
+mod soak_power;
 mod soak_router;
 mod soak_server;
 mod soak_site;
@@ -28,10 +29,23 @@
         inject_faults,
         FaultSet, //
     },
-    soak_site::SoakSite,
+    soak_power::{
+        run_idle_callers,
+        PowerPlan,
+        IDLE_CALLERS, //
+    },
+    soak_router::SoakRouter,
+    soak_site::{
+        SiteTerms,
+        SoakSite,
+        FLOW_OPTIONS, //
+    },
     soak_verdict::{
+        requests_on_lost_flows,
+        silent_caller,
         stray_flows,
-        wrong_resets, //
+        wrong_resets,
+        SETTLING_DURATION, //
     },
 };
 
@@ -47,30 +61,84 @@
 /// Smallest share of the requests that must be served while faults are injected, in percent.
 const MIN_SERVED_PERCENT: usize = 50;
 
-async fn run_seed(seed: u64, set: FaultSet) {
+/// Settings of the processes without the optional features.
+const NO_OPTIONS: &str = "";
+
+/// Time that servers work on a request, unless they are to be overloaded.
+const WORK_DURATION: Duration = Duration::from_millis(5);
+
+async fn run_seed(seed: u64, set: FaultSet, options: &'static str) {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut site = SoakSite::start(seed).await;
+    let work = WORK_DURATION;
+    let mut site = SoakSite::start(seed, SiteTerms { options, work }).await;
     let base = site.base_octet();
+    let (router, _probes) = SoakRouter::start(base);
     sleep(RECOVERY_DURATION).await;
     let faults = async {
         inject_faults(&mut site, set, &mut random, FAULT_DURATION).await;
         site
     };
-    let (mut site, under_faults) = tokio::join!(faults, run_callers(base, 0, FAULT_DURATION));
+    let callers = run_callers(&router, base, 0, FAULT_DURATION);
+    let (mut site, under_faults) = tokio::join!(faults, callers);
     site.end_faults().await;
     sleep(RECOVERY_DURATION).await;
-    let calm = run_callers(base, 1, CALM_DURATION).await;
+    let calm = run_callers(&router, base, 1, CALM_DURATION).await;
     println!("seed {seed}, {set:?}: {under_faults}, calm: {calm}");
-    check(seed, &site, &under_faults, &calm);
+    check_guarantees(seed, &site, &[&under_faults, &calm]);
+    check_served(seed, &under_faults, &calm);
     if set == FaultSet::Planned {
         let strays = stray_flows(&site, &under_faults);
         assert!(strays.is_empty(), "seed {seed}: {strays:?} went elsewhere");
     }
 }
 
-/// Checks the results of callers and servers.
-fn check(seed: u64, site: &SoakSite, under_faults: &SoakCount, calm: &SoakCount) {
-    for count in [under_faults, calm] {
+/// Loses power while callers use their flows and others keep theirs open without using them.
+async fn run_power_loss(seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let (options, work) = (FLOW_OPTIONS, WORK_DURATION);
+    let mut site = SoakSite::start(seed, SiteTerms { options, work }).await;
+    let base = site.base_octet();
+    let (router, _probes) = SoakRouter::start(base);
+    sleep(RECOVERY_DURATION).await;
+    let plan = PowerPlan::draw(&site, &mut random);
+    let outage = plan.duration();
+    let (under_faults, idle, ()) = tokio::join!(
+        run_callers(&router, base, 0, outage + SETTLING_DURATION),
+        run_idle_callers(&router, base, outage, &mut random),
+        plan.run(&mut site),
+    );
+    let calm = run_callers(&router, base, 1, CALM_DURATION).await;
+    let opened = idle.owners.len();
+    let requests = requests_on_lost_flows(&site, &idle);
+    println!(
+        "seed {seed}, {} losses of power: {under_faults}, idle: {idle}, {} requests on lost flows, calm: {calm}",
+        site.losses.len(),
+        requests.len()
+    );
+    check_guarantees(seed, &site, &[&under_faults, &idle, &calm]);
+    check_served(seed, &under_faults, &calm);
+    assert_eq!(
+        opened,
+        usize::from(IDLE_CALLERS),
+        "seed {seed}: flows opened before the loss"
+    );
+    let known = requests.len() + idle.resets.len();
+    assert!(
+        known >= opened,
+        "seed {seed}: only {known} of {opened} flows were used again or reset"
+    );
+    let silent: Vec<_> = requests.iter().filter_map(silent_caller).collect();
+    assert!(
+        silent.is_empty(),
+        "seed {seed}: {} of {} requests on lost flows got neither a reset nor a response: {silent:?}",
+        silent.len(),
+        requests.len()
+    );
+}
+
+/// Checks the guarantees that hold under any fault.
+fn check_guarantees(seed: u64, site: &SoakSite, counts: &[&SoakCount]) {
+    for count in counts {
         assert_eq!(
             count.wrong_answers, 0,
             "seed {seed}: a caller got the response to another request"
@@ -83,6 +151,10 @@
         repeated.is_empty(),
         "seed {seed}: requests run more than once: {repeated:?}"
     );
+}
+
+/// Checks how many requests were served, of which `under_faults` were sent while faults were injected.
+fn check_served(seed: u64, under_faults: &SoakCount, calm: &SoakCount) {
     let min_served = under_faults.asked * MIN_SERVED_PERCENT / 100;
     assert!(
         under_faults.served >= min_served,
@@ -100,7 +172,23 @@
 #[case::second(2)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn meets_guarantees_under_random_faults(#[case] seed: u64) {
-    run_seed(seed, FaultSet::All).await;
+    run_seed(seed, FaultSet::All, NO_OPTIONS).await;
+}
+
+/// Guards against wrong resets of open flows by the search for lost ones, while processes and links fail.
+#[rstest]
+#[case::first(10)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn meets_guarantees_with_all_options(#[case] seed: u64) {
+    run_seed(seed, FaultSet::All, FLOW_OPTIONS).await;
+}
+
+/// Guards against callers that wait in silence on flows that a loss of power ended.
+#[rstest]
+#[case::first(4)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tells_callers_of_flows_lost_with_the_power(#[case] seed: u64) {
+    run_power_loss(seed).await;
 }
 
 /// Guards against open flows that are reset, or led to other servers, by planned work alone.
@@ -108,7 +196,7 @@
 #[case::first(3)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn planned_work_breaks_no_open_flow(#[case] seed: u64) {
-    run_seed(seed, FaultSet::Planned).await;
+    run_seed(seed, FaultSet::Planned, NO_OPTIONS).await;
 }
 
 /// Runs the seeds in the environment variable `SOAK_SEEDS`, such as `10..60`, if it is set; the odd ones
@@ -122,10 +210,12 @@
         .split_once("..")
         .expect("SOAK_SEEDS is not a range such as 1..51");
     for seed in first.parse().unwrap()..end.parse().unwrap() {
-        let set = match seed % 2 {
-            0 => FaultSet::All,
-            _ => FaultSet::Planned,
-        };
-        run_seed(seed, set).await;
+        match seed % 8 {
+            0 => run_seed(seed, FaultSet::All, NO_OPTIONS).await,
+            2 => run_seed(seed, FaultSet::All, FLOW_OPTIONS).await,
+            4 => run_power_loss(seed).await,
+            6 => run_power_loss(seed).await,
+            _ => run_seed(seed, FaultSet::Planned, NO_OPTIONS).await,
+        }
     }
 }
--- a/tests/platform_soak/soak_caller.rs
+++ b/tests/platform_soak/soak_caller.rs
@@ -17,6 +17,8 @@
     net::UdpSocket,
     task::JoinSet,
     time::{
+        sleep,
+        sleep_until,
         timeout_at,
         Instant, //
     },
@@ -31,7 +33,10 @@
 };
 
 const CALLERS: u8 = 8;
-const CALLER_NET: u8 = 9;
+
+/// Third octet of the callers' addresses.
+pub(crate) const CALLER_NET: u8 = 9;
+const FIRST_PORT: u16 = 1_024;
 const MAX_ATTEMPTS: u8 = 3;
 
 /// Times since the start of an attempt at which the opening packet is sent and retransmitted.
@@ -53,6 +58,9 @@
 const MAX_REQUESTS: u16 = 4;
 const MAX_PAUSE_MS: u64 = 1_800;
 
+/// Number of sequence numbers, from the one that the caller expects, with which it accepts a reset.
+const RESET_WINDOW: u32 = 76_800;
+
 /// A reset that the system sent for an open flow.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FlowReset {
@@ -61,6 +69,18 @@
     pub(crate) at: Instant,
 }
 
+/// A request on an open flow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FlowRequest {
+    pub(crate) caller: SocketAddrV4,
+    /// When the flow opened.
+    pub(crate) opened: Instant,
+    /// When the caller sent the request for the first time.
+    pub(crate) asked: Instant,
+    /// When the caller got a response or a reset that it accepts.
+    pub(crate) settled: Option<Instant>,
+}
+
 /// Results of the callers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SoakCount {
@@ -71,33 +91,40 @@
     pub(crate) resets: Vec<FlowReset>,
     /// Endpoints of the callers' flows, with the number of the server that holds each.
     pub(crate) owners: Vec<(SocketAddrV4, u32)>,
+    /// Requests on open flows.
+    pub(crate) requests: Vec<FlowRequest>,
 }
 
-struct SoakCaller {
+/// A flow that a caller has opened.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OpenFlow {
+    /// First sequence number of the server, whose number is in the upper bits.
+    pub(crate) server: u32,
+    pub(crate) opened: Instant,
+}
+
+pub(crate) struct SoakCaller {
     socket: UdpSocket,
+    route: SocketAddrV4,
     ip: Ipv4Addr,
     port: u16,
     router: SoakRouter,
-    count: SoakCount,
+    pub(crate) count: SoakCount,
 }
 
 /// Sends requests from all callers for `time`; each caller sends one after another.
-pub(crate) async fn run_callers(base: u8, phase: u16, time: Duration) -> SoakCount {
-    let router = SoakRouter::default();
-    let probing = router.clone();
-    let prober = tokio::spawn(async move { probing.probe_balancers(base).await });
+pub(crate) async fn run_callers(
+    router: &SoakRouter,
+    base: u8,
+    phase: u16,
+    time: Duration,
+) -> SoakCount {
     let mut callers = JoinSet::new();
     let end = Instant::now() + time;
     for number in 1..=CALLERS {
         let ip = Ipv4Addr::new(127, base, CALLER_NET, number);
-        let socket = UdpSocket::bind((ip, PACKETS_PORT)).await.unwrap();
-        let mut caller = SoakCaller {
-            socket,
-            ip,
-            port: 1_024 + phase * 20_000,
-            router: router.clone(),
-            count: SoakCount::default(),
-        };
+        let mut caller = SoakCaller::bind(ip, ROUTE, router).await;
+        caller.port = FIRST_PORT + phase * 20_000;
         callers.spawn(async move {
             while Instant::now() < end {
                 caller.request().await;
@@ -105,64 +132,118 @@
             caller.count
         });
     }
+    sum_counts(callers).await
+}
+
+/// Waits for all callers and returns the sum of their results.
+pub(crate) async fn sum_counts(mut callers: JoinSet<SoakCount>) -> SoakCount {
     let mut sum = SoakCount::default();
     while let Some(count) = callers.join_next().await {
-        let count = count.unwrap();
-        sum.asked += count.asked;
-        sum.served += count.served;
-        sum.wrong_answers += count.wrong_answers;
-        sum.resets.extend(count.resets);
-        sum.owners.extend(count.owners);
-    }
-    prober.abort();
+        sum.add(count.unwrap());
+    }
     sum
 }
 
+impl SoakCount {
+    /// Adds the results of other callers.
+    pub(crate) fn add(&mut self, count: SoakCount) {
+        self.asked += count.asked;
+        self.served += count.served;
+        self.wrong_answers += count.wrong_answers;
+        self.resets.extend(count.resets);
+        self.owners.extend(count.owners);
+        self.requests.extend(count.requests);
+    }
+}
+
 impl SoakCaller {
+    /// Creates a caller of `route` at this address.
+    pub(crate) async fn bind(ip: Ipv4Addr, route: SocketAddrV4, router: &SoakRouter) -> SoakCaller {
+        SoakCaller {
+            socket: UdpSocket::bind((ip, PACKETS_PORT)).await.unwrap(),
+            route,
+            ip,
+            port: FIRST_PORT,
+            router: router.clone(),
+            count: SoakCount::default(),
+        }
+    }
+
     /// Sends non-idempotent requests on one flow, which are retried only if it wasn't opened.
     async fn request(&mut self) {
         if self.router.pick(SocketAddrV4::new(self.ip, 0)).is_none() {
-            tokio::time::sleep(SEND_TIMES[1]).await;
+            sleep(SEND_TIMES[1]).await;
             return;
         }
         for _ in 0..MAX_ATTEMPTS {
-            if let Some(server) = self.open_flow().await {
-                self.use_flow(server).await;
+            if let Some(flow) = self.open_flow().await {
+                self.use_flow(flow).await;
                 return;
             }
-            tokio::time::sleep(FIRST_RETRY_DELAY).await;
+            sleep(FIRST_RETRY_DELAY).await;
         }
         self.count.asked += 1;
     }
 
     /// Sends requests on an open flow, with pauses, until one isn't answered.
-    async fn use_flow(&mut self, server: u32) {
-        let owner = (
-            SocketAddrV4::new(self.ip, self.port),
-            server >> NUMBER_SHIFT,
-        );
-        self.count.owners.push(owner);
+    async fn use_flow(&mut self, flow: OpenFlow) {
         for number in 0..1 + self.port % MAX_REQUESTS {
             let pause = u64::from(self.port) * 97 % MAX_PAUSE_MS;
-            if number > 0 {
-                tokio::time::sleep(Duration::from_millis(pause)).await;
+            let end = Instant::now() + Duration::from_millis(pause);
+            if number > 0 && !self.stay_idle(flow, end).await {
+                return;
             }
-            self.count.asked += 1;
-            let data = format!("request {}-{}-{number}", self.ip, self.port).into_bytes();
-            if !self.send_until_answered(server, &data).await {
+            if !self.ask(flow, number).await {
                 return;
             }
-            self.count.served += 1;
         }
     }
 
+    /// Sends request `number` of an open flow until it is answered or the flow is reset; returns whether it
+    /// was answered.
+    pub(crate) async fn ask(&mut self, flow: OpenFlow, number: u16) -> bool {
+        self.count.asked += 1;
+        let data = format!("request {}-{}-{number}", self.ip, self.port).into_bytes();
+        let asked = Instant::now();
+        let served = self.send_until_settled(flow.server, &data).await;
+        self.count.requests.push(FlowRequest {
+            caller: SocketAddrV4::new(self.ip, self.port),
+            opened: flow.opened,
+            asked,
+            settled: served.map(|_| Instant::now()),
+        });
+        self.count.served += usize::from(served == Some(true));
+        served == Some(true)
+    }
+
+    /// Sends nothing on an open flow until `end`; returns whether the flow is still open then.
+    pub(crate) async fn stay_idle(&mut self, flow: OpenFlow, end: Instant) -> bool {
+        while let Some(packet) = self.receive(end).await {
+            if self.is_reset(flow.server, &packet) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Opens a flow; `None` if it is refused or nothing answers.
+    pub(crate) async fn open_flow(&mut self) -> Option<OpenFlow> {
+        let server = self.send_opening_packets().await?;
+        let caller = SocketAddrV4::new(self.ip, self.port);
+        self.count.owners.push((caller, server >> NUMBER_SHIFT));
+        Some(OpenFlow {
+            server,
+            opened: Instant::now(),
+        })
+    }
+
     /// Opens a flow; returns the first sequence number of the server that accepted it.
-    async fn open_flow(&mut self) -> Option<u32> {
+    async fn send_opening_packets(&mut self) -> Option<u32> {
         self.port += 1;
         let started = Instant::now();
         for (index, time) in SEND_TIMES.iter().enumerate() {
             let opening_packet = self.packet(flags::SYN, u32::try_from(index).unwrap(), Vec::new());
-            tokio::time::sleep_until(started + *time).await;
+            sleep_until(started + *time).await;
             self.send(&opening_packet).await;
             let next = SEND_TIMES.get(index + 1).copied().unwrap_or(OPEN_TIMEOUT);
             let Some(response) = self.receive(started + next).await else {
@@ -176,8 +257,9 @@
         None
     }
 
-    /// Sends the request on an open flow, again and again until it is answered; returns whether it was.
-    async fn send_until_answered(&mut self, server: u32, data: &[u8]) -> bool {
+    /// Sends the request on an open flow, again and again, until it is answered (`true`) or the flow is
+    /// reset (`false`); `None` if neither happens in time.
+    async fn send_until_settled(&mut self, server: u32, data: &[u8]) -> Option<bool> {
         let end = Instant::now() + RESPONSE_TIMEOUT;
         let mut retry_delay = FIRST_RETRY_DELAY;
         let request = self.packet(flags::ACK, server, data.to_vec());
@@ -186,21 +268,32 @@
             let due = Instant::now() + retry_delay;
             retry_delay *= 2;
             while let Some(response) = self.receive(due).await {
-                if response.flags & flags::RST != 0 {
-                    self.count.resets.push(FlowReset {
-                        server: server >> NUMBER_SHIFT,
-                        at: Instant::now(),
-                    });
-                    return false;
+                if self.is_reset(server, &response) {
+                    return Some(false);
                 }
-                if response.data.is_empty() || self.is_earlier_answer(&response.data, data) {
+                if response.flags & flags::RST != 0
+                    || response.data.is_empty()
+                    || self.is_earlier_answer(&response.data, data)
+                {
                     continue;
                 }
                 self.count.wrong_answers += usize::from(response.data != data);
-                return true;
+                return Some(true);
             }
         }
-        false
+        None
+    }
+
+    /// Returns whether the packet resets the open flow. A reset that the caller ignores is recorded as well.
+    fn is_reset(&mut self, server: u32, packet: &EndpointPacket) -> bool {
+        if packet.flags & flags::RST == 0 {
+            return false;
+        }
+        self.count.resets.push(FlowReset {
+            server: server >> NUMBER_SHIFT,
+            at: Instant::now(),
+        });
+        packet.sequence.wrapping_sub(server) <= RESET_WINDOW
     }
 
     /// Returns whether this is another copy of the answer to an earlier request on the same flow.
@@ -212,7 +305,7 @@
     fn packet(&self, flags: u8, acknowledged: u32, data: Vec<u8>) -> EndpointPacket {
         EndpointPacket {
             from: SocketAddrV4::new(self.ip, self.port),
-            to: ROUTE,
+            to: self.route,
             flags,
             sequence: 7,
             acknowledged,
--- a/tests/platform_soak/soak_router.rs
+++ b/tests/platform_soak/soak_router.rs
@@ -18,6 +18,7 @@
         AsyncWriteExt, //
     },
     net::TcpStream,
+    task::JoinSet,
     time::{
         sleep,
         timeout, //
@@ -44,8 +45,17 @@
 }
 
 impl SoakRouter {
+    /// Starts a router; it probes the balancers until the returned tasks are dropped.
+    pub(crate) fn start(base: u8) -> (SoakRouter, JoinSet<()>) {
+        let router = SoakRouter::default();
+        let probing = router.clone();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(async move { probing.probe_balancers(base).await });
+        (router, tasks)
+    }
+
     /// Probes the readiness of all balancers in an endless loop.
-    pub(crate) async fn probe_balancers(&self, base: u8) {
+    async fn probe_balancers(&self, base: u8) {
         let mut failures = [FAILURE_THRESHOLD; BALANCERS as usize];
         loop {
             for number in 1..=BALANCERS {
--- a/tests/platform_soak/soak_server.rs
+++ b/tests/platform_soak/soak_server.rs
@@ -85,6 +85,11 @@
     /// Ends the server a little later.
     pub(crate) async fn end(&mut self) {
         sleep(LINGER_DURATION).await;
+        self.kill().await;
+    }
+
+    /// Ends the server without a deregistration; its flows and its work in progress are lost.
+    pub(crate) async fn kill(&mut self) {
         if let Some(server) = self.server.take() {
             server.end().await;
         }
--- a/tests/platform_soak/soak_site.rs
+++ b/tests/platform_soak/soak_site.rs
@@ -27,6 +27,7 @@
 use tempfile::TempDir;
 use tokio::time::{
     sleep,
+    sleep_until,
     Instant, //
 };
 
@@ -40,10 +41,16 @@
 const HEARTBEAT_PORT: u16 = 8_166;
 
 pub(crate) const SERVICE: &str = "lookup";
+/// Route of the urgent requests, and one of less urgent ones to the same service.
 pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+pub(crate) const BULK_ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
 pub(crate) const BALANCERS: u8 = 3;
 const AGENTS: u8 = 4;
 
+/// Table of optional features in the settings of all processes.
+pub(crate) const FLOW_OPTIONS: &str =
+    "[flows]\nreset_lost = true\nschedule_requests = true\nweigh_servers = true\n";
+
 /// Interval at which the replacement of servers goes on after the last fault.
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -51,6 +58,23 @@
 pub(crate) const BALANCER_NET: u8 = 1;
 const AGENT_NET: u8 = 2;
 
+/// What the processes and servers of a run differ in from those of other runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SiteTerms {
+    /// Table of optional features in the settings, or an empty text.
+    pub(crate) options: &'static str,
+    /// Time that servers work on a request.
+    pub(crate) work: Duration,
+}
+
+/// A loss of power at all VMs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PowerLoss {
+    pub(crate) began: Instant,
+    /// When the last process and server started again.
+    pub(crate) ended: Instant,
+}
+
 /// A platform role that runs as a process.
 pub(crate) struct SoakProcess {
     role: &'static str,
@@ -65,6 +89,8 @@
     /// Servers in the order of their agents, which are the last processes.
     pub(crate) servers: Vec<SoakServer>,
     pub(crate) log: ServerLog,
+    pub(crate) losses: Vec<PowerLoss>,
+    terms: SiteTerms,
     version: u64,
     folder: TempDir,
     /// Declared last, so that it is free only when nothing listens in it any more.
@@ -120,7 +146,7 @@
 
 impl SoakSite {
     /// Starts the store, the servers and all processes.
-    pub(crate) async fn start(seed: u64) -> SoakSite {
+    pub(crate) async fn start(seed: u64, terms: SiteTerms) -> SoakSite {
         // Processes of runs with the same seed have the same addresses, unless another test has them.
         let range = LoopbackRange::claim(20 + (seed % 200) as u8).unwrap();
         let base = range.octet();
@@ -129,6 +155,8 @@
             processes: Vec::new(),
             servers: Vec::new(),
             log: ServerLog::default(),
+            losses: Vec::new(),
+            terms,
             version: 0,
             folder: TempDir::new().unwrap(),
             store,
@@ -149,6 +177,7 @@
                 heartbeats: address(HEARTBEAT_PORT),
                 service: SERVICE.into(),
                 number: u32::from(number),
+                work: terms.work,
             };
             let backend = format!(
                 "[backend]\naddress = '{}'\nservice = '{SERVICE}'\noutgoing = '{}'\n\
@@ -185,8 +214,9 @@
             "[node]\nname = '{role}-{number}'\ndata_centre = '{centre}'\nip = '{ip}'\n\
              peer_port = {PEER_PORT}\npackets = '{ip}:{PACKETS_PORT}'\n\
              ready = '{ip}:{READY_PORT}'\ngrace_s = '4'\npeers = ['{peer}:1']\n\
-             [store]\naddress = '{}'\nmin_lease_ms = 1000\n",
-            self.store.address()
+             [store]\naddress = '{}'\nmin_lease_ms = 1000\n{}",
+            self.store.address(),
+            self.terms.options
         )
     }
 
@@ -212,15 +242,54 @@
         ended.await.unwrap();
     }
 
+    /// Kills all processes and servers at once, and starts each one again after its delay in `delays`: first
+    /// those of the processes, then those of the servers.
+    pub(crate) async fn lose_power(&mut self, delays: &[Duration]) {
+        let began = Instant::now();
+        for process in &self.processes {
+            process.signal(libc::SIGKILL);
+        }
+        for server in &mut self.servers {
+            server.kill().await;
+        }
+        for process in &mut self.processes {
+            process.wait();
+        }
+        let mut order: Vec<_> = delays.iter().copied().enumerate().collect();
+        order.sort_by_key(|(_, delay)| *delay);
+        for (index, delay) in order {
+            sleep_until(began + delay).await;
+            if let Some(process) = self.processes.get_mut(index) {
+                process.start(&self.folder, index);
+            } else {
+                self.servers[index - self.processes.len()]
+                    .restart(&self.log)
+                    .await;
+            }
+        }
+        self.losses.push(PowerLoss {
+            began,
+            ended: Instant::now(),
+        });
+    }
+
     /// Writes the next version of the configuration to the store.
     pub(crate) fn change_config(&mut self) {
         self.version += 1;
-        let (ip, port) = (ROUTE.ip(), ROUTE.port());
+        let route = |name, address: SocketAddrV4, priority| {
+            format!(
+                "{{\"Name\":\"{name}\",\"Host\":\"{}\",\"Prefix\":\"/{}/\",\"Service\":\"{SERVICE}\",\
+                 \"Priority\":{priority},\"LatencyObjectiveMs\":500}}",
+                address.ip(),
+                address.port()
+            )
+        };
         let config = format!(
-            "{{\"Version\":{},\"Routes\":[{{\"Name\":\"r\",\"Host\":\"{ip}\",\"Prefix\":\"/{port}/\",\
-             \"Service\":\"{SERVICE}\",\"Priority\":1,\"LatencyObjectiveMs\":500}}],\
-             \"Services\":[{{\"Name\":\"{SERVICE}\"}}],\"Limits\":{{}}}}",
-            self.version
+            "{{\"Version\":{},\"Routes\":[{},{}],\"Services\":[{{\"Name\":\"{SERVICE}\"}}],\
+             \"Limits\":{{}}}}",
+            self.version,
+            route("r", ROUTE, 1),
+            route("bulk", BULK_ROUTE, 2)
         );
         self.store.put("op/config", &config);
     }
--- a/tests/platform_soak/soak_verdict.rs
+++ b/tests/platform_soak/soak_verdict.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     soak_caller::{
+        FlowRequest,
         FlowReset,
         SoakCount, //
     },
@@ -20,6 +21,12 @@
 /// Time within which packets of a flow must not reach other servers only.
 const STRAY_WINDOW: Duration = Duration::from_secs(2);
 
+/// Time after a loss of power from which requests on lost flows have to be settled.
+pub(crate) const SETTLING_DURATION: Duration = Duration::from_secs(3);
+
+/// Time within which a request on a lost flow has to get a reset or a response.
+const REQUEST_DEADLINE: Duration = Duration::from_millis(2_500);
+
 /// Number of packets at other servers from which a flow counts as led astray.
 const STRAY_PACKETS: usize = 3;
 
@@ -43,6 +50,27 @@
     wrong.copied().collect()
 }
 
+/// Returns the requests on flows from before the last loss of power that were sent once the site had been
+/// back for [`SETTLING_DURATION`].
+pub(crate) fn requests_on_lost_flows(site: &SoakSite, count: &SoakCount) -> Vec<FlowRequest> {
+    let Some(loss) = site.losses.last() else {
+        return Vec::new();
+    };
+    let requests = count.requests.iter();
+    let on_lost = requests.filter(|request| {
+        request.opened < loss.began && request.asked >= loss.ended + SETTLING_DURATION
+    });
+    on_lost.copied().collect()
+}
+
+/// Returns the caller of the request, if it got neither a reset nor a response within
+/// [`REQUEST_DEADLINE`].
+pub(crate) fn silent_caller(request: &FlowRequest) -> Option<SocketAddrV4> {
+    let due = request.asked + REQUEST_DEADLINE;
+    let is_silent = request.settled.is_none_or(|settled| settled > due);
+    is_silent.then_some(request.caller)
+}
+
 /// Returns the flows of which, within [`STRAY_WINDOW`], packets reached other servers only although
 /// their own server lived.
 pub(crate) fn stray_flows(site: &SoakSite, count: &SoakCount) -> Vec<SocketAddrV4> {
