Let the soak overload routes of two priorities

Cause: no test with processes showed whether schedule_requests works, and the callers of the soak couldn't show it: all data of a flow had one sequence number, so agents took each request after the first one for a copy, which is never held. Change: callers number their data. All requests on open flows have to be served, none twice, no flow may be reset, and the median time of urgent requests has to be at most half of that of the others.

--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -5,6 +5,7 @@
 
 mod soak_caller;
 mod soak_faults;
+mod soak_overload;
 mod soak_power;
 mod soak_router;
 mod soak_server;
@@ -29,6 +30,10 @@
         inject_faults,
         FaultSet, //
     },
+    soak_overload::{
+        run_overload_callers,
+        OVERLOAD_WORK, //
+    },
     soak_power::{
         run_idle_callers,
         PowerPlan,
@@ -58,6 +63,13 @@
 /// Duration of the load without faults at the end.
 const CALM_DURATION: Duration = Duration::from_secs(2);
 
+/// Duration of the overload.
+const OVERLOAD_DURATION: Duration = Duration::from_secs(6);
+
+/// Smallest factor between the median times of less urgent and of urgent requests. Less urgent ones alone wait
+/// for five times the slots, and urgent ones have slots of their own.
+const MIN_PRIORITY_FACTOR: u32 = 2;
+
 /// Smallest share of the requests that must be served while faults are injected, in percent.
 const MIN_SERVED_PERCENT: usize = 50;
 
@@ -136,6 +148,33 @@
     );
 }
 
+/// Overloads the servers with requests of two priorities.
+async fn run_overload(seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let (options, work) = (FLOW_OPTIONS, OVERLOAD_WORK);
+    let site = SoakSite::start(seed, SiteTerms { options, work }).await;
+    let base = site.base_octet();
+    let (router, _probes) = SoakRouter::start(base);
+    sleep(RECOVERY_DURATION).await;
+    let count = run_overload_callers(&router, base, OVERLOAD_DURATION, &mut random).await;
+    let (urgent, bulk) = (&count.urgent, &count.bulk);
+    println!("seed {seed}, overload, urgent: {urgent}, others: {bulk}");
+    check_guarantees(seed, &site, &[&urgent.count, &bulk.count]);
+    for class in [urgent, bulk] {
+        assert_eq!(
+            class.count.served, class.count.asked,
+            "seed {seed}: requests on open flows not served: {class}"
+        );
+    }
+    let (urgent_time, bulk_time) = (urgent.percentile(50), bulk.percentile(50));
+    assert!(
+        urgent_time
+            .zip(bulk_time)
+            .is_some_and(|(urgent, bulk)| urgent * MIN_PRIORITY_FACTOR <= bulk),
+        "seed {seed}: urgent requests wait like others: {urgent}, others: {bulk}"
+    );
+}
+
 /// Checks the guarantees that hold under any fault.
 fn check_guarantees(seed: u64, site: &SoakSite, counts: &[&SoakCount]) {
     for count in counts {
@@ -199,6 +238,14 @@
     run_seed(seed, FaultSet::Planned, NO_OPTIONS).await;
 }
 
+/// Guards against urgent requests that wait behind others at overloaded servers, and others that starve.
+#[rstest]
+#[case::first(6)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn serves_urgent_requests_first_under_overload(#[case] seed: u64) {
+    run_overload(seed).await;
+}
+
 /// Runs the seeds in the environment variable `SOAK_SEEDS`, such as `10..60`, if it is set; the odd ones
 /// with planned work only.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -214,7 +261,7 @@
             0 => run_seed(seed, FaultSet::All, NO_OPTIONS).await,
             2 => run_seed(seed, FaultSet::All, FLOW_OPTIONS).await,
             4 => run_power_loss(seed).await,
-            6 => run_power_loss(seed).await,
+            6 => run_overload(seed).await,
             _ => run_seed(seed, FaultSet::Planned, NO_OPTIONS).await,
         }
     }
--- a/tests/platform_soak/soak_caller.rs
+++ b/tests/platform_soak/soak_caller.rs
@@ -37,6 +37,7 @@
 /// Third octet of the callers' addresses.
 pub(crate) const CALLER_NET: u8 = 9;
 const FIRST_PORT: u16 = 1_024;
+const FIRST_SEQUENCE: u32 = 7;
 const MAX_ATTEMPTS: u8 = 3;
 
 /// Times since the start of an attempt at which the opening packet is sent and retransmitted.
@@ -108,6 +109,8 @@
     route: SocketAddrV4,
     ip: Ipv4Addr,
     port: u16,
+    /// Sequence number of the next packet.
+    sequence: u32,
     router: SoakRouter,
     pub(crate) count: SoakCount,
 }
@@ -164,6 +167,7 @@
             route,
             ip,
             port: FIRST_PORT,
+            sequence: FIRST_SEQUENCE,
             router: router.clone(),
             count: SoakCount::default(),
         }
@@ -203,9 +207,10 @@
     /// was answered.
     pub(crate) async fn ask(&mut self, flow: OpenFlow, number: u16) -> bool {
         self.count.asked += 1;
-        let data = format!("request {}-{}-{number}", self.ip, self.port).into_bytes();
+        let data = format!("request {}-{}-{number:05}", self.ip, self.port).into_bytes();
         let asked = Instant::now();
         let served = self.send_until_settled(flow.server, &data).await;
+        self.sequence += u32::try_from(data.len()).unwrap();
         self.count.requests.push(FlowRequest {
             caller: SocketAddrV4::new(self.ip, self.port),
             opened: flow.opened,
@@ -240,6 +245,7 @@
     /// Opens a flow; returns the first sequence number of the server that accepted it.
     async fn send_opening_packets(&mut self) -> Option<u32> {
         self.port += 1;
+        self.sequence = FIRST_SEQUENCE;
         let started = Instant::now();
         for (index, time) in SEND_TIMES.iter().enumerate() {
             let opening_packet = self.packet(flags::SYN, u32::try_from(index).unwrap(), Vec::new());
@@ -252,6 +258,7 @@
             if response.flags & flags::RST != 0 {
                 return None;
             }
+            self.sequence += 1;
             return Some(response.sequence);
         }
         None
@@ -307,7 +314,7 @@
             from: SocketAddrV4::new(self.ip, self.port),
             to: self.route,
             flags,
-            sequence: 7,
+            sequence: self.sequence,
             acknowledged,
             data,
         }
