Kill an agent under overload in half of the soak's runs

Cause: requests that an agent holds are lost with it, and no test with processes showed what callers get. Change: after a third of the overload an agent is killed and started again 0.5 s later. The check names the requests without a response.

--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -16,6 +16,7 @@
 
 use rand::{
     rngs::SmallRng,
+    Rng,
     SeedableRng, //
 };
 use rstest::rstest;
@@ -32,6 +33,7 @@
     },
     soak_overload::{
         run_overload_callers,
+        OPENING_DURATION,
         OVERLOAD_WORK, //
     },
     soak_power::{
@@ -66,6 +68,10 @@
 /// Duration of the overload.
 const OVERLOAD_DURATION: Duration = Duration::from_secs(6);
 
+/// Time from the kill of an agent under overload to its next start. Callers send the last copy of a request 3 s
+/// after the first one, so an agent that is back by then has to get it.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 /// Smallest factor between the median times of less urgent and of urgent requests. Less urgent ones alone wait
 /// for five times the slots, and urgent ones have slots of their own.
 const MIN_PRIORITY_FACTOR: u32 = 2;
@@ -148,22 +154,36 @@
     );
 }
 
-/// Overloads the servers with requests of two priorities.
+/// Overloads the servers with requests of two priorities. In about half of the runs, an agent is killed
+/// meanwhile.
 async fn run_overload(seed: u64) {
     let mut random = SmallRng::seed_from_u64(seed);
     let (options, work) = (FLOW_OPTIONS, OVERLOAD_WORK);
-    let site = SoakSite::start(seed, SiteTerms { options, work }).await;
+    let mut site = SoakSite::start(seed, SiteTerms { options, work }).await;
     let base = site.base_octet();
     let (router, _probes) = SoakRouter::start(base);
     sleep(RECOVERY_DURATION).await;
-    let count = run_overload_callers(&router, base, OVERLOAD_DURATION, &mut random).await;
+    let killed = random
+        .random_bool(0.5)
+        .then(|| site.draw_agent(&mut random));
+    let faults = async {
+        if let Some(agent) = killed {
+            sleep(OPENING_DURATION + OVERLOAD_DURATION / 3).await;
+            site.stop(agent, libc::SIGKILL).await;
+            sleep(RESTART_DELAY).await;
+            site.start_all();
+        }
+    };
+    let callers = run_overload_callers(&router, base, OVERLOAD_DURATION, &mut random);
+    let (count, ()) = tokio::join!(callers, faults);
     let (urgent, bulk) = (&count.urgent, &count.bulk);
-    println!("seed {seed}, overload, urgent: {urgent}, others: {bulk}");
+    println!("seed {seed}, overload, killed {killed:?}, urgent: {urgent}, others: {bulk}");
     check_guarantees(seed, &site, &[&urgent.count, &bulk.count]);
     for class in [urgent, bulk] {
-        assert_eq!(
-            class.count.served, class.count.asked,
-            "seed {seed}: requests on open flows not served: {class}"
+        let unserved = class.unserved();
+        assert!(
+            unserved.is_empty(),
+            "seed {seed}: requests on open flows not served: {unserved:?}"
         );
     }
     let (urgent_time, bulk_time) = (urgent.percentile(50), bulk.percentile(50));
@@ -240,7 +260,7 @@
 
 /// Guards against urgent requests that wait behind others at overloaded servers, and others that starve.
 #[rstest]
-#[case::first(6)]
+#[case::killed_agent(22)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn serves_urgent_requests_first_under_overload(#[case] seed: u64) {
     run_overload(seed).await;
--- a/tests/platform_soak/soak_overload.rs
+++ b/tests/platform_soak/soak_overload.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     soak_caller::{
+        FlowRequest,
         SoakCaller,
         SoakCount,
         CALLER_NET, //
@@ -48,7 +49,7 @@
 const OPEN_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time from the first opening of a flow to the overload.
-const OPENING_DURATION: Duration = Duration::from_millis(3_000);
+pub(crate) const OPENING_DURATION: Duration = Duration::from_millis(3_000);
 
 /// Number of callers of urgent requests, which alone leave slots free, and the fourth octet of the first one's
 /// address.
@@ -89,6 +90,13 @@
 }
 
 impl ClassCount {
+    /// Returns the requests on open flows that got no response.
+    pub(crate) fn unserved(&self) -> Vec<FlowRequest> {
+        let requests = self.count.requests.iter();
+        let unserved = requests.filter(|request| request.settled.is_none());
+        unserved.copied().collect()
+    }
+
     /// Returns how many flows were opened.
     pub(crate) fn flows(&self) -> usize {
         self.count.owners.len()
--- a/tests/platform_soak/soak_site.rs
+++ b/tests/platform_soak/soak_site.rs
@@ -24,6 +24,10 @@
     StoreMode, //
 };
 use carobdrum_standins::LoopbackRange;
+use rand::{
+    rngs::SmallRng,
+    Rng, //
+};
 use tempfile::TempDir;
 use tokio::time::{
     sleep,
@@ -227,6 +231,11 @@
         }
     }
 
+    /// Returns the index of a random agent among the processes.
+    pub(crate) fn draw_agent(&self, random: &mut SmallRng) -> usize {
+        random.random_range(usize::from(BALANCERS)..self.processes.len())
+    }
+
     /// Sends a process a signal to terminate and waits until it has exited.
     pub(crate) async fn stop(&mut self, index: usize, signal: i32) {
         self.processes[index].signal(signal);
