Tell callers that repeat no request at once, and let others wait for a free slot

Cause: after a loss of power, callers of non-idempotent routes lose the request that they send on a lost flow, while a reset of a flow of such a route brings no load back; on other routes, resets while the servers are full delay the responses to new requests. Eight balancers took over each deletion, each with a call to the store. Change: former flows of non-idempotent routes are reset at once; others while a slot is free, or after 800 ms. A deletion is handed over to four balancers. Two new tests of the resets.

--- a/components/flows/src/connection/flow_tracker/former.rs
+++ b/components/flows/src/connection/flow_tracker/former.rs
@@ -21,11 +21,9 @@
         FlowPacket,
         PacketKind, //
     },
+    version::SiteConfig,
 };
 
-/// Multiple of the slots below which requests in progress leave room for callers that return.
-const ROOM_SLOT_FACTOR: u32 = 2;
-
 impl FlowTracker {
     /// Returns the long flows that the live run of the server certainly holds, to be saved at `unix_ms`. Returns
     /// `None` if no run is known to be live, or if there is no such flow and the list of a former run is still of
@@ -74,7 +72,9 @@
     /// next request.
     pub fn reset_former_flows(&mut self, now: Millis, actions: &mut Vec<TrackerAction>) {
         let (slots, has_room) = (self.load.slots(), self.has_room());
-        while let Some((flow, cause)) = self.former.take_due(slots, has_room, now) {
+        let config = self.config.clone();
+        let repeats = |key| repeats_requests(config.as_deref(), key);
+        while let Some((flow, cause)) = self.former.take_due(slots, has_room, repeats, now) {
             if self.is_reopened(flow.key, now) {
                 self.former.remove(flow.key);
                 continue;
@@ -102,9 +102,12 @@
         if !is_lost || self.is_reopened(packet.key, now) {
             return false;
         }
-        let has_room = self.has_room();
         let number = packet.acknowledged;
-        if self.former.note_packet(packet.key, number, has_room, now) {
+        let repeats = repeats_requests(self.config.as_deref(), packet.key);
+        if repeats && (self.former.has_waiting() || !self.has_room()) {
+            self.former.postpone(packet.key, number, now);
+        } else {
+            self.former.note_reset(packet.key);
             let cause = ResetCause::FormerPacket;
             actions.push(TrackerAction::Reset(packet.key, number, cause));
         }
@@ -112,7 +115,7 @@
     }
 
     fn has_room(&self) -> bool {
-        self.load.busy() < ROOM_SLOT_FACTOR * self.load.slots()
+        self.load.busy() < self.load.slots()
     }
 
     /// Returns whether a server may hold a flow that was opened with these endpoints since the start of the agent.
@@ -125,3 +128,9 @@
             || self.owners.owner(key, now).is_some()
     }
 }
+
+/// Returns whether callers of this flow may repeat a request whose flow was reset, as far as is known.
+fn repeats_requests(config: Option<&SiteConfig>, key: FlowKey) -> bool {
+    let route = config.and_then(|config| config.route(key.service_address));
+    route.is_none_or(|route| route.is_idempotent)
+}
--- a/components/flows/src/connection/former_flows.rs
+++ b/components/flows/src/connection/former_flows.rs
@@ -158,19 +158,19 @@
         })
     }
 
-    /// Records a packet of the caller of a lost flow, which acknowledges this number; returns whether the flow is reset
-    /// at once. While the server has no room, and until the flows have been reset that wait for it, it is due later.
-    pub fn note_packet(
-        &mut self,
-        key: FlowKey,
-        acknowledged: u32,
-        has_room: bool,
-        now: Millis,
-    ) -> bool {
-        if has_room && self.waiting.is_empty() {
-            self.unsent.retain(|unsent| *unsent != key);
-            return true;
-        }
+    /// Returns whether flows wait for room at the server.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Records that a flow has been reset.
+    pub fn note_reset(&mut self, key: FlowKey) {
+        self.unsent.retain(|unsent| *unsent != key);
+    }
+
+    /// Postpones the reset of a flow, whose caller has sent a packet that acknowledges this number, until the server has
+    /// room.
+    pub fn postpone(&mut self, key: FlowKey, acknowledged: u32, now: Millis) {
         let mut waiting = self.waiting.iter_mut();
         match waiting.find(|waiting| waiting.key == key) {
             Some(waiting) => waiting.sequence = acknowledged,
@@ -180,21 +180,31 @@
                 due: now.plus(MAX_RESET_DELAY),
             }),
         }
-        false
     }
 
-    /// Returns the flow to reset now, and why; `None` if none is due. Resets are spread over the slots of the server,
-    /// and wait while it has no room (`has_room`): callers return right after a reset, and would delay the responses to
-    /// new requests while the site is still short of room after its start.
+    /// Returns the flow to reset now, and why; `None` if none is due.
+    ///
+    /// Callers that repeat their request (`repeats`) return right after a reset, and would delay the responses to new
+    /// requests while the site is short of room after its start. So their resets are spread over the slots of the
+    /// server and wait while it has no room (`has_room`). The others are told at once, before they send another
+    /// request that would be lost.
     pub fn take_due(
         &mut self,
         slots: u32,
         has_room: bool,
+        repeats: impl Fn(FlowKey) -> bool,
         now: Millis,
     ) -> Option<(SavedFlow, ResetCause)> {
         if now >= self.expires {
             return None;
         }
+        while let Some(index) = self.unsent.iter().position(|key| !repeats(*key)) {
+            let key = self.unsent.remove(index)?;
+            if let Some(sequence) = self.sequence(key) {
+                let flow = SavedFlow { key, sequence };
+                return Some((flow, ResetCause::FormerPaced));
+            }
+        }
         let now_us = micros(now);
         let is_paced = has_room && now_us >= self.next_reset_us;
         loop {
@@ -202,7 +212,7 @@
             let (key, sequence, cause) = match waiting {
                 Some(waiting) if is_paced || now >= waiting.due => {
                     self.waiting.pop_front();
-                    self.unsent.retain(|unsent| *unsent != waiting.key);
+                    self.note_reset(waiting.key);
                     let is_lost = self.sequence(waiting.key).is_some();
                     let sequence = is_lost.then_some(waiting.sequence);
                     (waiting.key, sequence, ResetCause::FormerPacket)
--- a/components/flows/tests/saved_flows.rs
+++ b/components/flows/tests/saved_flows.rs
@@ -248,6 +248,45 @@
     assert!(paced(&mut restarted([1]), EXPIRES).is_empty());
 }
 
+/// Guards against new requests that wait behind those of an outage: all callers come back right after a loss of power, when
+/// servers that have just started are slow. The server has two slots, which two flows have taken.
+#[test]
+fn resets_wait_for_room_where_callers_repeat_their_requests() {
+    let mut tracker = restarted([1, 2, 3]);
+    open_flow(&mut tracker, 8, START);
+    open_flow(&mut tracker, 9, START);
+    for caller in [8, 9] {
+        forward(&mut tracker, &later(caller, 1), header(&[]), START);
+    }
+    assert_eq!(tracker.report(START).busy, 2);
+    assert!(!is_answered(&mut tracker, &later(3, SEQUENCE + 9), START));
+    assert!(paced(&mut tracker, Millis(799)).is_empty());
+    // The caller needs the rest of its time for another attempt.
+    assert_eq!(tracker.next_former_reset(), Some(Millis(800)));
+    let postponed = reset(3, SEQUENCE + 9, ResetCause::FormerPacket);
+    assert_eq!(paced(&mut tracker, Millis(800)), postponed);
+    assert_eq!(tracker.next_former_reset(), None);
+    let response = FlowPacket {
+        sequence: 1,
+        data_len: 10,
+        ..packet(8, PacketKind::Data)
+    };
+    backend(&mut tracker, &response, Millis(801));
+    assert_eq!(paced(&mut tracker, Millis(900)).len(), 2);
+}
+
+/// Guards against requests that are sent on lost flows and can't be repeated: their callers bring no load back, so they
+/// are told at once, also while the server has no room.
+#[test]
+fn callers_that_repeat_no_request_learn_of_the_loss_at_once() {
+    let mut tracker = restarted([1, 2, 3]);
+    let mut config = scheduling_config(2, [1, 2]);
+    config.revision = 2;
+    tracker.set_config(Arc::new(config), START);
+    assert_eq!(paced(&mut tracker, START).len(), 3);
+    assert_eq!(tracker.next_former_reset(), None);
+}
+
 /// Guards against saved flows that the named run of the server may not hold: short ones, those that the server has
 /// only accepted, and those that the next run may have accepted before its first heartbeat.
 #[test]
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -18,8 +18,9 @@
 
 use super::udp_endpoint::UdpEndpoint;
 
-/// Limit of the balancers to which the deletion of the registration is handed over at a time.
-const MAX_HANDOVER: usize = 8;
+/// Limit of the balancers to which the deletion of the registration is handed over at a time. Each makes a call to
+/// the store.
+const MAX_HANDOVER: usize = 4;
 
 /// Interval between messages about the end of the registration.
 const HANDOVER_INTERVAL: Millis = Millis(500);
