Delete the keys of an agent with one function for both conditions

Cause: the transaction that deletes an agent's keys stood in the platform crate and again in the cleanup of registrations, where it has the further condition that the entry is absent. The list of the keys was public for this. Result: the same requests are sent.

--- a/components/forwarder/src/process/registration_cleaner.rs
+++ b/components/forwarder/src/process/registration_cleaner.rs
@@ -10,11 +10,10 @@
 use carobdrum_flows::process::RegistrationCleanup;
 use carobdrum_platform::{
     agent_key,
-    registered_keys,
+    delete_orphaned_registration,
     registration_key,
     StoreClient,
-    StoreError,
-    StoreTransaction, //
+    StoreError, //
 };
 use rand::Rng;
 use tokio::time::sleep;
@@ -33,7 +32,7 @@
 /// just become available again.
 const CONFIRM_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Deletes registrations that `cleanup` names, and the flows that their agents have saved, until the process ends.
+/// Deletes the registrations that `cleanup` names and the other keys of their agents, until the process ends.
 pub(crate) async fn clean_registrations(
     store: SocketAddrV4,
     cleanup: Rc<RefCell<RegistrationCleanup>>,
@@ -54,7 +53,7 @@
                 if !cleanup.borrow().is_orphaned(agent, revision) {
                     continue;
                 }
-                delete(&mut client, agent, revision).await
+                delete_orphaned_registration(&mut client, agent, revision).await
             }
             Err(error) => Err(error),
         };
@@ -89,19 +88,3 @@
     let is_same = items.any(|item| item.key == registration && item.revision == revision);
     Ok(is_same && !has_entry)
 }
-
-async fn delete(
-    client: &mut StoreClient,
-    agent: SocketAddrV4,
-    revision: u64,
-) -> Result<(), StoreError> {
-    let (entry, registration) = (agent_key(agent), registration_key(agent));
-    let keys = registered_keys(agent);
-    let deletes: Vec<&str> = keys.iter().map(|key| key.as_str()).collect();
-    let transaction = StoreTransaction {
-        expected: &[(&entry, 0), (&registration, revision)],
-        deletes: &deletes,
-        ..StoreTransaction::default()
-    };
-    client.commit(&transaction).await.map(|_| ())
-}
