Name outcomes of marks by their type, and set metrics by the shared functions

Cause: the outcome of a mark was compared as text, and two metrics were set by copies of NodeMetrics::set and NodeMetrics::count. One comment described two constants, and one field had only its side effect described. Change: MarkOutcome has a name, as other causes have. The constants and the field have their own comments. Result: log lines and metrics are the same.

--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -38,7 +38,8 @@
     schedule: ReportSchedule,
     /// Whether the server accepts new flows, as last reported.
     accepts: bool,
-    /// No report is sent meanwhile, as it would show that the agent lives.
+    /// Deletion that balancers are asked for. No report is sent meanwhile, as it would show that the agent
+    /// lives.
     handover: Option<Handover>,
 }
 
--- a/components/forwarder/src/process/absence_marker.rs
+++ b/components/forwarder/src/process/absence_marker.rs
@@ -42,9 +42,11 @@
 /// Interval between checks for agents that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Number of probes before a mark, and the interval between them. Together they take 2.5 s, in which an
-/// agent that lives writes its entry if the store has just become available again.
+/// Number of probes between the read of the agent's keys and the mark. Together they take 2.5 s, in which
+/// an agent that lives writes its entry if the store has just become available again.
 const PROBES: u32 = 5;
+
+/// Interval between these probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Outcome of the check of an agent whose entry is missing.
@@ -58,6 +60,17 @@
     Changed,
 }
 
+impl MarkOutcome {
+    /// Returns the name that logs and metrics show.
+    fn name(self) -> &'static str {
+        match self {
+            MarkOutcome::Marked => "marked",
+            MarkOutcome::Answered => "answered",
+            MarkOutcome::Changed => "mark_kept",
+        }
+    }
+}
+
 /// Writes marks on agents whose entries are missing and that answer no probe.
 #[derive(Debug)]
 pub struct AbsenceMarker {
@@ -144,9 +157,7 @@
             !is_orphaned || probe_once(&updates, agent).await
         };
         let outcome = match marker.mark(agent, revision, probe).await {
-            Ok(MarkOutcome::Marked) => "marked",
-            Ok(MarkOutcome::Answered) => "answered",
-            Ok(MarkOutcome::Changed) => "mark_kept",
+            Ok(outcome) => outcome,
             Err(error) => {
                 info!(%agent, %error, "agent not marked as absent");
                 marks.borrow_mut().note_failure();
@@ -154,11 +165,12 @@
                 continue;
             }
         };
-        info!(%agent, revision, outcome, "agent checked whose entry is missing");
-        if outcome != "answered" {
+        let name = outcome.name();
+        info!(%agent, revision, outcome = name, "agent checked whose entry is missing");
+        if outcome != MarkOutcome::Answered {
             marks.borrow_mut().conclude(agent, revision);
         }
-        NodeMetrics::count(&metrics.registrations, outcome);
+        NodeMetrics::count(&metrics.registrations, name);
     }
 }
 
--- a/components/forwarder/src/process/flow_saving.rs
+++ b/components/forwarder/src/process/flow_saving.rs
@@ -110,8 +110,7 @@
         match outcome {
             Ok(()) => {
                 debug!(flows, bytes = value.len(), "long flows saved");
-                let saved = i64::try_from(flows).unwrap_or(i64::MAX);
-                arguments.metrics.saved.flows.set(saved);
+                NodeMetrics::set(&arguments.metrics.saved.flows, flows as u64);
                 NodeMetrics::count(&arguments.metrics.saved.saves, "saved");
                 saver.note_saved(list, value.len(), now, random());
             }
--- a/components/forwarder/src/process/resend_metrics.rs
+++ b/components/forwarder/src/process/resend_metrics.rs
@@ -1,9 +1,6 @@
 //! Metrics of early copies of packets.
 
-use carobdrum_flows::connection::{
-    ResendAction,
-    ResendHold, //
-};
+use carobdrum_flows::connection::ResendAction;
 use prometheus_client::{
     metrics::{
         counter::Counter,
@@ -12,7 +9,10 @@
     registry::Registry,
 };
 
-use super::node_metrics::CauseLabel;
+use super::node_metrics::{
+    CauseLabel,
+    NodeMetrics, //
+};
 
 /// Metrics of the packets that an agent sends to callers again.
 #[derive(Clone, Debug)]
@@ -60,14 +60,9 @@
             }
             ResendAction::Ended { is_useful } => {
                 let cause = if *is_useful { "useful" } else { "wasted" };
-                self.ended.get_or_create(&CauseLabel { cause }).inc();
+                NodeMetrics::count(&self.ended, cause);
             }
-            ResendAction::Hold(hold) => self.count_hold(*hold),
+            ResendAction::Hold(hold) => NodeMetrics::count(&self.held, hold.name()),
         }
     }
-
-    fn count_hold(&self, hold: ResendHold) {
-        let label = CauseLabel { cause: hold.name() };
-        self.held.get_or_create(&label).inc();
-    }
 }
