Give the state of kept packets and the sum of owners their usual names

Cause: PacketFate isn't a term of the field, and the field `owners` of LostFlowSearch held a number beside lists of the same name. Change: they are called PacketState and `owner_count`. A constant of type Millis doesn't repeat its unit. Result: no change of behaviour.

--- a/components/flows/src/connection/packet_resender.rs
+++ b/components/flows/src/connection/packet_resender.rs
@@ -27,7 +27,7 @@
         UnacknowledgedFlow, //
     },
     unacknowledged_packet::{
-        PacketFate,
+        PacketState,
         UnacknowledgedPacket, //
     },
     CopyTerms,
@@ -152,8 +152,8 @@
                 }
                 self.schedule(packet.key, now);
             }
-            SentPacket::Repeated(Some((fate, kind))) => {
-                self.note_repeated(fate, kind, now, actions);
+            SentPacket::Repeated(Some((state, kind))) => {
+                self.note_repeated(state, kind, now, actions);
             }
             SentPacket::Repeated(None) | SentPacket::Empty => {}
             SentPacket::Unknown => self.forget(packet.key),
@@ -170,8 +170,8 @@
     ) {
         if let Some(flow) = self.flows.get_mut(&packet.key) {
             if flow.is_accepted_by(packet.sequence) {
-                if let Some((fate, kind)) = flow.note_repeated(packet.sequence) {
-                    self.note_repeated(fate, kind, now, actions);
+                if let Some((state, kind)) = flow.note_repeated(packet.sequence) {
+                    self.note_repeated(state, kind, now, actions);
                 }
                 return;
             }
@@ -289,7 +289,7 @@
         let Some(missing) = self.flows.get_mut(&key).and_then(|flow| flow.missing()) else {
             return;
         };
-        missing.fate = PacketFate::Held;
+        missing.state = PacketState::Held;
         let age = now.since(missing.sent);
         let is_in_time = match missing.kind {
             AcknowledgementKind::Acceptance => now < terms.accept_until,
@@ -310,7 +310,7 @@
             actions.push(ResendAction::Hold(hold));
             return;
         }
-        missing.fate = PacketFate::Copied(now);
+        missing.state = PacketState::Copied(now);
         actions.push(ResendAction::Copy {
             key,
             packet: missing.bytes.clone(),
--- a/components/flows/src/connection/packet_resender/outcomes.rs
+++ b/components/flows/src/connection/packet_resender/outcomes.rs
@@ -13,7 +13,7 @@
             UnknownDelay, //
         },
         unacknowledged_packet::{
-            PacketFate,
+            PacketState,
             UnacknowledgedPacket, //
         },
         ResendAction,
@@ -26,14 +26,14 @@
     /// Counts a kept packet that the server has retransmitted.
     pub(super) fn note_repeated(
         &mut self,
-        fate: PacketFate,
+        state: PacketState,
         kind: AcknowledgementKind,
         now: Millis,
         actions: &mut Vec<ResendAction>,
     ) {
-        match fate {
-            PacketFate::Copied(_) => self.note_copy_end(false, now, actions),
-            PacketFate::Waiting => {
+        match state {
+            PacketState::Copied(_) => self.note_copy_end(false, now, actions),
+            PacketState::Waiting => {
                 let hold = match self.delays.delay(kind, self.limits.min_delay, now) {
                     Err(UnknownDelay::FewSamples) => ResendHold::FewSamples,
                     Err(UnknownDelay::Slow) => ResendHold::Slow,
@@ -42,7 +42,7 @@
                 };
                 actions.push(ResendAction::Hold(hold));
             }
-            PacketFate::Held | PacketFate::Repeated => {}
+            PacketState::Held | PacketState::Repeated => {}
         }
     }
 
@@ -59,7 +59,7 @@
         };
         let round_trip = self.flows.get(&key).and_then(|flow| flow.round_trip);
         for packet in acknowledged {
-            if let PacketFate::Copied(copied) = packet.fate {
+            if let PacketState::Copied(copied) = packet.state {
                 let round_trip = round_trip.unwrap_or(self.limits.min_delay);
                 let is_useful = now.since(copied) >= round_trip.max(Millis(1));
                 self.note_copy_end(is_useful, now, actions);
@@ -67,7 +67,7 @@
         }
         if acknowledged
             .iter()
-            .any(|packet| packet.fate != PacketFate::Waiting)
+            .any(|packet| packet.state != PacketState::Waiting)
         {
             // The time is that of a lost packet, or of one behind it.
             return;
--- a/components/flows/src/connection/unacknowledged_flow.rs
+++ b/components/flows/src/connection/unacknowledged_flow.rs
@@ -9,7 +9,7 @@
         AcknowledgementKind, //
     },
     unacknowledged_packet::{
-        PacketFate,
+        PacketState,
         UnacknowledgedPacket, //
     },
 };
@@ -41,8 +41,8 @@
         /// Whether the packet is the response to a single packet of the caller, and there is room.
         is_kept: bool,
     },
-    /// The server has retransmitted it; the fate of the kept packet before, if there was one.
-    Repeated(Option<(PacketFate, AcknowledgementKind)>),
+    /// The server has retransmitted it; the state of the kept packet before, if there was one.
+    Repeated(Option<(PacketState, AcknowledgementKind)>),
     /// It carries no data.
     Empty,
     /// The flow isn't known any more.
@@ -241,7 +241,7 @@
             kind,
             sent: now,
             second_sent: None,
-            fate: PacketFate::Waiting,
+            state: PacketState::Waiting,
         });
     }
 
@@ -250,14 +250,14 @@
         self.is_second = !self.is_second;
     }
 
-    /// Records that the server has retransmitted a packet; returns its fate before.
+    /// Records that the server has retransmitted a packet; returns its state before.
     pub(super) fn note_repeated(
         &mut self,
         sequence: u32,
-    ) -> Option<(PacketFate, AcknowledgementKind)> {
+    ) -> Option<(PacketState, AcknowledgementKind)> {
         let mut packets = self.packets.iter_mut();
         let kept = packets.find(|kept| kept.sequence == sequence)?;
-        let before = std::mem::replace(&mut kept.fate, PacketFate::Repeated);
+        let before = std::mem::replace(&mut kept.state, PacketState::Repeated);
         Some((before, kept.kind))
     }
 
@@ -266,7 +266,7 @@
     pub(super) fn missing(&mut self) -> Option<&mut UnacknowledgedPacket> {
         let expected = self.acknowledged;
         let first = self.packets.first_mut()?;
-        (first.sequence == expected && first.fate == PacketFate::Waiting).then_some(first)
+        (first.sequence == expected && first.state == PacketState::Waiting).then_some(first)
     }
 
     /// Returns when the missing packet is late; `None` without one, or if no delay is known.
--- a/components/flows/src/connection/unacknowledged_packet.rs
+++ b/components/flows/src/connection/unacknowledged_packet.rs
@@ -7,7 +7,7 @@
 
 /// What became of a packet since the server sent it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum PacketFate {
+pub(super) enum PacketState {
     /// The acknowledgement isn't late.
     Waiting,
     /// A copy was sent at this time.
@@ -29,5 +29,5 @@
     pub(super) sent: Millis,
     /// Time at which the second packet of the pair was sent, for the first one.
     pub(super) second_sent: Option<Millis>,
-    pub(super) fate: PacketFate,
+    pub(super) state: PacketState,
 }
--- a/components/flows/src/process/deregistration.rs
+++ b/components/flows/src/process/deregistration.rs
@@ -21,7 +21,7 @@
 }
 
 impl Deregistration {
-    /// Longest pause between two attempts, in milliseconds.
+    /// Longest pause between two attempts.
     pub const MAX_PAUSE: Millis = Millis(500);
 
     /// Creates the state of an agent that got the termination signal at `signalled`, and that is killed
--- a/components/flows/src/process/lost_flow_search.rs
+++ b/components/flows/src/process/lost_flow_search.rs
@@ -72,8 +72,8 @@
     is_enabled: bool,
     /// Searches in the order of their numbers.
     searches: Vec<FlowSearch>,
-    /// Number of the agents of all searches together.
-    owners: usize,
+    /// Sum of the numbers of agents of all searches.
+    owner_count: usize,
     /// Number of the search for each flow.
     serials: HashMap<FlowKey, u64>,
     next_serial: u64,
@@ -96,7 +96,7 @@
         LostFlowSearch {
             is_enabled,
             searches: Vec::new(),
-            owners: 0,
+            owner_count: 0,
             serials: HashMap::new(),
             next_serial: 0,
             queries: VecDeque::new(),
@@ -163,7 +163,7 @@
             return false;
         }
         let owners = lookup.owners(flow.key.service_address, now);
-        if owners.len() > MAX_OWNERS || self.owners + owners.len() > MAX_ANSWERS {
+        if owners.len() > MAX_OWNERS || self.owner_count + owners.len() > MAX_ANSWERS {
             actions.push(SearchAction::End(flow.key, SearchEnd::Limit));
             return false;
         }
@@ -176,7 +176,7 @@
         }
         let mut search = FlowSearch::new(self.next_serial, flow, now);
         search.set_owners(&owners);
-        self.owners += search.owner_count();
+        self.owner_count += search.owner_count();
         self.serials.insert(flow.key, self.next_serial);
         self.next_serial += 1;
         self.searches.push(search);
@@ -282,9 +282,9 @@
         let owners = owners
             .entry(address)
             .or_insert_with(|| lookup.owners(address, now));
-        self.owners -= search.owner_count();
+        self.owner_count -= search.owner_count();
         search.set_owners(owners);
-        self.owners += search.owner_count();
+        self.owner_count += search.owner_count();
         if search.has_ended(now) || search.owner_count() == 0 || !lookup.is_config_current() {
             return false;
         }
@@ -336,7 +336,7 @@
             return false;
         };
         if let Ok(index) = self.index_of(serial) {
-            self.owners -= self.searches.remove(index).owner_count();
+            self.owner_count -= self.searches.remove(index).owner_count();
         }
         true
     }
