Refuse new flows early by the held requests of their own class

A balancer computed the expected wait of a new flow from all held requests of an agent, while the agent counts only those of the same or a more urgent class. Under an overload by long flows of a less urgent route, balancers refused new flows of the urgent one that the agents would accept.

Reports have a new field `held` (tag 13): the held requests by class, four classes at most. The early refusal counts those that run before the new request. Requests whose class isn't known, of an agent of an older build or beyond the four, don't count for a more urgent flow. Older balancers skip the field and go on to use `queued`.

The constant report in tests/server_weights.rs names the new field.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -6,6 +6,7 @@
 mod later;
 mod opening;
 mod query;
+mod report;
 mod silence;
 
 use std::{
@@ -38,7 +39,6 @@
 use crate::{
     process::{
         name_hash,
-        AgentReport,
         BackendHeartbeat,
         BackendLiveness,
         ColdBudget,
@@ -284,21 +284,6 @@
         self.flows.get(&key).map(|entry| &entry.stage)
     }
 
-    /// Returns the report for balancers.
-    pub fn report(&mut self, now: Millis) -> AgentReport {
-        AgentReport {
-            failure_percent: self.failure_rate.percent(now),
-            accepts: self.exclusion_cause(now).is_none(),
-            busy: self.load.busy(),
-            queued: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
-            slots: self.load.slots(),
-            revision: self.revision(),
-            is_confirmed: self.liveness.is_confirmed(),
-            work_us: self.work.average_us(now),
-            open_flows: self.long_flows,
-        }
-    }
-
     /// Returns the store revision of the configuration in force; zero before the first one.
     pub fn revision(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.revision)
--- a/components/flows/src/connection/request_queue.rs
+++ b/components/flows/src/connection/request_queue.rs
@@ -22,6 +22,7 @@
     SlotPolicy, //
 };
 use crate::{
+    process::HeldCounts,
     request::{
         FlowKey,
         FlowPacket, //
@@ -154,6 +155,19 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Returns the numbers of held requests by class.
+    pub fn held_counts(&self) -> HeldCounts {
+        let mut counts = HeldCounts::default();
+        let mut counted = 0;
+        while let Some((rank, _)) = self.ranked.iter().nth(counted as usize) {
+            let class = rank.class.class;
+            let count = self.count_before(class) - counted;
+            counts.push(class, count);
+            counted += count;
+        }
+        counts
+    }
+
     /// Returns whether a request that arrives at `now` is sent at once: a slot is free for its
     /// class, and no held request runs before it.
     pub fn admits(&self, class: u8, load: &LoadEstimate, now: Millis) -> bool {
--- a/components/flows/src/process/agent_report.rs
+++ b/components/flows/src/process/agent_report.rs
@@ -1,5 +1,7 @@
 //! Report of an agent to the balancers that send to it.
 
+use super::HeldCounts;
+
 /// Longest processing time that a report may show, in microseconds.
 const MAX_WORK_US: u32 = 60_000_000;
 
@@ -17,6 +19,8 @@
     pub busy: u32,
     /// Number of requests that the agent holds until a slot is free; they aren't in progress.
     pub queued: u32,
+    /// These requests by class; empty in the reports of older builds.
+    pub held: HeldCounts,
     /// Number of requests that the server processes at once.
     pub slots: u32,
     /// Store revision of the agent's configuration; zero before the first one.
@@ -47,11 +51,12 @@
         self.busy >= self.slots.max(1)
     }
 
-    /// Returns the expected queueing delay of a new request, in microseconds; zero if the processing
-    /// time is unknown.
-    pub(crate) fn wait_us(&self) -> u64 {
+    /// Returns the expected queueing delay of a new request of this priority class, in microseconds; zero
+    /// if the processing time is unknown. Held requests of unknown classes don't count.
+    pub(crate) fn wait_us(&self, class: u8) -> u64 {
         let slots = u64::from(self.slots.max(1));
-        let before = u64::from(self.busy) + u64::from(self.queued);
+        let held = self.held.count_before(class).min(self.queued);
+        let before = u64::from(self.busy) + u64::from(held);
         let ahead = (before + 1).saturating_sub(slots);
         ahead * u64::from(self.work_us) / slots
     }
--- a/components/flows/src/process/flow_router.rs
+++ b/components/flows/src/process/flow_router.rs
@@ -22,7 +22,6 @@
     RouterOptions, //
 };
 use crate::{
-    connection::wait_limit_us,
     process::flow_router::flow_candidates::owner_services,
     request::{
         FlowPacket,
@@ -122,8 +121,7 @@
             return refuse_or_drop(packet, DropCause::NoRoute);
         };
         if packet.is_open() && self.options.weigh_servers {
-            let limit_us = wait_limit_us(route, 0);
-            if is_only_copy && self.lacks_room(service, limit_us, hash, now) {
+            if is_only_copy && self.lacks_room(service, route, hash, now) {
                 return RouteAction::Refuse(DropCause::NoRoom);
             }
             self.placement.recent.insert(hash, now);
--- a/components/flows/src/process/flow_router/placement.rs
+++ b/components/flows/src/process/flow_router/placement.rs
@@ -5,10 +5,13 @@
 use carobdrum_core::Millis;
 
 use super::FlowRouter;
-use crate::process::{
-    service_load::ServiceLoad,
-    SpilledFlow,
-    WeightChange, //
+use crate::{
+    process::{
+        service_load::ServiceLoad,
+        SpilledFlow,
+        WeightChange, //
+    },
+    version::FlowRoute,
 };
 
 impl FlowRouter {
@@ -41,11 +44,17 @@
 
     /// Returns whether the flow of an opening packet, of which the caller has sent no other copy, is
     /// refused because the service has no room.
-    pub(super) fn lacks_room(&self, service: u32, limit_us: u32, hash: u64, now: Millis) -> bool {
+    pub(super) fn lacks_room(
+        &self,
+        service: u32,
+        route: &FlowRoute,
+        hash: u64,
+        now: Millis,
+    ) -> bool {
         let config = self.config.as_deref();
         let agents = self.agents.of_service(service);
         let usable = agents.filter(|state| state.is_usable(config, now));
-        let load = ServiceLoad::measure(usable, limit_us, now);
+        let load = ServiceLoad::measure(usable, route, now);
         load.is_some_and(|load| load.refuses(hash)) && !self.placement.recent.may_contain(hash, now)
     }
 }
--- a/components/flows/src/process/mod.rs
+++ b/components/flows/src/process/mod.rs
@@ -19,6 +19,7 @@
 mod flow_router;
 mod handed_deletions;
 mod heartbeat_outcome;
+mod held_counts;
 mod lost_flow_search;
 mod member_update;
 mod name_hash;
@@ -57,6 +58,7 @@
 pub use flow_router::FlowRouter;
 pub use handed_deletions::HandedDeletions;
 pub use heartbeat_outcome::HeartbeatOutcome;
+pub use held_counts::HeldCounts;
 pub use lost_flow_search::LostFlowSearch;
 pub use member_update::{
     MemberListing,
--- a/components/flows/src/process/service_load.rs
+++ b/components/flows/src/process/service_load.rs
@@ -6,6 +6,10 @@
 };
 
 use super::agent_table::AgentState;
+use crate::{
+    connection::wait_limit_us,
+    version::FlowRoute, //
+};
 
 /// Age up to which a report shows that a server has no room.
 const REPORT_TTL: Millis = Millis(300);
@@ -23,21 +27,23 @@
 pub(crate) struct ServiceLoad {
     /// Wait limit of the route, in microseconds.
     limit_us: u32,
-    /// Shortest expected wait of a new request at any server, in microseconds.
+    /// Shortest expected wait of a new request of the route at any server, in microseconds.
     least_wait_us: u64,
 }
 
 impl ServiceLoad {
-    /// Returns the load of a service with these usable agents; `None` if there is none, or if any of them
-    /// hasn't shown in a recent report that a new request would wait longer than `limit_us`.
+    /// Returns the load of a service with these usable agents for new flows of `route`; `None` if there is
+    /// none, or if any of them hasn't shown in a recent report that a new request would wait longer than the
+    /// limit of the route.
     pub(crate) fn measure<'a>(
         agents: impl Iterator<Item = &'a AgentState>,
-        limit_us: u32,
+        route: &FlowRoute,
         now: Millis,
     ) -> Option<ServiceLoad> {
+        let limit_us = wait_limit_us(route, 0);
         let mut least_wait_us = u64::MAX;
         for state in agents {
-            let wait_us = state.report.wait_us();
+            let wait_us = state.report.wait_us(route.priority);
             if wait_us <= u64::from(limit_us) || !state.weight.is_reported_within(REPORT_TTL, now) {
                 return None;
             }
--- a/components/flows/tests/server_weights.rs
+++ b/components/flows/tests/server_weights.rs
@@ -9,7 +9,8 @@
     process::{
         AgentRecord,
         AgentReport,
-        DropCause, //
+        DropCause,
+        HeldCounts, //
     },
     FlowRouter,
     PacketKind,
@@ -32,6 +33,7 @@
     failure_percent: 0,
     busy: 0,
     queued: 0,
+    held: HeldCounts::new(),
     slots: 3,
     revision: 1,
     is_confirmed: true,
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -11,12 +11,14 @@
     address_to_number,
     FlowBody,
     FlowDatagram,
-    RegistrationEnded,
-    ServerReport, //
+    RegistrationEnded, //
 };
 use tracing::info;
 
-use super::udp_endpoint::UdpEndpoint;
+use super::{
+    report_codec::encode_report,
+    udp_endpoint::UdpEndpoint, //
+};
 
 /// Limit of the balancers to which the deletion of the registration is handed over at a time.
 const MAX_HANDOVER: usize = 8;
@@ -171,19 +173,8 @@
 
     fn encode(&self, tracker: &mut FlowTracker, now: Millis) -> Vec<u8> {
         let report = tracker.report(now);
-        FlowDatagram::encode_body(FlowBody::Report(ServerReport {
-            agent: address_to_number(self.address),
-            accepts: report.accepts,
-            busy: report.busy,
-            slots: report.slots,
-            revision: report.revision,
-            centre: tracker.centre().to_string(),
-            service: tracker.service().to_string(),
-            failure_percent: u32::from(report.failure_percent),
-            confirmed: report.is_confirmed,
-            queued: report.queued,
-            work_us: report.work_us,
-            open_flows: report.open_flows,
-        }))
+        let (centre, service) = (tracker.centre(), tracker.service());
+        let message = encode_report(self.address, &report, centre, service);
+        FlowDatagram::encode_body(FlowBody::Report(message))
     }
 }
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -14,7 +14,6 @@
 use carobdrum_flows::{
     process::{
         AgentRecord,
-        AgentReport,
         LostFlowSearch,
         MemberUpdate, //
     },
@@ -69,6 +68,7 @@
         raise_peer_revision,
         PeerRevision, //
     },
+    report_codec::decode_report,
     udp_endpoint::{
         UdpEndpoint,
         READ_BATCH, //
@@ -302,17 +302,7 @@
     fn handle_report(&mut self, report: &ServerReport, now: Millis) {
         let agent = address_from_number(report.agent);
         self.discover(agent, report, now);
-        let reported = AgentReport {
-            accepts: report.accepts,
-            failure_percent: u8::try_from(report.failure_percent).unwrap_or(u8::MAX),
-            busy: report.busy,
-            queued: report.queued,
-            slots: report.slots,
-            revision: report.revision,
-            is_confirmed: report.confirmed,
-            work_us: report.work_us,
-            open_flows: report.open_flows,
-        };
+        let reported = decode_report(report);
         let state = reported.clamped();
         if state != reported {
             self.log.clamped(agent, &reported);
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -10,6 +10,7 @@
 mod hop_spans;
 mod peer_revision;
 mod query_codec;
+mod report_codec;
 mod udp_endpoint;
 
 pub(crate) use agent_traffic::AgentTraffic;
@@ -24,3 +25,7 @@
 pub(crate) use handed_over::HandedOver;
 pub use hop_spans::HopSpans;
 pub use peer_revision::PeerRevision;
+pub use report_codec::{
+    decode_report,
+    encode_report, //
+};
--- a/components/forwarder/src/lib.rs
+++ b/components/forwarder/src/lib.rs
@@ -7,6 +7,8 @@
 mod process;
 
 pub use connection::{
+    decode_report,
+    encode_report,
     HopSpans,
     PeerRevision, //
 };
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -149,6 +149,21 @@
     /// Number of open flows older than a second.
     #[prost(uint32, tag = "12")]
     pub open_flows: u32,
+    /// Held requests by class, the most urgent class first, four at most; empty if none is held and in
+    /// reports of older versions.
+    #[prost(message, repeated, tag = "13")]
+    pub held: Vec<HeldRequests>,
+}
+
+/// Requests of one priority class that an agent holds.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct HeldRequests {
+    /// Priority class; zero is served first.
+    #[prost(uint32, tag = "1")]
+    pub class: u32,
+    /// Number of the requests.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 /// The agent that owns a flow.
