--- a/components/flows/src/connection/flow_tracker/former.rs
+++ b/components/flows/src/connection/flow_tracker/former.rs
@@ -85,8 +85,8 @@
 
     /// Returns when [`FlowTracker::reset_former_flows`] is due next; `None` if no flow is left, or before the server has
     /// room.
-    pub fn next_former_reset(&self) -> Option<Millis> {
-        self.former.next_due(self.has_room())
+    pub fn next_former_reset(&self, now: Millis) -> Option<Millis> {
+        self.former.next_due(self.has_room(), now)
     }
 
     /// Takes a later packet of a flow of the former run, which is answered with a reset; returns whether it did.
--- a/components/flows/src/connection/former_flows.rs
+++ b/components/flows/src/connection/former_flows.rs
@@ -236,7 +236,10 @@
 
     /// Returns when [`FormerFlows::take_due`] is due next; `None` if all flows have been reset, or if only room at the
     /// server lets it continue.
-    pub fn next_due(&self, has_room: bool) -> Option<Millis> {
+    pub fn next_due(&self, has_room: bool, now: Millis) -> Option<Millis> {
+        if now >= self.expires {
+            return None;
+        }
         let is_left = !self.waiting.is_empty() || !self.unsent.is_empty();
         let next = Millis(self.next_reset_us.div_ceil(1_000));
         let paced = (is_left && has_room).then_some(next);
