End the timer of former flows with their lifetime

Cause: after the lifetime of a flow the time of the next reset lay in the past while none was due, so the traffic thread ran in a loop until the list was removed, up to 100 ms later (found by the reader of the change). Change: no reset is due after that time. Result: the tests of components/flows pass; the test of paced resets checks it.

--- a/components/flows/tests/saved_flows.rs
+++ b/components/flows/tests/saved_flows.rs
@@ -240,12 +240,14 @@
     let mut tracker = restarted([5, 3, 4, 1]);
     let expected = |caller| reset(caller, SEQUENCE, ResetCause::FormerPaced);
     assert_eq!(paced(&mut tracker, START), expected(5));
-    assert_eq!(tracker.next_former_reset(), Some(Millis(25)));
+    assert_eq!(tracker.next_former_reset(START), Some(Millis(25)));
     assert!(paced(&mut tracker, Millis(24)).is_empty());
     assert_eq!(paced(&mut tracker, Millis(25)), expected(3));
     assert_eq!(paced(&mut tracker, Millis(1_000)).len(), 2);
-    assert_eq!(tracker.next_former_reset(), None);
-    assert!(paced(&mut restarted([1]), EXPIRES).is_empty());
+    assert_eq!(tracker.next_former_reset(Millis(1_000)), None);
+    let mut expired = restarted([1]);
+    assert!(paced(&mut expired, EXPIRES).is_empty());
+    assert_eq!(expired.next_former_reset(EXPIRES), None, "no busy loop");
 }
 
 /// Guards against new requests that wait behind those of an outage: all callers come back right after a loss of power, when
@@ -262,10 +264,10 @@
     assert!(!is_answered(&mut tracker, &later(3, SEQUENCE + 9), START));
     assert!(paced(&mut tracker, Millis(799)).is_empty());
     // The caller needs the rest of its time for another attempt.
-    assert_eq!(tracker.next_former_reset(), Some(Millis(800)));
+    assert_eq!(tracker.next_former_reset(Millis(799)), Some(Millis(800)));
     let postponed = reset(3, SEQUENCE + 9, ResetCause::FormerPacket);
     assert_eq!(paced(&mut tracker, Millis(800)), postponed);
-    assert_eq!(tracker.next_former_reset(), None);
+    assert_eq!(tracker.next_former_reset(Millis(800)), None);
     let response = FlowPacket {
         sequence: 1,
         data_len: 10,
@@ -284,7 +286,7 @@
     config.revision = 2;
     tracker.set_config(Arc::new(config), START);
     assert_eq!(paced(&mut tracker, START).len(), 3);
-    assert_eq!(tracker.next_former_reset(), None);
+    assert_eq!(tracker.next_former_reset(START), None);
 }
 
 /// Guards against saved flows that the named run of the server may not hold: short ones, those that the server has
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -141,7 +141,7 @@
         let now = self.clock.now();
         let opening = self.tracker.next_opening_deadline();
         let held = self.tracker.next_held_deadline(now);
-        let former = self.tracker.next_former_reset();
+        let former = self.tracker.next_former_reset(now);
         let copies = self.copies.next_deadline();
         let due = [opening, held, former, copies].into_iter().flatten().min();
         due.map_or(IDLE_WAIT, |due| Duration::from_millis(due.since(now).0))
