--- a/tests/platform_soak/soak_site.rs
+++ b/tests/platform_soak/soak_site.rs
@@ -53,7 +53,7 @@
 
 /// Table of optional features in the settings of all processes.
 pub(crate) const FLOW_OPTIONS: &str =
-    "[flows]\nreset_lost = true\nschedule_requests = true\nweigh_servers = true\n";
+    "[flows]\nreset_lost = true\nsave_flows_s = 1\nschedule_requests = true\nweigh_servers = true\n";
 
 /// Interval at which the replacement of servers goes on after the last fault.
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
