Let no run that lies ahead of the clock settle a list of saved flows

An agent that was restarted alone, with a list of the present run, took a late heartbeat of the former run for that of a later one if the clock had been set back between both, and reset the flows of the live run.

A run that started more than 10 s ahead of the agent's clock no longer decides about the list, as lists that lie so far ahead aren't used either. The list stays until another run is live or the lifetime of a flow has passed. The sequence is a test of the search, which failed before.

--- a/components/flows/src/connection/flow_tracker/former.rs
+++ b/components/flows/src/connection/flow_tracker/former.rs
@@ -26,6 +26,10 @@
 /// Multiple of the slots below which requests in progress leave room for callers that return.
 const ROOM_SLOT_FACTOR: u32 = 2;
 
+/// Time by which the start of a run may lie ahead of the agent's clock. One that lies further ahead shows that the clock
+/// was set back since: a late heartbeat of a run that has ended would look like one of a later run.
+const MAX_RUN_AHEAD_MS: u64 = 10_000;
+
 impl FlowTracker {
     /// Returns the long flows that the live run of the server certainly holds, to be saved at `unix_ms`. Returns
     /// `None` if no run is known to be live, or if there is no such flow and the list of a former run is still of
@@ -66,8 +70,10 @@
         if self.former.is_empty() {
             return None;
         }
-        let live = self.liveness.live_run();
-        self.former.settle(live.as_ref().map(|(run, _)| run), now)
+        let latest = self.coverage.unix_ms(now).saturating_add(MAX_RUN_AHEAD_MS);
+        let live = self.liveness.live_run().map(|(run, _)| run);
+        let live = live.filter(|run| run.started_ms <= latest);
+        self.former.settle(live.as_ref(), now)
     }
 
     /// Resets the flows of the former run that are due, so that their callers learn of the loss before their
--- a/components/flows/src/process/flow_coverage.rs
+++ b/components/flows/src/process/flow_coverage.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Returns the Unix time in milliseconds at `now`, by the clock at the start of the agent.
+    pub fn unix_ms(&self, now: Millis) -> u64 {
+        self.started_unix_ms
+            .saturating_add(now.since(self.started).0)
+    }
+
     /// Records a run of the server that began at this Unix time, in milliseconds, and whose first known
     /// heartbeat has this sequence number. Both times come from the clock of one VM. Where packets are
     /// only redirected, an error costs the flows that the agent takes for unknown to its server; where
--- a/components/flows/tests/small_world/main.rs
+++ b/components/flows/tests/small_world/main.rs
@@ -85,6 +85,20 @@
     search(mode, &RECOVERY_FAULTS, |_| true);
 }
 
+/// Guards against resets by a list of the present run if the clock was set back before that run: a late heartbeat of the
+/// former run then names a later start.
+#[test]
+fn late_heartbeat_from_before_a_clock_step_settles_nothing() {
+    let faults = [
+        (0, Fault::VmLossWithClockBack(List::Newest)),
+        (100, Fault::Reopen(Reopening::Same)),
+        (1_420, Fault::AgentReads(List::Newest)),
+        (1_430, Fault::FormerHeartbeat),
+    ];
+    let world = World::run(SAVING_BUSY, &faults);
+    assert_eq!(world.wrong, None);
+}
+
 /// Guards against the reset of a flow of a live server because of heartbeats, which are known faults of the agent:
 ///
 /// - The agent restarts alone, and a late heartbeat of the former run of the server is the first one that it gets. It
