List the conditions that the search of the small world shows to be needed

Each condition was left out by hand, one at a time, and the search run again. The module documentation names those for which a wrong reset was found.

--- a/components/flows/tests/small_world/main.rs
+++ b/components/flows/tests/small_world/main.rs
@@ -3,6 +3,9 @@
 //!
 //! A reset of a flow that a live server holds breaks the promise to its caller. Each flow is reported as
 //! not found all the time, whether or not a server holds it, which is more than candidates ever report.
+//!
+//! Conditions whose removal leads to a wrong reset here: in `settle` a live run, another run, a later start; in `is_lost`
+//! the entry, the expiry, the window; of the handover a known agent, its last `accepts`, newer keys, packets, a new listing.
 
 mod fault;
 #[path = "../support/mod.rs"]
