--- a/components/flows/tests/small_world/world/former.rs
+++ b/components/flows/tests/small_world/world/former.rs
@@ -34,8 +34,8 @@
             let former = self.servers[number].run.started_ms - 1_000;
             self.former_beats[number] = Some(self.heartbeat_of("i-0", former, 50, number));
         }
-        for flow in 0..2 {
-            self.caller_sends(flow, OWNERS[flow]);
+        for (flow, owner) in OWNERS.into_iter().enumerate() {
+            self.caller_sends(flow, owner);
         }
         self.now += 1_100;
         for number in 0..3 {
