Send the duplicate of a handover after 400 ms again

With 500 ms the search no longer found the wrong reset without the condition that the agent is known; with 400 ms it does. The 500 ms showed none of the conditions that 400 ms leaves unshown.

--- a/components/flows/tests/small_world/world/handover.rs
+++ b/components/flows/tests/small_world/world/handover.rs
@@ -21,7 +21,7 @@
 /// Time for which reports are lost.
 const REPORTS_LOST: u64 = 1_000;
 /// Delay of the duplicate of a message.
-const DUPLICATE: u64 = 500;
+const DUPLICATE: u64 = 400;
 
 impl World {
     /// The first agent and its server end in order; the new process opens the flow again once it is ready.
