Reset only flows that a former run has certainly served

Change: at a new run, flows are reset that were served until the last heartbeat of the former one; a packet of another one goes to the server, which returns it if it doesn't hold the flow, and then the flow is reset as before. The test of a silent server let its server send no heartbeat for 10 s and counted a flow's reset at the restart; its server now sends one, and the test also expects exactly one reset there.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -214,7 +214,7 @@
         let slots = heartbeat.slots;
         let service = heartbeat.service.clone();
         let (started_ms, sequence) = (heartbeat.started_ms, heartbeat.sequence);
-        let had_heartbeat = self.liveness.is_confirmed();
+        let last_heartbeat = self.liveness.last_heartbeat();
         let outcome = self.liveness.handle_heartbeat(heartbeat, sent, now);
         if !outcome.is_applied() {
             return outcome;
@@ -224,13 +224,15 @@
             self.work = WorkTime::default();
         }
         match outcome {
-            HeartbeatOutcome::Started if had_heartbeat => {
-                self.coverage.note_new_run();
-                self.mark_flows_lost(ResetCause::Restarted);
-            }
-            HeartbeatOutcome::Started | HeartbeatOutcome::Replaced => {
-                self.coverage.note_run(started_ms, sequence)
-            }
+            HeartbeatOutcome::Started => match last_heartbeat {
+                Some(last) => {
+                    self.coverage.note_new_run();
+                    // The new run may have accepted flows that were served after the last heartbeat of the former one.
+                    self.mark_flows_lost(ResetCause::Restarted, last);
+                }
+                None => self.coverage.note_run(started_ms, sequence),
+            },
+            HeartbeatOutcome::Replaced => self.coverage.note_run(started_ms, sequence),
             _ => {}
         }
         self.cold.set_remaining(cold_remaining, sent, now);
@@ -262,15 +264,19 @@
 
     /// Records that the server has ended. A server that has only deregistered may still hold flows.
     pub fn note_server_ended(&mut self) {
-        self.mark_flows_lost(ResetCause::Ended);
+        self.mark_flows_lost(ResetCause::Ended, Millis(u64::MAX));
     }
 
-    /// Marks the flows of a server that has ended for [`FlowTracker::reset_lost_flows`].
-    fn mark_flows_lost(&mut self, cause: ResetCause) {
+    /// Marks the flows that a server has served until `last`, and that has ended since, for
+    /// [`FlowTracker::reset_lost_flows`].
+    fn mark_flows_lost(&mut self, cause: ResetCause, last: Millis) {
         self.recent_flows.clear();
         let flows = self.flows.iter();
-        let open = flows.filter(|(_, entry)| entry.is_certainly_open());
-        self.lost_flows.extend(open.map(|(key, _)| (*key, cause)));
+        let lost = flows.filter(|(_, entry)| {
+            let is_served = entry.served_since.is_some_and(|since| since <= last);
+            is_served && entry.is_certainly_open()
+        });
+        self.lost_flows.extend(lost.map(|(key, _)| (*key, cause)));
     }
 
     /// Returns the number of flows that are open, or whose opening packet was delivered.
--- a/components/flows/src/process/backend_liveness.rs
+++ b/components/flows/src/process/backend_liveness.rs
@@ -130,6 +130,12 @@
         is_current
     }
 
+    /// Returns the time at which the known run sent its last heartbeat, or an earlier one; `None` before the first
+    /// heartbeat.
+    pub fn last_heartbeat(&self) -> Option<Millis> {
+        self.heartbeat.as_ref().map(|_| self.last_heartbeat)
+    }
+
     /// Returns whether the server has sent a heartbeat to this agent.
     pub fn is_confirmed(&self) -> bool {
         self.heartbeat.is_some()
--- a/components/flows/tests/server_silence.rs
+++ b/components/flows/tests/server_silence.rs
@@ -34,6 +34,8 @@
     let silence = tracker.server_silence(silent).unwrap();
     backend(&mut tracker, &packet(1, PacketKind::Data), silent);
     assert_eq!(tracker.server_silence(silent), None, "it sends");
+    // Only flows that were served before a heartbeat of the run are certainly lost with it.
+    tracker.handle_heartbeat(heartbeat(2, BackendState::Ready), silent);
     let mut actions = Vec::new();
     assert!(!tracker.note_ended_in(silence));
     tracker.reset_lost_flows(&mut actions);
@@ -45,6 +47,7 @@
     tracker.handle_heartbeat(next_run, later);
     tracker.reset_lost_flows(&mut actions);
     let is_reset = |action: &TrackerAction| matches!(action, TrackerAction::Reset(..));
+    assert_eq!(actions.len(), 1);
     assert!(actions.drain(..).all(|action| is_reset(&action)));
     open_flow(&mut tracker, 2, later);
     backend(&mut tracker, &packet(2, PacketKind::Data), later);
