--- a/review/kit-2/src/cases/all_killed.rs
+++ b/review/kit-2/src/cases/all_killed.rs
@@ -35,7 +35,7 @@
 const RESTART_AFTER: Duration = Duration::from_millis(550);
 
 /// Time from the kill to the second requests: beyond `StabilityWindowMs` (4 s). With `SECOND_INTERVAL` between them,
-/// no flow is idle for `IdleTimeoutMs` (12 s).
+/// no flow is idle for `IdleTimeoutMs` (15 s).
 const PAUSE: Duration = Duration::from_millis(5_500);
 const SECOND_INTERVAL: Duration = Duration::from_millis(4);
 
--- a/review/kit-2/src/cases/early_restart.rs
+++ b/review/kit-2/src/cases/early_restart.rs
@@ -28,7 +28,7 @@
 const OPEN_UNTIL: Duration = Duration::from_millis(300);
 
 /// Time after the kill at which clients send their second request: beyond `StabilityWindowMs` (4 s) and under
-/// `IdleTimeoutMs` (12 s).
+/// `IdleTimeoutMs` (15 s).
 const PAUSE: Duration = Duration::from_secs(7);
 
 struct OpenFlow {
--- a/review/kit-2/src/cases/late_heartbeat.rs
+++ b/review/kit-2/src/cases/late_heartbeat.rs
@@ -29,7 +29,7 @@
 const FLOW_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Time from the kill to the second requests of the long flows: beyond `StabilityWindowMs` (4 s) and under
-/// `IdleTimeoutMs` (12 s).
+/// `IdleTimeoutMs` (15 s).
 const PAUSE: Duration = Duration::from_secs(7);
 
 pub async fn play(site: &mut Site, has_trouble: bool) -> std::io::Result<usize> {
