--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and scenarios of the scripts in review/11 to review/15.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cargo build --release --locked --offline --manifest-path review/drill-3/Cargo.toml --target-dir target/review-3
