--- a/review/drill-3/src/main.rs
+++ b/review/drill-3/src/main.rs
@@ -35,18 +35,15 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&PathBuf::from(folder).join("record.txt"));
     record.say(&format!("case {case}, trouble: {has_trouble}"));
-    let run = async {
-        match case.as_str() {
-            "evacuation" => return_cases::evacuation(record.clone(), has_trouble).await,
-            "dropped-route" => return_cases::dropped_route(record.clone(), has_trouble).await,
-            "added-route" => return_cases::added_route(record.clone(), has_trouble).await,
-            "odd-heartbeat" => heartbeat_case::odd_heartbeat(record.clone(), has_trouble).await,
-            "cold-return" => cold_case::cold_return(record.clone(), has_trouble).await,
-            "odd-start" => heartbeat_case::odd_start(record.clone(), has_trouble).await,
-            _ => Verdict::NotRun,
-        }
+    let run = tokio::spawn(timeout(
+        RUN_TIMEOUT,
+        run_case(case, record.clone(), has_trouble),
+    ));
+    // A run that panics or takes too long couldn't run.
+    let verdict = match run.await {
+        Ok(Ok(verdict)) => verdict,
+        _ => Verdict::NotRun,
     };
-    let verdict = timeout(RUN_TIMEOUT, run).await.unwrap_or(Verdict::NotRun);
     record.say(&format!("verdict: {verdict:?}"));
     ExitCode::from(match verdict {
         Verdict::Held => 0,
@@ -54,3 +51,15 @@
         Verdict::NotRun => 2,
     })
 }
+
+async fn run_case(case: String, record: Record, has_trouble: bool) -> Verdict {
+    match case.as_str() {
+        "evacuation" => return_cases::evacuation(record, has_trouble).await,
+        "dropped-route" => return_cases::dropped_route(record, has_trouble).await,
+        "added-route" => return_cases::added_route(record, has_trouble).await,
+        "odd-start" => heartbeat_case::odd_start(record, has_trouble).await,
+        "odd-heartbeat" => heartbeat_case::odd_heartbeat(record, has_trouble).await,
+        "cold-return" => cold_case::cold_return(record, has_trouble).await,
+        _ => Verdict::NotRun,
+    }
+}
