--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -297,7 +297,7 @@
         self.flows.get(&key).map(|entry| &entry.stage)
     }
 
-    /// Returns the store revision of the configuration in force; zero before the first one.
+    /// Returns the order number of the configuration in force; zero before the first one.
     pub fn revision(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.revision)
     }
--- a/components/flows/src/process/agent_report.rs
+++ b/components/flows/src/process/agent_report.rs
@@ -23,7 +23,7 @@
     pub held: HeldCounts,
     /// Number of requests that the server processes at once.
     pub slots: u32,
-    /// Store revision of the agent's configuration; zero before the first one.
+    /// Order number of the agent's configuration; zero before the first one.
     pub revision: u64,
     /// Whether the server has sent a heartbeat since the agent's start. Before, the agent doesn't
     /// know whether its server is shutting down.
--- a/components/flows/src/process/owner_lookup.rs
+++ b/components/flows/src/process/owner_lookup.rs
@@ -17,7 +17,7 @@
     pub config: Option<&'a SiteConfig>,
     /// Known agents.
     pub agents: &'a AgentTable,
-    /// Highest configuration revision that another process has shown.
+    /// Highest order number of a configuration that another process has shown.
     pub newest_revision: u64,
 }
 
--- a/components/flows/src/process/query_reply.rs
+++ b/components/flows/src/process/query_reply.rs
@@ -11,7 +11,7 @@
     pub agent: SocketAddrV4,
     /// Positions in the query of the flows that the agent's server certainly doesn't hold.
     pub absent: Vec<u32>,
-    /// Highest revision of the configuration that the agent knows of.
+    /// Highest order number of the configuration that the agent knows of.
     pub revision: u64,
     /// Digest of the flows as the agent read them.
     pub digest: u64,
--- a/components/flows/src/request/forward_header.rs
+++ b/components/flows/src/request/forward_header.rs
@@ -21,7 +21,7 @@
     pub centre_hash: u32,
     /// Hash of the service for which the balancer chose the candidates.
     pub service_hash: u32,
-    /// Store revision of the balancer's configuration.
+    /// Order number of the balancer's configuration.
     pub revision: u64,
     /// Number of agents that the packet has passed.
     pub hops: u8,
--- a/components/flows/src/version/mod.rs
+++ b/components/flows/src/version/mod.rs
@@ -2,8 +2,10 @@
 
 mod flow_route;
 mod former_services;
+mod provisional_state;
 mod service_config;
 mod site_config;
+mod store_revision;
 
 pub use flow_route::{
     FlowRoute,
@@ -13,5 +15,7 @@
     FormerService,
     FormerServices, //
 };
+pub use provisional_state::ProvisionalState;
 pub use service_config::ServiceConfig;
 pub use site_config::SiteConfig;
+pub use store_revision::StoreRevision;
--- a/components/flows/src/version/site_config.rs
+++ b/components/flows/src/version/site_config.rs
@@ -8,6 +8,7 @@
 use super::{
     FlowRoute,
     FormerServices,
+    ProvisionalState,
     ServiceConfig, //
 };
 
@@ -16,7 +17,8 @@
 pub struct SiteConfig {
     /// Version number of the routes and services.
     pub version: u64,
-    /// Store revision of the last change of the configuration or of an evacuation.
+    /// Order number of the last change of the configuration or of an evacuation; see
+    /// [`StoreRevision`](super::StoreRevision).
     pub revision: u64,
     /// Routes, sorted by address.
     routes: Vec<FlowRoute>,
@@ -26,6 +28,8 @@
     pub idle_timeout: Millis,
     /// Data centres that get no new flows, sorted.
     evacuated_centres: Vec<CompactString>,
+    /// Data centres that are evacuated or not for a time only.
+    pub provisional: Vec<ProvisionalState>,
     /// Services that routes led to in earlier versions.
     pub former_services: FormerServices,
     /// Time from which `former_services` names every service that may hold an open flow. Before,
@@ -52,6 +56,7 @@
             services,
             idle_timeout,
             evacuated_centres: Vec::new(),
+            provisional: Vec::new(),
             former_services: FormerServices::default(),
             history_complete_at: Millis::default(),
         }
--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -16,6 +16,7 @@
 use tracing::info;
 
 use super::{
+    peer_revision::message_revision,
     report_codec::encode_report,
     udp_endpoint::UdpEndpoint, //
 };
@@ -81,13 +82,16 @@
         let Some(Handover { revision, .. }) = self.handover else {
             return;
         };
+        let (revision, era) = message_revision(revision);
         let message = FlowDatagram::encode_body(FlowBody::RegistrationEnded(RegistrationEnded {
             agent: address_to_number(self.address),
             revision,
+            era,
         }));
         let balancers = self.schedule.recent_peers(MAX_HANDOVER);
         info!(
             revision,
+            era,
             ?balancers,
             "deletion of the registration handed over"
         );
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -45,7 +45,7 @@
     },
     flow_log::FlowLog,
     hop_spans::HopSpans,
-    peer_revision::PeerRevision,
+    peer_revision::PeerRevisions,
     udp_endpoint::UdpEndpoint, //
 };
 use crate::process::{
@@ -64,8 +64,8 @@
 #[derive(Debug)]
 pub(crate) struct AgentTraffic {
     clock: BootClock,
-    /// Publishes the highest configuration revision of another process.
-    revision_sender: watch::Sender<PeerRevision>,
+    /// Publishes the revisions of other processes.
+    peers: PeerRevisions,
     tracker: FlowTracker,
     address: SocketAddrV4,
     backend: SocketAddrV4,
@@ -88,14 +88,14 @@
         limits: ResendLimits,
         backend: SocketAddrV4,
         outgoing: SocketAddrV4,
-        revision_sender: watch::Sender<PeerRevision>,
+        peers: PeerRevisions,
         metrics: NodeMetrics,
     ) -> Result<AgentTraffic, NodeError> {
         let address = settings.address;
         Ok(AgentTraffic {
             tracker: FlowTracker::new(settings, unix_millis(), BootClock.now()),
             clock: BootClock,
-            revision_sender,
+            peers,
             address,
             backend,
             packets: UdpEndpoint::open(address).await?,
--- a/components/forwarder/src/connection/agent_traffic/received_packets.rs
+++ b/components/forwarder/src/connection/agent_traffic/received_packets.rs
@@ -35,7 +35,6 @@
         decode_header,
         decode_owner, //
     },
-    peer_revision::raise_peer_revision,
     query_codec::{
         decode_flows,
         encode_reply, //
@@ -56,7 +55,8 @@
                 Some(FlowBody::Forward(forwarded)) => self.handle_forwarded(forwarded, now),
                 Some(FlowBody::Probe(probe)) => {
                     let balancer = address_from_number(probe.balancer);
-                    raise_peer_revision(&self.revision_sender, probe.revision, *balancer.ip());
+                    let revision = self.peers.order(probe.era, probe.revision);
+                    self.peers.raise(revision, *balancer.ip());
                     self.note_balancer(balancer, None, now);
                 }
                 Some(FlowBody::Owner(owner)) => {
@@ -84,7 +84,7 @@
             return;
         };
         debug!(%balancer, id = query.id, flows = flows.len(), absent = absent.len(), "query answered");
-        let seen = self.revision_sender.borrow().revision;
+        let seen = self.peers.highest();
         let reply = QueryReply {
             id: query.id,
             agent: self.address,
@@ -105,12 +105,8 @@
                 return;
             }
         };
-        let header = decode_header(&forwarded);
-        raise_peer_revision(
-            &self.revision_sender,
-            header.revision,
-            *header.balancer.ip(),
-        );
+        let header = decode_header(&forwarded, &self.peers);
+        self.peers.raise(header.revision, *header.balancer.ip());
         self.note_balancer(header.balancer, Some(header.centre_hash), now);
         let hops = header.hops;
         let bytes = forwarded.packet;
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -65,8 +65,8 @@
     },
     hop_spans::HopSpans,
     peer_revision::{
-        raise_peer_revision,
-        PeerRevision, //
+        message_revision,
+        PeerRevisions, //
     },
     report_codec::decode_report,
     udp_endpoint::{
@@ -106,8 +106,8 @@
 #[derive(Debug)]
 pub(crate) struct BalancerTraffic {
     clock: BootClock,
-    /// Publishes the highest configuration revision of another process.
-    revision_sender: watch::Sender<PeerRevision>,
+    /// Publishes the revisions of other processes.
+    peers: PeerRevisions,
     /// Publishes the time for which a new list of agents is wanted from the store.
     listing_wanted: watch::Sender<Option<Millis>>,
     /// Tells the control thread of the deletions that agents hand over.
@@ -127,7 +127,7 @@
     pub(crate) async fn open(
         packets: SocketAddrV4,
         router: FlowRouter,
-        revision_sender: watch::Sender<PeerRevision>,
+        peers: PeerRevisions,
         listing_wanted: watch::Sender<Option<Millis>>,
         handed_over: Sender<HandedOver>,
         metrics: NodeMetrics,
@@ -135,7 +135,7 @@
         let address = router.address();
         Ok(BalancerTraffic {
             clock: BootClock,
-            revision_sender,
+            peers,
             listing_wanted,
             handed_over,
             search: LostFlowSearch::new(router.options.reset_lost, rand::random()),
@@ -279,8 +279,9 @@
                 .and_then(|read| read.body);
             match body {
                 Some(FlowBody::Report(report)) => {
-                    raise_peer_revision(&self.revision_sender, report.revision, *from.ip());
-                    self.handle_report(&report, now);
+                    let revision = self.peers.order(report.era, report.revision);
+                    self.peers.raise(revision, *from.ip());
+                    self.handle_report(&report, revision, now);
                 }
                 Some(FlowBody::Owner(owner)) => {
                     let (key, agent) = decode_owner(&owner);
@@ -296,8 +297,8 @@
         }
     }
 
-    /// Applies the report of an agent.
-    fn handle_report(&mut self, report: &ServerReport, now: Millis) {
+    /// Applies the report of an agent whose configuration has the order number `revision`.
+    fn handle_report(&mut self, report: &ServerReport, revision: u64, now: Millis) {
         let agent = address_from_number(report.agent);
         self.discover(agent, report, now);
         let reported = decode_report(report);
@@ -307,7 +308,7 @@
         }
         let changed = self.router.agents.apply_report(agent, state, now);
         self.note_alive(agent);
-        if report.revision < self.revision() {
+        if revision < self.revision() {
             self.send_probe(agent);
         }
         if changed == Some(true) {
@@ -372,9 +373,11 @@
 
     /// Sends a probe, which also shows the agent the revision in force here.
     fn send_probe(&mut self, agent: SocketAddrV4) {
+        let (revision, era) = message_revision(self.revision());
         let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_to_number(self.address),
-            revision: self.revision(),
+            revision,
+            era,
         }));
         self.agents.send(&probe, agent);
     }
--- a/components/forwarder/src/connection/balancer_traffic/ended_agents.rs
+++ b/components/forwarder/src/connection/balancer_traffic/ended_agents.rs
@@ -22,8 +22,8 @@
     /// Takes over the deletion of a registration. Only the agent itself can hand it over.
     pub(super) fn take_over(&mut self, from: SocketAddrV4, message: &RegistrationEnded) {
         let agent = address_from_number(message.agent);
-        let revision = message.revision;
-        let is_valid = agent == from && revision != 0 && self.router.options.reset_lost;
+        let revision = self.peers.order(message.era, message.revision);
+        let is_valid = agent == from && message.revision != 0 && self.router.options.reset_lost;
         if !is_valid || !self.router.agents.note_ended(agent, revision) {
             debug!(%from, %agent, revision, "end of a registration ignored");
             NodeMetrics::count(&self.metrics.deregistrations, "ignored");
--- a/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
+++ b/components/forwarder/src/connection/balancer_traffic/lost_flows.rs
@@ -26,7 +26,6 @@
 use crate::{
     connection::{
         header_codec::encode_forward,
-        peer_revision::raise_peer_revision,
         query_codec::{
             decode_flow,
             decode_reply,
@@ -96,8 +95,8 @@
         reply: FlowQueryReply,
         now: Millis,
     ) {
-        raise_peer_revision(&self.revision_sender, reply.revision, *from.ip());
-        let reply = decode_reply(reply);
+        let reply = decode_reply(reply, &self.peers);
+        self.peers.raise(reply.revision, *from.ip());
         self.run_search(|search, lookup, _| search.handle_reply(from, &reply, lookup, now));
     }
 
@@ -134,7 +133,7 @@
         let lookup = OwnerLookup {
             config: self.router.config.as_deref(),
             agents: &self.router.agents,
-            newest_revision: self.revision_sender.borrow().revision,
+            newest_revision: self.peers.highest(),
         };
         let mut actions = Vec::new();
         decide(&mut self.search, lookup, &mut actions);
--- a/components/forwarder/src/connection/header_codec.rs
+++ b/components/forwarder/src/connection/header_codec.rs
@@ -2,6 +2,10 @@
 
 use std::net::SocketAddrV4;
 
+use super::peer_revision::{
+    message_revision,
+    PeerRevisions, //
+};
 use bytes::Bytes;
 use carobdrum_flows::request::{
     BestOffer,
@@ -26,11 +30,12 @@
 /// Encodes a datagram of a header and its packet.
 pub(crate) fn encode_forward(header: &ForwardHeader, packet: Bytes) -> Vec<u8> {
     let best = header.best;
+    let (revision, era) = message_revision(header.revision);
     FlowDatagram::encode_body(FlowBody::Forward(ForwardedPacket {
         balancer: address_to_number(header.balancer),
         centre: header.centre_hash,
         service: header.service_hash,
-        revision: header.revision,
+        revision,
         hops: u32::from(header.hops),
         rest: numbers(&header.rest),
         near: u32::from(header.near),
@@ -42,11 +47,12 @@
         anchors: numbers(&header.anchors),
         is_firm: header.is_firm,
         silent: u32::from(header.silent),
+        era,
     }))
 }
 
 /// Returns the header of a forwarded packet. Numbers that are too large are clamped to the maximum.
-pub(crate) fn decode_header(forwarded: &ForwardedPacket) -> ForwardHeader {
+pub(crate) fn decode_header(forwarded: &ForwardedPacket, peers: &PeerRevisions) -> ForwardHeader {
     let best = BestOffer {
         agent: address_from_number(forwarded.best_agent),
         wait_us: forwarded.best_wait_us,
@@ -55,7 +61,7 @@
         balancer: address_from_number(forwarded.balancer),
         centre_hash: forwarded.centre,
         service_hash: forwarded.service,
-        revision: forwarded.revision,
+        revision: peers.order(forwarded.era, forwarded.revision),
         hops: u8::try_from(forwarded.hops).unwrap_or(u8::MAX),
         rest: addresses(&forwarded.rest, MAX_CANDIDATES),
         near: u8::try_from(forwarded.near).unwrap_or(u8::MAX),
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -25,6 +25,10 @@
 pub(crate) use handed_over::HandedOver;
 pub use hop_spans::HopSpans;
 pub use peer_revision::PeerRevision;
+pub(crate) use peer_revision::{
+    message_revision,
+    PeerRevisions, //
+};
 pub use report_codec::{
     decode_report,
     encode_report, //
--- a/components/forwarder/src/connection/query_codec.rs
+++ b/components/forwarder/src/connection/query_codec.rs
@@ -18,6 +18,11 @@
     FlowQueryReply, //
 };
 
+use super::peer_revision::{
+    message_revision,
+    PeerRevisions, //
+};
+
 /// Maximum number of flows in a query; one with more is malformed.
 const MAX_FLOWS: usize = 64;
 
@@ -71,22 +76,24 @@
 
 /// Encodes the datagram of a reply.
 pub(crate) fn encode_reply(reply: QueryReply) -> Vec<u8> {
+    let (revision, era) = message_revision(reply.revision);
     FlowDatagram::encode_body(FlowBody::QueryReply(FlowQueryReply {
         id: reply.id,
         agent: address_to_number(reply.agent),
         absent: reply.absent,
-        revision: reply.revision,
+        revision,
         digest: reply.digest,
+        era,
     }))
 }
 
 /// Returns the reply of a datagram.
-pub(crate) fn decode_reply(reply: FlowQueryReply) -> QueryReply {
+pub(crate) fn decode_reply(reply: FlowQueryReply, peers: &PeerRevisions) -> QueryReply {
     QueryReply {
         id: reply.id,
         agent: address_from_number(reply.agent),
         absent: reply.absent,
-        revision: reply.revision,
+        revision: peers.order(reply.era, reply.revision),
         digest: reply.digest,
     }
 }
--- a/components/forwarder/src/connection/report_codec.rs
+++ b/components/forwarder/src/connection/report_codec.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddrV4;
 
-use carobdrum_flows::process::{
-    AgentReport,
-    HeldCounts, //
+use carobdrum_flows::{
+    process::{
+        AgentReport,
+        HeldCounts, //
+    },
+    version::StoreRevision,
 };
 use carobdrum_wire::flow_datagram::{
     address_to_number,
@@ -12,6 +15,8 @@
     ServerReport, //
 };
 
+use super::peer_revision::message_revision;
+
 /// Returns the message of the report of an agent, whose server has this data centre and service.
 pub fn encode_report(
     agent: SocketAddrV4,
@@ -19,6 +24,7 @@
     centre: &str,
     service: &str,
 ) -> ServerReport {
+    let (revision, era) = message_revision(report.revision);
     let held = report.held.iter().map(|(class, count)| HeldRequests {
         class: u32::from(class),
         count,
@@ -28,7 +34,8 @@
         accepts: report.accepts,
         busy: report.busy,
         slots: report.slots,
-        revision: report.revision,
+        revision,
+        era,
         centre: centre.into(),
         service: service.into(),
         failure_percent: u32::from(report.failure_percent),
@@ -54,7 +61,7 @@
         queued: message.queued,
         held,
         slots: message.slots,
-        revision: message.revision,
+        revision: StoreRevision::new(message.era.unwrap_or(0), message.revision).order(),
         is_confirmed: message.confirmed,
         work_us: message.work_us,
         open_flows: message.open_flows,
--- a/components/forwarder/src/process/absence_marker.rs
+++ b/components/forwarder/src/process/absence_marker.rs
@@ -14,6 +14,7 @@
     agent_key,
     registration_key,
     StoreClient,
+    StoreEndpoint,
     StoreError,
     StorePut,
     StoreTransaction, //
@@ -79,9 +80,9 @@
 
 impl AbsenceMarker {
     /// Creates the marker; no connection is made yet.
-    pub fn new(store: SocketAddrV4) -> AbsenceMarker {
+    pub fn new(store: impl Into<StoreEndpoint>) -> AbsenceMarker {
         AbsenceMarker {
-            client: StoreClient::new(store, CALL_TIMEOUT),
+            client: store.into().client(CALL_TIMEOUT),
         }
     }
 
@@ -121,7 +122,7 @@
         let put = StorePut {
             key: &mark,
             value: value.as_bytes(),
-            lease: 0,
+            lease: None,
         };
         let transaction = StoreTransaction {
             expected: &[(&entry, 0), (&mark, 0), (&registration, revision)],
@@ -138,7 +139,7 @@
 
 /// Marks the agents that `marks` names, until the process ends.
 pub(crate) async fn mark_absent_agents(
-    store: SocketAddrV4,
+    store: StoreEndpoint,
     marks: Rc<RefCell<RegistrationCleanup>>,
     updates: mpsc::Sender<BalancerUpdate>,
     metrics: NodeMetrics,
--- a/components/forwarder/src/process/agent_node.rs
+++ b/components/forwarder/src/process/agent_node.rs
@@ -109,10 +109,10 @@
     let tracker = tracker_settings(&settings, backend);
     let limits = resend_limits(&settings);
     let (server, outgoing) = (backend.address, backend.outgoing);
-    let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
+    let (peers, metrics) = (context.peers.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
     spawn_traffic(
-        move || AgentTraffic::open(tracker, limits, server, outgoing, revision_sender, metrics),
+        move || AgentTraffic::open(tracker, limits, server, outgoing, peers, metrics),
         move |traffic| traffic.run(receiver, in_force),
     )
     .await?;
@@ -124,7 +124,7 @@
     };
     let is_ending = CancellationToken::new();
     let arguments = LeaseArguments {
-        store: settings.store.address,
+        store: context.store(&settings),
         min_lease: Duration::from_millis(settings.store.min_lease_ms),
         registers: settings.flows.reset_lost,
         is_ending: is_ending.clone(),
@@ -147,7 +147,7 @@
     }
     if settings.flows.save_flows_s > 0 {
         tokio::task::spawn_local(save_flows(FlowSavingArguments {
-            store: settings.store.address,
+            store: context.store(&settings),
             agent: node.packets,
             interval: Millis(u64::from(settings.flows.save_flows_s) * 1_000),
             flow_lifetime: flow_lifetime(node),
--- a/components/forwarder/src/process/balancer_node.rs
+++ b/components/forwarder/src/process/balancer_node.rs
@@ -112,20 +112,12 @@
         reset_lost: settings.flows.reset_lost,
         weigh_servers: settings.flows.weigh_servers,
     };
-    let (revision_sender, metrics) = (context.revision_sender.clone(), context.metrics.clone());
+    let (peers, metrics) = (context.peers.clone(), context.metrics.clone());
     let in_force = context.in_force.clone();
     let (listing_sender, listing_wanted) = watch::channel(None);
     let (handed_over, handed_over_receiver) = mpsc::channel(DELETION_QUEUE);
-    let open = move || {
-        BalancerTraffic::open(
-            packets,
-            router,
-            revision_sender,
-            listing_sender,
-            handed_over,
-            metrics,
-        )
-    };
+    let open =
+        move || BalancerTraffic::open(packets, router, peers, listing_sender, handed_over, metrics);
     spawn_traffic(open, move |traffic| traffic.run(receiver, in_force)).await?;
     let state = context.state.clone();
     let ready = Rc::new(ReadyState {
@@ -138,8 +130,8 @@
     // Agents' entries have no common revision by which peers could show that this process is
     // behind, so nothing is sent on this channel.
     let (unversioned, none) = watch::channel(PeerRevision::default());
-    let store = settings.store.address;
-    let mut agents = KeyWatcher::new(store, AGENT_PREFIX, none)
+    let store = context.store(&settings);
+    let mut agents = KeyWatcher::new(store.clone(), AGENT_PREFIX, none)
         .limited_to(MEMBER_WATCH_LIMIT)
         .follow_recoveries(context.recoveries.subscribe())
         .urgent();
@@ -158,9 +150,14 @@
             marks: marks.clone(),
         });
         let metrics = context.metrics.clone();
-        tokio::task::spawn_local(mark_absent_agents(store, marks, updates.clone(), metrics));
+        tokio::task::spawn_local(mark_absent_agents(
+            store.clone(),
+            marks,
+            updates.clone(),
+            metrics,
+        ));
         let metrics = context.metrics.clone();
-        tokio::task::spawn_local(clean_registrations(store, cleanup, metrics));
+        tokio::task::spawn_local(clean_registrations(store.clone(), cleanup, metrics));
         let metrics = context.metrics.clone();
         tokio::task::spawn_local(delete_handed_over(store, handed_over_receiver, metrics));
     }
--- a/components/forwarder/src/process/config_tasks.rs
+++ b/components/forwarder/src/process/config_tasks.rs
@@ -10,7 +10,10 @@
 };
 
 use carobdrum_flows::process::AgentRecord;
-use carobdrum_platform::OPERATOR_PREFIX;
+use carobdrum_platform::{
+    StoreEndpoint,
+    OPERATOR_PREFIX, //
+};
 use rand::Rng;
 use tokio::{
     sync::watch,
@@ -76,15 +79,15 @@
     state: Rc<SiteState>,
     mut peer_revisions: watch::Receiver<PeerRevision>,
     port: u16,
-    store: SocketAddrV4,
+    store: StoreEndpoint,
 ) {
-    read_config(&state, store, &peer_revisions).await;
+    read_config(&state, &store, &peer_revisions).await;
     while wait_for_newer(&state, &mut peer_revisions).await.is_some() {
         let delay = FETCH_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
         sleep(delay).await;
         let newest = adopt_newest(&state, &mut peer_revisions, port).await;
         if state.revision() < newest.revision {
-            read_config(&state, store, &peer_revisions).await;
+            read_config(&state, &store, &peer_revisions).await;
         }
     }
 }
@@ -92,7 +95,7 @@
 /// Adopts the configuration of the process that showed the highest revision last, which is the
 /// likeliest to run; returns that revision.
 async fn adopt_newest(
-    state: &SiteState,
+    state: &Rc<SiteState>,
     peer_revisions: &mut watch::Receiver<PeerRevision>,
     port: u16,
 ) -> PeerRevision {
@@ -100,7 +103,8 @@
     let peer = SocketAddrV4::new(newest.peer, port);
     match fetch_snapshot(peer).await {
         Ok(snapshot) => {
-            info!(%peer, revision = snapshot.revision, "configuration adopted from a peer");
+            let (era, revision) = (snapshot.era, snapshot.revision);
+            info!(%peer, era, revision, "configuration adopted from a peer");
             state.apply_snapshot(&snapshot);
         }
         Err(error) => warn!(%peer, %error, "configuration not fetched from a peer"),
@@ -112,10 +116,10 @@
 /// configuration, as it is more likely to answer than a store that hasn't.
 async fn read_config(
     state: &Rc<SiteState>,
-    store: SocketAddrV4,
+    store: &StoreEndpoint,
     peer_revisions: &watch::Receiver<PeerRevision>,
 ) {
-    let watcher = KeyWatcher::new(store, OPERATOR_PREFIX, peer_revisions.clone());
+    let watcher = KeyWatcher::new(store.clone(), OPERATOR_PREFIX, peer_revisions.clone());
     let peer_revision = peer_revisions.borrow().revision;
     let handle = async |event| {
         state.apply_event(event, peer_revision);
@@ -146,7 +150,7 @@
 /// Adopts the configuration of the first peer that has a snapshot, and returns its agents; `None`
 /// if no peer has one.
 pub(crate) async fn query_peers(
-    state: &SiteState,
+    state: &Rc<SiteState>,
     own: Ipv4Addr,
     peers: &[SocketAddrV4],
     port: u16,
@@ -157,6 +161,7 @@
             Ok(snapshot) => {
                 info!(
                     %peer,
+                    era = snapshot.era,
                     revision = snapshot.revision,
                     "configuration and agents adopted from a peer"
                 );
--- a/components/forwarder/src/process/config_tracker.rs
+++ b/components/forwarder/src/process/config_tracker.rs
@@ -5,35 +5,36 @@
 use carobdrum_core::Millis;
 use carobdrum_flows::version::{
     FormerServices,
-    SiteConfig, //
+    SiteConfig,
+    StoreRevision, //
 };
 use carobdrum_platform::{
-    evacuation_key,
     parse_operator_entry,
     OperatorEntry,
     StoreChange,
     StoreItem,
     StoreListing, //
 };
-use compact_str::CompactString;
 use tracing::{
     debug,
     info,
     warn, //
 };
 
-use super::store_watch::KeyEvent;
-
-/// An evacuated data centre.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct EvacuatedCentre {
-    /// Key of the operator's entry that evacuates it.
-    key: CompactString,
-    centre: CompactString,
-}
+use super::{
+    evacuation_state::{
+        EvacuationEntry,
+        EvacuationState, //
+    },
+    store_watch::KeyEvent, //
+};
 
 /// Tracks the configuration and evacuations in force, and ignores stale events.
 ///
+/// Revisions are compared by their order numbers, in which a later era of the store is newer than all of an earlier one.
+/// The configuration follows the operator's version alone, which a store that comes back from an older copy can't turn
+/// back.
+///
 /// It also remembers the services that routes led to before, for as long as flows that opened there
 /// may live.
 #[derive(Debug)]
@@ -44,9 +45,10 @@
     /// Time from which `former_services` names every service that may hold an open flow.
     history_complete_at: Millis,
     config: Option<SiteConfig>,
-    evacuated: Vec<EvacuatedCentre>,
+    evacuations: EvacuationState,
+    /// Order number of the last change that is in force.
     revision: u64,
-    /// Revision of the last configuration adopted from a peer, which includes all changes up to it.
+    /// Order number of the last configuration adopted from a peer, which includes all changes up to it.
     adopted_revision: u64,
 }
 
@@ -58,21 +60,31 @@
             former_services: FormerServices::default(),
             history_complete_at: Millis::default(),
             config: None,
-            evacuated: Vec::new(),
+            evacuations: EvacuationState::default(),
             revision: 0,
             adopted_revision: 0,
         }
     }
 
-    /// Returns the revision of the last change that is in force; zero if there is none.
+    /// Returns the order number of the last change that is in force; zero if there is none.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Returns the time at which the state in force changes without an event.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.evacuations.next_expiry()
+    }
+
+    /// Returns the configuration in force at time `now`, if there is one.
+    pub fn refresh(&mut self, now: Millis) -> Option<Arc<SiteConfig>> {
+        self.in_force(now)
+    }
+
     /// Applies an event of the store at time `now`; returns the configuration in force, if there is
     /// one.
     ///
-    /// `peer_revision` is the highest revision of another process. Events that are older than a
+    /// `peer_revision` is the highest order number of another process. Events that are older than a
     /// configuration adopted from a peer are ignored: they may arrive late and would undo later
     /// changes.
     pub fn apply_event(
@@ -95,31 +107,49 @@
 
     fn apply_listing(&mut self, listing: StoreListing, peer_revision: u64, now: Millis) {
         let revision = listing.revision;
+        let StoreRevision { era, number } = StoreRevision::from_order(revision);
         if revision < self.adopted_revision {
+            let taken = StoreRevision::from_order(self.adopted_revision);
+            info!(era, revision = number, ?taken, "stale list ignored");
+            return;
+        }
+        let begins_era = self.begins_era(revision);
+        if begins_era {
             info!(
-                revision,
-                taken = self.adopted_revision,
-                "stale list ignored"
+                era,
+                revision = number,
+                "store has come back from an older copy"
             );
-            return;
         }
-        self.evacuated.clear();
         let known = self.version();
+        let mut entries = Vec::new();
         for item in listing.items {
-            self.apply_item(item, now);
+            entries.extend(self.read_item(item, now));
         }
+        self.evacuations.replace(entries, begins_era, now);
         if self.version() != known {
             // The list shows the last version only, and there may have been others in between.
             self.history_complete_at = now.plus(self.flow_lifetime);
         }
         // The list may have been read before the last change that peers have seen.
         self.revision = self.revision.max(peer_revision.min(revision));
+        // What is in force is that of the new era now, also if no key was written in it yet.
+        self.revision = self.revision.max(StoreRevision::new(era, 0).order());
+    }
+
+    /// Returns whether this order number is of a later era than what is known, and so of a store that has come back from
+    /// an older copy.
+    fn begins_era(&self, revision: u64) -> bool {
+        let known = StoreRevision::from_order(self.revision).era;
+        known > 0 && StoreRevision::from_order(revision).era > known
     }
 
     fn apply_change(&mut self, change: StoreChange, now: Millis) {
         match change {
             StoreChange::Put(item) if item.revision > self.adopted_revision => {
-                self.apply_item(item, now)
+                if let Some(entry) = self.read_item(item, now) {
+                    self.evacuations.note_entry(entry);
+                }
             }
             StoreChange::Deleted(key, revision) if revision > self.adopted_revision => {
                 self.apply_deletion(&key, revision);
@@ -139,15 +169,12 @@
         if config.revision <= self.revision {
             return learned.then(|| self.in_force(now)).flatten();
         }
+        let begins_era = self.begins_era(config.revision);
         self.revision = config.revision;
         self.adopted_revision = config.revision;
-        let evacuated = config.evacuated_centres().iter();
-        self.evacuated = evacuated
-            .map(|centre| EvacuatedCentre {
-                key: evacuation_key(centre),
-                centre: centre.clone(),
-            })
-            .collect();
+        let evacuated = config.evacuated_centres();
+        self.evacuations
+            .adopt(evacuated, &config.provisional, begins_era, now);
         self.replace_config(config, now);
         self.in_force(now)
     }
@@ -177,33 +204,39 @@
 
     fn in_force(&mut self, now: Millis) -> Option<Arc<SiteConfig>> {
         self.former_services.expire(now);
+        let evacuated = self.evacuations.in_force(now);
         let config = self.config.as_mut()?;
         config.former_services = self.former_services.clone();
         config.history_complete_at = self.history_complete_at;
         config.revision = self.revision;
-        let evacuated = self.evacuated.iter();
-        config.set_evacuated_centres(evacuated.map(|evacuated| evacuated.centre.clone()));
+        config.set_evacuated_centres(evacuated);
+        config.provisional = self.evacuations.provisional().to_vec();
         Some(Arc::new(config.clone()))
     }
 
-    fn apply_item(&mut self, item: StoreItem, now: Millis) {
+    /// Applies an item of the operator, unless it evacuates a data centre; returns it in that case.
+    fn read_item(&mut self, item: StoreItem, now: Millis) -> Option<EvacuationEntry> {
+        self.revision = self.revision.max(item.revision);
         match parse_operator_entry(&item.key, &item.value) {
             Ok(OperatorEntry::Config(config)) => self.replace_config(config, now),
             Ok(OperatorEntry::EvacuatedCentre(centre)) => {
-                info!(%centre, revision = item.revision, "data centre evacuated");
-                self.evacuated.retain(|evacuated| evacuated.key != item.key);
-                let key = item.key;
-                self.evacuated.push(EvacuatedCentre { key, centre });
+                let StoreRevision { era, number } = StoreRevision::from_order(item.revision);
+                info!(%centre, era, revision = number, "data centre evacuated");
+                return Some(EvacuationEntry {
+                    centre,
+                    revision: Some(item.revision),
+                });
             }
             Ok(OperatorEntry::Other) => {}
             Err(error) => warn!(key = %item.key, %error, "operator's entry is malformed"),
         }
-        self.revision = self.revision.max(item.revision);
+        None
     }
 
     fn apply_deletion(&mut self, key: &str, revision: u64) {
-        info!(key, revision, "operator's entry deleted");
-        self.evacuated.retain(|evacuated| evacuated.key != key);
+        let StoreRevision { era, number } = StoreRevision::from_order(revision);
+        info!(key, era, revision = number, "operator's entry deleted");
+        self.evacuations.note_deletion(key);
         self.revision = self.revision.max(revision);
     }
 
--- a/components/forwarder/src/process/flow_saving.rs
+++ b/components/forwarder/src/process/flow_saving.rs
@@ -15,7 +15,7 @@
     decode_saved_flows,
     encode_saved_flows,
     saved_key,
-    StoreClient,
+    StoreEndpoint,
     StoreItem, //
 };
 use rand::Rng;
@@ -53,7 +53,7 @@
 
 /// Arguments of [`save_flows`].
 pub(crate) struct FlowSavingArguments {
-    pub(crate) store: SocketAddrV4,
+    pub(crate) store: StoreEndpoint,
     /// Address at which the agent receives forwarded packets.
     pub(crate) agent: SocketAddrV4,
     /// Interval between saves.
@@ -69,7 +69,7 @@
     let started = BootClock.now();
     let mut saver = FlowSaver::new(arguments.interval, started, random());
     let lifetime = Duration::from_millis(arguments.flow_lifetime.0);
-    let read = timeout(lifetime, read_item(arguments.store, arguments.agent)).await;
+    let read = timeout(lifetime, read_item(&arguments.store, arguments.agent)).await;
     match read {
         Ok(None) => {}
         Ok(Some(item)) => {
@@ -87,7 +87,7 @@
             saver.note_earlier_list();
         }
     }
-    let mut client = StoreClient::new(arguments.store, CALL_TIMEOUT);
+    let mut client = arguments.store.client(CALL_TIMEOUT);
     let key = saved_key(arguments.agent);
     loop {
         let pause = saver.next_save().since(BootClock.now());
@@ -105,7 +105,7 @@
             continue;
         };
         let value = encode_saved_flows(&list);
-        let outcome = client.put(&key, &value, 0).await;
+        let outcome = client.put(&key, &value, None).await;
         let (now, flows) = (BootClock.now(), list.flows.len());
         match outcome {
             Ok(()) => {
@@ -124,7 +124,7 @@
 }
 
 /// Reads the agent's saved flows once the store answers; returns `None` if it has none.
-async fn read_item(store: SocketAddrV4, agent: SocketAddrV4) -> Option<StoreItem> {
+async fn read_item(store: &StoreEndpoint, agent: SocketAddrV4) -> Option<StoreItem> {
     let key = saved_key(agent);
     let mut backoff = StoreBackoff::default();
     loop {
--- a/components/forwarder/src/process/handed_over_task.rs
+++ b/components/forwarder/src/process/handed_over_task.rs
@@ -1,15 +1,13 @@
 //! Task of a balancer that makes the deletions that agents have handed over.
 
-use std::{
-    net::SocketAddrV4,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use carobdrum_core::Millis;
 use carobdrum_flows::process::HandedDeletions;
 use carobdrum_platform::{
     delete_registration,
     StoreClient,
+    StoreEndpoint,
     StoreError, //
 };
 use rand::Rng;
@@ -34,11 +32,11 @@
 
 /// Deletes the registrations that agents have handed over, until the traffic thread has ended.
 pub(crate) async fn delete_handed_over(
-    store: SocketAddrV4,
+    store: StoreEndpoint,
     mut messages: mpsc::Receiver<HandedOver>,
     metrics: NodeMetrics,
 ) {
-    let mut client = StoreClient::new(store, CALL_TIMEOUT);
+    let mut client = store.client(CALL_TIMEOUT);
     let mut backoff = StoreBackoff::default();
     let mut deletions = HandedDeletions::default();
     loop {
--- a/components/forwarder/src/process/hedged_read.rs
+++ b/components/forwarder/src/process/hedged_read.rs
@@ -1,12 +1,10 @@
 //! Hedged read of the store, which doesn't wait for a lost response.
 
-use std::{
-    net::SocketAddrV4,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use carobdrum_platform::{
     StoreClient,
+    StoreEndpoint,
     StoreError,
     StoreListing, //
 };
@@ -35,7 +33,7 @@
 ///
 /// Returns the error of the last request when all have failed.
 pub(super) async fn list_hedged(
-    store: SocketAddrV4,
+    store: &StoreEndpoint,
     prefix: &str,
 ) -> Result<(StoreClient, StoreListing), StoreError> {
     let mut calls = FuturesUnordered::new();
@@ -62,10 +60,10 @@
 }
 
 async fn list_once(
-    store: SocketAddrV4,
+    store: &StoreEndpoint,
     prefix: &str,
 ) -> Result<(StoreClient, StoreListing), StoreError> {
-    let mut client = StoreClient::new(store, CALL_TIMEOUT);
+    let mut client = store.client(CALL_TIMEOUT);
     let listing = client.list(prefix).await?;
     Ok((client, listing))
 }
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use carobdrum_flows::process::AgentRecord;
+use carobdrum_flows::{
+    process::AgentRecord,
+    version::StoreRevision, //
+};
 use carobdrum_platform::{
     absent_key,
     agent_key,
@@ -13,7 +16,10 @@
     encode_agent_entry,
     registration_key,
     StoreClient,
+    StoreEndpoint,
     StoreError,
+    StoreItem,
+    StoreLease,
     StorePut,
     StoreTransaction, //
 };
@@ -67,7 +73,7 @@
 
 /// Arguments of a [`LeaseActor`].
 pub(crate) struct LeaseArguments {
-    pub(crate) store: SocketAddrV4,
+    pub(crate) store: StoreEndpoint,
     /// Shortest time to live that the store grants.
     pub(crate) min_lease: Duration,
     /// Whether a registration without a lease is written with the entry.
@@ -83,13 +89,13 @@
     record: Option<AgentRecord>,
     is_written: bool,
     lease_ttl: Duration,
-    lease: Option<u64>,
+    lease: Option<StoreLease>,
     registers: bool,
     is_ending: CancellationToken,
-    /// Revision of the registration after the last write of which the store has told it.
+    /// Order number of the registration after the last write of which the store has told it.
     registration: Option<u64>,
     /// Leases of that write and of later ones, whose outcome is unknown.
-    used_leases: Vec<u64>,
+    used_leases: Vec<StoreLease>,
     backoff: StoreBackoff,
 }
 
@@ -120,7 +126,7 @@
     ) -> Result<LeaseState, ActorProcessingErr> {
         myself.send_message(LeaseMessage::Renew)?;
         Ok(LeaseState {
-            client: StoreClient::new(arguments.store, CALL_TIMEOUT),
+            client: arguments.store.client(CALL_TIMEOUT),
             record: None,
             is_written: false,
             lease_ttl: LEASE_TTL.max(arguments.min_lease),
@@ -269,8 +275,12 @@
         let (entry, registration) = (agent_key(address), registration_key(address));
         let listing = self.client.list(&entry).await?;
         let find = |key: &str| listing.items.iter().find(|item| item.key == key);
-        let leases = &self.used_leases;
-        let own = find(&entry).filter(|item| leases.contains(&item.lease));
+        let is_own = |item: &&StoreItem| {
+            let mut leases = self.used_leases.iter();
+            let era = StoreRevision::from_order(item.revision).era;
+            leases.any(|lease| lease.id == item.lease && lease.era == era)
+        };
+        let own = find(&entry).filter(is_own);
         let Some((own, registration)) = own.zip(find(&registration)) else {
             return Ok(None);
         };
@@ -280,7 +290,11 @@
     }
 
     /// Writes the entry under `lease`, or under a new one.
-    async fn write(&mut self, record: &AgentRecord, lease: Option<u64>) -> Result<u64, StoreError> {
+    async fn write(
+        &mut self,
+        record: &AgentRecord,
+        lease: Option<StoreLease>,
+    ) -> Result<StoreLease, StoreError> {
         let value = encode_agent_entry(record)?;
         let lease = match lease {
             Some(lease) => lease,
@@ -295,12 +309,12 @@
                 StorePut {
                     key: &key,
                     value: &value,
-                    lease,
+                    lease: Some(lease),
                 },
                 StorePut {
                     key: &registration,
                     value: &value,
-                    lease: 0,
+                    lease: None,
                 },
             ];
             // Deleting a mark may raise the revision in the response beyond that of the registration; `find_own`
@@ -317,13 +331,14 @@
             self.registration = self.client.commit(&transaction).await?;
             self.used_leases = vec![lease];
         } else {
-            self.client.put(&key, &value, lease).await?;
+            self.client.put(&key, &value, Some(lease)).await?;
         }
         info!(
             agent = %record.address,
             service = %record.service,
             is_leaving = record.is_leaving,
-            lease,
+            lease = lease.id,
+            era = lease.era,
             "store entry written"
         );
         Ok(lease)
--- a/components/forwarder/src/process/mod.rs
+++ b/components/forwarder/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod config_tracker;
 mod deregistration_task;
 mod entry_writer;
+mod evacuation_state;
 mod flow_saving;
 mod handed_over_task;
 mod hedged_read;
--- a/components/forwarder/src/process/node_context.rs
+++ b/components/forwarder/src/process/node_context.rs
@@ -11,7 +11,11 @@
 use carobdrum_control::spawn_thread;
 use carobdrum_core::Millis;
 use carobdrum_flows::version::SiteConfig;
-use carobdrum_platform::OPERATOR_PREFIX;
+use carobdrum_platform::{
+    StoreEndpoint,
+    StoreEra,
+    OPERATOR_PREFIX, //
+};
 use carobdrum_settings::{
     FlowSettings,
     LeaseStoreSettings,
@@ -53,7 +57,10 @@
     NodeError,
     NodeMetrics, //
 };
-use crate::connection::PeerRevision;
+use crate::connection::{
+    PeerRevision,
+    PeerRevisions, //
+};
 
 /// Share of the time within which a change has to be in force that a lost response to a watch may go unnoticed. The
 /// rest is left for reading the keys and passing them on.
@@ -71,8 +78,10 @@
     pub(crate) reload: Signal,
     /// The configuration in force and the agents, as the control thread knows them.
     pub(crate) state: Rc<SiteState>,
+    /// Era of the store, which all its clients share.
+    pub(crate) era: Arc<StoreEra>,
     /// Publishes the revisions of other processes; used by the traffic thread.
-    pub(crate) revision_sender: watch::Sender<PeerRevision>,
+    pub(crate) peers: PeerRevisions,
     /// Receives the highest revision of another process.
     pub(crate) peer_revisions: watch::Receiver<PeerRevision>,
     /// Receives the configuration in force, for the traffic thread.
@@ -99,16 +108,18 @@
         let server = node
             .metrics
             .map(|address| MetricsServer::spawn(address.into(), registry));
-        let (revision_sender, peer_revisions) = watch::channel(PeerRevision::default());
+        let era: Arc<StoreEra> = Arc::default();
+        let peers = PeerRevisions::new(era.clone());
         let (config, in_force) = watch::channel(None);
-        let state = SiteState::new(config, flow_lifetime(node));
+        let state = SiteState::new(config, era.clone(), flow_lifetime(node));
         serve_snapshots(SocketAddrV4::new(node.ip, node.peer_port), state.clone()).await?;
         Ok(NodeContext {
             stop,
             reload,
             state,
-            revision_sender,
-            peer_revisions,
+            era,
+            peer_revisions: peers.subscribe(),
+            peers,
             in_force,
             recoveries: watch::channel(0).0,
             metrics,
@@ -116,9 +127,17 @@
         })
     }
 
+    /// Returns the store, with the era that all its clients share.
+    pub(crate) fn store(&self, settings: &FlowSettings) -> StoreEndpoint {
+        StoreEndpoint {
+            address: settings.store.address,
+            era: self.era.clone(),
+        }
+    }
+
     /// Spawns the tasks that follow the configuration of a balancer in the store and at peers.
     pub(crate) fn follow_config(&self, settings: &FlowSettings) {
-        let store = settings.store.address;
+        let store = self.store(settings);
         let watcher = KeyWatcher::new(store, OPERATOR_PREFIX, self.peer_revisions.clone())
             .limited_to(watch_limit(&settings.store))
             .count_recoveries(self.recoveries.clone());
@@ -138,7 +157,7 @@
             self.state.clone(),
             self.peer_revisions.clone(),
             settings.node.peer_port,
-            settings.store.address,
+            self.store(settings),
         ));
     }
 }
--- a/components/forwarder/src/process/registration_cleaner.rs
+++ b/components/forwarder/src/process/registration_cleaner.rs
@@ -13,6 +13,7 @@
     delete_orphaned_registration,
     registration_key,
     StoreClient,
+    StoreEndpoint,
     StoreError, //
 };
 use rand::Rng;
@@ -34,11 +35,11 @@
 
 /// Deletes the registrations that `cleanup` names and the other keys of their agents, until the process ends.
 pub(crate) async fn clean_registrations(
-    store: SocketAddrV4,
+    store: StoreEndpoint,
     cleanup: Rc<RefCell<RegistrationCleanup>>,
     metrics: NodeMetrics,
 ) {
-    let mut client = StoreClient::new(store, CALL_TIMEOUT);
+    let mut client = store.client(CALL_TIMEOUT);
     loop {
         sleep(CHECK_INTERVAL).await;
         let random = || rand::rng().random_range(0.0..1.0);
--- a/components/forwarder/src/process/snapshot_codec.rs
+++ b/components/forwarder/src/process/snapshot_codec.rs
@@ -6,6 +6,7 @@
     version::{
         FlowRoute,
         FormerService,
+        ProvisionalState,
         ServiceConfig,
         ServiceShare,
         SiteConfig, //
@@ -19,6 +20,7 @@
     snapshot::{
         AgentEntry,
         FormerEntry,
+        ProvisionalEntry,
         RouteEntry,
         ServiceEntry,
         ShareEntry,
@@ -27,6 +29,11 @@
 };
 use compact_str::CompactString;
 
+use crate::connection::message_revision;
+
+/// Longest time for which a peer's state of a data centre may differ from that in the store.
+const MAX_PROVISIONAL: Millis = Millis(10_000);
+
 /// Time until the history of a peer is complete that doesn't state one.
 const UNKNOWN_GAP: Millis = Millis(u64::MAX);
 
@@ -37,11 +44,17 @@
     now: Millis,
 ) -> SiteSnapshot {
     let former = config.former_services.entries().iter();
+    let provisional = config.provisional.iter();
+    let (revision, era) = message_revision(config.revision);
     SiteSnapshot {
+        era,
+        provisional_centres: provisional
+            .map(|state| encode_provisional(state, now))
+            .collect(),
         former_services: former.map(|former| encode_former(former, now)).collect(),
         history_gap_ms: Some(config.history_complete_at.since(now).0),
         version: config.version,
-        revision: config.revision,
+        revision,
         idle_timeout_ms: config.idle_timeout.0,
         routes: config.routes().iter().map(encode_route).collect(),
         services: config.services().iter().map(encode_service).collect(),
@@ -54,13 +67,17 @@
     }
 }
 
-/// Decodes the configuration of a snapshot that arrived at `now`.
-pub(crate) fn decode_config(snapshot: &SiteSnapshot, now: Millis) -> SiteConfig {
+/// Decodes the configuration of a snapshot that arrived at `now`, and whose order number is `revision`.
+pub(crate) fn decode_config(snapshot: &SiteSnapshot, revision: u64, now: Millis) -> SiteConfig {
     let routes = snapshot.routes.iter().map(decode_route);
     let services = snapshot.services.iter().map(decode_service);
     let idle_timeout = Millis(snapshot.idle_timeout_ms);
     let mut config = SiteConfig::new(snapshot.version, idle_timeout, routes, services);
-    config.revision = snapshot.revision;
+    config.revision = revision;
+    let provisional = snapshot.provisional_centres.iter();
+    config.provisional = provisional
+        .map(|entry| decode_provisional(entry, now))
+        .collect();
     config.set_evacuated_centres(snapshot.evacuated_centres.iter().map(CompactString::from));
     for entry in &snapshot.former_services {
         config.former_services.insert(decode_former(entry, now));
@@ -109,6 +126,23 @@
     }
 }
 
+fn encode_provisional(state: &ProvisionalState, now: Millis) -> ProvisionalEntry {
+    ProvisionalEntry {
+        centre: state.centre.to_string(),
+        evacuated: state.is_evacuated,
+        remaining_ms: state.until.since(now).0,
+    }
+}
+
+fn decode_provisional(entry: &ProvisionalEntry, now: Millis) -> ProvisionalState {
+    let remaining = Millis(entry.remaining_ms).min(MAX_PROVISIONAL);
+    ProvisionalState {
+        centre: entry.centre.as_str().into(),
+        is_evacuated: entry.evacuated,
+        until: now.plus(remaining),
+    }
+}
+
 fn encode_former(former: &FormerService, now: Millis) -> FormerEntry {
     FormerEntry {
         address: address_to_number(former.address),
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -1,14 +1,13 @@
 //! Watch of keys in the store.
 
-use std::{
-    net::SocketAddrV4,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use carobdrum_core::Millis;
+use carobdrum_flows::version::StoreRevision;
 use carobdrum_platform::{
     StoreChange,
     StoreClient,
+    StoreEndpoint,
     StoreError,
     StoreListing,
     WatchResponse, //
@@ -81,7 +80,7 @@
 /// What a [`KeyWatcher`] has to know after an event.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchProgress {
-    /// Revision in force.
+    /// Order number in force.
     pub revision: u64,
     /// Delay before the next watch if the event was a change.
     pub batch_delay: Duration,
@@ -119,7 +118,7 @@
 /// Watches the keys of the store that have a common prefix.
 #[derive(Debug)]
 pub struct KeyWatcher {
-    store: SocketAddrV4,
+    store: StoreEndpoint,
     client: StoreClient,
     prefix: &'static str,
     /// Highest revision of another process; a watcher that has had an older one for `LAG_TIMEOUT`
@@ -138,6 +137,8 @@
     recoveries: Option<watch::Receiver<u64>>,
     /// Time before which no watch follows the last changes.
     next_watch: Instant,
+    /// Era of the last list; zero before the first one.
+    era: u32,
 }
 
 impl KeyWatcher {
@@ -145,13 +146,15 @@
     ///
     /// `peer_revisions` receives the highest revision of another process.
     pub fn new(
-        store: SocketAddrV4,
+        store: impl Into<StoreEndpoint>,
         prefix: &'static str,
         peer_revisions: watch::Receiver<PeerRevision>,
     ) -> KeyWatcher {
+        let store = store.into();
         KeyWatcher {
+            client: store.client(CALL_TIMEOUT),
             store,
-            client: StoreClient::new(store, CALL_TIMEOUT),
+            era: 0,
             prefix,
             peer_revisions,
             revision: 0,
@@ -170,7 +173,7 @@
         self
     }
 
-    /// Counts the outages of the store that have ended.
+    /// Counts the outages of the store that have ended, and its returns from older copies.
     pub fn count_recoveries(mut self, sender: watch::Sender<u64>) -> KeyWatcher {
         self.recovery_sender = Some(sender);
         self
@@ -252,7 +255,7 @@
         if !self.urgent {
             return self.client.list(self.prefix).await;
         }
-        let (client, listing) = list_hedged(self.store, self.prefix).await?;
+        let (client, listing) = list_hedged(&self.store, self.prefix).await?;
         self.client = client;
         Ok(listing)
     }
@@ -271,6 +274,11 @@
             let listing = self.list().await?;
             self.requests.demand.note_success(started);
             let revision = listing.revision;
+            let era = StoreRevision::from_order(revision).era;
+            let before = std::mem::replace(&mut self.era, era);
+            if before != 0 && before != era {
+                self.note_recovery();
+            }
             return Ok((Some(KeyEvent::All(listing, started)), Some(revision)));
         };
         let next_watch = self.next_watch;
--- a/components/forwarder/tests/absence_marker.rs
+++ b/components/forwarder/tests/absence_marker.rs
@@ -5,6 +5,7 @@
     SocketAddrV4, //
 };
 
+use carobdrum_flows::version::StoreRevision;
 use carobdrum_forwarder::{
     AbsenceMarker,
     MarkOutcome, //
@@ -17,8 +18,10 @@
 
 const AGENT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 9, 0, 1), 1);
 
-/// Revision of the first key in the store.
-const REVISION: u64 = 2;
+/// Returns the order number of the first key in the store.
+fn revision() -> u64 {
+    StoreRevision::new(1, 2).order()
+}
 
 /// Guards against a mark on an agent that lives or may be back, and against one for another registration.
 #[rstest]
@@ -55,10 +58,10 @@
         }
         answered.is_some_and(|number| probes >= number)
     };
-    let outcome = marker.mark(AGENT, REVISION, probe).await.unwrap();
+    let outcome = marker.mark(AGENT, revision(), probe).await.unwrap();
     assert_eq!(outcome, expected);
     let marks = store.values("agents/127.9.0.1:1/absent");
-    let is_marked = marks == [REVISION.to_string().into_bytes()];
+    let is_marked = marks == [revision().to_string().into_bytes()];
     assert_eq!(is_marked, expected == MarkOutcome::Marked);
     let is_silent = answered == Some(1);
     assert_eq!(store.calls("kv-range"), usize::from(!is_silent));
@@ -71,7 +74,7 @@
     store.put("agents/127.9.0.1:1/registered", "x");
     store.set_mode(StoreMode::Unavailable);
     let mut marker = AbsenceMarker::new(store.address());
-    let outcome = marker.mark(AGENT, REVISION, async |_| false).await;
+    let outcome = marker.mark(AGENT, revision(), async |_| false).await;
     assert!(outcome.is_err());
     assert_eq!(store.keys("agents/").len(), 1);
 }
--- a/components/wire/src/flow_datagram.rs
+++ b/components/wire/src/flow_datagram.rs
@@ -110,6 +110,9 @@
     /// Number of candidates at the end of `rest` that don't answer the balancer.
     #[prost(uint32, tag = "15")]
     pub silent: u32,
+    /// Era of the store in which it gave out `revision`; absent from older builds, or if the store states none.
+    #[prost(uint32, optional, tag = "16")]
+    pub era: Option<u32>,
 }
 
 /// Report of a backend server's state.
@@ -156,6 +159,9 @@
     /// reports of older versions.
     #[prost(message, repeated, tag = "13")]
     pub held: Vec<HeldRequests>,
+    /// Era of the store in which it gave out `revision`; absent from older builds, or if the store states none.
+    #[prost(uint32, optional, tag = "14")]
+    pub era: Option<u32>,
 }
 
 /// Requests of one priority class that an agent holds.
@@ -192,6 +198,9 @@
     /// Store revision of the balancer's configuration.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// Era of the store in which it gave out `revision`; absent from older builds, or if the store states none.
+    #[prost(uint32, optional, tag = "3")]
+    pub era: Option<u32>,
 }
 
 /// A later packet whose flow no candidate holds; the last candidate sends it.
@@ -243,6 +252,9 @@
     /// Digest of the flows as the agent read them, so that a damaged query has no effect.
     #[prost(fixed64, tag = "5")]
     pub digest: u64,
+    /// Era of the store in which it gave out `revision`; absent from older builds, or if the store states none.
+    #[prost(uint32, optional, tag = "6")]
+    pub era: Option<u32>,
 }
 
 /// Tells that the server of an agent has ended, and that the agent couldn't delete its registration.
@@ -254,6 +266,9 @@
     /// Store revision of the registration.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// Era of the store in which it gave out `revision`; absent from older builds, or if the store states none.
+    #[prost(uint32, optional, tag = "3")]
+    pub era: Option<u32>,
 }
 
 /// Returns the address from which [`address_to_number`] made a number.
--- a/components/wire/src/snapshot.rs
+++ b/components/wire/src/snapshot.rs
@@ -39,6 +39,26 @@
     /// milliseconds; absent if the sender doesn't know.
     #[prost(uint64, optional, tag = "9")]
     pub history_gap_ms: Option<u64>,
+    /// Era of the store in which it gave out `revision`; absent from older builds, or if the store states none.
+    #[prost(uint32, optional, tag = "10")]
+    pub era: Option<u32>,
+    /// Data centres whose state in `evacuated_centres` differs from that in the store, and holds for a time only.
+    #[prost(message, repeated, tag = "11")]
+    pub provisional_centres: Vec<ProvisionalEntry>,
+}
+
+/// A data centre whose state differs from that in the store, as the store has come back from an older copy.
+#[derive(Clone, PartialEq, Message)]
+pub struct ProvisionalEntry {
+    /// Name of the data centre.
+    #[prost(string, tag = "1")]
+    pub centre: String,
+    /// Whether it is evacuated.
+    #[prost(bool, tag = "2")]
+    pub evacuated: bool,
+    /// Time for which that holds, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub remaining_ms: u64,
 }
 
 /// A service that a route led to in an earlier version.
--- a/tests/platform_roles/fake_balancer.rs
+++ b/tests/platform_roles/fake_balancer.rs
@@ -56,6 +56,7 @@
         FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_to_number(own),
             revision,
+            era: None,
         }))
     }
 
@@ -100,12 +101,17 @@
 
     /// Sends a snapshot of this revision to the next process that connects.
     pub(crate) async fn serve_snapshot(&self, revision: u64) {
-        let (stream, _) = self.snapshots.accept().await.unwrap();
         let snapshot = SiteSnapshot {
             version: revision,
             revision,
             ..SiteSnapshot::default()
         };
+        self.serve(snapshot).await;
+    }
+
+    /// Sends a snapshot to the next process that connects.
+    pub(crate) async fn serve(&self, snapshot: SiteSnapshot) {
+        let (stream, _) = self.snapshots.accept().await.unwrap();
         let mut stream = Framed::new(stream, LengthDelimitedCodec::new());
         let bytes = Bytes::from(snapshot.encode_to_vec());
         stream.send(bytes).await.unwrap();
--- a/tests/platform_roles/handovers.rs
+++ b/tests/platform_roles/handovers.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use carobdrum_flows::version::StoreRevision;
 use carobdrum_platform::{
     registration_key,
     StoreClient, //
@@ -61,7 +62,7 @@
 struct EndedAgent {
     socket: UdpSocket,
     address: SocketAddrV4,
-    revision: u64,
+    revision: StoreRevision,
 }
 
 impl EndedAgent {
@@ -75,7 +76,7 @@
         EndedAgent {
             socket: UdpSocket::bind(address).await.unwrap(),
             address,
-            revision: listing.items[0].revision,
+            revision: StoreRevision::from_order(listing.items[0].revision),
         }
     }
 
@@ -83,7 +84,8 @@
     async fn hand_over(&self, from: &UdpSocket, balancer: &RoleProcess) {
         let message = FlowDatagram::encode_body(FlowBody::RegistrationEnded(RegistrationEnded {
             agent: address_to_number(self.address),
-            revision: self.revision,
+            revision: self.revision.number,
+            era: Some(self.revision.era),
         }));
         let to = SocketAddrV4::new(balancer.ip, balancer.peer_port);
         from.send_to(&message, to).await.unwrap();
@@ -146,7 +148,7 @@
     match cause {
         1 => store.put(&registration_key(agent.address), VALUE),
         2 => from = &other,
-        3 => agent.revision += 1,
+        3 => agent.revision.number += 1,
         4 => {
             agent.address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, free_port());
             agent.socket = UdpSocket::bind(agent.address).await.unwrap();
@@ -183,7 +185,8 @@
             match FlowDatagram::decode(&buffer[..length]).unwrap().body {
                 Some(FlowBody::RegistrationEnded(message)) => {
                     assert_eq!(message.agent, address_to_number(agent.packets));
-                    assert_eq!(message.revision, listing.items[0].revision);
+                    let revision = StoreRevision::new(message.era.unwrap(), message.revision);
+                    assert_eq!(revision.order(), listing.items[0].revision);
                     messages += 1;
                     let probe = balancer.probe(0);
                     balancer
--- a/tests/platform_roles/main.rs
+++ b/tests/platform_roles/main.rs
@@ -8,6 +8,7 @@
 mod role_process;
 mod saved_flows;
 mod silent_servers;
+mod store_returns;
 
 use std::{
     fs,
@@ -164,6 +165,7 @@
     let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
         balancer: address_to_number(SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 3), peer_port)),
         revision: 9,
+        era: None,
     }));
     gone.socket.send_to(&probe, address).await.unwrap();
     drop(gone.socket);
