Save the long flows again after a return of the store

What callers saw: not measured. After a loss of power that follows the store's return, requests on the long flows wait for their deadlines, as the saved list was lost with the copy. Cause: an agent writes its list only when it has changed, and counted the lost list as stored. Change: when a later era is known, the list that the store holds counts as unknown, so the next save writes it. An agent that has saved nothing writes nothing. Result: lists_are_saved_again_after_a_return_of_the_store failed with the call left out and passes with it.

--- a/components/flows/src/connection/flow_saver.rs
+++ b/components/flows/src/connection/flow_saver.rs
@@ -59,6 +59,13 @@
         self.stored = StoredList::Unknown;
     }
 
+    /// Records that the store may have come back from a copy that lacks the list written last.
+    pub fn note_lost(&mut self) {
+        if matches!(self.stored, StoredList::Known(_)) {
+            self.stored = StoredList::Unknown;
+        }
+    }
+
     /// Returns whether a list has to be written.
     pub fn is_changed(&self, list: &SavedFlows) -> bool {
         match &self.stored {
--- a/components/flows/tests/saved_flows.rs
+++ b/components/flows/tests/saved_flows.rs
@@ -362,10 +362,14 @@
     let mut advanced = list([1, 2]);
     let mut other_run = list([1, 2]);
     other_run.run.started_ms += 1;
+    saver.note_lost();
     assert!(!saver.is_changed(&list([])), "nothing was saved");
     assert!(saver.is_changed(&advanced));
     saver.note_saved(list([2, 1]), 32, START, 0.5);
     assert!(!saver.is_changed(&advanced));
+    saver.note_lost();
+    assert!(saver.is_changed(&advanced), "the store may lack it");
+    saver.note_saved(list([2, 1]), 32, START, 0.5);
     advanced.flows[1].sequence = SEQUENCE.wrapping_add(38_400);
     assert!(!saver.is_changed(&advanced));
     advanced.flows[1].sequence = SEQUENCE.wrapping_add(38_401);
--- a/components/forwarder/src/process/flow_saving.rs
+++ b/components/forwarder/src/process/flow_saving.rs
@@ -88,6 +88,7 @@
         }
     }
     let mut client = arguments.store.client(CALL_TIMEOUT);
+    let mut era = arguments.store.era.newest();
     let key = saved_key(arguments.agent);
     loop {
         let pause = saver.next_save().since(BootClock.now());
@@ -100,6 +101,10 @@
         let Ok(flows) = flows.await else {
             return;
         };
+        let before = std::mem::replace(&mut era, arguments.store.era.newest());
+        if before != era {
+            saver.note_lost();
+        }
         let Some(list) = flows.filter(|list| saver.is_changed(list)) else {
             saver.note_unchanged(BootClock.now(), random());
             continue;
--- a/tests/platform_roles/saved_flows.rs
+++ b/tests/platform_roles/saved_flows.rs
@@ -43,11 +43,16 @@
     site.agent.send_heartbeat(1, 1, "ready").await;
     site.open_flow().await;
     site.store.set_mode(mode);
-    for sequence in 2..9 {
+    send_heartbeats(&site, 2).await;
+    site
+}
+
+/// Sends heartbeats of run 1 from this sequence number for several saves.
+async fn send_heartbeats(site: &FlowSite, first: u64) {
+    for sequence in first..first + 7 {
         sleep(SAVE_TIME / 7).await;
         site.agent.send_heartbeat(1, sequence, "ready").await;
     }
-    site
 }
 
 /// Returns a site whose agent has saved a flow, was killed, and starts again with this mode of the store.
@@ -126,6 +131,22 @@
     assert_eq!(site.store.keys("saved/").len(), 1);
 }
 
+/// Guards against a list that is missing after the store's return from a copy without it, as its flows haven't changed.
+#[tokio::test]
+async fn lists_are_saved_again_after_a_return_of_the_store() {
+    let site = FlowSite::start_with(SAVE_FLOWS).await;
+    site.agent.wait_for_status(200).await;
+    site.agent.send_heartbeat(1, 1, "ready").await;
+    let copy = site.store.copy();
+    site.open_flow().await;
+    send_heartbeats(&site, 2).await;
+    assert_eq!(site.store.keys("saved/").len(), 1);
+    site.store.restore(&copy, POLL_INTERVAL);
+    assert_eq!(site.store.keys("saved/").len(), 0);
+    send_heartbeats(&site, 9).await;
+    assert_eq!(site.store.keys("saved/").len(), 1);
+}
+
 /// Guards against calls to the store that tell nothing: without the setting, or without long flows.
 #[rstest]
 #[case::off("[flows]\nreset_lost = true\n", 1)]
