Keep what is known of agents through a return of the store

What callers saw: not measured with processes. A live agent that had registered after the copy was dropped from a balancer's owners at once, so flows on it could be reset; an ended registration of the copy counted as owner again, and an old entry got flows or turned a leaving server ready. Cause: a list replaced all members, whatever era it was of, and any write with a higher number ended a mark of the former era. Change: the first list of an era tells no more than the copy. Agents that it lacks stay possible owners until a series of lists without a gap has lacked their entries for 2.5 s, as after an outage. Registrations that had ended stay so until a later write or a packet. An entry of an agent that isn't known gets no flow before the agent has reported; one of a known agent changes nothing. Marks name order numbers, so one of the copy fits no registration of the new era. Not covered: a balancer that starts in the second after the return, before such an agent is back, knows nothing of it.

--- a/components/flows/src/process/agent_table/members.rs
+++ b/components/flows/src/process/agent_table/members.rs
@@ -6,7 +6,8 @@
 
 use super::{
     AgentState,
-    AgentTable, //
+    AgentTable,
+    FIRST_REPORT_TIMEOUT, //
 };
 use crate::process::{
     AgentRecord,
@@ -19,8 +20,13 @@
     pub fn apply_members(&mut self, update: MemberUpdate, now: Millis) -> Vec<SocketAddrV4> {
         match update {
             MemberUpdate::Listed(listing) => {
+                let begins_era = self.members.begins_era(&listing);
                 let gone = self.members.apply_listing(&listing);
-                self.apply_entries(listing.entries, now);
+                if begins_era {
+                    self.apply_copied_entries(listing.entries, now);
+                } else {
+                    self.apply_entries(listing.entries, now);
+                }
                 return gone;
             }
             MemberUpdate::Registered(record, revision) => {
@@ -132,6 +138,24 @@
         self.members.confirmed_since()
     }
 
+    /// Applies the entries of a store that has come back from an older copy. They say nothing new of an agent that is
+    /// known. One that isn't known may be gone, and gets no flow before it has reported itself.
+    fn apply_copied_entries(&mut self, mut records: Vec<AgentRecord>, now: Millis) {
+        records.sort_by_key(|record| record.address);
+        self.expire_missing(&records, now);
+        for record in records {
+            if let Err(index) = self.find(record.address) {
+                let unproven = AgentState {
+                    unanswered_since: Some(Millis(now.0.saturating_sub(FIRST_REPORT_TIMEOUT.0))),
+                    ..AgentState::new(record)
+                };
+                self.agents.insert(index, unproven);
+            }
+        }
+        self.loaded = true;
+        self.index();
+    }
+
     /// Applies the entries of a listing. Listings may follow each other quickly, so one that is unchanged
     /// says nothing about an agent that doesn't answer; it remains suspect.
     fn apply_entries(&mut self, mut records: Vec<AgentRecord>, now: Millis) {
--- a/components/flows/src/process/ended_registrations.rs
+++ b/components/flows/src/process/ended_registrations.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Records that the store has come back from an older copy, and was listed first at this revision. The copy may
+    /// hold the registrations again, so only a later write shows that an agent is back.
+    pub(crate) fn carry_over(&mut self, revision: u64) {
+        for item in &mut self.items {
+            item.revision = item.revision.max(revision);
+        }
+    }
+
     /// Records a packet of the agent; returns whether its registration counted as ended.
     pub(crate) fn refute(&mut self, address: SocketAddrV4) -> bool {
         let Ok(index) = self.find(address) else {
--- a/components/flows/src/process/member_update.rs
+++ b/components/flows/src/process/member_update.rs
@@ -13,9 +13,11 @@
     pub entries: Vec<AgentRecord>,
     /// Registrations, which have none.
     pub registrations: Vec<AgentRecord>,
-    /// Revision of each agent's last write, sorted by address.
+    /// Order number of the list; see [`StoreRevision`](crate::version::StoreRevision).
+    pub revision: u64,
+    /// Order number of each agent's last write, sorted by address.
     pub revisions: Vec<(SocketAddrV4, u64)>,
-    /// Absent agents with the revisions of the registrations for which they are marked, sorted by address.
+    /// Absent agents with the order numbers of the registrations for which they are marked, sorted by address.
     pub absent: Vec<(SocketAddrV4, u64)>,
     /// Time before the first request of the listing was sent.
     pub started: Millis,
@@ -28,7 +30,7 @@
 pub enum MemberUpdate {
     /// All keys.
     Listed(MemberListing),
-    /// A registration was written at this revision.
+    /// A registration was written at this order number.
     Registered(AgentRecord, u64),
     /// A registration was deleted.
     Unregistered(SocketAddrV4),
--- a/components/flows/src/process/registered_members.rs
+++ b/components/flows/src/process/registered_members.rs
@@ -10,6 +10,7 @@
     AgentRecord,
     MemberListing, //
 };
+use crate::version::StoreRevision;
 
 /// Time for which an entry must be missing, while the store answers, until its agent counts as gone. An
 /// agent that lives writes its entry within about two seconds after the store's return.
@@ -50,8 +51,10 @@
     /// Hash of the service's name.
     service: u32,
     is_registered: bool,
+    /// Whether the store has come back from a copy that lacks the agent's keys, so that it may write them again.
+    is_former: bool,
     entry: EntryState,
-    /// Revision of the last write of its keys; zero if it isn't known.
+    /// Order number of the last write of its keys; zero if it isn't known.
     revision: u64,
     /// Whether a mark says that the agent has been absent for long.
     is_marked: bool,
@@ -67,6 +70,7 @@
             address,
             service,
             is_registered: false,
+            is_former: false,
             entry: EntryState::Missing { since: None },
             revision: 0,
             is_marked: false,
@@ -98,22 +102,31 @@
 /// An agent has an entry with a lease and, unless its build is older, a registration without one. A
 /// registered agent without an entry counts until a series of listings has lacked the entry for
 /// `MISSING_TIMEOUT`. A failed request, or a pause between two listings in which nothing shows that the
-/// store answered, begins the series anew, since the agent may not have been able to write its entry.
+/// store answered, begins the series anew, since the agent may not have been able to write its entry. So does a
+/// return of the store from an older copy, which may lack an agent that lives.
 #[derive(Debug, Default)]
 pub struct RegisteredMembers {
     members: Vec<MemberState>,
     /// Response to the last listing; `None` before the first one and after a failed request.
     last_listed: Option<Millis>,
     confirmed_since: Option<Millis>,
+    /// Era of the last listing; zero before the first one, or if the store states none.
+    era: u32,
     ended: EndedRegistrations,
 }
 
 impl RegisteredMembers {
     /// Applies a complete list; returns the agents that count as gone from now on.
     pub fn apply_listing(&mut self, listing: &MemberListing) -> Vec<SocketAddrV4> {
-        let is_continued = self
-            .last_listed
-            .is_some_and(|last| listing.started.since(last) <= MAX_LISTING_GAP);
+        let begins_era = self.begins_era(listing);
+        let is_continued = !begins_era
+            && self
+                .last_listed
+                .is_some_and(|last| listing.started.since(last) <= MAX_LISTING_GAP);
+        if begins_era {
+            self.ended.carry_over(listing.revision);
+        }
+        self.era = StoreRevision::from_order(listing.revision).era;
         let before = std::mem::take(&mut self.members);
         let known = |address| {
             let found = before.binary_search_by_key(&address, |member| member.address);
@@ -134,6 +147,9 @@
         for record in &listing.entries {
             self.note_entry(record);
         }
+        for member in before {
+            self.keep_former(member, begins_era);
+        }
         for (address, revision) in &listing.revisions {
             self.note_written(*address, *revision);
         }
@@ -162,6 +178,25 @@
         gone
     }
 
+    /// Returns whether the store has come back from an older copy since the last listing.
+    pub(crate) fn begins_era(&self, listing: &MemberListing) -> bool {
+        self.era > 0 && StoreRevision::from_order(listing.revision).era > self.era
+    }
+
+    /// Keeps an agent that the store's copy lacks, until it counts as gone.
+    fn keep_former(&mut self, mut member: MemberState, begins_era: bool) {
+        let is_kept = begins_era || member.is_former;
+        if !is_kept || member.entry == EntryState::Gone {
+            return;
+        }
+        if let Err(index) = self.find(member.address) {
+            member.is_registered = false;
+            member.is_former = true;
+            member.note_missing();
+            self.members.insert(index, member);
+        }
+    }
+
     /// Records that a request to the store has failed.
     pub fn note_failure(&mut self) {
         self.last_listed = None;
@@ -188,7 +223,7 @@
         self.remove_unlisted(index);
     }
 
-    /// Records that a key of an agent was written at this revision.
+    /// Records that a key of an agent was written at this order number.
     pub fn note_written(&mut self, address: SocketAddrV4, revision: u64) {
         self.ended.note_written(address, revision);
         if let Ok(index) = self.find(address) {
@@ -241,6 +276,7 @@
             Ok(index) => {
                 let member = &mut self.members[index];
                 member.is_registered = true;
+                member.is_former = false;
                 member.is_marked = false;
                 member.service = service;
                 if member.entry == EntryState::Gone {
@@ -259,6 +295,7 @@
     pub fn remove_registration(&mut self, address: SocketAddrV4) {
         if let Ok(index) = self.find(address) {
             self.members[index].is_registered = false;
+            self.members[index].is_former = false;
             self.remove_unlisted(index);
         }
     }
@@ -350,7 +387,7 @@
     /// Removes a member of which the store lists nothing.
     fn remove_unlisted(&mut self, index: usize) {
         let member = &self.members[index];
-        if !member.is_registered && member.entry != EntryState::Present {
+        if !member.is_registered && !member.is_former && member.entry != EntryState::Present {
             self.members.remove(index);
         }
     }
--- a/components/forwarder/src/process/agent_events.rs
+++ b/components/forwarder/src/process/agent_events.rs
@@ -129,6 +129,7 @@
         let listing = MemberListing {
             entries,
             registrations: records,
+            revision: listing.revision,
             revisions: last_writes,
             absent,
             started,
