Show peers the end of an evacuation that was learned by a list

Cause: balancers that list the keys after a 410 find the entry gone, and a deletion leaves no item with a revision. They showed the revision from before, so agents of the data centre weren't told and refused. Change: a list that changes the evacuations raises the revision to that of the list; one that changes nothing doesn't. Result: a_list_that_changes_the_state_is_shown_to_peers failed before (revision 5 in place of 9) and passes; the search of config_search.rs still finds no order of events that restores an older state.

--- a/components/forwarder/src/process/config_tracker.rs
+++ b/components/forwarder/src/process/config_tracker.rs
@@ -122,6 +122,8 @@
             );
         }
         let known = self.version();
+        let is_first = self.revision == 0;
+        let evacuated = self.evacuations.in_force(now);
         let mut entries = Vec::new();
         for item in listing.items {
             entries.extend(self.read_item(item, now));
@@ -131,6 +133,10 @@
             // The list shows the last version only, and there may have been others in between.
             self.history_complete_at = now.plus(self.flow_lifetime);
         }
+        if !is_first && evacuated != self.evacuations.in_force(now) {
+            // A deletion leaves no item whose revision would show the change to peers.
+            self.revision = self.revision.max(revision);
+        }
         // The list may have been read before the last change that peers have seen.
         self.revision = self.revision.max(peer_revision.min(revision));
         // What is in force is that of the new era now, also if no key was written in it yet.
--- a/components/forwarder/src/process/evacuation_state.rs
+++ b/components/forwarder/src/process/evacuation_state.rs
@@ -40,14 +40,16 @@
 }
 
 impl EvacuationState {
-    /// Returns the data centres that are evacuated at `now`.
+    /// Returns the data centres that are evacuated at `now`, sorted.
     pub(super) fn in_force(&mut self, now: Millis) -> Vec<CompactString> {
         self.expire(now);
         let listed = self.listed.iter().map(|entry| &entry.centre);
         let listed = listed.filter(|centre| self.find_provisional(centre).is_err());
         let held = self.provisional.iter().filter(|state| state.is_evacuated);
         let held = held.map(|state| &state.centre);
-        listed.chain(held).cloned().collect()
+        let mut centres: Vec<CompactString> = listed.chain(held).cloned().collect();
+        centres.sort();
+        centres
     }
 
     /// Returns the states that differ from those in the store.
--- a/components/forwarder/tests/config_tracker.rs
+++ b/components/forwarder/tests/config_tracker.rs
@@ -229,3 +229,18 @@
     assert_eq!(tracker.next_expiry(), Some(end));
     assert!(!tracker.refresh(end).unwrap().is_evacuated(CENTRE));
 }
+
+/// Guards against agents that aren't told of the end of an evacuation, as their balancers have learned it by a list and
+/// show no newer revision. A list that changes nothing isn't shown, since every process would read it again.
+#[test]
+fn a_list_that_changes_the_state_is_shown_to_peers() {
+    let mut tracker = ConfigTracker::new(FLOW_LIFETIME);
+    let evacuated = vec![config_item(1, 1), evacuation_item(5)];
+    tracker.apply_event(listing(evacuated, 7), 0, NOW);
+    assert_eq!(tracker.revision(), 5);
+    for revision in [9, 12] {
+        let config = tracker.apply_event(listing(vec![config_item(1, 1)], revision), 0, NOW);
+        assert!(!config.unwrap().is_evacuated(CENTRE));
+        assert_eq!(tracker.revision(), 9);
+    }
+}
