--- a/tests/platform_roles/odd_heartbeats.rs
+++ b/tests/platform_roles/odd_heartbeats.rs
@@ -20,7 +20,8 @@
 }
 
 /// Guards against an agent that takes an incomplete heartbeat, or one of another service, for a new run of its server:
-/// it reset the flows of the live server, and delivered flows of the other service to it.
+/// it reset the flows of the live server, and delivered flows of the other service to it. So it did with one whose start
+/// isn't a whole number, which can't come from a server.
 #[rstest]
 #[case::without_service(r#""Service":"s","#, "")]
 #[case::without_address(r#""Address":"127.0.0.1:1","#, "")]
@@ -32,6 +33,10 @@
 #[case::without_sequence(r#""Sequence":1,"#, "")]
 #[case::without_start(r#","born":2"#, "")]
 #[case::version_of_another_type(r#""Version":"v1""#, r#""Version":1"#)]
+#[case::start_with_a_fraction(r#""born":2"#, r#""born":2.5"#)]
+#[case::start_of_another_type(r#""born":2"#, r#""born":"2""#)]
+#[case::sequence_with_a_fraction(r#""Sequence":1"#, r#""Sequence":5000.5"#)]
+#[case::slots_with_a_fraction(r#""Slots":2"#, r#""Slots":2.5"#)]
 #[case::unknown_state(r#""State":"ready""#, r#""State":"asleep""#)]
 #[case::another_service(r#""Service":"s""#, r#""Service":"t""#)]
 #[tokio::test]
