Limit a cold server before the configuration is known

Cause: an agent without a configuration took the unknown limit for none, for over a second, as it waited for the store before it asked a balancer. Change: without a configuration a cold server gets the slack alone, which is below any limit. The agent asks a balancer after 100 to 300 ms beside its read of the store.

--- a/components/flows/src/connection/flow_tracker.rs
+++ b/components/flows/src/connection/flow_tracker.rs
@@ -363,9 +363,10 @@
     /// Removes flows that have been idle longer than the configuration allows them to be, and the load of
     /// idle requests.
     pub fn expire(&mut self, now: Millis) {
-        let idle_timeout = self.config.as_ref().map_or(CLOSED_RETENTION, |config| {
-            config.idle_timeout.plus(CLOSED_RETENTION)
-        });
+        let idle_timeout = match &self.config {
+            Some(config) => config.idle_timeout.plus(CLOSED_RETENTION),
+            None => self.settings.flow_lifetime,
+        };
         self.owners.expire(now, self.settings.flow_lifetime);
         self.recent_flows.expire(now, self.settings.flow_lifetime);
         let load = &mut self.load;
--- a/components/flows/src/connection/flow_tracker/opening.rs
+++ b/components/flows/src/connection/flow_tracker/opening.rs
@@ -283,13 +283,16 @@
         (!allows).then_some(RedirectCause::WrongService)
     }
 
-    /// Returns whether the server may get another flow under the cold-start limit of its service.
+    /// Returns whether the server may get another flow under the cold-start limit of its service. Before the configuration
+    /// is known, any service may have a limit, which is no lower than the slack.
     pub(super) fn cold_has_room(&mut self, now: Millis) -> bool {
-        let rate = self
-            .config
-            .as_ref()
-            .and_then(|config| config.service(&self.settings.service))
-            .and_then(|config| config.cold_rate);
+        let rate = match &self.config {
+            Some(config) => {
+                let service = config.service(&self.settings.service);
+                service.and_then(|service| service.cold_rate)
+            }
+            None => Some(0.0),
+        };
         let Some(rate) = rate else {
             return true;
         };
--- a/components/flows/tests/flow_tracking.rs
+++ b/components/flows/tests/flow_tracking.rs
@@ -453,6 +453,9 @@
 const COLD_RATE: f64 = 10.0;
 const COLD_LIMIT: usize = 19;
 
+/// The same before the configuration is known: the slack alone.
+const UNKNOWN_LIMIT: usize = 4;
+
 /// Window in which the new flows of a cold server are counted.
 const COLD_WINDOW: Millis = Millis(1_100);
 
@@ -501,6 +504,34 @@
     assert_eq!(accepted_flows(&mut tracker, 200, later), 0);
 }
 
+/// Guards against the full rate at a cold server before the configuration is known, which tells its limit, and against a
+/// limit of a warm one.
+#[test]
+fn limits_new_flows_of_a_cold_server_without_a_configuration() {
+    let mut cold = support::start_tracker();
+    cold.handle_heartbeat(cold_heartbeat(1), Millis(0));
+    assert_eq!(accepted_flows(&mut cold, 0, Millis(100)), 0);
+    let later = COLD_WINDOW.plus(Millis(100));
+    assert_eq!(accepted_flows(&mut cold, 100, later), UNKNOWN_LIMIT);
+    cold.set_config(Arc::new(config(1)), later);
+    assert!(accepted_flows(&mut cold, 200, later.plus(Millis(100))) > COLD_LIMIT);
+    let mut warm = support::start_tracker();
+    warm.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(0));
+    assert!(accepted_flows(&mut warm, 0, Millis(100)) > COLD_LIMIT);
+}
+
+/// Guards against idle flows that are forgotten before the configuration tells how long they may be idle.
+#[test]
+fn keeps_idle_flows_without_a_configuration() {
+    let mut tracker = support::start_tracker();
+    tracker.handle_heartbeat(heartbeat(1, BackendState::Ready), Millis(0));
+    open_flow(&mut tracker, 1, Millis(100));
+    tracker.expire(Millis(14_000));
+    assert_eq!(tracker.open_flows(), 1);
+    tracker.expire(Millis(61_000));
+    assert_eq!(tracker.open_flows(), 0);
+}
+
 /// Guards against the full rate in the last millisecond of a cold period, which a report that rounds the
 /// remaining time down doesn't cover.
 #[test]
--- a/components/forwarder/src/process/config_tasks.rs
+++ b/components/forwarder/src/process/config_tasks.rs
@@ -38,6 +38,9 @@
 /// Time over which agents spread their requests to a balancer that shows a new configuration.
 const FETCH_SPREAD: Duration = Duration::from_millis(200);
 
+/// Time for which an agent without a configuration waits for the store, when it could ask a balancer as well.
+const STORE_HEAD_START: Duration = Duration::from_millis(100);
+
 /// Time for a read of the store by an agent that could ask a balancer instead.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -81,7 +84,11 @@
     port: u16,
     store: StoreEndpoint,
 ) {
-    read_config(&state, &store, &peer_revisions).await;
+    let mut shown = peer_revisions.clone();
+    tokio::select! {
+        () = read_config(&state, &store, &peer_revisions) => {}
+        () = adopt_first(&state, &mut shown, port) => {}
+    }
     while wait_for_newer(&state, &mut peer_revisions).await.is_some() {
         let delay = FETCH_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
         sleep(delay).await;
@@ -92,6 +99,25 @@
     }
 }
 
+/// Fetches the first configuration of an agent from a balancer, unless the store delivers it soon. Without one, the agent
+/// knows no limit of a cold server.
+async fn adopt_first(
+    state: &Rc<SiteState>,
+    peer_revisions: &mut watch::Receiver<PeerRevision>,
+    port: u16,
+) {
+    while !state.has_config() {
+        if wait_for_newer(state, peer_revisions).await.is_none() {
+            return;
+        }
+        let spread = FETCH_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        sleep(STORE_HEAD_START + spread).await;
+        if !state.has_config() {
+            adopt_newest(state, peer_revisions, port).await;
+        }
+    }
+}
+
 /// Adopts the configuration of the process that showed the highest revision last, which is the
 /// likeliest to run; returns that revision.
 async fn adopt_newest(
--- a/tests/platform_roles/main.rs
+++ b/tests/platform_roles/main.rs
@@ -172,6 +172,30 @@
     tokio::join!(lives.show_until(address, 9, 9), lives.serve_snapshot(9));
 }
 
+/// Time within which an agent gets its first configuration from a balancer, less than that of one attempt to read the store.
+const FIRST_CONFIG_LIMIT: Duration = Duration::from_millis(900);
+
+/// Guards against an agent that waits for a silent store although a balancer could tell it the configuration: meanwhile it
+/// doesn't know the limit of its server.
+#[tokio::test]
+async fn an_agent_without_the_store_asks_a_balancer_soon() {
+    let store = start_store().await;
+    store.set_mode(StoreMode::Unresponsive);
+    let (packet_port, peer_port) = (free_port(), free_port());
+    let agent = start_agent_at(&store, packet_port, peer_port);
+    let address = SocketAddrV4::new(agent.ip, packet_port);
+    agent.wait_for_status(200).await;
+    let balancer = FakeBalancer::start(Ipv4Addr::new(127, 0, 0, 11), peer_port).await;
+    let told = async {
+        tokio::join!(
+            balancer.show_until(address, 9, 9),
+            balancer.serve_snapshot(9)
+        )
+    };
+    let told = timeout(FIRST_CONFIG_LIMIT, told).await;
+    assert!(told.is_ok(), "the agent has no configuration yet");
+}
+
 /// Guards against an agent without a configuration because a balancer shows one while the agent
 /// reads the store, and then doesn't deliver it.
 #[tokio::test]
