Let the store come back from older copies in the soak

Change: a kind of run with returns from copies of up to twelve faults ago, beside kills, pauses, silent stores, changes and evacuations; at its end the last change has to be in force at all processes within 3 s.

--- a/tests/platform_soak/main.rs
+++ b/tests/platform_soak/main.rs
@@ -7,6 +7,7 @@
 mod soak_faults;
 mod soak_overload;
 mod soak_power;
+mod soak_returns;
 mod soak_router;
 mod soak_server;
 mod soak_site;
@@ -65,6 +66,9 @@
 /// Duration of the load without faults at the end.
 const CALM_DURATION: Duration = Duration::from_secs(2);
 
+/// Time within which a change is in force everywhere.
+const APPLY_DURATION: Duration = Duration::from_secs(3);
+
 /// Duration of the overload.
 const OVERLOAD_DURATION: Duration = Duration::from_secs(6);
 
@@ -100,8 +104,19 @@
     let (mut site, under_faults) = tokio::join!(faults, callers);
     site.end_faults().await;
     sleep(RECOVERY_DURATION).await;
+    if set == FaultSet::Returns {
+        site.change_config();
+    }
     let calm = run_callers(&router, base, 1, CALM_DURATION).await;
     println!("seed {seed}, {set:?}: {under_faults}, calm: {calm}");
+    if set == FaultSet::Returns {
+        sleep(APPLY_DURATION.saturating_sub(CALM_DURATION)).await;
+        let outdated = site.outdated_processes().await;
+        assert!(
+            outdated.is_empty(),
+            "seed {seed}: the last change isn't in force at {outdated:?}"
+        );
+    }
     check_guarantees(seed, &site, &[&under_faults, &calm]);
     check_served(seed, &under_faults, &calm);
     if set == FaultSet::Planned {
@@ -242,6 +257,14 @@
     run_seed(seed, FaultSet::All, FLOW_OPTIONS).await;
 }
 
+/// Guards against guarantees that are violated when the store comes back from older copies, beside all other faults.
+#[rstest]
+#[case::first(8)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn meets_guarantees_when_the_store_comes_back(#[case] seed: u64) {
+    run_seed(seed, FaultSet::Returns, FLOW_OPTIONS).await;
+}
+
 /// Guards against callers that wait in silence on flows that a loss of power ended.
 #[rstest]
 #[case::first(4)]
@@ -280,6 +303,7 @@
         .expect("SOAK_SEEDS is not a range such as 1..51");
     for seed in first.parse().unwrap()..end.parse().unwrap() {
         match seed % 8 {
+            0 if seed % 16 == 8 => run_seed(seed, FaultSet::Returns, FLOW_OPTIONS).await,
             0 => run_seed(seed, FaultSet::All, NO_OPTIONS).await,
             2 => run_seed(seed, FaultSet::All, FLOW_OPTIONS).await,
             4 => run_power_loss(seed).await,
--- a/tests/platform_soak/soak_faults.rs
+++ b/tests/platform_soak/soak_faults.rs
@@ -25,6 +25,8 @@
 pub(crate) enum FaultSet {
     /// All faults.
     All,
+    /// All faults, and returns of the store from older copies.
+    Returns,
     /// Planned work only: stops by SIGTERM, changed settings and configurations, evacuations and
     /// servers that are replaced.
     Planned,
@@ -41,9 +43,17 @@
     let mut count = 0;
     while Instant::now() < end {
         match set {
-            FaultSet::All if random.random_range(0..4) > 0 => inject_fault(site, random).await,
+            FaultSet::Returns if count > 0 && random.random_range(0..3) == 0 => {
+                site.return_store(random).await;
+            }
+            FaultSet::All | FaultSet::Returns if random.random_range(0..4) > 0 => {
+                inject_fault(site, random).await
+            }
             _ => plan_work(site, random).await,
         }
+        if set == FaultSet::Returns {
+            site.keep_copy();
+        }
         site.replace_servers().await;
         count += 1;
         if count % FAULTS_PER_RESTART == 0 {
--- a/tests/platform_soak/soak_power.rs
+++ b/tests/platform_soak/soak_power.rs
@@ -123,6 +123,7 @@
     sum_counts(callers).await
 }
 
-fn draw_ms(range: std::ops::Range<u64>, random: &mut SmallRng) -> Duration {
+/// Returns a random duration.
+pub(crate) fn draw_ms(range: std::ops::Range<u64>, random: &mut SmallRng) -> Duration {
     Duration::from_millis(random.random_range(range))
 }
--- a/tests/platform_soak/soak_site.rs
+++ b/tests/platform_soak/soak_site.rs
@@ -1,6 +1,7 @@
 //! The processes, servers and the store of a soak test.
 
 use std::{
+    collections::VecDeque,
     fs::{
         self,
         File, //
@@ -21,6 +22,7 @@
     FlowServerSettings,
     LeaseServer,
     ServerLog,
+    StoreCopy,
     StoreMode, //
 };
 use carobdrum_standins::LoopbackRange;
@@ -39,7 +41,7 @@
 
 pub(crate) const PACKETS_PORT: u16 = 8_172;
 pub(crate) const READY_PORT: u16 = 8_167;
-const PEER_PORT: u16 = 7_720;
+pub(crate) const PEER_PORT: u16 = 7_720;
 const OUTGOING_PORT: u16 = 8_162;
 const SERVER_PORT: u16 = 8_165;
 const HEARTBEAT_PORT: u16 = 8_166;
@@ -49,7 +51,7 @@
 pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 pub(crate) const BULK_ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
 pub(crate) const BALANCERS: u8 = 3;
-const AGENTS: u8 = 4;
+pub(crate) const AGENTS: u8 = 4;
 
 /// Table of optional features in the settings of all processes.
 pub(crate) const FLOW_OPTIONS: &str =
@@ -60,7 +62,7 @@
 
 /// Third octets of the addresses of balancers and agents.
 pub(crate) const BALANCER_NET: u8 = 1;
-const AGENT_NET: u8 = 2;
+pub(crate) const AGENT_NET: u8 = 2;
 
 /// What the processes and servers of a run differ in from those of other runs.
 #[derive(Clone, Copy, Debug)]
@@ -94,8 +96,11 @@
     pub(crate) servers: Vec<SoakServer>,
     pub(crate) log: ServerLog,
     pub(crate) losses: Vec<PowerLoss>,
+    /// Copies of the store, the oldest first.
+    pub(crate) copies: VecDeque<StoreCopy>,
     terms: SiteTerms,
-    version: u64,
+    /// Last version of the configuration that the operator has written.
+    pub(crate) version: u64,
     folder: TempDir,
     /// Declared last, so that it is free only when nothing listens in it any more.
     range: LoopbackRange,
@@ -160,6 +165,7 @@
             servers: Vec::new(),
             log: ServerLog::default(),
             losses: Vec::new(),
+            copies: VecDeque::new(),
             terms,
             version: 0,
             folder: TempDir::new().unwrap(),
