--- a/components/forwarder/src/connection/agent_reporter.rs
+++ b/components/forwarder/src/connection/agent_reporter.rs
@@ -16,7 +16,7 @@
 use tracing::info;
 
 use super::{
-    peer_revision::message_revision,
+    peer_revision::revision_and_era,
     report_codec::encode_report,
     udp_endpoint::UdpEndpoint, //
 };
@@ -82,7 +82,7 @@
         let Some(Handover { revision, .. }) = self.handover else {
             return;
         };
-        let (revision, era) = message_revision(revision);
+        let (revision, era) = revision_and_era(revision);
         let message = FlowDatagram::encode_body(FlowBody::RegistrationEnded(RegistrationEnded {
             agent: address_to_number(self.address),
             revision,
--- a/components/forwarder/src/connection/agent_traffic.rs
+++ b/components/forwarder/src/connection/agent_traffic.rs
@@ -249,7 +249,7 @@
         let report = self.tracker.report(now);
         self.metrics.busy.set(i64::from(report.busy));
         self.metrics.held.queued.set(i64::from(report.queued));
-        NodeMetrics::set(&self.metrics.revision, report.revision);
+        self.metrics.set_revision(report.revision);
         self.tracker.expire(now);
         self.settle_former_flows(now);
         self.copies.expire(&self.tracker, now);
--- a/components/forwarder/src/connection/balancer_traffic.rs
+++ b/components/forwarder/src/connection/balancer_traffic.rs
@@ -65,7 +65,7 @@
     },
     hop_spans::HopSpans,
     peer_revision::{
-        message_revision,
+        revision_and_era,
         PeerRevisions, //
     },
     report_codec::decode_report,
@@ -340,7 +340,7 @@
         self.callers.check_drained(now);
         let unsent = self.callers.unsent + self.agents.unsent;
         NodeMetrics::set(&self.metrics.unsent, unsent);
-        NodeMetrics::set(&self.metrics.revision, self.revision());
+        self.metrics.set_revision(self.revision());
         NodeMetrics::set(&self.metrics.agents, self.router.agents.len() as u64);
         let config = self.router.config.as_ref();
         let idle_timeout = config.map_or(DEFAULT_IDLE_TIMEOUT, |config| config.idle_timeout);
@@ -373,7 +373,7 @@
 
     /// Sends a probe, which also shows the agent the revision in force here.
     fn send_probe(&mut self, agent: SocketAddrV4) {
-        let (revision, era) = message_revision(self.revision());
+        let (revision, era) = revision_and_era(self.revision());
         let probe = FlowDatagram::encode_body(FlowBody::Probe(ReportProbe {
             balancer: address_to_number(self.address),
             revision,
--- a/components/forwarder/src/connection/balancer_traffic/ended_agents.rs
+++ b/components/forwarder/src/connection/balancer_traffic/ended_agents.rs
@@ -14,7 +14,10 @@
 
 use super::BalancerTraffic;
 use crate::{
-    connection::HandedOver,
+    connection::{
+        revision_and_era,
+        HandedOver, //
+    },
     process::NodeMetrics, //
 };
 
@@ -25,7 +28,8 @@
         let revision = self.peers.order(message.era, message.revision);
         let is_valid = agent == from && message.revision != 0 && self.router.options.reset_lost;
         if !is_valid || !self.router.agents.note_ended(agent, revision) {
-            debug!(%from, %agent, revision, "end of a registration ignored");
+            let (revision, era) = revision_and_era(revision);
+            debug!(%from, %agent, revision, era, "end of a registration ignored");
             NodeMetrics::count(&self.metrics.deregistrations, "ignored");
             return;
         }
--- a/components/forwarder/src/connection/flow_log.rs
+++ b/components/forwarder/src/connection/flow_log.rs
@@ -29,6 +29,8 @@
     Level, //
 };
 
+use super::peer_revision::revision_and_era;
+
 const MAX_LINES_PER_S: u32 = 200;
 
 /// Writes a log line for each decision about a flow, up to the limit per second. `left_out` of a
@@ -47,22 +49,25 @@
 
     pub(crate) fn forwarded(&mut self, key: FlowKey, to: SocketAddrV4, header: &ForwardHeader) {
         if let Some(left_out) = self.limiter.admit() {
-            let (rest, near, revision) = (header.rest.len(), header.near, header.revision);
-            info!(flow = %key, %to, rest, near, revision, left_out, "flow forwarded");
+            let (rest, near) = (header.rest.len(), header.near);
+            let (revision, era) = revision_and_era(header.revision);
+            info!(flow = %key, %to, rest, near, revision, era, left_out, "flow forwarded");
         }
     }
 
     pub(crate) fn refused(&mut self, key: FlowKey, cause: DropCause, revision: u64) {
         if let Some(left_out) = self.limiter.admit() {
             let cause = cause.name();
-            info!(flow = %key, cause, revision, left_out, "flow refused");
+            let (revision, era) = revision_and_era(revision);
+            info!(flow = %key, cause, revision, era, left_out, "flow refused");
         }
     }
 
     pub(crate) fn dropped(&mut self, key: FlowKey, cause: DropCause, revision: u64) {
         if let Some(left_out) = self.limiter.admit() {
             let cause = cause.name();
-            info!(flow = %key, cause, revision, left_out, "packet dropped");
+            let (revision, era) = revision_and_era(revision);
+            info!(flow = %key, cause, revision, era, left_out, "packet dropped");
         }
     }
 
@@ -98,8 +103,9 @@
 
     pub(crate) fn delivered(&mut self, key: FlowKey, hops: u8, report: AgentReport) {
         if let Some(left_out) = self.limiter.admit() {
-            let (busy, slots, revision) = (report.busy, report.slots, report.revision);
-            info!(flow = %key, hops, busy, slots, revision, left_out, "opening packet delivered");
+            let (busy, slots) = (report.busy, report.slots);
+            let (revision, era) = revision_and_era(report.revision);
+            info!(flow = %key, hops, busy, slots, revision, era, left_out, "opening packet delivered");
         }
     }
 
@@ -202,7 +208,8 @@
         report: AgentReport,
     ) {
         if let Some(left_out) = self.limiter.admit() {
-            let (busy, slots, revision) = (report.busy, report.slots, report.revision);
+            let (busy, slots) = (report.busy, report.slots);
+            let (revision, era) = revision_and_era(report.revision);
             let outcome = refused.map_or("dropped", |_| "refused");
             info!(
                 flow = %key,
@@ -213,6 +220,7 @@
                 busy,
                 slots,
                 revision,
+                era,
                 left_out,
                 "packet not delivered"
             );
--- a/components/forwarder/src/connection/header_codec.rs
+++ b/components/forwarder/src/connection/header_codec.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use super::peer_revision::{
-    message_revision,
+    revision_and_era,
     PeerRevisions, //
 };
 use bytes::Bytes;
@@ -30,7 +30,7 @@
 /// Encodes a datagram of a header and its packet.
 pub(crate) fn encode_forward(header: &ForwardHeader, packet: Bytes) -> Vec<u8> {
     let best = header.best;
-    let (revision, era) = message_revision(header.revision);
+    let (revision, era) = revision_and_era(header.revision);
     FlowDatagram::encode_body(FlowBody::Forward(ForwardedPacket {
         balancer: address_to_number(header.balancer),
         centre: header.centre_hash,
--- a/components/forwarder/src/connection/mod.rs
+++ b/components/forwarder/src/connection/mod.rs
@@ -26,7 +26,7 @@
 pub use hop_spans::HopSpans;
 pub use peer_revision::PeerRevision;
 pub(crate) use peer_revision::{
-    message_revision,
+    revision_and_era,
     PeerRevisions, //
 };
 pub use report_codec::{
--- a/components/forwarder/src/connection/query_codec.rs
+++ b/components/forwarder/src/connection/query_codec.rs
@@ -19,7 +19,7 @@
 };
 
 use super::peer_revision::{
-    message_revision,
+    revision_and_era,
     PeerRevisions, //
 };
 
@@ -76,7 +76,7 @@
 
 /// Encodes the datagram of a reply.
 pub(crate) fn encode_reply(reply: QueryReply) -> Vec<u8> {
-    let (revision, era) = message_revision(reply.revision);
+    let (revision, era) = revision_and_era(reply.revision);
     FlowDatagram::encode_body(FlowBody::QueryReply(FlowQueryReply {
         id: reply.id,
         agent: address_to_number(reply.agent),
--- a/components/forwarder/src/connection/report_codec.rs
+++ b/components/forwarder/src/connection/report_codec.rs
@@ -15,7 +15,7 @@
     ServerReport, //
 };
 
-use super::peer_revision::message_revision;
+use super::peer_revision::revision_and_era;
 
 /// Returns the message of the report of an agent, whose server has this data centre and service.
 pub fn encode_report(
@@ -24,7 +24,7 @@
     centre: &str,
     service: &str,
 ) -> ServerReport {
-    let (revision, era) = message_revision(report.revision);
+    let (revision, era) = revision_and_era(report.revision);
     let held = report.held.iter().map(|(class, count)| HeldRequests {
         class: u32::from(class),
         count,
--- a/components/forwarder/src/process/absence_marker.rs
+++ b/components/forwarder/src/process/absence_marker.rs
@@ -34,7 +34,10 @@
     node_metrics::NodeMetrics,
     store_backoff::CALL_TIMEOUT, //
 };
-use crate::connection::BalancerUpdate;
+use crate::connection::{
+    revision_and_era,
+    BalancerUpdate, //
+};
 
 /// Time for which an entry has to be missing before its agent is marked, and longest random delay
 /// after it.
@@ -167,7 +170,8 @@
             }
         };
         let name = outcome.name();
-        info!(%agent, revision, outcome = name, "agent checked whose entry is missing");
+        let (number, era) = revision_and_era(revision);
+        info!(%agent, revision = number, era, outcome = name, "agent checked whose entry is missing");
         if outcome != MarkOutcome::Answered {
             marks.borrow_mut().conclude(agent, revision);
         }
--- a/components/forwarder/src/process/agent_events.rs
+++ b/components/forwarder/src/process/agent_events.rs
@@ -35,7 +35,10 @@
     boot_clock::BootClock,
     store_watch::KeyEvent, //
 };
-use crate::connection::BalancerUpdate;
+use crate::connection::{
+    revision_and_era,
+    BalancerUpdate, //
+};
 
 /// Registrations that a balancer has read.
 pub(crate) struct ReadRegistrations {
@@ -136,7 +139,10 @@
             finished: BootClock.now(),
         };
         let gone = registrations.members.apply_listing(&listing);
+        let (revision, era) = revision_and_era(listing.revision);
         info!(
+            revision,
+            era,
             entries = listing.entries.len(),
             registrations = listing.registrations.len(),
             has_missing_entries = registrations.members.has_missing_entries(),
@@ -162,9 +168,11 @@
             return None;
         }
         let record = read_entry(item)?;
+        let (revision, era) = revision_and_era(item.revision);
         info!(
             agent = %record.address,
-            revision = item.revision,
+            revision,
+            era,
             "store entry of an agent written"
         );
         if let Some(registrations) = &mut self.registrations {
@@ -174,16 +182,17 @@
         Some(BalancerUpdate::Agent(record, item.revision))
     }
 
-    fn read_deletion(&mut self, key: &str, revision: u64) -> Option<BalancerUpdate> {
+    fn read_deletion(&mut self, key: &str, order: u64) -> Option<BalancerUpdate> {
+        let (revision, era) = revision_and_era(order);
         if let Some(AgentKey::Registration(address)) = parse_agent_key(key) {
             let registrations = self.registrations.as_mut()?;
-            info!(agent = %address, revision, "registration of an agent deleted");
+            info!(agent = %address, revision, era, "registration of an agent deleted");
             registrations.members.remove_registration(address);
             registrations.note(|cleanup| cleanup.remove_registration(address));
             return Some(BalancerUpdate::Members(MemberUpdate::Unregistered(address)));
         }
         let address = key.strip_prefix(AGENT_PREFIX)?.parse().ok()?;
-        info!(agent = %address, revision, "store entry of an agent deleted");
+        info!(agent = %address, revision, era, "store entry of an agent deleted");
         if let Some(registrations) = &mut self.registrations {
             registrations.members.note_missing(address);
             registrations.note(|cleanup| cleanup.note_missing(address));
--- a/components/forwarder/src/process/deregistration_task.rs
+++ b/components/forwarder/src/process/deregistration_task.rs
@@ -33,7 +33,10 @@
     server_silence::has_ended,
     store_backoff::StoreBackoff, //
 };
-use crate::connection::AgentUpdate;
+use crate::connection::{
+    revision_and_era,
+    AgentUpdate, //
+};
 
 /// Tries to delete the keys of an agent that is shutting down, while its server has ended and time is left,
 /// and hands the deletion over to balancers when the first attempt fails.
@@ -70,7 +73,8 @@
             self.is_ending.cancel();
             match self.attempt(limit).await {
                 Some(Unregistration::Failed(error, revision)) => {
-                    info!(%error, revision, "registration not deleted yet");
+                    let (number, era) = revision.map(revision_and_era).unzip();
+                    info!(%error, revision = number, era = era.flatten(), "registration not deleted yet");
                     self.count("failed");
                     self.hand_over(revision).await;
                     let longest = duration(Deregistration::MAX_PAUSE);
--- a/components/forwarder/src/process/handed_over_task.rs
+++ b/components/forwarder/src/process/handed_over_task.rs
@@ -25,7 +25,10 @@
         CALL_TIMEOUT, //
     },
 };
-use crate::connection::HandedOver;
+use crate::connection::{
+    revision_and_era,
+    HandedOver, //
+};
 
 /// Longest pause after a failed attempt.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
@@ -66,7 +69,8 @@
         HandedOver::Begin(agent, revision) => {
             let random = rand::rng().random_range(0.0..1.0);
             if deletions.add(agent, revision, random, BootClock.now()) {
-                info!(%agent, revision, "deletion of a registration taken over");
+                let (revision, era) = revision_and_era(revision);
+                info!(%agent, revision, era, "deletion of a registration taken over");
             }
         }
         HandedOver::Cancel(agent) => deletions.conclude(agent),
@@ -80,13 +84,14 @@
     deletions: &mut HandedDeletions,
 ) -> Option<&'static str> {
     let (agent, revision) = deletions.next_due(BootClock.now())?;
+    let (number, era) = revision_and_era(revision);
     let outcome = match delete_registration(client, agent, revision).await {
         Ok(()) => {
-            info!(%agent, revision, "registration of an agent deleted: its server has ended");
+            info!(%agent, revision = number, era, "registration of an agent deleted: its server has ended");
             "deleted"
         }
         Err(StoreError::Conflict) => {
-            info!(%agent, revision, "registration of an agent already deleted or changed");
+            info!(%agent, revision = number, era, "registration of an agent already deleted or changed");
             "kept"
         }
         Err(error) => {
--- a/components/forwarder/src/process/node_metrics.rs
+++ b/components/forwarder/src/process/node_metrics.rs
@@ -19,6 +19,7 @@
     resend_metrics::ResendMetrics,
     saved_metrics::SavedMetrics, //
 };
+use crate::connection::revision_and_era;
 
 /// Upper bounds of the histogram of response times, in seconds.
 const RESPONSE_TIME_BOUNDS: [f64; 12] = [
@@ -61,7 +62,9 @@
     /// Requests in progress at the server.
     pub(crate) busy: Gauge,
     /// Revision of the configuration in force.
-    pub(crate) revision: Gauge,
+    revision: Gauge,
+    /// Era of the store in which it gave out that revision; zero if the store states none.
+    era: Gauge,
     /// Known agents.
     pub(crate) agents: Gauge,
     /// Registrations of agents that are gone, by what became of them at a balancer.
@@ -100,6 +103,7 @@
             unsent: Gauge::default(),
             busy: Gauge::default(),
             revision: Gauge::default(),
+            era: Gauge::default(),
             agents: Gauge::default(),
             registrations: Family::default(),
             deregistrations: Family::default(),
@@ -169,6 +173,11 @@
             "Revision of the configuration",
             m.revision,
         );
+        registry.register(
+            "store_era",
+            "Era of the store in which it gave out the revision of the configuration; zero if it states none",
+            m.era,
+        );
         registry.register("known_agents", "Agents that are known", m.agents);
         registry.register(
             "cleaned_registrations",
@@ -200,6 +209,13 @@
         family.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Sets the revision of the configuration and its era, from their order number.
+    pub(crate) fn set_revision(&self, order: u64) {
+        let (revision, era) = revision_and_era(order);
+        NodeMetrics::set(&self.revision, revision);
+        NodeMetrics::set(&self.era, u64::from(era.unwrap_or(0)));
+    }
+
     /// Sets a gauge; a value that is too large for it counts as the largest one.
     pub(crate) fn set(gauge: &Gauge, value: u64) {
         gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/components/forwarder/src/process/registration_cleaner.rs
+++ b/components/forwarder/src/process/registration_cleaner.rs
@@ -26,6 +26,8 @@
     store_backoff::CALL_TIMEOUT, //
 };
 
+use crate::connection::revision_and_era;
+
 /// Interval between checks for registrations that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -58,13 +60,14 @@
             }
             Err(error) => Err(error),
         };
+        let (number, era) = revision_and_era(revision);
         match outcome {
             Ok(()) => {
-                info!(%agent, revision, "registration of an agent deleted: its entry is missing");
+                info!(%agent, revision = number, era, "registration of an agent deleted: its entry is missing");
                 NodeMetrics::count(&metrics.registrations, "deleted");
             }
             Err(StoreError::Conflict) => {
-                info!(%agent, revision, "registration of an agent kept: a key has changed");
+                info!(%agent, revision = number, era, "registration of an agent kept: a key has changed");
                 NodeMetrics::count(&metrics.registrations, "kept");
             }
             Err(error) => {
--- a/components/forwarder/src/process/snapshot_codec.rs
+++ b/components/forwarder/src/process/snapshot_codec.rs
@@ -29,7 +29,7 @@
 };
 use compact_str::CompactString;
 
-use crate::connection::message_revision;
+use crate::connection::revision_and_era;
 
 /// Longest time for which a peer's state of a data centre may differ from that in the store.
 const MAX_PROVISIONAL: Millis = Millis(10_000);
@@ -45,7 +45,7 @@
 ) -> SiteSnapshot {
     let former = config.former_services.entries().iter();
     let provisional = config.provisional.iter();
-    let (revision, era) = message_revision(config.revision);
+    let (revision, era) = revision_and_era(config.revision);
     SiteSnapshot {
         era,
         provisional_centres: provisional
--- a/components/forwarder/src/process/store_watch.rs
+++ b/components/forwarder/src/process/store_watch.rs
@@ -36,7 +36,10 @@
         MAX_BACKOFF, //
     },
 };
-use crate::connection::PeerRevision;
+use crate::connection::{
+    revision_and_era,
+    PeerRevision, //
+};
 
 /// Shortest wait of a watch, which bounds the calls to the store whatever the settings ask for.
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(500);
@@ -298,11 +301,14 @@
                 return Ok((None, None));
             }
             seen = wait_until_behind(next_watch, &mut self.peer_revisions, self.revision) => {
-                let revision = self.revision;
+                let (revision, era) = revision_and_era(self.revision);
+                let (seen, seen_era) = revision_and_era(seen);
                 info!(
                     prefix = self.prefix,
                     seen,
+                    seen_era,
                     revision,
+                    era,
                     "a peer has a newer revision; reading the keys again"
                 );
                 return Ok((None, None));
@@ -314,9 +320,10 @@
                 Ok((event, Some(revision.max(after))))
             }
             WatchResponse::Compacted => {
+                let (after, era) = revision_and_era(after);
                 info!(
                     prefix = self.prefix,
-                    after, "store has compacted its history; reading the keys again"
+                    after, era, "store no longer has these changes; reading the keys again"
                 );
                 Ok((None, None))
             }
