--- a/components/forwarder/src/process/config_tracker.rs
+++ b/components/forwarder/src/process/config_tracker.rs
@@ -169,11 +169,16 @@
     }
 
     /// Adopts the configuration and evacuations of a peer at time `now`, if they are newer; returns
-    /// the configuration in force in that case, or if the peer knows more of earlier versions.
+    /// the configuration in force in that case, or if the peer knows more of earlier versions. A peer that has lived through
+    /// a return of the store may know a later version alone.
     pub fn adopt_config(&mut self, config: SiteConfig, now: Millis) -> Option<Arc<SiteConfig>> {
         let learned = self.adopt_history(&config, now);
         if config.revision <= self.revision {
-            return learned.then(|| self.in_force(now)).flatten();
+            let is_later = config.version > self.version();
+            if is_later {
+                self.replace_config(config, now);
+            }
+            return (learned || is_later).then(|| self.in_force(now)).flatten();
         }
         let begins_era = self.begins_era(config.revision);
         self.revision = config.revision;
