Take a first era of zero for one

After a first era of zero the order would hold, but evacuations and agents wouldn't be held through the first return. Found by reading. Change: inside, an era is one more than the stated number. Messages, logs and metrics name it as the store does.

--- a/components/flows/src/version/store_revision.rs
+++ b/components/flows/src/version/store_revision.rs
@@ -13,7 +13,7 @@
 /// hold both; requests to the store, messages and logs name them apart.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StoreRevision {
-    /// Number of the era; zero if the store states none.
+    /// One more than the number of the era that the store states; zero if it states none.
     pub era: u32,
     /// Revision that the store has given out.
     pub number: u64,
@@ -31,6 +31,16 @@
         }
     }
 
+    /// Creates a revision of the era that the store states, if it states one.
+    pub fn stated(era: Option<u32>, number: u64) -> StoreRevision {
+        StoreRevision::new(era.map_or(0, |era| era.saturating_add(1)), number)
+    }
+
+    /// Returns the number of the era as the store states it; `None` if it states none.
+    pub fn stated_era(self) -> Option<u32> {
+        self.era.checked_sub(1)
+    }
+
     /// Returns the revision of an order number.
     pub fn from_order(order: u64) -> StoreRevision {
         StoreRevision {
--- a/components/forwarder/src/connection/peer_revision.rs
+++ b/components/forwarder/src/connection/peer_revision.rs
@@ -76,6 +76,6 @@
 
 /// Returns the revision of an order number for messages and logs, and the era unless the store states none.
 pub(crate) fn revision_and_era(order: u64) -> (u64, Option<u32>) {
-    let StoreRevision { era, number } = StoreRevision::from_order(order);
-    (number, (era > 0).then_some(era))
+    let revision = StoreRevision::from_order(order);
+    (revision.number, revision.stated_era())
 }
--- a/components/forwarder/src/connection/report_codec.rs
+++ b/components/forwarder/src/connection/report_codec.rs
@@ -61,7 +61,7 @@
         queued: message.queued,
         held,
         slots: message.slots,
-        revision: StoreRevision::new(message.era.unwrap_or(0), message.revision).order(),
+        revision: StoreRevision::stated(message.era, message.revision).order(),
         is_confirmed: message.confirmed,
         work_us: message.work_us,
         open_flows: message.open_flows,
--- a/components/forwarder/src/process/config_tracker.rs
+++ b/components/forwarder/src/process/config_tracker.rs
@@ -28,6 +28,7 @@
     },
     store_watch::KeyEvent, //
 };
+use crate::connection::revision_and_era;
 
 /// Tracks the configuration and evacuations in force, and ignores stale events.
 ///
@@ -107,10 +108,16 @@
 
     fn apply_listing(&mut self, listing: StoreListing, peer_revision: u64, now: Millis) {
         let revision = listing.revision;
-        let StoreRevision { era, number } = StoreRevision::from_order(revision);
+        let (number, era) = revision_and_era(revision);
         if revision < self.adopted_revision {
-            let taken = StoreRevision::from_order(self.adopted_revision);
-            info!(era, revision = number, ?taken, "stale list ignored");
+            let (taken, taken_era) = revision_and_era(self.adopted_revision);
+            info!(
+                era,
+                revision = number,
+                taken,
+                taken_era,
+                "stale list ignored"
+            );
             return;
         }
         let begins_era = self.begins_era(revision);
@@ -140,7 +147,7 @@
         // The list may have been read before the last change that peers have seen.
         self.revision = self.revision.max(peer_revision.min(revision));
         // What is in force is that of the new era now, also if no key was written in it yet.
-        self.revision = self.revision.max(StoreRevision::new(era, 0).order());
+        self.revision = self.revision.max(StoreRevision::stated(era, 0).order());
     }
 
     /// Returns whether this order number is of a later era than what is known, and so of a store that has come back from
@@ -231,8 +238,8 @@
         match parse_operator_entry(&item.key, &item.value) {
             Ok(OperatorEntry::Config(config)) => self.replace_config(config, now),
             Ok(OperatorEntry::EvacuatedCentre(centre)) => {
-                let StoreRevision { era, number } = StoreRevision::from_order(item.revision);
-                info!(%centre, era, revision = number, "data centre evacuated");
+                let (revision, era) = revision_and_era(item.revision);
+                info!(%centre, era, revision, "data centre evacuated");
                 return Some(EvacuationEntry {
                     centre,
                     revision: Some(item.revision),
@@ -245,7 +252,7 @@
     }
 
     fn apply_deletion(&mut self, key: &str, revision: u64) {
-        let StoreRevision { era, number } = StoreRevision::from_order(revision);
+        let (number, era) = revision_and_era(revision);
         info!(key, era, revision = number, "operator's entry deleted");
         self.evacuations.note_deletion(key);
         self.revision = self.revision.max(revision);
--- a/components/forwarder/src/process/lease_actor.rs
+++ b/components/forwarder/src/process/lease_actor.rs
@@ -260,8 +260,8 @@
         };
         info!(
             lease = lease.id,
-            granted = lease.era,
-            era,
+            granted = lease.era.checked_sub(1),
+            era = era.checked_sub(1),
             "lease is of an earlier era; writing the store entry again"
         );
         self.is_written = false;
@@ -377,7 +377,7 @@
             service = %record.service,
             is_leaving = record.is_leaving,
             lease = lease.id,
-            era = lease.era,
+            era = lease.era.checked_sub(1),
             "store entry written"
         );
         Ok(lease)
--- a/components/forwarder/tests/absence_marker.rs
+++ b/components/forwarder/tests/absence_marker.rs
@@ -20,7 +20,7 @@
 
 /// Returns the order number of the first key in the store.
 fn revision() -> u64 {
-    StoreRevision::new(1, 2).order()
+    StoreRevision::stated(Some(1), 2).order()
 }
 
 /// Guards against a mark on an agent that lives or may be back, and against one for another registration.
--- a/components/forwarder/tests/config_tracker.rs
+++ b/components/forwarder/tests/config_tracker.rs
@@ -197,6 +197,18 @@
     assert!(config.is_evacuated(CENTRE), "the operator hasn't ended it");
 }
 
+/// Guards against an evacuation that waits although the operator has written it in the new era.
+#[test]
+fn an_edit_of_the_new_era_decides_at_once() {
+    let mut tracker = tracker_of_first_era();
+    tracker.apply_event(evacuation_end(order(1, 24)), 0, NOW);
+    let copy = listing(vec![evacuation_item(order(2, 12))], order(2, 20));
+    tracker.apply_event(copy, 0, NOW);
+    let written = StoreChange::Put(evacuation_item(order(2, 21)));
+    let config = tracker.apply_event(KeyEvent::Changes(vec![written]), 0, NOW);
+    assert!(config.unwrap().is_evacuated(CENTRE));
+}
+
 /// Guards against a second return in a row that ends what the first one was to hold.
 #[test]
 fn an_evacuation_holds_through_two_returns() {
--- a/tests/platform_roles/handovers.rs
+++ b/tests/platform_roles/handovers.rs
@@ -85,7 +85,7 @@
         let message = FlowDatagram::encode_body(FlowBody::RegistrationEnded(RegistrationEnded {
             agent: address_to_number(self.address),
             revision: self.revision.number,
-            era: Some(self.revision.era),
+            era: self.revision.stated_era(),
         }));
         let to = SocketAddrV4::new(balancer.ip, balancer.peer_port);
         from.send_to(&message, to).await.unwrap();
@@ -185,7 +185,7 @@
             match FlowDatagram::decode(&buffer[..length]).unwrap().body {
                 Some(FlowBody::RegistrationEnded(message)) => {
                     assert_eq!(message.agent, address_to_number(agent.packets));
-                    let revision = StoreRevision::new(message.era.unwrap(), message.revision);
+                    let revision = StoreRevision::stated(message.era, message.revision);
                     assert_eq!(revision.order(), listing.items[0].revision);
                     messages += 1;
                     let probe = balancer.probe(0);
