--- a/components/flows/tests/store_returns.rs
+++ b/components/flows/tests/store_returns.rs
@@ -114,6 +114,22 @@
     }
 }
 
+/// Guards against an agent that is gone at the return, as its entry was missing before, when it couldn't write it.
+#[test]
+fn the_time_of_a_missing_entry_begins_anew_with_the_era() {
+    let mut table = AgentTable::default();
+    apply(&mut table, listing(1, &[(1, 5)], 0));
+    let without_entry = |era, started| MemberListing {
+        entries: Vec::new(),
+        ..listing(era, &[(1, 5)], started)
+    };
+    for started in (500..=2_500).step_by(500) {
+        apply(&mut table, without_entry(1, started));
+    }
+    apply(&mut table, without_entry(2, 3_100));
+    assert!(is_possible(&table, 1));
+}
+
 /// Guards against an agent that counts on although its registration was deleted in the new era.
 #[test]
 fn a_deletion_in_the_new_era_ends_an_agent_that_the_copy_lacks() {
